Start with the ground that every daemon stands on

Cause: the daemons, their stand-ins and the operators' client are to be written side by side and need one agreed interface first. Conclusion: enough to begin the three daemons.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.ready-$(shell sha256sum requirements.lock | cut -c1-12)
+
+.PHONY: demo test lint format setup
+
+demo: setup
+	$(BIN)/python -m godwitlanding.tests.tools.demo
+
+test: lint
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/black --check --quiet --diff godwitlanding
+	$(BIN)/isort --check-only --diff godwitlanding
+	$(BIN)/flake8 godwitlanding
+
+format: setup
+	$(BIN)/isort godwitlanding
+	$(BIN)/black --quiet godwitlanding
+
+setup: $(STAMP)
+
+$(STAMP):
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
--- /dev/null
+++ b/godwitlanding/config.py
@@ -0,0 +1,400 @@
+"""The operators' configuration text and its typed form.
+
+The text is JSON with comments and describes regions, services with their
+upstreams and dependencies, limits of links, shifts with their caps, and
+drains. ``docs/configuration.rst`` describes every key.
+
+>>> parse_config(text).unwrap().service_by_name["status"].deadline_s
+2.0
+"""
+
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from godwitlanding.codes import Code
+from godwitlanding.fields import Checker, Field, read_text
+
+CONFIG_KIND = "config"
+CONFIG_NAME = "main"
+
+KIND_TRANSACTION = "transaction"
+KIND_LOOKUP = "lookup"
+KIND_BULK = "bulk"
+# Smaller is served first: lost payments, orders and bookings hurt most,
+# and a caller does not wait by the telephone for a bulk download.
+PRIORITY_BY_KIND = {KIND_TRANSACTION: 0, KIND_LOOKUP: 1, KIND_BULK: 2}
+
+_NAME = r"[a-z0-9][a-z0-9.-]{0,62}"
+_ADDRESS = r"[0-9a-f.:\[\]]+:\d{1,5}"
+
+
+def _name(help):
+    return Field("text", help=help, pattern=_NAME)
+
+
+def _share(help, **keywords):
+    return Field("number", help=help, minimum=0.0, maximum=1.0, **keywords)
+
+
+_UPSTREAM = Field(
+    "table",
+    table={
+        "id": _name("Name of the upstream, unique in the whole text."),
+        "address": Field("text", help="IP number and port.", pattern=_ADDRESS),
+        "availability_zone": _name("Zone in which the upstream runs."),
+        "slots": Field(
+            "integer",
+            3,
+            help="Licensed copies: requests it may run at once.",
+            minimum=1,
+            maximum=1000,
+        ),
+    },
+)
+
+_SERVICE = Field(
+    "table",
+    table={
+        "name": _name("Name of the service, part of its URL."),
+        "kind": Field(
+            "text",
+            help="What sort of work it is; transactions need a ticket.",
+            choices=(KIND_LOOKUP, KIND_TRANSACTION, KIND_BULK),
+        ),
+        "deadline_s": Field(
+            "number",
+            unit="s",
+            help="Time in which a request has to be answered in full.",
+            minimum=0.05,
+            maximum=600,
+        ),
+        "work_s": Field(
+            "number",
+            0.05,
+            unit="s",
+            help="Usual time that a slot needs for a request.",
+            minimum=0.001,
+            maximum=600,
+        ),
+        "slow_start_s": Field(
+            "number",
+            10.0,
+            unit="s",
+            help="Time over which a cold upstream is given its full share.",
+            minimum=0,
+            maximum=3600,
+        ),
+        "depends_on": Field(
+            "list", [], item=Field("text"), help="Services that it calls."
+        ),
+        "upstreams": Field("list", item=_UPSTREAM, help="Its upstreams."),
+    },
+)
+
+_REGION = Field(
+    "table",
+    table={
+        "name": _name("Name of the region."),
+        "availability_zones": Field("list", item=_name("Name of a zone.")),
+        "load_limit": _share(
+            "Share of the region's slots that steering may plan for.", default=0.9
+        ),
+    },
+)
+
+_LINK = Field(
+    "table",
+    table={
+        "from": _name("Zone whose entry VMs send."),
+        "to": _name("Zone whose upstreams receive."),
+        "requests_per_s": Field(
+            "number", unit="1/s", help="Requests.", minimum=0, maximum=1e6
+        ),
+        "bytes_per_s": Field(
+            "number", 0, unit="B/s", help="Bytes; 0: no limit.", minimum=0, maximum=1e12
+        ),
+    },
+)
+
+_SHIFT = Field(
+    "table",
+    table={
+        "name": _name("Name of the shift."),
+        "service": _name("Service whose callers move."),
+        "from": _name("Zone that they leave."),
+        "to": _name("Zone to which they go."),
+        "share": _share("Share of the zone's callers to move in all."),
+        "cap_share": _share("Most that may move within one step."),
+        "step_s": Field(
+            "number",
+            30.0,
+            unit="s",
+            help="Least time between two steps.",
+            minimum=0.1,
+            maximum=86400,
+        ),
+        "paused": Field("boolean", False, help="Stay where the shift is."),
+    },
+)
+
+_DRAIN = Field(
+    "table",
+    table={
+        "what": Field("text", choices=("upstream", "vm", "availability_zone")),
+        "name": _name("Name of what is drained."),
+        "service": Field("text", "", help="Only this service of a zone."),
+    },
+)
+
+CONFIG = {
+    "format": Field("integer", help="Version of the format.", minimum=1, maximum=1),
+    "name": _name("Name of the user."),
+    "regions": Field("list", item=_REGION),
+    "services": Field("list", item=_SERVICE),
+    "links": Field("list", [], item=_LINK),
+    "shifts": Field("list", [], item=_SHIFT),
+    "drains": Field("list", [], item=_DRAIN),
+}
+
+
+class Upstream(NamedTuple):
+    """A licensed back end; ``address`` is ``ip:port``."""
+
+    id: str
+    address: str
+    availability_zone: str
+    slots: int
+    service: str
+
+
+class ServiceConfig(NamedTuple):
+    """A service as the operators describe it; times in seconds."""
+
+    name: str
+    kind: str
+    deadline_s: float
+    work_s: float
+    slow_start_s: float
+    depends_on: tuple[str, ...]
+    upstream_by_id: dict[str, Upstream]
+
+    @property
+    def priority(self):
+        """Return the priority; smaller is served first."""
+        return PRIORITY_BY_KIND[self.kind]
+
+    def get_upstreams(self, availability_zone):
+        """Return the service's upstreams in a zone, in the text's order."""
+        return tuple(
+            upstream
+            for upstream in self.upstream_by_id.values()
+            if upstream.availability_zone == availability_zone
+        )
+
+
+class Region(NamedTuple):
+    """A region; ``load_limit`` is a share of its slots."""
+
+    name: str
+    availability_zones: tuple[str, ...]
+    load_limit: float
+
+
+class Link(NamedTuple):
+    """Limits between two zones; 0 bytes a second is no limit."""
+
+    requests_per_s: float
+    bytes_per_s: float
+
+
+class Shift(NamedTuple):
+    """A wish to move a share of a zone's callers to another zone."""
+
+    name: str
+    service: str
+    from_zone: str
+    to_zone: str
+    share: float
+    cap_share: float
+    step_s: float
+    paused: bool
+
+
+class Drain(NamedTuple):
+    """Something that gets no new work; ``service`` narrows a zone's."""
+
+    what: str
+    name: str
+    service: str
+
+
+class Configuration(NamedTuple):
+    """The checked configuration."""
+
+    name: str
+    region_by_name: dict[str, Region]
+    region_by_zone: dict[str, str]
+    service_by_name: dict[str, ServiceConfig]
+    link_by_zones: dict[tuple[str, str], Link]
+    shift_by_name: dict[str, Shift]
+    drains: frozenset[Drain]
+
+    def is_drained(self, what, name, service=""):
+        """Tell whether the text drains it, for ``service`` or for all."""
+        for_all = Drain(what, name, "") in self.drains
+        return for_all or Drain(what, name, service) in self.drains
+
+    def find_upstream(self, upstream_id):
+        """Return the upstream of that id, or ``None``."""
+        for service in self.service_by_name.values():
+            if upstream_id in service.upstream_by_id:
+                return service.upstream_by_id[upstream_id]
+        return None
+
+
+def parse_config(text):
+    """Return ``Ok(configuration)`` or ``Err`` with every problem."""
+    parsed = read_text(text)
+    if parsed.is_err():
+        return parsed
+    checker = Checker(text)
+    value = checker.check(parsed.unwrap(), Field("table", table=CONFIG), "")
+    if checker.problems:
+        return Err(checker.problems)
+    _check_names(value, checker)
+    _check_references(value, checker)
+    return Err(checker.problems) if checker.problems else Ok(_build(value))
+
+
+def _check_names(value, checker):
+    zones = [zone for r in value["regions"] for zone in r["availability_zones"]]
+    upstreams = [u for s in value["services"] for u in s["upstreams"]]
+    for path, names in (
+        ("regions", [region["name"] for region in value["regions"]]),
+        ("availability_zones", zones),
+        ("services", [service["name"] for service in value["services"]]),
+        ("upstreams.id", [upstream["id"] for upstream in upstreams]),
+        ("upstreams.address", [upstream["address"] for upstream in upstreams]),
+        ("shifts", [shift["name"] for shift in value["shifts"]]),
+        ("links", [f"{link['from']} to {link['to']}" for link in value["links"]]),
+        ("shifts", [f"{s['service']} {s['from']}" for s in value["shifts"]]),
+    ):
+        for name in _find_doubled(names):
+            checker.add(Code.CONFIG_DUPLICATE, path, repr(name), "each one once")
+
+
+def _find_doubled(names):
+    seen = set()
+    return sorted({name for name in names if name in seen or seen.add(name)})
+
+
+def _check_references(value, checker):
+    zones = {zone for r in value["regions"] for zone in r["availability_zones"]}
+    services = {service["name"] for service in value["services"]}
+    upstreams = {u["id"] for s in value["services"] for u in s["upstreams"]}
+
+    def expect(name, known, path, what):
+        if name not in known:
+            checker.add(
+                Code.CONFIG_UNKNOWN_REFERENCE, path, repr(name), what, near=name
+            )
+
+    for service in value["services"]:
+        path = f"services.{service['name']}"
+        for name in service["depends_on"]:
+            expect(name, services, f"{path}.depends_on", "a service of this text")
+        for upstream in service["upstreams"]:
+            zone = upstream["availability_zone"]
+            expect(zone, zones, f"{path}.{upstream['id']}", "a zone of a region")
+    for link in value["links"]:
+        expect(link["from"], zones, "links.from", "a zone of a region")
+        expect(link["to"], zones, "links.to", "a zone of a region")
+    for shift in value["shifts"]:
+        path = f"shifts.{shift['name']}"
+        expect(shift["service"], services, path, "a service of this text")
+        expect(shift["from"], zones, path, "a zone of a region")
+        expect(shift["to"], zones, path, "a zone of a region")
+        if shift["share"] > 0 and shift["cap_share"] == 0:
+            checker.add(Code.CONFIG_OUT_OF_RANGE, path, "cap_share 0", "more than 0")
+        if shift["from"] == shift["to"]:
+            checker.add(Code.CONFIG_OUT_OF_RANGE, path, shift["to"], "another zone")
+    for drain in value["drains"]:
+        if drain["what"] == "upstream":
+            expect(drain["name"], upstreams, "drains", "an upstream of this text")
+        if drain["what"] == "availability_zone":
+            expect(drain["name"], zones, "drains", "a zone of a region")
+        if drain["service"]:
+            expect(drain["service"], services, "drains", "a service of this text")
+    _check_cycles(value, checker)
+
+
+def _check_cycles(value, checker):
+    needs_by_name = {s["name"]: s["depends_on"] for s in value["services"]}
+    for name in needs_by_name:
+        if name in _reach(name, needs_by_name):
+            path = f"services.{name}.depends_on"
+            checker.add(Code.CONFIG_UNKNOWN_REFERENCE, path, "a cycle", "no cycle")
+
+
+def _reach(name, needs_by_name):
+    reached = set()
+    todo = list(needs_by_name[name])
+    while todo:
+        need = todo.pop()
+        if need not in reached:
+            reached.add(need)
+            todo.extend(needs_by_name.get(need, ()))
+    return reached
+
+
+def _build(value):
+    regions = [
+        Region(r["name"], tuple(r["availability_zones"]), r["load_limit"])
+        for r in value["regions"]
+    ]
+    links = {
+        (link["from"], link["to"]): Link(link["requests_per_s"], link["bytes_per_s"])
+        for link in value["links"]
+    }
+    shifts = [
+        Shift(
+            s["name"],
+            s["service"],
+            s["from"],
+            s["to"],
+            s["share"],
+            s["cap_share"],
+            s["step_s"],
+            s["paused"],
+        )
+        for s in value["shifts"]
+    ]
+    drains = (Drain(d["what"], d["name"], d["service"]) for d in value["drains"])
+    return Configuration(
+        name=value["name"],
+        region_by_name={region.name: region for region in regions},
+        region_by_zone={z: r.name for r in regions for z in r.availability_zones},
+        service_by_name={s["name"]: _build_service(s) for s in value["services"]},
+        link_by_zones=links,
+        shift_by_name={shift.name: shift for shift in shifts},
+        drains=frozenset(drains),
+    )
+
+
+def _build_service(value):
+    upstreams = [
+        Upstream(
+            u["id"], u["address"], u["availability_zone"], u["slots"], value["name"]
+        )
+        for u in value["upstreams"]
+    ]
+    return ServiceConfig(
+        name=value["name"],
+        kind=value["kind"],
+        deadline_s=float(value["deadline_s"]),
+        work_s=float(value["work_s"]),
+        slow_start_s=float(value["slow_start_s"]),
+        depends_on=tuple(value["depends_on"]),
+        upstream_by_id={upstream.id: upstream for upstream in upstreams},
+    )
--- /dev/null
+++ b/godwitlanding/messages.capnp
@@ -0,0 +1,170 @@
+@0xd1f0a6c35b7e2c41;
+
+# One frame between two of our processes. An id of 0 wants no answer; an
+# answer carries the id of its question with `answer` set.
+struct Message {
+  id @0 :UInt64;
+  answer @1 :Bool;
+  union {
+    hello @2 :Hello;
+    failure @3 :Failure;
+    ack @4 :Ack;
+    subscribe @5 :Subscribe;
+    state @6 :State;
+    fetch @7 :Fetch;
+    heartbeat @8 :Heartbeat;
+    acquire @9 :Acquire;
+    granted @10 :Granted;
+    passOn @11 :PassOn;
+    refused @12 :Refused;
+    release @13 :Release;
+    withdraw @14 :Withdraw;
+    holdings @15 :Holdings;
+    held @16 :Held;
+    loan @17 :Loan;
+    lent @18 :Lent;
+    giveBack @19 :GiveBack;
+    poison @20 :Poison;
+    signal @21 :Signal;
+  }
+}
+
+struct Hello {
+  protocol @0 :UInt32;
+  role @1 :Text;
+  vm @2 :Text;
+  availabilityZone @3 :Text;
+  incarnation @4 :Text;
+}
+
+struct Failure {
+  code @0 :UInt32;
+  detail @1 :Text;
+}
+
+struct Ack {}
+
+# Asks for a push of every versioned object of the kinds, now and on change.
+struct Subscribe {
+  kinds @0 :List(Text);
+}
+
+# A versioned object: the receiver keeps the highest version of (kind, name).
+struct State {
+  kind @0 :Text;
+  name @1 :Text;
+  version @2 :UInt64;
+  body @3 :Data;
+}
+
+struct Fetch {
+  kind @0 :Text;
+  name @1 :Text;
+}
+
+struct VersionOf {
+  kind @0 :Text;
+  name @1 :Text;
+  version @2 :UInt64;
+}
+
+struct Heartbeat {
+  vm @0 :Text;
+  incarnation @1 :Text;
+  leaving @2 :Bool;
+  versions @3 :List(VersionOf);
+}
+
+struct Acquire {
+  service @0 :Text;
+  requestId @1 :Text;
+  caller @2 :Text;
+  priority @3 :UInt8;
+  remainingS @4 :Float64;
+  fingerprint @5 :UInt64;
+  excludedUpstreams @6 :List(Text);
+  arrivedFromZone @7 :Text;
+  attempt @8 :UInt32;
+  mayPassOn @9 :Bool;
+}
+
+struct Granted {
+  permitId @0 :UInt64;
+  upstream @1 :Text;
+  address @2 :Text;
+  validS @3 :Float64;
+  arbiter @4 :Text;
+  waitedS @5 :Float64;
+}
+
+struct PassOn {
+  availabilityZone @0 :Text;
+  validS @1 :Float64;
+  waitedS @2 :Float64;
+}
+
+struct Refused {
+  code @0 :UInt32;
+  retryAfterS @1 :Float64;
+  waitedS @2 :Float64;
+  detail @3 :Text;
+}
+
+struct Release {
+  permitId @0 :UInt64;
+  upstream @1 :Text;
+  arbiter @2 :Text;
+  outcome @3 :Text;
+  tookS @4 :Float64;
+  fingerprint @5 :UInt64;
+}
+
+struct Withdraw {
+  service @0 :Text;
+  requestId @1 :Text;
+}
+
+# A new arbiter asks a holder which permits it has open on these upstreams,
+# and from then on the holder takes grants on them from this arbiter only.
+struct Holdings {
+  arbiter @0 :Text;
+  service @1 :Text;
+  upstreams @2 :List(Text);
+}
+
+struct HeldPermit {
+  permitId @0 :UInt64;
+  upstream @1 :Text;
+  validS @2 :Float64;
+}
+
+struct Held {
+  permits @0 :List(HeldPermit);
+}
+
+struct Loan {
+  arbiter @0 :Text;
+  service @1 :Text;
+}
+
+struct Lent {
+  upstreams @0 :List(Text);
+  validS @1 :Float64;
+}
+
+struct GiveBack {
+  arbiter @0 :Text;
+  service @1 :Text;
+}
+
+struct Poison {
+  fingerprint @0 :UInt64;
+  upstream @1 :Text;
+  crashes @2 :UInt32;
+}
+
+# An entry's word on an upstream: draining, shed, ready.
+struct Signal {
+  upstream @0 :Text;
+  state @1 :Text;
+}
--- /dev/null
+++ b/godwitlanding/messages.py
@@ -0,0 +1,318 @@
+"""Typed messages between our processes, and their Cap'n Proto form.
+
+Each class mirrors the struct of the same name in ``messages.capnp``, which
+is loaded at run time, so the build needs no generator.
+
+>>> frame = encode(Envelope(7, False, Fetch("config", "main")))
+>>> decode(frame).message.kind
+'config'
+"""
+
+from pathlib import Path
+from typing import NamedTuple, get_args, get_origin, get_type_hints
+
+import capnp
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(Path(__file__).with_name("messages.capnp")))
+
+PROTOCOL_VERSION = 1
+
+
+class Hello(NamedTuple):
+    """First message in each direction of a connection."""
+
+    protocol: int
+    role: str
+    vm: str
+    availability_zone: str
+    incarnation: str
+
+
+class Failure(NamedTuple):
+    """An answer that says why there is no other; ``code`` is numbered."""
+
+    code: int
+    detail: str = ""
+
+
+class Ack(NamedTuple):
+    """An answer that carries nothing."""
+
+
+class Subscribe(NamedTuple):
+    """Asks for pushes of every versioned object of the kinds."""
+
+    kinds: tuple[str, ...]
+
+
+class State(NamedTuple):
+    """A versioned object; receivers keep the highest version."""
+
+    kind: str
+    name: str
+    version: int
+    body: bytes
+
+
+class Fetch(NamedTuple):
+    """Asks for one versioned object."""
+
+    kind: str
+    name: str
+
+
+class VersionOf(NamedTuple):
+    """Which version of an object a member holds."""
+
+    kind: str
+    name: str
+    version: int
+
+
+class Heartbeat(NamedTuple):
+    """A member's sign of life within its availability zone."""
+
+    vm: str
+    incarnation: str
+    leaving: bool = False
+    versions: tuple[VersionOf, ...] = ()
+
+
+class Acquire(NamedTuple):
+    """Asks an arbiter for a permit; times are seconds that remain."""
+
+    service: str
+    request_id: str
+    caller: str
+    priority: int
+    remaining_s: float
+    fingerprint: int = 0
+    excluded_upstreams: tuple[str, ...] = ()
+    arrived_from_zone: str = ""
+    attempt: int = 0
+    may_pass_on: bool = True
+
+
+class Granted(NamedTuple):
+    """A permit for one slot; the holder counts ``valid_s`` from its ask."""
+
+    permit_id: int
+    upstream: str
+    address: str
+    valid_s: float
+    arbiter: str
+    waited_s: float = 0.0
+
+
+class PassOn(NamedTuple):
+    """Leave to hand the request to an entry VM of another zone."""
+
+    availability_zone: str
+    valid_s: float
+    waited_s: float = 0.0
+
+
+class Refused(NamedTuple):
+    """The arbiter's final word that the request gets no permit here."""
+
+    code: int
+    retry_after_s: float
+    waited_s: float = 0.0
+    detail: str = ""
+
+
+class Release(NamedTuple):
+    """Gives a permit back; ``outcome`` is one of ``OUTCOMES``."""
+
+    permit_id: int
+    upstream: str
+    arbiter: str
+    outcome: str
+    took_s: float = 0.0
+    fingerprint: int = 0
+
+
+class Withdraw(NamedTuple):
+    """The caller has gone: forget its request in the queue."""
+
+    service: str
+    request_id: str
+
+
+class Holdings(NamedTuple):
+    """A new arbiter asks a holder for its open permits on upstreams."""
+
+    arbiter: str
+    service: str
+    upstreams: tuple[str, ...]
+
+
+class HeldPermit(NamedTuple):
+    """An open permit as its holder knows it."""
+
+    permit_id: int
+    upstream: str
+    valid_s: float
+
+
+class Held(NamedTuple):
+    """Answer to ``Holdings``."""
+
+    permits: tuple[HeldPermit, ...] = ()
+
+
+class Loan(NamedTuple):
+    """An arbiter asks an owner to lend it its upstreams of a service."""
+
+    arbiter: str
+    service: str
+
+
+class Lent(NamedTuple):
+    """The upstreams lent; the borrower counts from when it asked."""
+
+    upstreams: tuple[str, ...]
+    valid_s: float
+
+
+class GiveBack(NamedTuple):
+    """The borrower is no longer the arbiter of the service."""
+
+    arbiter: str
+    service: str
+
+
+class Poison(NamedTuple):
+    """A request fingerprint that crashed an upstream."""
+
+    fingerprint: int
+    upstream: str
+    crashes: int
+
+
+class Signal(NamedTuple):
+    """What an entry process heard from an upstream about its state."""
+
+    upstream: str
+    state: str
+
+
+OUTCOME_OK = "ok"
+OUTCOME_FAILED = "failed"
+OUTCOME_TIMEOUT = "timeout"
+OUTCOME_CRASHED = "crashed"
+OUTCOME_SHED = "shed"
+OUTCOME_LEAVING = "leaving"
+OUTCOME_UNUSED = "unused"
+OUTCOME_CANCELLED = "cancelled"
+OUTCOMES = (
+    OUTCOME_OK,
+    OUTCOME_FAILED,
+    OUTCOME_TIMEOUT,
+    OUTCOME_CRASHED,
+    OUTCOME_SHED,
+    OUTCOME_LEAVING,
+    OUTCOME_UNUSED,
+    OUTCOME_CANCELLED,
+)
+
+_CLASSES = (
+    Hello,
+    Failure,
+    Ack,
+    Subscribe,
+    State,
+    Fetch,
+    Heartbeat,
+    Acquire,
+    Granted,
+    PassOn,
+    Refused,
+    Release,
+    Withdraw,
+    Holdings,
+    Held,
+    Loan,
+    Lent,
+    GiveBack,
+    Poison,
+    Signal,
+)
+
+
+class Envelope(NamedTuple):
+    """A message with the id that matches an answer to its question."""
+
+    id: int
+    answer: bool
+    message: tuple
+
+
+def _camel(name):
+    head, *rest = name.split("_")
+    return head + "".join(part.title() for part in rest)
+
+
+def _field_rows(cls):
+    rows = []
+    for name, hint in get_type_hints(cls).items():
+        item = get_args(hint)[0] if get_origin(hint) is tuple else None
+        nested = item if hasattr(item, "_fields") else None
+        rows.append((name, _camel(name), item is not None, nested))
+    return rows
+
+
+def _union_name(cls):
+    return cls.__name__[0].lower() + cls.__name__[1:]
+
+
+_CLASS_BY_UNION_NAME = {_union_name(cls): cls for cls in _CLASSES}
+_ROWS_BY_CLASS = {cls: _field_rows(cls) for cls in (*_CLASSES, VersionOf, HeldPermit)}
+
+
+def _to_dict(message):
+    result = {}
+    for name, camel, is_list, nested in _ROWS_BY_CLASS[type(message)]:
+        value = getattr(message, name)
+        if nested:
+            value = [_to_dict(item) for item in value]
+        elif is_list:
+            value = list(value)
+        result[camel] = value
+    return result
+
+
+def _from_reader(cls, reader):
+    values = []
+    for _, camel, is_list, nested in _ROWS_BY_CLASS[cls]:
+        value = getattr(reader, camel)
+        if nested:
+            value = tuple(_from_reader(nested, item) for item in value)
+        elif is_list:
+            value = tuple(value)
+        values.append(value)
+    return cls(*values)
+
+
+def encode(envelope):
+    """Return the bytes of an envelope, without the length prefix."""
+    body = {_union_name(type(envelope.message)): _to_dict(envelope.message)}
+    built = _SCHEMA.Message.new_message(id=envelope.id, answer=envelope.answer, **body)
+    return built.to_bytes()
+
+
+def decode(data):
+    """Return the envelope in ``data``; ``ValueError`` where it is garbage.
+
+    The schema library raises its own exceptions on a truncated or hostile
+    frame; they become one error, so that a connection handler can count
+    the frame and close instead of ending the process.
+    """
+    try:
+        with _SCHEMA.Message.from_bytes(data) as reader:
+            cls = _CLASS_BY_UNION_NAME[reader.which()]
+            message = _from_reader(cls, getattr(reader, _union_name(cls)))
+            return Envelope(reader.id, reader.answer, message)
+    except Exception as error:
+        raise ValueError(f"not a message: {error}") from error
--- /dev/null
+++ b/godwitlanding/services/__init__.py
@@ -0,0 +1,1 @@
+"""Services that the daemons start, found by name."""
--- /dev/null
+++ b/godwitlanding/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of godwitlanding."""
--- /dev/null
+++ b/godwitlanding/tests/test_foundation.py
@@ -0,0 +1,83 @@
+"""The parts that every daemon stands on."""
+
+import pytest
+
+from godwitlanding.codes import ROW_BY_CODE, Code
+from godwitlanding.kernel import Kernel, KernelError, Service
+from godwitlanding.messages import Envelope, State, decode, encode
+from godwitlanding.replica import Replica
+
+
+class Recorder(Service):
+    """A service that writes down when it starts and stops."""
+
+    def __init__(self, name, needs=(), journal=None, fails=False):
+        self.name = name
+        self.needs = needs
+        self.journal = journal if journal is not None else []
+        self.fails = fails
+
+    async def start(self, kernel):
+        if self.fails:
+            raise OSError("cannot listen")
+        self.journal.append(f"+{self.name}")
+
+    async def stop(self):
+        self.journal.append(f"-{self.name}")
+
+
+def test_every_code_has_a_row():
+    assert set(ROW_BY_CODE) == set(Code)
+
+
+async def test_services_start_after_their_needs_and_stop_before():
+    journal = []
+    kernel = Kernel([Recorder("b", ("a",), journal), Recorder("a", (), journal)])
+    await kernel.start()
+    await kernel.stop()
+    assert journal == ["+a", "+b", "-b", "-a"]
+
+
+async def test_failed_start_stops_what_had_started():
+    journal = []
+    broken = Recorder("b", ("a",), journal, fails=True)
+    kernel = Kernel([Recorder("a", (), journal), broken])
+    with pytest.raises(OSError):
+        await kernel.start()
+    assert journal == ["+a", "-a"]
+
+
+@pytest.mark.parametrize(
+    ("services", "words"),
+    [
+        ([Recorder("a"), Recorder("a")], "two services"),
+        ([Recorder("a", ("b",))], "no service"),
+        ([Recorder("a", ("b",)), Recorder("b", ("a",))], "need each other"),
+    ],
+)
+def test_kernel_refuses(services, words):
+    with pytest.raises(KernelError, match=words):
+        Kernel(services).get_names()
+
+
+@pytest.mark.parametrize("data", [b"", b"garbage!" * 3, b"\xff" * 64, b"\0" * 8])
+def test_garbage_frame_is_a_value_error(data):
+    with pytest.raises(ValueError):
+        decode(data)
+
+
+def test_message_survives_the_wire():
+    envelope = Envelope(9, True, State("config", "main", 3, b"{}"))
+    assert decode(encode(envelope)) == envelope
+
+
+@pytest.mark.parametrize(("offered", "taken"), [(6, False), (7, False), (8, True)])
+def test_replica_never_goes_back(offered, taken):
+    """A peer that was cut off offers the version it last saw.
+
+    Users would notice a change that they had seen in force disappear.
+    """
+    replica = Replica()
+    replica.offer(State("config", "main", 7, b"seven"))
+    assert replica.offer(State("config", "main", offered, b"x")) is taken
+    assert replica.get_version("config", "main") == max(7, offered)
--- /dev/null
+++ b/godwitlanding/tests/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that stand in for the outside world in tests."""
--- /dev/null
+++ b/godwitlanding/web.py
@@ -0,0 +1,129 @@
+"""HTTP servers of our daemons: uvicorn on the plain asyncio loop."""
+
+import asyncio
+import contextlib
+
+import uvicorn
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from godwitlanding.codes import ROW_BY_CODE
+from godwitlanding.kernel import Service
+from godwitlanding.metrics import render_metrics
+
+PROBLEM_TYPE = "application/problem+json"
+KEEP_ALIVE_S = 30
+BACKLOG = 512
+
+
+class _Server(uvicorn.Server):
+    """uvicorn without its own signal handlers: the kernel has them."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        yield
+
+
+class HttpServer(Service):
+    """Serves an ASGI app at ``host:port`` until it is stopped.
+
+    Stopping lets the requests in progress finish.
+    """
+
+    def __init__(self, name, app, host, port, needs=(), max_connections=2000):
+        self.name = name
+        self.needs = needs
+        config = uvicorn.Config(
+            app,
+            host=host,
+            port=port,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            backlog=BACKLOG,
+            limit_concurrency=max_connections,
+        )
+        self._server = _Server(config)
+        self._task = None
+
+    async def start(self, kernel):
+        """Listen; raises ``OSError`` where the port cannot be had."""
+        self._task = asyncio.ensure_future(self._serve())
+        while not self._server.started:
+            if self._task.done():
+                self._task.result()
+                raise OSError(f"{self.name}: the server ended at once")
+            await asyncio.sleep(0.01)
+
+    async def stop(self):
+        """Take no new connection and wait for the requests in progress."""
+        self._server.should_exit = True
+        if self._task:
+            await self._task
+
+    async def _serve(self):
+        # uvicorn ends the process by SystemExit when it cannot bind.
+        try:
+            await self._server.serve()
+        except SystemExit as error:
+            raise OSError(f"{self.name}: cannot listen") from error
+
+
+def make_problem(refusal, request_id=""):
+    """Return a refusal's body, status and headers as a ``JSONResponse``."""
+    row = ROW_BY_CODE[refusal.code]
+    body = {
+        "type": f"urn:godwitlanding:code:{refusal.code.value}",
+        "title": row.title,
+        "status": row.http_status,
+        "code": refusal.code.value,
+        "name": refusal.code.name,
+        "run": refusal.run,
+    }
+    if refusal.detail:
+        body["detail"] = refusal.detail
+    if request_id:
+        body["request_id"] = request_id
+    headers = {"Cache-Control": "no-store"}
+    if refusal.retry_after_s > 0:
+        headers["Retry-After"] = str(max(1, round(refusal.retry_after_s)))
+        body["retry_after_s"] = round(refusal.retry_after_s, 3)
+    return JSONResponse(
+        body, status_code=row.http_status, headers=headers, media_type=PROBLEM_TYPE
+    )
+
+
+def make_status_routes(kernel_of, counters, is_ready):
+    """Return the routes under ``/-/`` that operators read on every daemon.
+
+    ``kernel_of`` and ``is_ready`` are functions, since routes are made
+    before the kernel.
+    """
+
+    async def get_metrics(request):
+        return Response(render_metrics(), media_type="text/plain; version=0.0.4")
+
+    async def get_status(request):
+        return JSONResponse(
+            {
+                "services": kernel_of().get_status(),
+                "counters": counters.get_all(),
+            }
+        )
+
+    async def get_health(request):
+        ready = is_ready()
+        state = "ready" if ready else "not ready"
+        return JSONResponse({"state": state}, status_code=200 if ready else 503)
+
+    return [
+        Route("/-/metrics", get_metrics),
+        Route("/-/status", get_status),
+        Route("/-/health", get_health),
+    ]
--- /dev/null
+++ b/godwitlanding/wire.py
@@ -0,0 +1,304 @@
+"""Calls between our processes: framed messages over TCP.
+
+A connection starts with a ``Hello`` each way. After that either side may
+call the other; answers are matched to calls by id, so they may come late
+or out of order without ever reaching the wrong caller.
+
+>>> server = Server(hello, {Fetch: answer_fetch}, counters)
+>>> await server.start("127.0.1.1", 7101)
+>>> answer = await pool.call("127.0.1.1:7101", Fetch("config", "main"), 1.0)
+"""
+
+import asyncio
+import struct
+
+from eliot import log_message
+from result import Err, Ok
+
+from godwitlanding.codes import Code, make_refusal
+from godwitlanding.messages import (
+    PROTOCOL_VERSION,
+    Ack,
+    Envelope,
+    Failure,
+    Hello,
+    decode,
+    encode,
+)
+
+_LENGTH = struct.Struct("<I")
+# The platform's values end at 1 MB; a State message adds little to that.
+MAX_FRAME_BYTES = 1_100_000
+HELLO_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+# A peer that reads nothing must not fill our memory: its connection goes.
+MAX_UNSENT_BYTES = 8_000_000
+
+
+class Channel:
+    """One connection between two processes, usable from both sides."""
+
+    def __init__(self, reader, writer, hello, handler_by_type, counters):
+        self.peer = None
+        self.closed = asyncio.Event()
+        self._reader = reader
+        self._writer = writer
+        self._hello = hello
+        self._handler_by_type = handler_by_type
+        self._counters = counters
+        self._future_by_id = {}
+        self._tasks = set()
+        self._next_id = 0
+
+    async def greet(self):
+        """Exchange hellos; return an ``Ok`` or the ``Err`` that ends it."""
+        self._write(Envelope(0, False, self._hello))
+        try:
+            envelope = await asyncio.wait_for(self._read(), HELLO_TIMEOUT_S)
+        except (TimeoutError, ConnectionError, asyncio.IncompleteReadError) as error:
+            return Err(make_refusal(Code.PEER_UNREACHABLE, detail=str(error)))
+        except ValueError as error:
+            self._counters.add("wire_refused", code=Code.GARBAGE_FRAME.name)
+            return Err(make_refusal(Code.GARBAGE_FRAME, detail=str(error)))
+        hello = envelope.message
+        if not isinstance(hello, Hello) or hello.protocol != PROTOCOL_VERSION:
+            self._counters.add("wire_refused", code=Code.PROTOCOL_MISMATCH.name)
+            log_message("wire:protocol_mismatch", peer=repr(hello)[:200])
+            detail = f"this process speaks protocol {PROTOCOL_VERSION}"
+            self._write(
+                Envelope(0, True, Failure(Code.PROTOCOL_MISMATCH.value, detail))
+            )
+            return Err(make_refusal(Code.PROTOCOL_MISMATCH, detail=detail))
+        self.peer = hello
+        return Ok(hello)
+
+    async def run(self):
+        """Read frames until the connection ends, then fail open calls."""
+        try:
+            while True:
+                self._take(await self._read())
+        except (ConnectionError, asyncio.IncompleteReadError, OSError):
+            pass
+        except ValueError as error:
+            self._counters.add("wire_refused", code=Code.GARBAGE_FRAME.name)
+            log_message("wire:garbage_frame", peer=str(self.peer), error=str(error))
+        finally:
+            self.close()
+
+    def send(self, message):
+        """Send a message that wants no answer; dropped when closed."""
+        self._write(Envelope(0, False, message))
+
+    async def call(self, message, timeout_s):
+        """Return ``Ok(answer)`` or ``Err(refusal)``; a peer raises nothing."""
+        if self.closed.is_set():
+            return Err(make_refusal(Code.PEER_UNREACHABLE))
+        self._next_id += 1
+        call_id = self._next_id
+        future = asyncio.get_running_loop().create_future()
+        self._future_by_id[call_id] = future
+        self._write(Envelope(call_id, False, message))
+        try:
+            answer = await asyncio.wait_for(future, timeout_s)
+        except TimeoutError:
+            return Err(make_refusal(Code.CALL_TIMEOUT))
+        except ConnectionError:
+            return Err(make_refusal(Code.PEER_UNREACHABLE))
+        finally:
+            self._future_by_id.pop(call_id, None)
+        if isinstance(answer, Failure):
+            return Err(make_refusal(_known_code(answer.code), detail=answer.detail))
+        return Ok(answer)
+
+    def close(self):
+        """End the connection and everything that waits on it."""
+        if self.closed.is_set():
+            return
+        self.closed.set()
+        self._writer.close()
+        for future in self._future_by_id.values():
+            if not future.done():
+                future.set_exception(ConnectionError("connection closed"))
+        for task in self._tasks:
+            task.cancel()
+
+    async def _read(self):
+        head = await self._reader.readexactly(_LENGTH.size)
+        (length,) = _LENGTH.unpack(head)
+        if length > MAX_FRAME_BYTES:
+            self._counters.add("wire_refused", code=Code.FRAME_TOO_LARGE.name)
+            raise ValueError(f"frame of {length} bytes is over {MAX_FRAME_BYTES}")
+        return decode(await self._reader.readexactly(length))
+
+    def _write(self, envelope):
+        if self.closed.is_set():
+            return
+        data = encode(envelope)
+        self._writer.write(_LENGTH.pack(len(data)) + data)
+        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self._counters.add("wire_closed", reason="peer_reads_nothing")
+            self._writer.transport.abort()
+            self.close()
+
+    def _take(self, envelope):
+        if envelope.answer:
+            future = self._future_by_id.get(envelope.id)
+            # An answer after its timeout has no future any more: drop it.
+            if future is None or future.done():
+                self._counters.add("wire_dropped", reason="late_answer")
+                return
+            future.set_result(envelope.message)
+            return
+        task = asyncio.ensure_future(self._answer(envelope))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, envelope):
+        handler = self._handler_by_type.get(type(envelope.message))
+        if handler is None:
+            self._counters.add("wire_refused", code=Code.UNEXPECTED_MESSAGE.name)
+            answer = Failure(Code.UNEXPECTED_MESSAGE.value)
+        else:
+            answer = await self._run_handler(handler, envelope.message)
+        if envelope.id:
+            self._write(Envelope(envelope.id, True, answer or Ack()))
+
+    async def _run_handler(self, handler, message):
+        # One bad message must not end the process, nor leave its sender
+        # waiting for its whole timeout.
+        try:
+            return await handler(self, message)
+        except Exception as error:
+            self._counters.add("wire_refused", code=Code.HANDLER_FAILED.name)
+            log_message(
+                "wire:handler_failed",
+                message=type(message).__name__,
+                error=repr(error),
+            )
+            return Failure(Code.HANDLER_FAILED.value, repr(error))
+
+
+def _known_code(number):
+    try:
+        return Code(number)
+    except ValueError:
+        return Code.HANDLER_FAILED
+
+
+class Server:
+    """Accepts connections and answers their calls.
+
+    Handlers are coroutines ``handler(channel, message)`` that return the
+    answer; ``None`` answers ``Ack``.
+    """
+
+    def __init__(self, hello, handler_by_type, counters, on_channel=None):
+        self.channels = set()
+        self._hello = hello
+        self._handler_by_type = handler_by_type
+        self._counters = counters
+        self._on_channel = on_channel
+        self._server = None
+
+    async def start(self, host, port):
+        """Listen on ``host:port``."""
+        self._server = await asyncio.start_server(self._accept, host, port)
+
+    async def stop(self):
+        """Close the listener and every connection."""
+        if self._server:
+            self._server.close()
+        for channel in list(self.channels):
+            channel.close()
+
+    async def _accept(self, reader, writer):
+        channel = Channel(
+            reader, writer, self._hello, self._handler_by_type, self._counters
+        )
+        greeting = await channel.greet()
+        if greeting.is_err():
+            channel.close()
+            return
+        self.channels.add(channel)
+        if self._on_channel:
+            self._on_channel(channel)
+        try:
+            await channel.run()
+        finally:
+            self.channels.discard(channel)
+
+
+class Pool:
+    """Dials peers by ``host:port`` and keeps one connection to each."""
+
+    def __init__(self, hello, handler_by_type, counters):
+        self._hello = hello
+        self._handler_by_type = handler_by_type
+        self._counters = counters
+        self._channel_by_address = {}
+        self._dial_by_address = {}
+        self._tasks = set()
+
+    async def get_channel(self, address):
+        """Return ``Ok(channel)`` to ``address``, dialling where needed."""
+        channel = self._channel_by_address.get(address)
+        if channel and not channel.closed.is_set():
+            return Ok(channel)
+        dial = self._dial_by_address.get(address)
+        if dial is None:
+            dial = asyncio.ensure_future(self._dial(address))
+            self._dial_by_address[address] = dial
+            dial.add_done_callback(lambda _: self._dial_by_address.pop(address))
+        # Shielded: one caller that gives up must not fail the others.
+        return await asyncio.shield(dial)
+
+    async def call(self, address, message, timeout_s):
+        """Call the peer at ``address``; ``Ok(answer)`` or ``Err(refusal)``."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        try:
+            dialled = await asyncio.wait_for(self.get_channel(address), timeout_s)
+        except TimeoutError:
+            return Err(make_refusal(Code.PEER_UNREACHABLE))
+        if dialled.is_err():
+            return dialled
+        return await dialled.unwrap().call(message, max(0.0, end - loop.time()))
+
+    async def send(self, address, message):
+        """Send without an answer; ``Err`` where there is no connection."""
+        dialled = await self.get_channel(address)
+        if dialled.is_ok():
+            dialled.unwrap().send(message)
+        return dialled
+
+    def drop(self, address):
+        """Close the connection to ``address``, if any."""
+        channel = self._channel_by_address.pop(address, None)
+        if channel:
+            channel.close()
+
+    async def stop(self):
+        """Close every connection."""
+        for address in list(self._channel_by_address):
+            self.drop(address)
+
+    async def _dial(self, address):
+        host, _, port = address.rpartition(":")
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(host, int(port)), CONNECT_TIMEOUT_S
+            )
+        except (OSError, TimeoutError) as error:
+            return Err(make_refusal(Code.PEER_UNREACHABLE, detail=str(error)))
+        channel = Channel(
+            reader, writer, self._hello, self._handler_by_type, self._counters
+        )
+        greeting = await channel.greet()
+        if greeting.is_err():
+            channel.close()
+            return greeting
+        self._channel_by_address[address] = channel
+        task = asyncio.ensure_future(channel.run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return Ok(channel)
