--- a/godwitlanding/messages.capnp
+++ b/godwitlanding/messages.capnp
@@ -73,6 +73,8 @@
   incarnation @1 :Text;
   leaving @2 :Bool;
   versions @3 :List(VersionOf);
+  entryIncarnation @4 :Text;
+  platformReachable @5 :Bool;
 }
 
 struct Acquire {
--- a/godwitlanding/messages.py
+++ b/godwitlanding/messages.py
@@ -77,6 +77,8 @@
     incarnation: str
     leaving: bool = False
     versions: tuple[VersionOf, ...] = ()
+    entry_incarnation: str = ""
+    platform_reachable: bool = False
 
 
 class Acquire(NamedTuple):
--- /dev/null
+++ b/godwitlanding/ticket.py
@@ -0,0 +1,69 @@
+"""Tickets: who may run a piece of non-idempotent work, and how it is kept.
+
+A caller sends its ticket as ``Idempotency-Key`` and sends the same one when
+it presses again. The ticket is authenticated, so that nobody can make up a
+home for it, and names its home: the one entry process that may run it.
+
+>>> text = issue_ticket(key, Ticket("renewal", JOURNALED, "maz-a1", "i1", 5, "x1"))
+>>> read_ticket(key, text).unwrap().home_vm
+'maz-a1'
+"""
+
+import base64
+import hashlib
+import hmac
+import json
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from godwitlanding.codes import Code, make_refusal
+
+JOURNALED = "journaled"
+MEMORY_ONLY = "memory"
+PREFIX = "gwt1."
+_DIGEST_BYTES = 16
+MAX_TICKET_CHARS = 512
+
+
+class Ticket(NamedTuple):
+    """A ticket; ``issued_s`` is the issuer's wall clock in whole seconds.
+
+    The wall clock only bounds how long records are kept; no decision on
+    whether work may run depends on it.
+    """
+
+    service: str
+    kind: str
+    home_vm: str
+    home_incarnation: str
+    issued_s: int
+    nonce: str
+
+
+def issue_ticket(key, ticket):
+    """Return the ticket's text; ``key`` is bytes that all processes hold."""
+    payload = json.dumps(list(ticket), separators=(",", ":")).encode()
+    digest = hmac.digest(key, payload, hashlib.sha256)[:_DIGEST_BYTES]
+    return PREFIX + base64.urlsafe_b64encode(digest + payload).decode().rstrip("=")
+
+
+def read_ticket(key, text):
+    """Return ``Ok(ticket)`` or ``Err`` BAD_TICKET."""
+    try:
+        if not text.startswith(PREFIX) or len(text) > MAX_TICKET_CHARS:
+            raise ValueError("not a ticket")
+        body = text[len(PREFIX) :]
+        data = base64.urlsafe_b64decode(body + "=" * (-len(body) % 4))
+        digest, payload = data[:_DIGEST_BYTES], data[_DIGEST_BYTES:]
+        good = hmac.digest(key, payload, hashlib.sha256)[:_DIGEST_BYTES]
+        if not hmac.compare_digest(digest, good):
+            raise ValueError("the ticket was not issued by this system")
+        return Ok(Ticket(*json.loads(payload)))
+    except (ValueError, TypeError) as error:
+        return Err(make_refusal(Code.BAD_TICKET, detail=str(error)))
+
+
+def is_ticket(text):
+    """Tell whether a key has the form of a ticket, not of a caller's own."""
+    return text.startswith(PREFIX)
