--- a/godwitlanding/ticket.py
+++ b/godwitlanding/ticket.py
@@ -4,7 +4,8 @@
 it presses again. The ticket is authenticated, so that nobody can make up a
 home for it, and names its home: the one entry process that may run it.
 
->>> text = issue_ticket(key, Ticket("renewal", JOURNALED, "maz-a1", "i1", 5, "x1"))
+>>> ticket = Ticket("renewal", JOURNALED, "maz-a1", "i1", 5, "x1")
+>>> text = issue_ticket(key, ticket)
 >>> read_ticket(key, text).unwrap().home_vm
 'maz-a1'
 """
