Feed a process's replica from a zone daemon

entry and steer need the configuration, the plan and the view of the zone without asking the platform. Feed subscribes at the zone daemon of its own VM, goes on to other members while that one is away or silent, and returns to its own. Not run against a zone daemon yet.

--- /dev/null
+++ b/godwitlanding/services/feed.py
@@ -0,0 +1,137 @@
+"""Feeds the replica of a process from a zone daemon of its zone.
+
+``entry`` and ``steer`` do not talk to the platform for configuration: they
+subscribe at the zone daemon of their own VM, or at another member's while
+that one is away, and are pushed each change.
+
+>>> feed = Feed(context, ("config", "plan", "vms", "members"))
+>>> feed.view.get_config().service_by_name
+"""
+
+import asyncio
+import contextlib
+
+from eliot import log_message
+
+from godwitlanding.codes import Code
+from godwitlanding.kernel import Service
+from godwitlanding.messages import Fetch, State, Subscribe
+from godwitlanding.view import MEMBERS_KIND, View
+from godwitlanding.wire import Pool
+
+RETRY_S = 0.2
+# Any other answer, even a refusal, shows that the daemon is awake.
+_SILENT = (Code.CALL_TIMEOUT, Code.PEER_UNREACHABLE)
+
+
+class Feed(Service):
+    """Keeps ``context.replica`` up to date and a pool of connections.
+
+    ``kinds`` are the kinds to subscribe to. ``handler_by_type`` may add
+    handlers for messages that a zone daemon sends on the same connection.
+    Other services share ``pool`` for their own calls.
+    """
+
+    name = "feed"
+
+    def __init__(self, context, kinds, handler_by_type=None):
+        self.view = View(context.replica, context.availability_zone)
+        self.source = ""
+        self._context = context
+        self._kinds = tuple(kinds)
+        handlers = {State: self._take, **(handler_by_type or {})}
+        self.pool = Pool(context.make_hello(), handlers, context.counters)
+        self._task = None
+
+    async def start(self, kernel):
+        """Begin to follow a zone daemon; does not wait for one."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self):
+        """Stop following and close all connections."""
+        if self._task:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        await self.pool.stop()
+
+    def is_ready(self):
+        """Tell whether there is a configuration and a view of the zone."""
+        return self.view.get_config() is not None and bool(self.view.get_members())
+
+    def get_own_address(self):
+        """Return ``ip:port`` of this VM's own zone daemon."""
+        settings = self._context.settings
+        return f"{settings['address']}:{settings['zone_port']}"
+
+    def get_status(self):
+        """Return the zone daemon followed and the versions held."""
+        versions = {
+            f"{kind}/{name}": state.version
+            for (kind, name), state in self._context.replica.state_by_key.items()
+        }
+        return {"source": self.source, "versions": versions}
+
+    async def _take(self, channel, message):
+        self._context.replica.offer(message)
+
+    def _get_addresses(self):
+        own = self.get_own_address()
+        port = self._context.settings["zone_port"]
+        members = self.view.get_members()
+        others = [f"{member.address}:{port}" for member in members if member.alive]
+        zone = self._context.availability_zone
+        listed = [
+            f"{row.address}:{port}"
+            for row in self.view.get_vms()
+            if row.availability_zone == zone
+        ]
+        return list(dict.fromkeys([own, *others, *listed]))
+
+    async def _run(self):
+        while True:
+            for address in self._get_addresses():
+                if await self._subscribe(address):
+                    await self._follow(address)
+                    break
+            await asyncio.sleep(RETRY_S)
+
+    async def _subscribe(self, address):
+        timeout_s = self._context.settings["member_timeout_s"]
+        message = Subscribe(self._kinds)
+        answer = await self.pool.call(address, message, timeout_s)
+        if answer.is_err():
+            return False
+        self.source = address
+        log_message("feed:following", address=address)
+        self._context.counters.add("feed_followed")
+        return True
+
+    async def _follow(self, address):
+        """Return when the daemon at ``address`` no longer answers.
+
+        A paused daemon keeps its connection open and pushes nothing, so
+        this process would go on with old data; asking it for something
+        small now and then shows it.
+        """
+        timeout_s = self._context.settings["member_timeout_s"]
+        own = self.get_own_address()
+        question = Fetch(MEMBERS_KIND, self._context.availability_zone)
+        while True:
+            dialled = await self.pool.get_channel(address)
+            if dialled.is_err():
+                break
+            channel = dialled.unwrap()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(channel.closed.wait(), timeout_s)
+            if channel.closed.is_set():
+                break
+            answer = await channel.call(question, timeout_s)
+            if answer.is_err() and answer.unwrap_err().code in _SILENT:
+                break
+            if address != own and await self._subscribe(own):
+                self.pool.drop(address)
+                address = own
+        self.pool.drop(address)
+        self.source = ""
+        log_message("feed:lost", level="warning", address=address)
