--- /dev/null
+++ b/godwitlanding/entry.py
@@ -0,0 +1,78 @@
+"""``godwit-entry``: carries callers' requests to upstreams.
+
+>>> godwit-entry --settings /etc/godwit/settings.json5
+"""
+
+import sys
+
+from starlette.applications import Starlette
+from starlette.routing import Route
+
+from godwitlanding import daemon
+from godwitlanding.services.feed import Feed
+from godwitlanding.services.peers import PeerServer
+from godwitlanding.services.permits import PermitClient
+from godwitlanding.services.requests import RequestHandler
+from godwitlanding.services.upstreams import UpstreamClient
+from godwitlanding.web import HttpServer, make_status_routes
+
+ROLE = "entry"
+DESCRIPTION = "Carries requests: permit, dispatch, bounded retry, answer."
+FEED_KINDS = ("config", "plan", "secret", "vms", "summary", "members")
+
+
+def parse_arguments(argv=None):
+    """Return the command's arguments."""
+    return daemon.parse_arguments(ROLE, DESCRIPTION, argv)
+
+
+def make_services(context):
+    """Return the services of an entry process."""
+    feed = Feed(context, FEED_KINDS)
+    requests = RequestHandler(context)
+    server = _make_server(context, feed, requests)
+    return [
+        feed,
+        PermitClient(context),
+        PeerServer(context),
+        UpstreamClient(context),
+        requests,
+        server,
+    ]
+
+
+def _make_server(context, feed, requests):
+    settings = context.settings
+    kernel = []
+    routes = [
+        Route("/s/{service}", requests),
+        Route("/s/{service}/{path:path}", requests),
+        *make_status_routes(lambda: kernel[0], context.counters, feed.is_ready),
+    ]
+    server = _EntryServer(
+        "server",
+        Starlette(routes=routes),
+        settings["address"],
+        settings["entry_port"],
+        ("requests", "peers"),
+        settings["max_connections"],
+    )
+    server.kernel = kernel
+    return server
+
+
+class _EntryServer(HttpServer):
+    """The HTTP server, which tells the status routes its kernel."""
+
+    async def start(self, kernel):
+        self.kernel.append(kernel)
+        await super().start(kernel)
+
+
+def main(argv=None):
+    """Run the daemon; return its exit code."""
+    return daemon.run_daemon(ROLE, DESCRIPTION, make_services, argv)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/godwitlanding/headers.py
@@ -0,0 +1,76 @@
+"""Which HTTP headers travel on, and which belong to one connection only."""
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    )
+)
+OWN_PREFIX = "godwit-"
+
+REQUEST_ID = "Godwit-Request-Id"
+DEADLINE = "Godwit-Deadline"
+CALLER = "Godwit-Caller"
+FROM_ZONE = "Godwit-From"
+HOP = "Godwit-Hop"
+HOME = "Godwit-Home"
+SIGNATURE = "Godwit-Signature"
+REFUSED = "Godwit-Refused"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+
+UPSTREAM_DEADLINE = "Request-Deadline"
+UPSTREAM_REQUEST_ID = "Request-Id"
+UPSTREAM_REFUSED = "Upstream-Refused"
+
+_SET_BY_US = frozenset(
+    ("host", "content-length", "x-caller", "request-deadline", "request-id")
+)
+
+
+def _get_named(headers):
+    """Return the names that a ``Connection`` header makes hop-by-hop."""
+    for name, value in headers:
+        if name == "connection":
+            return {token.strip().lower() for token in value.split(",")}
+    return ()
+
+
+def select_request_headers(headers):
+    """Return the pairs of a caller's request that go to the upstream.
+
+    Names are lower case, as ASGI gives them.
+    """
+    named = _get_named(headers)
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP
+        and name not in _SET_BY_US
+        and name not in named
+        and not name.startswith(OWN_PREFIX)
+    ]
+
+
+def select_answer_headers(headers):
+    """Return the pairs of an upstream's answer that go to the caller.
+
+    Our own headers are dropped, so that no upstream can pose as one of
+    our processes.
+    """
+    pairs = [(name.lower(), value) for name, value in headers]
+    named = _get_named(pairs)
+    return [
+        (name, value)
+        for name, value in pairs
+        if name not in HOP_BY_HOP
+        and name not in named
+        and not name.startswith(OWN_PREFIX)
+    ]
--- /dev/null
+++ b/godwitlanding/services/peers.py
@@ -0,0 +1,36 @@
+"""The entry daemon's server for our own processes."""
+
+from godwitlanding.kernel import Service
+from godwitlanding.messages import Holdings, Poison
+from godwitlanding.wire import Server
+
+
+class PeerServer(Service):
+    """Answers an arbiter's ``Holdings`` and takes ``Poison`` notices."""
+
+    name = "peers"
+    needs = ("permits",)
+
+    def __init__(self, context):
+        self._context = context
+        self._server = None
+
+    async def start(self, kernel):
+        """Listen on the entry daemon's port for our own processes."""
+        self._permits = kernel.get("permits")
+        handlers = {Holdings: self._answer_holdings, Poison: self._take_poison}
+        context = self._context
+        self._server = Server(context.make_hello(), handlers, context.counters)
+        settings = context.settings
+        await self._server.start(settings["address"], settings["entry_peer_port"])
+
+    async def stop(self):
+        """Close the port and its connections."""
+        if self._server:
+            await self._server.stop()
+
+    async def _answer_holdings(self, channel, message):
+        return self._permits.answer_holdings(message)
+
+    async def _take_poison(self, channel, message):
+        self._context.counters.add("poison_noted", upstream=message.upstream)
--- /dev/null
+++ b/godwitlanding/services/permits.py
@@ -0,0 +1,200 @@
+"""The entry daemon's side of permits: asks, gives back, reports."""
+
+import asyncio
+
+from result import Err
+
+from godwitlanding.codes import Code, make_refusal
+from godwitlanding.kernel import Service
+from godwitlanding.messages import (
+    OUTCOME_UNUSED,
+    Acquire,
+    Granted,
+    Refused,
+    Release,
+    Withdraw,
+)
+from godwitlanding.permits import PermitBook
+from godwitlanding.view import MEMBERS_KIND
+
+# An arbiter that is replaced takes a moment to collect the open permits.
+NO_ARBITER_WAIT_S = 0.1
+_MOVED = (
+    Code.PEER_UNREACHABLE,
+    Code.CALL_TIMEOUT,
+    Code.NO_ARBITER,
+    Code.STALE_ARBITER,
+    Code.NOT_READY,
+    Code.STOPPING,
+    Code.HANDLER_FAILED,
+    Code.UNEXPECTED_MESSAGE,
+)
+
+
+class PermitClient(Service):
+    """Gets a permit for each request from the zone's arbiter."""
+
+    name = "permits"
+    needs = ("feed",)
+
+    def __init__(self, context):
+        self.book = PermitBook(context.settings["permit_start_s"])
+        self._context = context
+        self._counters = context.counters
+        self._port = context.settings["zone_port"]
+        self._asks_by_vm = {}
+        self._tasks = set()
+
+    async def start(self, kernel):
+        """Find the feed, whose connections are shared."""
+        self._feed = kernel.get("feed")
+        self._context.replica.listen(self._note_state)
+
+    def get_status(self):
+        """Return the number of open permits."""
+        return {"open": len(self.book)}
+
+    async def acquire(self, request, excluded=(), attempt=0, may_pass_on=True):
+        """Return a ``Permit``, a ``PassOn`` or a ``Refusal``."""
+        loop = asyncio.get_running_loop()
+        tried = set()
+        while True:
+            asked_at = loop.time()
+            remaining_s = request.deadline - asked_at
+            if remaining_s <= 0:
+                return make_refusal(Code.DEADLINE_UNREACHABLE, 1.0)
+            vm = self._choose(request.service.name, tried)
+            if vm is None:
+                if remaining_s <= request.service.work_s + NO_ARBITER_WAIT_S:
+                    return make_refusal(Code.NO_ARBITER, 1.0)
+                tried.clear()
+                await asyncio.sleep(NO_ARBITER_WAIT_S)
+                continue
+            message = Acquire(
+                request.service.name,
+                f"{request.id}-{attempt}",
+                request.caller,
+                request.service.priority,
+                remaining_s,
+                request.fingerprint,
+                tuple(excluded),
+                request.from_zone,
+                attempt,
+                may_pass_on,
+            )
+            answer = await self._ask(vm, message, remaining_s)
+            taken = self._take(answer, vm, asked_at)
+            if taken is not None:
+                return taken
+            tried.add(vm)
+
+    def answer_holdings(self, holdings):
+        """Return the open permits that a new arbiter asks for."""
+        return self.book.answer(holdings, asyncio.get_running_loop().time())
+
+    def release(self, permit, outcome, took_s=0.0, fingerprint=0):
+        """Give a permit back with its outcome."""
+        self.book.end(permit)
+        self._send(
+            permit.arbiter_address,
+            Release(
+                permit.permit_id,
+                permit.upstream,
+                permit.arbiter,
+                outcome,
+                took_s,
+                fingerprint,
+            ),
+        )
+
+    def _choose(self, service, tried):
+        for vm in self._feed.view.get_zone().arbiters_by_service.get(service, ()):
+            if vm not in tried and self._feed.view.get_address(vm):
+                return vm
+        return None
+
+    def _get_address(self, vm):
+        return f"{self._feed.view.get_address(vm)}:{self._port}"
+
+    async def _ask(self, vm, message, timeout_s):
+        address = self._get_address(vm)
+        call = asyncio.ensure_future(self._feed.pool.call(address, message, timeout_s))
+        asks = self._asks_by_vm.setdefault(vm, {})
+        asks[call] = message
+        try:
+            await asyncio.wait((call,))
+            if call.cancelled():
+                self._send(address, Withdraw(message.service, message.request_id))
+                return Err(make_refusal(Code.STALE_ARBITER))
+            return call.result()
+        except asyncio.CancelledError:
+            # The caller has gone. A grant that is already under way has to
+            # go back, or its slot would stand idle until it expires.
+            self._send(address, Withdraw(message.service, message.request_id))
+            call.add_done_callback(lambda call: self._give_back(call, address))
+            raise
+        finally:
+            del asks[call]
+
+    def _take(self, answer, vm, asked_at):
+        """Return the final word of an arbiter, or ``None``: ask another."""
+        if answer.is_err():
+            refusal = answer.unwrap_err()
+            if refusal.code not in _MOVED:
+                return refusal
+            self._counters.add("arbiter_asked_again", reason=refusal.code.name)
+            return None
+        message = answer.unwrap()
+        if isinstance(message, Granted):
+            return self._accept(message, vm, asked_at)
+        if isinstance(message, Refused):
+            return make_refusal(
+                Code(message.code), message.retry_after_s, message.detail
+            )
+        return message
+
+    def _accept(self, granted, vm, asked_at):
+        now = asyncio.get_running_loop().time()
+        address = self._get_address(vm)
+        accepted = self.book.accept(granted, asked_at, address, now)
+        if accepted.is_ok():
+            return accepted.unwrap()
+        self._counters.add("permits_returned", reason=accepted.unwrap_err())
+        self._release_unused(granted, address)
+        return None
+
+    def _release_unused(self, granted, address):
+        self._send(
+            address,
+            Release(
+                granted.permit_id, granted.upstream, granted.arbiter, OUTCOME_UNUSED
+            ),
+        )
+
+    def _give_back(self, call, address):
+        if call.cancelled() or call.exception() or call.result().is_err():
+            return
+        answer = call.result().unwrap()
+        if isinstance(answer, Granted):
+            self._counters.add("permits_returned", reason="caller_gone")
+            self._release_unused(answer, address)
+
+    def _send(self, address, message):
+        task = asyncio.ensure_future(self._feed.pool.send(address, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _note_state(self, state):
+        """Ask anew where the arbiter that a request waits for was replaced.
+
+        A paused arbiter keeps its connections open and answers nothing.
+        Its requests would wait until their deadlines though another member
+        has long taken its place.
+        """
+        if state.kind != MEMBERS_KIND:
+            return
+        arbiters_by_service = self._feed.view.get_zone().arbiters_by_service
+        for vm, asks in self._asks_by_vm.items():
+            for call, message in list(asks.items()):
+                if vm not in arbiters_by_service.get(message.service, ())[:1]:
+                    call.cancel()
