--- /dev/null
+++ b/godwitlanding/tests/tools/objects.py
@@ -0,0 +1,139 @@
+"""The stand-in platform's objects in memory: versions, history, watches.
+
+Both the stand-in platform and the tests' ``FakeStore`` hold their objects
+here, so that a test against the fake meets the rules of the HTTP contract.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from godwitlanding.codes import Code, make_refusal
+from godwitlanding.store import (
+    MAX_VALUE_BYTES,
+    StoredObject,
+    VmList,
+    WatchBatch,
+    WatchEvent,
+)
+
+HISTORY_EVENTS = 1000
+
+
+class Snapshot(NamedTuple):
+    """A state of the platform that can be restored later."""
+
+    version: int
+    stored_by_key: dict
+
+
+class ObjectTable:
+    """Objects by kind and name under one global version."""
+
+    def __init__(self, history_events=HISTORY_EVENTS):
+        self.version = 0
+        self._stored_by_key = {}
+        self._events_by_kind = {}
+        self._dropped_by_kind = {}
+        self._history_events = history_events
+        self._changed = asyncio.Event()
+
+    def get(self, kind, name):
+        """Return ``Ok(StoredObject)`` or NOT_FOUND."""
+        stored = self._stored_by_key.get((kind, name))
+        return Ok(stored) if stored else Err(make_refusal(Code.NOT_FOUND))
+
+    def list(self, kind):
+        """Return every object of a kind."""
+        return tuple(s for s in self._stored_by_key.values() if s.kind == kind)
+
+    def put(self, kind, name, value, expected_version):
+        """Write if the version is as expected; ``Ok(new version)``."""
+        if len(value) > MAX_VALUE_BYTES:
+            return Err(make_refusal(Code.VALUE_TOO_LARGE))
+        if self._get_version(kind, name) != expected_version:
+            return Err(make_refusal(Code.VERSION_CONFLICT))
+        self.version += 1
+        stored = StoredObject(kind, name, self.version, bytes(value))
+        self._stored_by_key[kind, name] = stored
+        self._note(WatchEvent(stored, deleted=False))
+        return Ok(self.version)
+
+    def delete(self, kind, name, expected_version):
+        """Delete if the version is as expected; ``Ok(version)``."""
+        if (kind, name) not in self._stored_by_key:
+            return Err(make_refusal(Code.NOT_FOUND))
+        if self._get_version(kind, name) != expected_version:
+            return Err(make_refusal(Code.VERSION_CONFLICT))
+        self.version += 1
+        del self._stored_by_key[kind, name]
+        gone = StoredObject(kind, name, self.version, b"")
+        self._note(WatchEvent(gone, deleted=True))
+        return Ok(self.version)
+
+    def read_events(self, kind, after):
+        """Return ``Ok(WatchBatch)`` of the changes after a version.
+
+        ``after`` 0 asks for the objects that exist now, so it never
+        expires.
+        """
+        if after == 0:
+            events = tuple(WatchEvent(s, deleted=False) for s in self.list(kind))
+            return Ok(WatchBatch(self.version, events))
+        too_old = after < self._dropped_by_kind.get(kind, 0)
+        if too_old or after > self.version:
+            return Err(make_refusal(Code.WATCH_EXPIRED))
+        events = self._events_by_kind.get(kind, ())
+        later = tuple(event for event in events if event.stored.version > after)
+        return Ok(WatchBatch(self.version, later))
+
+    async def wait_for_events(self, kind, after, timeout_s, is_open=lambda: True):
+        """Wait for a change of a kind, at most ``timeout_s``.
+
+        ``is_open`` false ends the wait with PLATFORM_UNAVAILABLE.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        while is_open():
+            read = self.read_events(kind, after)
+            if read.is_err() or read.unwrap().events or loop.time() >= end:
+                return read
+            try:
+                await asyncio.wait_for(self._changed.wait(), end - loop.time())
+            except TimeoutError:
+                continue
+        return Err(make_refusal(Code.PLATFORM_UNAVAILABLE))
+
+    def take_snapshot(self):
+        """Return the state as it is now."""
+        return Snapshot(self.version, dict(self._stored_by_key))
+
+    def restore(self, snapshot):
+        """Go back to an older state, as a platform's backup would."""
+        self.version = snapshot.version
+        self._stored_by_key = dict(snapshot.stored_by_key)
+        self._events_by_kind = {}
+        kinds = {kind for kind, _ in self._stored_by_key}
+        self._dropped_by_kind = dict.fromkeys(kinds, self.version)
+        self.wake()
+
+    def wake(self):
+        """Let every waiting watch look again."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _get_version(self, kind, name):
+        stored = self._stored_by_key.get((kind, name))
+        return stored.version if stored else 0
+
+    def _note(self, event):
+        kind = event.stored.kind
+        events = self._events_by_kind.setdefault(kind, [])
+        events.append(event)
+        if len(events) > self._history_events:
+            self._dropped_by_kind[kind] = events.pop(0).stored.version
+        self.wake()
+
+
+EMPTY_VM_LIST = VmList(0, ())
