Give operators a command line

Cause: operators change the system only by editing their one text, and two of them may edit it at once, with answers of the platform lost. Change: godwitctl with validate, diff, apply, get, history, rollback, status, explain, drain and shift; drain and shift are edits of the text that are sent only if the edited text means exactly the wanted value. An apply carries a unique id, by which a lost answer is settled.

--- /dev/null
+++ b/godwitlanding/edit.py
@@ -0,0 +1,109 @@
+"""Small edits of the operators' text that keep its comments and layout.
+
+Operators change the system only by editing their one text, so ``drain`` and
+``shift`` are edits of that text. An edit changes a line and is then checked:
+the edited text must parse to exactly the value that was wanted, or the edit
+is refused and the operator edits by hand. So no edit can change more than
+it says, however unusual the text looks.
+
+>>> add_item('{drains: []}', "drains", {"what": "vm", "name": "a1"}).unwrap()
+'{drains: [\\n    {what: "vm", name: "a1"},]}'
+"""
+
+import json
+import re
+
+from result import Err, Ok
+
+from godwitlanding.codes import Code
+from godwitlanding.fields import Problem, read_text
+
+_INDENT = "    "
+
+
+def add_item(text, key, item):
+    """Return ``Ok`` the text with ``item`` first in the list ``key``."""
+    wanted = _read(text)
+    if wanted.is_err():
+        return wanted
+    value = wanted.unwrap()
+    value[key] = [item, *value.get(key, [])]
+    line = f"\n{_INDENT}{format_item(item)},"
+    return _first_that_means(value, _list_candidates(text, key, line), key)
+
+
+def remove_item(text, key, item):
+    """Return ``Ok`` the text without the items equal to ``item``."""
+    wanted = _read(text)
+    if wanted.is_err():
+        return wanted
+    value = wanted.unwrap()
+    value[key] = [other for other in value.get(key, []) if other != item]
+    return _first_that_means(value, _removal_candidates(text, item), key)
+
+
+def replace_item(text, key, old, new):
+    """Return ``Ok`` the text with ``new`` where the list held ``old``."""
+    wanted = _read(text)
+    if wanted.is_err():
+        return wanted
+    value = wanted.unwrap()
+    value[key] = [new if item == old else item for item in value.get(key, [])]
+    return _first_that_means(value, _replacement_candidates(text, old, new), key)
+
+
+def format_item(item):
+    """Return a table as one line of JSON5."""
+    pairs = (f"{key}: {json.dumps(value)}" for key, value in item.items())
+    return "{" + ", ".join(pairs) + "}"
+
+
+def _read(text):
+    parsed = read_text(text)
+    if parsed.is_ok() and not isinstance(parsed.unwrap(), dict):
+        return Err([Problem(Code.CONFIG_WRONG_TYPE, "", 1, "no table", "a table")])
+    return parsed
+
+
+def _list_candidates(text, key, line):
+    for match in re.finditer(rf"\b{key}\b[\"']?\s*:\s*\[", text):
+        yield text[: match.end()] + line + text[match.end() :]
+    # The key is missing: a new list goes before the closing brace.
+    end = text.rfind("}")
+    head = text[:end].rstrip()
+    for comma in ("", ","):
+        yield f"{head}{comma}\n{_INDENT}{key}: [{line}\n{_INDENT}],\n{text[end:]}"
+
+
+def _removal_candidates(text, item):
+    for start, end in _find_tables(text, item):
+        for tail in (r"[ \t]*,[ \t]*\n?", r"[ \t]*\n?", ""):
+            match = re.compile(tail).match(text, end)
+            if match:
+                head = text[:start].rstrip(" \t")
+                yield head + text[match.end() :]
+        before = re.sub(r",\s*$", "", text[:start])
+        yield before + text[end:]
+
+
+def _replacement_candidates(text, old, new):
+    for start, end in _find_tables(text, old):
+        yield text[:start] + format_item(new) + text[end:]
+
+
+def _find_tables(text, item):
+    # Every innermost {...} that reads as the item; comments and strings
+    # cannot mislead, since the whole edited text is checked afterwards.
+    for match in re.finditer(r"\{[^{}]*\}", text):
+        parsed = read_text(match.group())
+        if parsed.is_ok() and parsed.unwrap() == item:
+            yield match.start(), match.end()
+
+
+def _first_that_means(value, candidates, key):
+    for candidate in candidates:
+        parsed = read_text(candidate)
+        if parsed.is_ok() and parsed.unwrap() == value:
+            return Ok(candidate)
+    expected = f"a list {key!r} that can be edited; edit the text by hand"
+    return Err([Problem(Code.CONFIG_SYNTAX, key, 0, "no such place", expected)])
--- /dev/null
+++ b/godwitlanding/fleet.py
@@ -0,0 +1,86 @@
+"""What every daemon says of itself, asked over HTTP by ``godwitctl``."""
+
+import asyncio
+from typing import NamedTuple
+
+import aiohttp
+
+ROLES = ("zone", "entry", "steer")
+TIMEOUT_S = 2.0
+MOST_AT_ONCE = 50
+
+
+class Ports(NamedTuple):
+    """The HTTP ports that are the same on every VM."""
+
+    steer: int = 7001
+    entry: int = 7002
+    zone: int = 7003
+
+
+class DaemonStatus(NamedTuple):
+    """One daemon's answer; ``status`` is ``None`` if it gave none."""
+
+    vm: str
+    availability_zone: str
+    role: str
+    state: str
+    status: dict | None
+
+    def get_version(self, kind, name="main"):
+        """Return the version of an object that the daemon holds, or 0."""
+        versions = (self.status or {}).get("versions", {})
+        return versions.get(f"{kind}/{name}", 0)
+
+
+async def read_fleet(vms, ports, roles=ROLES):
+    """Ask each daemon of the ``VmEntry`` rows; answers in their order."""
+    gate = asyncio.Semaphore(MOST_AT_ONCE)
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        asks = [
+            _read_daemon(session, gate, vm, role, getattr(ports, role))
+            for vm in vms
+            for role in roles
+        ]
+        return await asyncio.gather(*asks)
+
+
+async def find_request(vms, ports, request_id):
+    """Return what entry processes remember of a request, oldest first."""
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        asks = [
+            _read_json(session, f"http://{vm.address}:{ports.entry}", request_id)
+            for vm in vms
+        ]
+        answers = await asyncio.gather(*asks)
+    found = []
+    for vm, events in zip(vms, answers, strict=True):
+        found += [{"vm": vm.vm, **event} for event in events]
+    return sorted(found, key=lambda event: event.get("at", ""))
+
+
+async def _read_json(session, base, request_id):
+    try:
+        async with session.get(f"{base}/-/requests/{request_id}") as answer:
+            if answer.status != 200:
+                return []
+            return (await answer.json()).get("events", [])
+    except (aiohttp.ClientError, TimeoutError, ValueError):
+        return []
+
+
+async def _read_daemon(session, gate, vm, role, port):
+    base = f"http://{vm.address}:{port}/-"
+    async with gate:
+        try:
+            async with session.get(f"{base}/health") as answer:
+                state = (await answer.json()).get("state", "unknown")
+            async with session.get(f"{base}/status") as answer:
+                status = await answer.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            state, status = "no answer", None
+    if vm.state == "leaving":
+        state = f"leaving, {state}"
+    return DaemonStatus(vm.vm, vm.availability_zone, role, state, status)
--- a/godwitlanding/replica.py
+++ b/godwitlanding/replica.py
@@ -51,6 +51,11 @@
         held = self.get(kind, name)
         return held.version if held else 0
 
+    def get_versions(self):
+        """Return the version held by ``kind/name``."""
+        states = self.state_by_key.values()
+        return {f"{state.kind}/{state.name}": state.version for state in states}
+
     def get_kind(self, kind):
         """Return all states held of a kind."""
         return [state for key, state in self.state_by_key.items() if key[0] == kind]
--- a/godwitlanding/store.py
+++ b/godwitlanding/store.py
@@ -77,3 +77,7 @@
 
     async def list_vms(self):
         """Return ``Ok(VmList)``."""
+
+
+class HttpStore:
+    """Placeholder until the client lands."""
--- /dev/null
+++ b/godwitlanding/tests/test_apply.py
@@ -0,0 +1,98 @@
+"""A configuration is accepted once, whatever happens to the write."""
+
+import asyncio
+
+import pytest
+
+from godwitlanding.apply import apply_text, read_current, read_history
+from godwitlanding.codes import Code
+from godwitlanding.tests.support import FakeStore
+
+pytestmark = pytest.mark.looptime
+
+
+async def _apply(store, text, base=0, patience_s=5.0):
+    return await apply_text(store, text, base, "note", patience_s)
+
+
+async def test_applied_text_is_read_back_without_the_apply_line():
+    store = FakeStore()
+    applied = (await _apply(store, "{one: 1}")).unwrap()
+    current = (await read_current(store)).unwrap()
+    assert current == applied
+    assert current.text == "{one: 1}"
+    assert current.note == "note"
+
+
+async def test_losing_operator_is_told_and_changes_nothing():
+    """Two operators edit the same version and both apply.
+
+    The second would undo the first one's change unseen, were the write not
+    conditional on the version it was based on.
+    """
+    store = FakeStore()
+    base = (await _apply(store, "{}")).unwrap().version
+    results = await asyncio.gather(
+        _apply(store, "{a: 1}", base), _apply(store, "{b: 1}", base)
+    )
+    codes = [r.unwrap_err().code for r in results if r.is_err()]
+    assert codes == [Code.VERSION_CONFLICT]
+    winner = next(r.unwrap() for r in results if r.is_ok())
+    assert (await read_current(store)).unwrap() == winner
+
+
+@pytest.mark.parametrize("lost_answers", [1, 2, 3])
+async def test_lost_answer_is_settled(lost_answers):
+    """The platform commits the write and the answer is lost on the way.
+
+    The operator sees the change accepted, with its true version, and the
+    history holds it once.
+    """
+    store = FakeStore()
+    base = (await _apply(store, "{}")).unwrap()
+    store.lost_answers = lost_answers
+    applied = (await _apply(store, "{a: 1}", base.version)).unwrap()
+    assert (await read_current(store)).unwrap() == applied
+    history = (await read_history(store)).unwrap()
+    assert [entry.text for entry in history] == ["{a: 1}", "{}"]
+
+
+async def test_lost_answer_is_settled_after_another_change():
+    """The answer is lost and a second operator changes the text at once.
+
+    The first sees a conflict although its change was in force; it must not
+    be told that nothing was written.
+    """
+    store = FakeStore()
+    base = (await _apply(store, "{}")).unwrap()
+    store.lost_answers = 2  # the one for the history, and the one for the text
+
+    async def overtake():
+        while (await read_current(store)).unwrap().text != "{a: 1}":
+            await asyncio.sleep(0.01)
+        mine = (await read_current(store)).unwrap()
+        return (await _apply(store, "{b: 1}", mine.version)).unwrap()
+
+    first, second = await asyncio.gather(
+        _apply(store, "{a: 1}", base.version), overtake()
+    )
+    assert first.unwrap().text == "{a: 1}"
+    assert first.unwrap().version < second.version
+    assert (await read_current(store)).unwrap() == second
+
+
+@pytest.mark.parametrize(("outage_s", "accepted"), [(2.0, True), (60.0, False)])
+async def test_outage_is_waited_out_as_long_as_the_operator_says(outage_s, accepted):
+    """The platform is away when an operator applies.
+
+    A short outage only delays the answer; in a long one the operator gets
+    "not known", never a false "not accepted".
+    """
+    store = FakeStore()
+    store.set_available(False)
+    loop = asyncio.get_running_loop()
+    loop.call_later(outage_s, store.set_available, True)
+    result = await _apply(store, "{a: 1}")
+    assert result.is_ok() is accepted
+    if not accepted:
+        assert result.unwrap_err().code is Code.PLATFORM_UNAVAILABLE
--- /dev/null
+++ b/godwitlanding/tests/test_edit.py
@@ -0,0 +1,65 @@
+"""Edits of the operators' text keep comments and change nothing else."""
+
+import pytest
+
+from godwitlanding.edit import add_item, remove_item, replace_item
+from godwitlanding.fields import read_text
+
+DRAIN = {"what": "vm", "name": "a1"}
+OTHER = {"what": "vm", "name": "b1"}
+
+
+def _value(text):
+    return read_text(text).unwrap()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "{drains: []}",
+        "{\n  // keep me\n  name: 'x',\n}",
+        '{"drains": [ // keep me\n  {what: "vm", name: "b1"}, // and me\n]}',
+        "{name: 'x' /* keep me */}",
+        "{\n  // drains: [] in a comment first\n  drains: [],\n}",
+    ],
+)
+def test_item_is_added_and_removed_again(text):
+    added = add_item(text, "drains", DRAIN).unwrap()
+    assert _value(added)["drains"][0] == DRAIN
+    assert added.count("keep me") == text.count("keep me")
+    removed = remove_item(added, "drains", DRAIN).unwrap()
+    assert _value(removed) == {"drains": [], **_value(text)}
+    assert removed.count("keep me") == text.count("keep me")
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        '{drains: [{what: "vm", name: "a1"}]}',
+        '{drains: [{what: "vm", name: "b1"}, {what: "vm", name: "a1"}]}',
+        '{drains: [\n{\nwhat: "vm", // why\nname: "a1",\n},\n]}',
+    ],
+)
+def test_item_written_by_hand_is_replaced_and_removed(text):
+    replaced = replace_item(text, "drains", DRAIN, {**DRAIN, "name": "c1"}).unwrap()
+    names = [item["name"] for item in _value(replaced)["drains"]]
+    assert "c1" in names and "a1" not in names
+    removed = remove_item(text, "drains", DRAIN).unwrap()
+    kept = [item for item in _value(text)["drains"] if item != DRAIN]
+    assert _value(removed)["drains"] == kept
+
+
+def test_edit_is_refused_where_it_would_change_more():
+    """The same words stand in a string that the operator wrote.
+
+    An edit by words alone would have changed the string; the operator
+    would have found a note altered that nobody meant to touch.
+    """
+    text = "{note: 'drains: [', drains: []}"
+    added = add_item(text, "drains", OTHER).unwrap()
+    assert _value(added) == {"note": "drains: [", "drains": [OTHER]}
+
+
+@pytest.mark.parametrize("text", ["", "[1]", "{a: }"])
+def test_broken_text_is_not_edited(text):
+    assert add_item(text, "drains", DRAIN).is_err()
--- /dev/null
+++ b/godwitlanding/trace.py
@@ -0,0 +1,42 @@
+"""What became of recent requests, so that an operator can ask why.
+
+Each entry process keeps the events of its newest requests in memory:
+where the request went, what refused it and for how long it waited.
+``godwitctl explain`` reads them. The oldest are dropped, so a busy day costs
+no more memory than a quiet one.
+
+>>> trace = Trace()
+>>> trace.add("r1", "refused", code="QUEUE_FULL")
+>>> trace.get("r1")[0]["code"]
+'QUEUE_FULL'
+"""
+
+from collections import OrderedDict
+from datetime import UTC, datetime
+
+# About 1 kB a request: 4 MB, and some seconds of a VM's full rate.
+KEPT_REQUESTS = 4000
+KEPT_EVENTS = 20
+
+
+class Trace:
+    """The events of the newest requests by request id."""
+
+    def __init__(self, kept_requests=KEPT_REQUESTS):
+        self._events_by_id = OrderedDict()
+        self._kept_requests = kept_requests
+
+    def add(self, request_id, event, **fields):
+        """Note an event; the wall clock is for the person who reads it."""
+        events = self._events_by_id.setdefault(request_id, [])
+        if len(events) < KEPT_EVENTS:
+            events.append((datetime.now(UTC), event, fields))
+        while len(self._events_by_id) > self._kept_requests:
+            self._events_by_id.popitem(last=False)
+
+    def get(self, request_id):
+        """Return a request's events, oldest first, as plain tables."""
+        return [
+            {"at": at.isoformat(timespec="milliseconds"), "event": event, **fields}
+            for at, event, fields in self._events_by_id.get(request_id, [])
+        ]
--- a/godwitlanding/web.py
+++ b/godwitlanding/web.py
@@ -99,11 +99,11 @@
     )
 
 
-def make_status_routes(kernel_of, counters, is_ready):
+def make_status_routes(kernel_of, counters, is_ready, replica=None):
     """Return the routes under ``/-/`` that operators read on every daemon.
 
     ``kernel_of`` and ``is_ready`` are functions, since routes are made
-    before the kernel.
+    before the kernel. With ``replica`` the status shows the versions held.
     """
 
     async def get_metrics(request):
@@ -114,6 +114,7 @@
             {
                 "services": kernel_of().get_status(),
                 "counters": counters.get_all(),
+                "versions": replica.get_versions() if replica else {},
             }
         )
 
