--- a/godwitlanding/tests/support.py
+++ b/godwitlanding/tests/support.py
@@ -18,7 +18,7 @@
 
 
 class FakeStore:
-    """The platform's object API in memory, with faults at the turn of a switch.
+    """The platform's object API in memory, with faults on request.
 
     ``delay_s``
         time each call takes; above ``timeout_s`` the call is answered
--- /dev/null
+++ b/godwitlanding/tests/test_store.py
@@ -0,0 +1,276 @@
+"""The contract of the platform's object API, for the fake and over HTTP."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from godwitlanding.codes import Code
+from godwitlanding.store import MAX_VALUE_BYTES, HttpStore
+from godwitlanding.tests.support import FakeStore
+from godwitlanding.tests.tools.listener import Listener
+from godwitlanding.tests.tools.standin_platform import Platform
+
+HOST = "127.0.10.9"
+PORT = 8010
+URL = f"http://{HOST}:{PORT}"
+VM = {"vm": "a1", "address": "127.0.10.1", "availability_zone": "a", "state": "live"}
+
+
+class FakeBench:
+    """Turns the fake's switches."""
+
+    def __init__(self):
+        self.store = FakeStore(timeout_s=0.2)
+
+    async def set_faults(self, **faults):
+        self.store.set_available(faults.get("outage", "none") == "none")
+        self.store.lost_answers = faults.get("lost_answers", 0)
+        self.store.delay_s = faults.get("delay_s", 0.0)
+        self.store.rate_limited = faults.get("writes_per_s") == 0
+
+    async def set_vms(self, row):
+        self.store.set_vms(tuple(row.values()))
+
+    async def turn_back(self, write):
+        snapshot = self.store.objects.take_snapshot()
+        await write()
+        self.store.objects.restore(snapshot)
+
+    async def close(self):
+        await self.store.close()
+
+
+class HttpBench:
+    """Turns the switches of the stand-in over HTTP."""
+
+    def __init__(self):
+        self.store = HttpStore(URL, timeout_s=0.5)
+        self._session = aiohttp.ClientSession(URL)
+        self._listener = Listener(Platform().make_app(), HOST, PORT)
+
+    async def start(self):
+        await self._listener.start()
+        return self
+
+    async def set_faults(self, **faults):
+        async with self._session.put("/standin/faults", json=faults) as answer:
+            assert answer.status == 200
+
+    async def set_vms(self, row):
+        async with self._session.put("/standin/vms", json={"vms": [row]}) as answer:
+            assert answer.status == 200
+
+    async def turn_back(self, write):
+        async with self._session.post("/standin/snapshot"):
+            await write()
+        async with self._session.post("/standin/restore"):
+            pass
+
+    async def close(self):
+        await self.store.close()
+        await self._session.close()
+        self._listener.crash()
+
+
+@pytest.fixture(params=["fake", "http"])
+async def bench(request):
+    made = FakeBench() if request.param == "fake" else await HttpBench().start()
+    yield made
+    await made.close()
+
+
+async def test_versions_grow_over_all_objects(bench):
+    store = bench.store
+    first = (await store.put("config", "main", b"one", 0)).unwrap()
+    other = (await store.put("plan", "main", b"plan", 0)).unwrap()
+    second = (await store.put("config", "main", b"two", first)).unwrap()
+    assert first < other < second
+    found = (await store.get("config", "main")).unwrap()
+    assert found == ("config", "main", second, b"two")
+    assert (await store.list("config")).unwrap() == (found,)
+    assert (await store.list("nothing")).unwrap() == ()
+
+
+@pytest.mark.parametrize("name", ["a/b", "a b", "ä%2F", "x?y=1#z"])
+async def test_any_name_comes_back(bench, name):
+    version = (await bench.store.put("claim", name, b"\x00\xff", 0)).unwrap()
+    assert (await bench.store.get("claim", name)).unwrap().value == b"\x00\xff"
+    assert (await bench.store.list("claim")).unwrap()[0].name == name
+    assert (await bench.store.delete("claim", name, version)).is_ok()
+
+
+@pytest.mark.parametrize(
+    ("operation", "arguments", "code"),
+    [
+        ("get", ("config", "none"), Code.NOT_FOUND),
+        ("put", ("config", "main", b"x", 0), Code.VERSION_CONFLICT),
+        ("put", ("config", "main", b"x", 77), Code.VERSION_CONFLICT),
+        ("put", ("config", "none", b"x", 1), Code.VERSION_CONFLICT),
+        (
+            "put",
+            ("config", "big", bytes(MAX_VALUE_BYTES + 1), 0),
+            Code.VALUE_TOO_LARGE,
+        ),
+        ("delete", ("config", "main", 77), Code.VERSION_CONFLICT),
+        ("delete", ("config", "none", 77), Code.NOT_FOUND),
+        ("watch", ("config", 99, 0.1), Code.WATCH_EXPIRED),
+    ],
+)
+async def test_refused_calls(bench, operation, arguments, code):
+    written = await bench.store.put("config", "main", b"one", 0)
+    answer = await getattr(bench.store, operation)(*arguments)
+    assert answer.unwrap_err().code is code
+    kept = (await bench.store.get("config", "main")).unwrap()
+    assert kept.version == written.unwrap()
+
+
+async def test_largest_value_is_kept(bench):
+    value = bytes(MAX_VALUE_BYTES)
+    assert (await bench.store.put("blocks", "piece", value, 0)).is_ok()
+    assert (await bench.store.get("blocks", "piece")).unwrap().value == value
+
+
+async def test_watch_waits_for_its_kind(bench):
+    store = bench.store
+    version = (await store.put("config", "main", b"one", 0)).unwrap()
+    watch = asyncio.ensure_future(store.watch("config", version, 30.0))
+    await asyncio.sleep(0.05)
+    await store.put("plan", "main", b"x", 0)
+    assert not watch.done()
+    second = (await store.put("config", "main", b"two", version)).unwrap()
+    batch = (await watch).unwrap()
+    assert batch.version >= second
+    assert [event.stored.value for event in batch.events] == [b"two"]
+    await store.delete("config", "main", second)
+    (event,) = (await store.watch("config", second, 1.0)).unwrap().events
+    assert event.deleted
+
+
+async def test_watch_from_nothing_gives_what_there_is(bench):
+    await bench.store.put("config", "main", b"one", 0)
+    (event,) = (await bench.store.watch("config", 0, 1.0)).unwrap().events
+    assert event.stored.value == b"one"
+
+
+async def test_watch_without_a_change_ends_empty(bench):
+    version = (await bench.store.put("config", "main", b"one", 0)).unwrap()
+    batch = (await bench.store.watch("config", version, 0.05)).unwrap()
+    assert batch.events == ()
+
+
+async def test_vm_list(bench):
+    await bench.set_vms(VM)
+    listed = (await bench.store.list_vms()).unwrap()
+    assert listed.version > 0
+    assert listed.vms == (tuple(VM.values()),)
+
+
+@pytest.mark.parametrize(
+    ("operation", "arguments"),
+    [
+        ("get", ("config", "main")),
+        ("list", ("config",)),
+        ("put", ("config", "main", b"x", 0)),
+        ("delete", ("config", "main", 1)),
+        ("watch", ("config", 0, 0.1)),
+        ("list_vms", ()),
+    ],
+)
+async def test_outage_fails_every_call(bench, operation, arguments):
+    """The platform is down for a while.
+
+    Operators notice that nothing can be applied; what runs goes on.
+    """
+    await bench.set_faults(outage="refuse")
+    answer = await getattr(bench.store, operation)(*arguments)
+    assert answer.unwrap_err().code is Code.PLATFORM_UNAVAILABLE
+    await bench.set_faults(outage="none")
+    assert (await bench.store.list("config")).unwrap() == ()
+
+
+async def test_waiting_watch_ends_with_the_outage(bench):
+    """The platform goes down while a member waits for a change.
+
+    A wait that went on would miss that the platform is away at all.
+    """
+    version = (await bench.store.put("config", "main", b"one", 0)).unwrap()
+    watch = asyncio.ensure_future(bench.store.watch("config", version, 30.0))
+    await asyncio.sleep(0.05)
+    await bench.set_faults(outage="refuse")
+    assert (await watch).unwrap_err().code is Code.PLATFORM_UNAVAILABLE
+
+
+async def test_write_whose_answer_is_lost_has_taken_effect(bench):
+    """The connection breaks after the platform has done a write.
+
+    The writer is told that the platform is away and finds its write there
+    when it reads back.
+    """
+    await bench.store.list("config")
+    await bench.set_faults(lost_answers=1)
+    answer = await bench.store.put("config", "main", b"one", 0)
+    assert answer.unwrap_err().code is Code.PLATFORM_UNAVAILABLE
+    assert (await bench.store.get("config", "main")).unwrap().value == b"one"
+
+
+async def test_slow_write_takes_effect_after_its_timeout(bench):
+    """The platform is so slow that the writer gives up first.
+
+    Its write takes effect later, when another may already have been sent.
+    """
+    await bench.set_faults(delay_s=1.0)
+    answer = await bench.store.put("config", "main", b"one", 0)
+    assert answer.unwrap_err().code is Code.PLATFORM_UNAVAILABLE
+    await bench.set_faults()
+    batch = await bench.store.watch("config", 0, 0.1)
+    for _ in range(100):
+        if batch.is_ok() and batch.unwrap().events:
+            break
+        await bench.set_faults(delay_s=0.0)
+        batch = await bench.store.watch("config", 0, 0.1)
+        await asyncio.sleep(0.05)
+    assert batch.unwrap().events[0].stored.value == b"one"
+
+
+async def test_rate_limit_refuses_writes(bench):
+    await bench.set_faults(writes_per_s=0)
+    answer = await bench.store.put("config", "main", b"one", 0)
+    assert answer.unwrap_err().code is Code.RATE_LIMITED
+
+
+async def test_restored_platform_refuses_newer_watches(bench):
+    """The platform comes back from a backup that misses the last writes.
+
+    Members that go on from the version they know would wait for ever.
+    """
+    store = bench.store
+    newest = []
+
+    async def write():
+        newest.append((await store.put("config", "main", b"one", 0)).unwrap())
+
+    await bench.turn_back(write)
+    answer = await store.watch("config", newest[0], 0.1)
+    assert answer.unwrap_err().code is Code.WATCH_EXPIRED
+    assert (await store.get("config", "main")).unwrap_err().code is Code.NOT_FOUND
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b"{}", b'{"objects": [{"name": 1}]}', b"\xff"]
+)
+async def test_unreadable_answer_is_no_answer(body):
+    """A proxy or a new version of the platform answers something else."""
+
+    async def answer(scope, receive, send):
+        await send({"type": "http.response.start", "status": 200})
+        await send({"type": "http.response.body", "body": body})
+
+    listener = Listener(answer, HOST, PORT)
+    await listener.start()
+    store = HttpStore(URL, timeout_s=1.0)
+    calls = [store.list("config"), store.get("config", "main"), store.list_vms()]
+    for call in calls:
+        assert (await call).unwrap_err().code is Code.PLATFORM_UNAVAILABLE
+    await store.close()
+    listener.crash()
--- /dev/null
+++ b/godwitlanding/tests/tools/standin_platform.py
@@ -0,0 +1,298 @@
+"""A stand-in for the platform's object API, for tests and the demo.
+
+Serves what ``docs/platform_api.rst`` describes from memory, and under
+``/standin/`` the switches for its faults.
+
+    python -m godwitlanding.tests.tools.standin_platform --port 8000
+"""
+
+import argparse
+import asyncio
+import base64
+import json
+from collections import Counter
+
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from godwitlanding.codes import ROW_BY_CODE
+from godwitlanding.store import VmEntry, VmList
+from godwitlanding.tests.tools.listener import Listener, reset
+from godwitlanding.tests.tools.objects import EMPTY_VM_LIST, ObjectTable
+
+OUTAGES = ("none", "refuse", "reset", "hang")
+# A hanging platform must not keep the stand-in's tasks for ever.
+HANG_S = 120.0
+MAX_WATCH_S = 60.0
+
+
+class Faults:
+    """What is wrong with the platform just now."""
+
+    def __init__(self):
+        self.outage = "none"
+        self.delay_s = 0.0
+        self.lost_answers = 0
+        self.lost_kind = ""
+        self.list_lag_s = 0.0
+        self.reads_per_s = 2000.0
+        self.writes_per_s = 500.0
+
+    def change(self, values):
+        """Set the switches named; ``ValueError`` for one there is not."""
+        unknown = set(values) - set(vars(self))
+        if unknown or values.get("outage", "none") not in OUTAGES:
+            raise ValueError(f"no such fault: {values}")
+        vars(self).update(values)
+
+
+class RateLimit:
+    """A token bucket that holds a second's worth."""
+
+    def __init__(self):
+        self._tokens = None
+        self._filled_at = 0.0
+
+    def take(self, rate_per_s, now):
+        """Tell whether one more call is within the rate."""
+        if self._tokens is None:
+            self._tokens = rate_per_s
+        self._tokens += (now - self._filled_at) * rate_per_s
+        self._tokens = min(self._tokens, rate_per_s)
+        self._filled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class Platform:
+    """The stand-in's state and its HTTP handlers."""
+
+    def __init__(self):
+        self.objects = ObjectTable()
+        self.faults = Faults()
+        self.counts = Counter()
+        self._waiting = 0
+        self._most_waiting = 0
+        self._snapshot = self.objects.take_snapshot()
+        self._vm_lists = [(0.0, EMPTY_VM_LIST)]
+        self._reads = RateLimit()
+        self._writes = RateLimit()
+
+    def make_app(self):
+        """Return the ASGI app."""
+        objects = "/v1/objects/{kind}"
+        one = objects + "/{name:path}"
+        rows = [
+            (one, self.get, ["GET"]),
+            (one, self.put, ["PUT"]),
+            (one, self.delete, ["DELETE"]),
+            (objects, self.list, ["GET"]),
+            ("/v1/watch/{kind}", self.watch, ["GET"]),
+            ("/v1/vms", self.list_vms, ["GET"]),
+            ("/standin/faults", self.set_faults, ["PUT"]),
+            ("/standin/vms", self.set_vms, ["PUT"]),
+            ("/standin/snapshot", self.take_snapshot, ["POST"]),
+            ("/standin/restore", self.restore, ["POST"]),
+            ("/standin/stats", self.get_stats, ["GET"]),
+        ]
+        return Starlette(
+            routes=[Route(path, run, methods=methods) for path, run, methods in rows]
+        )
+
+    async def get(self, request):
+        """Answer an object's value with its version as ETag."""
+        failure = await self._begin(request, "reads", self._reads)
+        if failure:
+            return failure
+        found = self.objects.get(**request.path_params)
+        if found.is_err():
+            return _make_failure(found)
+        stored = found.unwrap()
+        headers = {"ETag": f'"{stored.version}"'}
+        return Response(
+            stored.value, headers=headers, media_type="application/octet-stream"
+        )
+
+    async def list(self, request):
+        """Answer every object of a kind."""
+        failure = await self._begin(request, "reads", self._reads)
+        if failure:
+            return failure
+        rows = [_make_row(s) for s in self.objects.list(request.path_params["kind"])]
+        return JSONResponse({"version": self.objects.version, "objects": rows})
+
+    async def put(self, request):
+        """Write an object under the request's condition."""
+        value = await request.body()
+        expected_version = _read_condition(request)
+        if expected_version is None:
+            return Response("a condition is required", status_code=428)
+        failure = await self._begin(request, "writes", self._writes)
+        if failure:
+            return failure
+        kind, name = request.path_params["kind"], request.path_params["name"]
+        written = self.objects.put(kind, name, value, expected_version)
+        return await self._answer_write(request, written)
+
+    async def delete(self, request):
+        """Delete an object under the request's condition."""
+        expected_version = _read_condition(request)
+        if not expected_version:
+            return Response("If-Match is required", status_code=428)
+        failure = await self._begin(request, "writes", self._writes)
+        if failure:
+            return failure
+        kind, name = request.path_params["kind"], request.path_params["name"]
+        written = self.objects.delete(kind, name, expected_version)
+        return await self._answer_write(request, written)
+
+    async def watch(self, request):
+        """Answer the changes of a kind after a version, once there are any."""
+        failure = await self._begin(request, "watches", self._reads)
+        if failure:
+            return failure
+        try:
+            after = int(request.query_params["after"])
+            timeout_s = float(request.query_params["timeout_s"])
+        except (KeyError, ValueError):
+            return Response("after and timeout_s are required", status_code=400)
+        self._waiting += 1
+        self._most_waiting = max(self._most_waiting, self._waiting)
+        try:
+            read = await self.objects.wait_for_events(
+                request.path_params["kind"],
+                after,
+                min(timeout_s, MAX_WATCH_S),
+                lambda: self.faults.outage == "none",
+            )
+        finally:
+            self._waiting -= 1
+        if self.faults.outage != "none":
+            return await self._fail(request)
+        if read.is_err():
+            return _make_failure(read)
+        batch = read.unwrap()
+        rows = [{**_make_row(e.stored), "deleted": e.deleted} for e in batch.events]
+        return JSONResponse({"version": batch.version, "events": rows})
+
+    async def list_vms(self, request):
+        """Answer the VM list as it was ``list_lag_s`` ago."""
+        failure = await self._begin(request, "reads", self._reads)
+        if failure:
+            return failure
+        shown_until = asyncio.get_running_loop().time() - self.faults.list_lag_s
+        shown = [rows for set_at, rows in self._vm_lists if set_at <= shown_until]
+        current = shown[-1]
+        vms = [vm._asdict() for vm in current.vms]
+        return JSONResponse({"version": current.version, "vms": vms})
+
+    async def set_vms(self, request):
+        """Set the true VM list; what is shown follows after the lag."""
+        rows = tuple(VmEntry(**row) for row in (await request.json())["vms"])
+        version = self._vm_lists[-1][1].version + 1
+        now = asyncio.get_running_loop().time()
+        self._vm_lists.append((now, VmList(version, rows)))
+        return JSONResponse({"version": version})
+
+    async def set_faults(self, request):
+        """Turn the switches named in the body."""
+        try:
+            self.faults.change(await request.json())
+        except ValueError as error:
+            return JSONResponse({"error": str(error)}, status_code=400)
+        self.objects.wake()
+        return JSONResponse(vars(self.faults))
+
+    async def take_snapshot(self, request):
+        """Keep the present state for a later restore."""
+        self._snapshot = self.objects.take_snapshot()
+        return JSONResponse({"version": self._snapshot.version})
+
+    async def restore(self, request):
+        """Go back to the state kept."""
+        self.objects.restore(self._snapshot)
+        return JSONResponse({"version": self.objects.version})
+
+    async def get_stats(self, request):
+        """Answer how often what was called."""
+        counts = {"reads": 0, "writes": 0, "watches": 0, **self.counts}
+        waiting = {"waiting": self._waiting, "most_waiting": self._most_waiting}
+        return JSONResponse({**counts, **waiting})
+
+    async def _begin(self, request, count, limit):
+        self.counts[count] += 1
+        if self.faults.outage != "none":
+            self.counts["failed"] += 1
+            return await self._fail(request)
+        is_read = limit is self._reads
+        rate = self.faults.reads_per_s if is_read else self.faults.writes_per_s
+        if not limit.take(rate, asyncio.get_running_loop().time()):
+            self.counts["rate_limited"] += 1
+            return Response(status_code=429, headers={"Retry-After": "1"})
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        return None
+
+    async def _fail(self, request):
+        if self.faults.outage == "refuse":
+            return Response(status_code=503)
+        if self.faults.outage == "hang":
+            await asyncio.sleep(HANG_S)
+        reset(request.scope["state"]["transport"])
+        return Response(status_code=503)
+
+    async def _answer_write(self, request, written):
+        if written.is_err():
+            return _make_failure(written)
+        lost_kind = self.faults.lost_kind
+        is_meant = lost_kind in ("", request.path_params["kind"])
+        if self.faults.lost_answers > 0 and is_meant:
+            self.faults.lost_answers -= 1
+            self.counts["lost_answers"] += 1
+            reset(request.scope["state"]["transport"])
+        return JSONResponse({"version": written.unwrap()})
+
+
+def _make_row(stored):
+    value = base64.b64encode(stored.value).decode()
+    return {"name": stored.name, "version": stored.version, "value": value}
+
+
+def _make_failure(result):
+    refusal = result.unwrap_err()
+    return Response(status_code=ROW_BY_CODE[refusal.code].http_status)
+
+
+def _read_condition(request):
+    if request.headers.get("if-none-match") == "*":
+        return 0
+    version = request.headers.get("if-match", "").strip('"')
+    return int(version) if version.isdecimal() else None
+
+
+def parse_arguments(argv=None):
+    """Return the arguments."""
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--host", default="127.0.0.9", help="IP number to listen on")
+    parser.add_argument("--port", type=int, default=8000, help="Port to listen on")
+    parser.add_argument(
+        "--faults", type=json.loads, default={}, help="Faults to begin with, JSON"
+    )
+    return parser.parse_args(argv)
+
+
+async def serve(arguments):
+    """Serve until the process is ended."""
+    platform = Platform()
+    platform.faults.change(arguments.faults)
+    listener = Listener(platform.make_app(), arguments.host, arguments.port)
+    await listener.start()
+    print("ready", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(parse_arguments()))
