--- /dev/null
+++ b/godwitlanding/health.py
@@ -0,0 +1,152 @@
+"""Which upstreams may get new work, joined from what three sources say.
+
+Load pattern: an upstream is leaving and the sources that tell of it lag by
+different times, or a health endpoint lies. Work sent to one that leaves is
+refused or cut off when it stops; believing every failed probe, a fault in
+the probing empties a zone.
+
+*Leaving* is joined pessimistically: the platform's list, the upstream's own
+word to a request and its health endpoint each may say it, and the first
+that does wins. A source takes back only its own word. The word to a request
+has no later message that ends it: it stands until probes have said ready
+for 10 seconds, twice the lag of 5 seconds known from health endpoints.
+
+*Failing* is a guess. Two failed probes in a row count, one is a lost
+packet. Where more than half of the upstreams that do not leave fail their
+probes, the probing is what fails and nothing is taken out; work itself then
+shows which upstreams are bad (``outlier``). An upstream that finished work
+after the first failed probe is not failing.
+"""
+
+from typing import NamedTuple
+
+READY = "ready"
+DRAINING = "draining"
+FAILED = "failed"
+
+PROBES_TO_FAIL = 2
+MAX_FAILING_SHARE = 0.5
+WORD_HOLD_S = 10.0
+
+
+class Verdict(NamedTuple):
+    """Whether an upstream may get new work, and why not."""
+
+    usable: bool
+    leaving: bool
+    why: str
+
+
+class _Record:
+    def __init__(self):
+        self.list_leaving = False
+        self.probe_leaving = False
+        self.word_at = None
+        self.ready_since = None
+        self.failed_in_a_row = 0
+        self.failing_since = None
+        self.success_at = None
+
+
+class UpstreamHealth:
+    """Joins the sources for the upstreams of one service in one zone.
+
+    >>> health = UpstreamHealth(["s1", "s2"])
+    >>> health.note_word("s1", DRAINING, now=0.0)
+    >>> health.get_verdicts(now=0.0)["s1"]
+    Verdict(usable=False, leaving=True, why='its own word')
+    """
+
+    def __init__(self, upstream_ids=()):
+        self._record_by_upstream = {}
+        self.set_upstreams(upstream_ids)
+
+    def set_upstreams(self, upstream_ids):
+        """Know exactly these upstreams; what was heard of them stays."""
+        self._record_by_upstream = {
+            upstream_id: self._record_by_upstream.get(upstream_id) or _Record()
+            for upstream_id in upstream_ids
+        }
+
+    def note_list(self, upstream_id, leaving, now):
+        """Take what the platform's list or the configuration says."""
+        record = self._record_by_upstream.get(upstream_id)
+        if record:
+            record.list_leaving = leaving
+
+    def note_word(self, upstream_id, state, now):
+        """Take what the upstream said to a request (``Signal.state``)."""
+        record = self._record_by_upstream.get(upstream_id)
+        if record and state == DRAINING:
+            record.word_at = now
+            record.ready_since = None
+
+    def note_probe(self, upstream_id, state, now):
+        """Take a probe's result: ``READY``, ``DRAINING`` or ``FAILED``."""
+        record = self._record_by_upstream.get(upstream_id)
+        if not record:
+            return
+        if state == FAILED:
+            self._note_failed(record, now)
+            return
+        record.failed_in_a_row = 0
+        record.failing_since = None
+        record.probe_leaving = state == DRAINING
+        if state == DRAINING:
+            record.ready_since = None
+        elif record.ready_since is None:
+            record.ready_since = now
+        if record.word_at is not None and self._is_word_over(record, now):
+            record.word_at = None
+
+    def note_success(self, upstream_id, now):
+        """The upstream finished a request."""
+        record = self._record_by_upstream.get(upstream_id)
+        if record:
+            record.success_at = now
+
+    def get_verdicts(self, now):
+        """Return every upstream's verdict by its id."""
+        staying = [r for r in self._record_by_upstream.values() if not _why_leaving(r)]
+        failing = [record for record in staying if _is_failing(record)]
+        believed = len(failing) <= len(staying) * MAX_FAILING_SHARE
+        return {
+            upstream_id: _judge(record, believed)
+            for upstream_id, record in self._record_by_upstream.items()
+        }
+
+    def _note_failed(self, record, now):
+        record.ready_since = None
+        record.failed_in_a_row += 1
+        if record.failing_since is None:
+            record.failing_since = now
+
+    def _is_word_over(self, record, now):
+        since = record.ready_since
+        return since is not None and now - since >= WORD_HOLD_S
+
+
+def _judge(record, probes_believed):
+    why = _why_leaving(record)
+    if why:
+        return Verdict(False, True, why)
+    if probes_believed and _is_failing(record):
+        return Verdict(False, False, "failed probes")
+    return Verdict(True, False, "")
+
+
+def _why_leaving(record):
+    if record.list_leaving:
+        return "the platform's list"
+    if record.word_at is not None:
+        return "its own word"
+    if record.probe_leaving:
+        return "its health endpoint"
+    return ""
+
+
+def _is_failing(record):
+    if record.failed_in_a_row < PROBES_TO_FAIL:
+        return False
+    success_at = record.success_at
+    return success_at is None or success_at < record.failing_since
--- /dev/null
+++ b/godwitlanding/poison.py
@@ -0,0 +1,104 @@
+"""Requests that crash the upstreams that run them.
+
+Load pattern: a single request crashes each upstream that runs it, and its
+caller or an entry VM sends it again. Without this ledger one such request
+takes every licensed copy of a service within a few tries.
+
+A fingerprint that crashed one upstream is a suspect: one copy of it may run
+at a time, so that several sent at once cannot crash several upstreams
+before the first crash is known. One that crashed two different upstreams is
+stopped. Two, because one crash is more often the upstream's own death, and
+the brief lets a request cost no more than that.
+
+The stop lasts 10 minutes: longer than a caller keeps pressing, short enough
+that a repaired upstream is used again the same hour. A request that crashes
+upstreams by its content never succeeds; so a fingerprint that succeeded
+before is stopped for 30 seconds only, since a rack that dies takes two
+upstreams at once with whatever popular request they were running.
+"""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+CRASHES_TO_STOP = 2
+STOP_S = 600.0
+STOP_KNOWN_GOOD_S = 30.0
+MAX_FINGERPRINTS = 10_000
+
+
+class _Record(NamedTuple):
+    upstreams: frozenset[str]
+    until: float
+    crashes: int
+
+
+class PoisonLedger:
+    """Which upstreams each fingerprint crashed; pure, bounded in size.
+
+    ``note_crash`` is given what this process saw; ``note_report`` what a
+    ``Poison`` message from another process says. A fingerprint of 0 stands
+    for a request that has none and is never stopped.
+    """
+
+    def __init__(self, max_fingerprints=MAX_FINGERPRINTS):
+        self._max_fingerprints = max_fingerprints
+        self._record_by_fingerprint = OrderedDict()
+        self._known_good = OrderedDict()
+
+    def note_crash(self, fingerprint, upstream, now):
+        """Count a crash; return how many upstreams it has crashed so far."""
+        return self.note_report(fingerprint, upstream, 1, now)
+
+    def note_report(self, fingerprint, upstream, crashes, now):
+        """Join another process's count, which may be ahead of our own."""
+        if not fingerprint:
+            return 0
+        held = self._get(fingerprint, now)
+        upstreams = held.upstreams if held else frozenset()
+        upstreams |= {upstream}
+        crashes = max(len(upstreams), crashes, held.crashes if held else 0)
+        good = fingerprint in self._known_good
+        until = now + (STOP_KNOWN_GOOD_S if good else STOP_S)
+        self._record_by_fingerprint[fingerprint] = _Record(upstreams, until, crashes)
+        self._record_by_fingerprint.move_to_end(fingerprint)
+        self._bound(self._record_by_fingerprint)
+        return crashes
+
+    def note_success(self, fingerprint, now):
+        """An upstream ran it whole: what crashed was not its doing."""
+        if not fingerprint or self.is_stopped(fingerprint, now):
+            return
+        self._record_by_fingerprint.pop(fingerprint, None)
+        self._known_good[fingerprint] = now
+        self._known_good.move_to_end(fingerprint)
+        self._bound(self._known_good)
+
+    def is_stopped(self, fingerprint, now):
+        """Tell whether the request must not be sent to any upstream."""
+        record = self._get(fingerprint, now)
+        return record is not None and record.crashes >= CRASHES_TO_STOP
+
+    def is_suspect(self, fingerprint, now):
+        """Tell whether it crashed an upstream and may run only alone."""
+        return self._get(fingerprint, now) is not None
+
+    def get_crashed(self, fingerprint, now):
+        """Return the upstreams that the request crashed."""
+        record = self._get(fingerprint, now)
+        return record.upstreams if record else frozenset()
+
+    def get_retry_after_s(self, fingerprint, now):
+        """Return the seconds until the stop ends, 0 for none."""
+        record = self._get(fingerprint, now)
+        return max(0.0, record.until - now) if record else 0.0
+
+    def _get(self, fingerprint, now):
+        record = self._record_by_fingerprint.get(fingerprint)
+        if record and record.until <= now:
+            del self._record_by_fingerprint[fingerprint]
+            return None
+        return record
+
+    def _bound(self, entries):
+        while len(entries) > self._max_fingerprints:
+            entries.popitem(last=False)
--- /dev/null
+++ b/godwitlanding/spill.py
@@ -0,0 +1,119 @@
+"""How much work may be handed to other availability zones.
+
+Load pattern: a zone is full and its neighbours are not, or several zones
+are full at once and all pick the same neighbour. Without allowances each
+zone that decides alone sends all it cannot serve, and a region that had
+headroom is overloaded by everyone's surplus. The plan grants each pair of
+zones a number of requests in flight beforehand, and these sum to no more
+than the target's headroom, so no message is needed at the moment of need.
+
+Links between zones have limits of their own, in requests and in bytes a
+second; ``LinkMeter`` holds them by token buckets. A bucket holds 1 second:
+with less, arrivals that are merely uneven at 80 % of the limit are refused;
+with more, a link that stood idle is sent several times its limit at once.
+"""
+
+BURST_S = 1.0
+
+
+class LinkMeter:
+    """Token buckets for one link; a limit of 0 bytes a second is none.
+
+    Bytes are known only when they have passed, so they are charged after
+    the fact and may run the bucket into debt, which holds later requests
+    back until it is paid.
+    """
+
+    def __init__(self, requests_per_s, bytes_per_s=0.0, burst_s=BURST_S):
+        self.requests_per_s = requests_per_s
+        self.bytes_per_s = bytes_per_s
+        self._burst_s = burst_s
+        self._requests = self._get_most_requests()
+        self._bytes = bytes_per_s * burst_s
+        self._filled_at = None
+
+    def may_send(self, now, size_bytes=0):
+        """Take a request's tokens, or tell that the link is full."""
+        self._fill(now)
+        if self._requests < 1.0 or self._lacks_bytes():
+            return False
+        self._requests -= 1.0
+        self._bytes -= size_bytes
+        return True
+
+    def note_bytes(self, size_bytes, now):
+        """Charge bytes that have passed over the link."""
+        self._fill(now)
+        self._bytes -= size_bytes
+
+    def get_retry_after_s(self, now):
+        """Return the seconds until a request may pass again."""
+        self._fill(now)
+        wait_s = 0.0
+        if self._requests < 1.0:
+            missing = 1.0 - self._requests
+            wait_s = missing / self.requests_per_s if self.requests_per_s else 3600.0
+        if self._lacks_bytes():
+            wait_s = max(wait_s, -self._bytes / self.bytes_per_s)
+        return wait_s
+
+    def _lacks_bytes(self):
+        return self.bytes_per_s > 0 and self._bytes < 0
+
+    def _get_most_requests(self):
+        return max(1.0, self.requests_per_s * self._burst_s) * (self.requests_per_s > 0)
+
+    def _fill(self, now):
+        elapsed_s = 0.0 if self._filled_at is None else max(0.0, now - self._filled_at)
+        self._filled_at = now
+        most = self._get_most_requests()
+        self._requests = min(most, self._requests + elapsed_s * self.requests_per_s)
+        full = self.bytes_per_s * self._burst_s
+        self._bytes = min(full, self._bytes + elapsed_s * self.bytes_per_s)
+
+
+class SpillAllowances:
+    """Requests in flight that this zone may have in each other zone.
+
+    >>> spill = SpillAllowances()
+    >>> spill.set_allowances({"maz-b": 1})
+    >>> spill.take("r1", now=0.0)
+    'maz-b'
+    """
+
+    def __init__(self):
+        self._allowance_by_zone = {}
+        self._open_by_zone = {}
+        self._zone_by_request = {}
+        self._meter_by_zone = {}
+
+    def set_allowances(self, allowance_by_zone):
+        """Take the plan's allowances, in the plan's order of preference."""
+        self._allowance_by_zone = dict(allowance_by_zone)
+
+    def set_meter(self, availability_zone, meter):
+        """Hold spill to a zone within the limits of its link."""
+        self._meter_by_zone[availability_zone] = meter
+
+    def take(self, request_id, now):
+        """Return a zone with room for the request, or ``None``."""
+        for zone, allowance in self._allowance_by_zone.items():
+            if self._open_by_zone.get(zone, 0) >= int(allowance):
+                continue
+            meter = self._meter_by_zone.get(zone)
+            if meter and not meter.may_send(now):
+                continue
+            self._open_by_zone[zone] = self._open_by_zone.get(zone, 0) + 1
+            self._zone_by_request[request_id] = zone
+            return zone
+        return None
+
+    def end(self, request_id):
+        """The request has ended in the other zone; give its place back."""
+        zone = self._zone_by_request.pop(request_id, None)
+        if zone:
+            self._open_by_zone[zone] -= 1
+
+    def get_open(self):
+        """Return the requests in flight by zone."""
+        return {zone: n for zone, n in self._open_by_zone.items() if n}
