Tell callers which entry VMs to use and issue tickets

The steer daemon answers look-ups with ordered choices fixed by the caller's name (weighted rendezvous hashing), so that a shift moves only the callers it has to. Tickets name a home of the own zone; the planned zone issues them when its summary is fresh.

Speed is not measured yet.

--- /dev/null
+++ b/godwitlanding/choice.py
@@ -0,0 +1,101 @@
+"""Which zone and which entry VMs a caller is told to use.
+
+Pure: no network and no clock. It answers the pattern of callers that keep
+their answers for a while and ask again: weights move by small steps, VMs
+come and go, and every steer process has to give the same caller the same
+answer without talking to the others. Without a choice that is fixed by the
+caller's name, callers would move on every refresh: a shift of a tenth
+would then reach far more than a tenth of the callers within one max-age,
+and all of them would arrive at cold caches. Weighted rendezvous hashing
+moves only those that a change of weights has to move;
+``docs/decisions_steering.rst`` has the measurement against its rivals.
+"""
+
+import math
+from typing import NamedTuple
+
+import xxhash
+
+# A caller tries the choices in turn, each costs it a connect timeout when
+# the VM is gone: three in the zone outlast two VMs lost within a max-age.
+CHOICES_IN_ZONE = 3
+FALLBACK_ZONES = 2
+
+_HASH_RANGE = 2**64
+
+
+class Target(NamedTuple):
+    """An entry VM that may be named in an answer."""
+
+    vm: str
+    address: str
+    availability_zone: str
+
+
+def hash_name(name, seed=0):
+    """Return the 64-bit hash of a name, the same in every process."""
+    return xxhash.xxh3_64_intdigest(name.encode(), seed)
+
+
+def choose_origin(caller, zones):
+    """Return the origin zone of a caller that no block lists.
+
+    ``zones`` are all zones of the configuration; ``None`` without any.
+    """
+    return max(zones, key=lambda zone: hash_name(caller, hash_name(zone)), default=None)
+
+
+def rank_zones(caller, service, weight_by_zone):
+    """Return the zones with a weight, the caller's own choice first.
+
+    Over many callers each zone comes first for its share of the weights.
+    A larger weight only draws callers to its zone, a smaller one only
+    sends them away.
+    """
+
+    def get_cost(zone):
+        drawn = hash_name(caller, hash_name(f"{service}@{zone}"))
+        return -math.log((drawn + 1) / _HASH_RANGE) / weight_by_zone[zone]
+
+    zones = [zone for zone, weight in weight_by_zone.items() if weight > 0]
+    return sorted(zones, key=get_cost)
+
+
+def rank_targets(caller, targets, seed_by_vm=None):
+    """Return a zone's entry VMs in the order for this caller.
+
+    The first of a caller changes only when its VM leaves or a new VM
+    takes its share.
+    """
+    seeds = seed_by_vm or {target.vm: hash_name(target.vm) for target in targets}
+    return sorted(targets, key=lambda target: hash_name(caller, seeds[target.vm]))
+
+
+def rank_all_zones(caller, service, weight_by_zone, neighbours):
+    """Return the plan's zones for the caller, then the ``neighbours``.
+
+    Neighbours are the other zones that serve, nearest first; they matter
+    when no VM of a planned zone is left.
+    """
+    planned = rank_zones(caller, service, weight_by_zone)
+    return planned + [zone for zone in neighbours if zone not in planned]
+
+
+def choose_targets(caller, ranked_zones, targets_by_zone):
+    """Return the ordered choices of a caller: its zone's, then fallbacks.
+
+    A zone without any usable VM is passed over, so the next one in the
+    caller's order serves it.
+    """
+    chosen = []
+    zones_used = 0
+    for zone in ranked_zones:
+        targets = targets_by_zone.get(zone, ())
+        if not targets:
+            continue
+        wanted = 1 if zones_used else CHOICES_IN_ZONE
+        chosen += rank_targets(caller, targets)[:wanted]
+        zones_used += 1
+        if zones_used > FALLBACK_ZONES:
+            break
+    return tuple(chosen)
--- /dev/null
+++ b/godwitlanding/steer.py
@@ -0,0 +1,33 @@
+"""``godwit-steer``: tells callers which entry VMs to use; issues tickets."""
+
+import sys
+
+from godwitlanding.daemon import run_daemon
+from godwitlanding.services.answers import Answers, Leave
+from godwitlanding.services.view import View
+from godwitlanding.web import HttpServer
+
+DESCRIPTION = "Tell callers which entry VMs to use and issue tickets."
+
+
+def make_services(context):
+    """Return the services of a steer process."""
+    answers = Answers(context)
+    server = HttpServer(
+        "steer_http",
+        answers.app,
+        context.settings["address"],
+        context.settings["steer_port"],
+        needs=("answers",),
+        max_connections=context.settings["max_connections"],
+    )
+    return [View(context), answers, server, Leave(context)]
+
+
+def main(argv=None):
+    """Run the daemon; return its exit code."""
+    return run_daemon("steer", DESCRIPTION, make_services, argv)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/godwitlanding/tests/test_steer.py
@@ -0,0 +1,257 @@
+"""The answers of a steer process, over HTTP."""
+
+import json
+
+import aiohttp
+import pytest
+
+from godwitlanding.daemon import make_context
+from godwitlanding.kernel import Kernel
+from godwitlanding.messages import State
+from godwitlanding.settings import check_settings
+from godwitlanding.steer import make_services
+from godwitlanding.ticket import read_ticket
+
+KEY = b"k" * 32
+ADDRESS = "127.0.50.1"
+PORT = 17001
+
+SETTINGS = f"""{{
+    vm: "a1", address: "{ADDRESS}", availability_zone: "za",
+    platform_url: "http://127.0.50.9:1", steer_port: {PORT},
+    steer_max_age_s: 0.3, trust_caller_header: true,
+}}"""
+
+CONFIG = """{
+    format: 1, name: "test",
+    regions: [
+        {name: "north", availability_zones: ["za", "zb"]},
+        {name: "south", availability_zones: ["zc"]},
+    ],
+    services: [{name: "status", kind: "lookup", deadline_s: 2, upstreams: [
+        {id: "u1", address: "127.0.50.20:1", availability_zone: "za"},
+        {id: "u2", address: "127.0.50.21:1", availability_zone: "zb"},
+        {id: "u3", address: "127.0.50.22:1", availability_zone: "zc"},
+    ]}],
+}"""
+
+
+def make_state(kind, name, body, version=1):
+    return State(kind, name, version, json.dumps(body).encode())
+
+
+def make_plan(weights, version=1):
+    by_origin = {origin: weights for origin in ("za", "zb", "zc")}
+    body = {
+        "weight_by_zone_by_origin_by_service": {"status": by_origin},
+        "allowance_by_zones_by_service": {},
+        "moved_by_shift": {},
+    }
+    return make_state("plan", "main", body, version)
+
+
+def make_member(vm, number, **fields):
+    return {
+        "vm": vm,
+        "address": f"127.0.50.{number}",
+        "entry_incarnation": f"{vm}-i",
+        "alive": True,
+        "leaving": False,
+        "platform_reachable": True,
+        **fields,
+    }
+
+
+def make_members(*members):
+    body = {"members": list(members), "arbiters_by_service": {}}
+    return make_state("members", "za", body)
+
+
+def make_vm(vm, number, zone):
+    address = f"127.0.50.{number}"
+    return {
+        "vm": vm,
+        "address": address,
+        "availability_zone": zone,
+        "state": "live",
+    }
+
+
+BASE_STATES = (
+    State("config", "main", 4, CONFIG.encode()),
+    make_plan({"za": 1.0}),
+    make_state("secret", "ticket", {"key": KEY.hex()}),
+    make_state(
+        "vms",
+        "main",
+        {
+            "vms": [
+                make_vm("a1", 1, "za"),
+                make_vm("a2", 2, "za"),
+                make_vm("b1", 3, "zb"),
+                make_vm("c1", 4, "zc"),
+            ]
+        },
+    ),
+    make_members(make_member("a1", 1), make_member("a2", 2)),
+)
+
+
+class Steer:
+    """A steer process's services, fed by hand."""
+
+    def __init__(self):
+        settings = check_settings(SETTINGS).unwrap()
+        self.context = make_context("steer", settings)
+        # The feed that dials the zone daemon is left out.
+        services = [s for s in make_services(self.context) if s.name != "feed"]
+        self.kernel = Kernel(services)
+        self.session = None
+
+    def offer(self, *states):
+        for state in states:
+            self.context.replica.offer(state)
+
+    async def ask(self, path, method="GET", caller="10.0.0.1"):
+        headers = {"X-Caller": caller}
+        async with self.session.request(
+            method,
+            f"http://{ADDRESS}:{PORT}{path}",
+            headers=headers,
+            allow_redirects=False,
+        ) as response:
+            body = await response.read()
+            return response, json.loads(body) if body else None
+
+
+@pytest.fixture
+async def steer():
+    steer = Steer()
+    await steer.kernel.start()
+    async with aiohttp.ClientSession() as steer.session:
+        yield steer
+    await steer.kernel.stop()
+
+
+async def test_caller_is_told_where_to_go(steer):
+    steer.offer(*BASE_STATES)
+    response, body = await steer.ask("/v1/steer/status")
+    assert response.status == 200
+    assert response.headers["Cache-Control"] == "private, max-age=0.3"
+    choices = body.pop("choices")
+    assert [c["availability_zone"] for c in choices[:2]] == ["za", "za"]
+    assert {c["vm"] for c in choices[:2]} == {"a1", "a2"}
+    assert choices[0]["url"].endswith(":7002/s/status")
+    assert body["origin_zone"] in ("za", "zb", "zc")
+    assert (body["config_version"], body["plan_version"]) == (4, 1)
+    assert (await steer.ask("/v1/steer/status"))[1]["choices"] == choices
+
+
+@pytest.mark.parametrize(
+    ("states", "path", "method", "status", "name"),
+    [
+        ((), "/v1/steer/status", "GET", 503, "NOT_READY"),
+        (BASE_STATES[:1], "/v1/steer/status", "GET", 503, "NOT_READY"),
+        (BASE_STATES, "/v1/steer/nothing", "GET", 404, "UNKNOWN_SERVICE"),
+        ((), "/v1/tickets/status", "POST", 503, "NOT_READY"),
+        (BASE_STATES[:2], "/v1/tickets/status", "POST", 503, "NOT_READY"),
+        (BASE_STATES, "/v1/tickets/nothing", "POST", 404, "UNKNOWN_SERVICE"),
+    ],
+)
+async def test_refusals_are_numbered(steer, states, path, method, status, name):
+    steer.offer(*states)
+    response, body = await steer.ask(path, method)
+    assert response.status == status
+    assert body["name"] == name
+    assert body["run"] == "no"
+    assert ("Retry-After" in response.headers) == (status == 503)
+    assert steer.context.counters.get("steer_refused", code=name) == 1
+
+
+async def test_new_plan_is_in_the_next_answer(steer):
+    steer.offer(*BASE_STATES)
+    assert (await steer.ask("/v1/steer/status"))[1]["choices"][0]["vm"][0] == "a"
+    steer.offer(make_plan({"zb": 1.0}, version=2))
+    body = (await steer.ask("/v1/steer/status"))[1]
+    assert body["choices"][0]["vm"] == "b1"
+    assert body["plan_version"] == 2
+
+
+@pytest.mark.parametrize(
+    "state",
+    [
+        State("plan", "main", 9, b"not json"),
+        State("plan", "main", 9, b'{"nothing": 1}'),
+        State("config", "main", 9, b"{format: 1}"),
+        State("vms", "main", 9, b"[]"),
+        State("members", "za", 9, b'{"members": [{"vm": "a1"}]}'),
+        State("summary", "zb", 9, b"[]"),
+    ],
+)
+async def test_unreadable_object_changes_nothing(steer, state):
+    """An object arrives that this process cannot read.
+
+    Callers go on getting the answers of the last one that could be read.
+    """
+    steer.offer(*BASE_STATES)
+    before = (await steer.ask("/v1/steer/status"))[1]["choices"]
+    steer.offer(state)
+    assert (await steer.ask("/v1/steer/status"))[1]["choices"] == before
+    assert steer.context.counters.get("steer_unreadable", kind=state.kind) == 1
+
+
+@pytest.mark.parametrize(
+    ("reachable", "kind"), [(True, "journaled"), (False, "memory")]
+)
+async def test_ticket_names_a_home_in_this_zone(steer, reachable, kind):
+    """The home's VM may be cut off from the platform.
+
+    A journaled ticket would then be refused until the cut heals, so the
+    ticket is one that the home's memory keeps.
+    """
+    members = [
+        make_member("a1", 1, platform_reachable=reachable),
+        make_member("a2", 2, alive=False),
+    ]
+    steer.offer(*BASE_STATES[:-1], make_members(*members))
+    response, body = await steer.ask("/v1/tickets/status", "POST")
+    assert response.status == 201
+    assert response.headers["Cache-Control"] == "no-store"
+    ticket = read_ticket(KEY, body["ticket"]).unwrap()
+    assert (ticket.service, ticket.kind) == ("status", kind)
+    assert (ticket.home_vm, ticket.home_incarnation) == ("a1", "a1-i")
+    assert body["url"] == "http://127.0.50.1:7002/s/status"
+    again = (await steer.ask("/v1/tickets/status", "POST"))[1]["ticket"]
+    assert again != body["ticket"]
+
+
+@pytest.mark.parametrize(
+    ("heard", "query", "status"),
+    [(True, "", 307), (False, "", 201), (True, "?from=zb", 201)],
+)
+async def test_ticket_is_issued_in_the_planned_zone(steer, heard, query, status):
+    """The plan sends the caller to a zone that may be cut off from this one.
+
+    Sent to a zone that cannot be reached, the caller would get no ticket;
+    sent back and forth by two versions of the plan, none either.
+    """
+    steer.offer(*BASE_STATES, make_plan({"zb": 1.0}, version=2))
+    if heard:
+        steer.offer(make_state("summary", "zb", {"leaving_vms": []}))
+    response, _ = await steer.ask(f"/v1/tickets/status{query}", "POST")
+    assert response.status == status
+    if status == 307:
+        expected = f"http://127.0.50.3:{PORT}/v1/tickets/status?from=za"
+        assert response.headers["Location"] == expected
+
+
+async def test_stopping_vm_leaves_the_answers_first(steer):
+    """A VM is stopped while callers keep asking it where to go.
+
+    Named in an answer it would be found gone a moment later.
+    """
+    steer.offer(*BASE_STATES)
+    steer.kernel.get("view").leave()
+    body = (await steer.ask("/v1/steer/status"))[1]
+    assert [choice["vm"] for choice in body["choices"]][0] == "a2"
+    assert "a1" not in [choice["vm"] for choice in body["choices"]]
