--- a/godwitlanding/fleet.py
+++ b/godwitlanding/fleet.py
@@ -1,86 +1,99 @@
-"""What every daemon says of itself, asked over HTTP by ``godwitctl``."""
+"""Which entry VMs may be named to callers, joined from all that tells it.
 
-import asyncio
+Pure: no network and no clock. The platform's list lags, the members' view
+covers one's own zone only, summaries tell who leaves elsewhere, and the
+operators drain VMs and zones by the text. The first that says a VM leaves
+wins: a caller that is sent to a VM which stops would be cut off, while a
+VM passed over for a while costs nothing but headroom.
+"""
+
+import json
 from typing import NamedTuple
 
-import aiohttp
+from godwitlanding.choice import Target
 
-ROLES = ("zone", "entry", "steer")
-TIMEOUT_S = 2.0
-MOST_AT_ONCE = 50
+STATE_LIVE = "live"
 
 
-class Ports(NamedTuple):
-    """The HTTP ports that are the same on every VM."""
+class Member(NamedTuple):
+    """A VM of one's own zone as its zone daemon sees it."""
 
-    steer: int = 7001
-    entry: int = 7002
-    zone: int = 7003
+    vm: str
+    address: str
+    entry_incarnation: str = ""
+    alive: bool = True
+    leaving: bool = False
+    platform_reachable: bool = False
 
 
-class DaemonStatus(NamedTuple):
-    """One daemon's answer; ``status`` is ``None`` if it gave none."""
+class VmRow(NamedTuple):
+    """A row of the platform's list; ``state`` is live or leaving."""
 
     vm: str
+    address: str
     availability_zone: str
-    role: str
-    state: str
-    status: dict | None
-
-    def get_version(self, kind, name="main"):
-        """Return the version of an object that the daemon holds, or 0."""
-        versions = (self.status or {}).get("versions", {})
-        return versions.get(f"{kind}/{name}", 0)
-
-
-async def read_fleet(vms, ports, roles=ROLES):
-    """Ask each daemon of the ``VmEntry`` rows; answers in their order."""
-    gate = asyncio.Semaphore(MOST_AT_ONCE)
-    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
-        asks = [
-            _read_daemon(session, gate, vm, role, getattr(ports, role))
-            for vm in vms
-            for role in roles
-        ]
-        return await asyncio.gather(*asks)
+    state: str = STATE_LIVE
 
 
-async def find_request(vms, ports, request_id):
-    """Return what entry processes remember of a request, oldest first."""
-    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
-        asks = [
-            _read_json(session, f"http://{vm.address}:{ports.entry}", request_id)
-            for vm in vms
-        ]
-        answers = await asyncio.gather(*asks)
-    found = []
-    for vm, events in zip(vms, answers, strict=True):
-        found += [{"vm": vm.vm, **event} for event in events]
-    return sorted(found, key=lambda event: event.get("at", ""))
+def parse_vms(body):
+    """Return the rows in a ``vms`` state; ``ValueError`` if it is none."""
+    return tuple(_read_rows(VmRow, body, "vms"))
+
 
+def parse_members(body):
+    """Return the members in a ``members`` state; ``ValueError`` if none."""
+    return tuple(_read_rows(Member, body, "members"))
 
-async def _read_json(session, base, request_id):
+
+def parse_leaving_vms(body):
+    """Return the VMs that a zone's summary says are leaving."""
     try:
-        async with session.get(f"{base}/-/requests/{request_id}") as answer:
-            if answer.status != 200:
-                return []
-            return (await answer.json()).get("events", [])
-    except (aiohttp.ClientError, TimeoutError, ValueError):
-        return []
-
-
-async def _read_daemon(session, gate, vm, role, port):
-    base = f"http://{vm.address}:{port}/-"
-    async with gate:
-        try:
-            async with session.get(f"{base}/health") as answer:
-                state = (await answer.json()).get("state", "unknown")
-            async with session.get(f"{base}/status") as answer:
-                status = await answer.json()
-        except (aiohttp.ClientError, TimeoutError, ValueError):
-            state, status = "no answer", None
-    if vm.state == "leaving":
-        state = f"leaving, {state}"
-    return DaemonStatus(vm.vm, vm.availability_zone, role, state, status)
+        return frozenset(json.loads(body).get("leaving_vms", ()))
+    except (AttributeError, TypeError) as error:
+        raise ValueError(f"not a summary: {error}") from error
+
+
+def _read_rows(cls, body, key):
+    # Fields that a newer process adds must not stop an older one.
+    try:
+        rows = json.loads(body)[key]
+        return [
+            cls(**{name: row[name] for name in cls._fields if name in row})
+            for row in rows
+        ]
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a list of {key}: {error}") from error
+
+
+def list_targets(availability_zone, vms, members, leaving_vms, drained_vms):
+    """Return ``{zone: (target, ...)}`` of the VMs that may be named.
+
+    ``availability_zone`` is one's own, whose ``members`` are known better
+    than the platform's list knows them.
+    """
+    out = {vm.vm for vm in vms if vm.state != STATE_LIVE}
+    out |= leaving_vms
+    out |= drained_vms
+    targets_by_zone = {}
+    for vm in vms:
+        if vm.availability_zone == availability_zone and members:
+            continue
+        target = Target(vm.vm, vm.address, vm.availability_zone)
+        _add(targets_by_zone, target, out)
+    for member in _find_serving(members):
+        target = Target(member.vm, member.address, availability_zone)
+        _add(targets_by_zone, target, out)
+    return {zone: tuple(targets) for zone, targets in targets_by_zone.items()}
+
+
+def _add(targets_by_zone, target, out):
+    if target.vm not in out:
+        targets_by_zone.setdefault(target.availability_zone, []).append(target)
+
+
+def _find_serving(members):
+    alive = [member for member in members if member.alive and not member.leaving]
+    # Right after a start no entry process may have been heard of: naming
+    # the VMs then is better than refusing everyone.
+    with_entry = [member for member in alive if member.entry_incarnation]
+    return with_entry or alive
--- a/godwitlanding/operations.py
+++ b/godwitlanding/operations.py
@@ -8,6 +8,7 @@
 import difflib
 import json
 import sys
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 from result import Err, Ok
@@ -24,7 +25,7 @@
 from godwitlanding.diff import describe_shifts, describe_slots, diff_configurations
 from godwitlanding.edit import add_item, remove_item, replace_item
 from godwitlanding.fields import read_text
-from godwitlanding.fleet import Ports, find_request, read_fleet
+from godwitlanding.inventory import Ports, find_request, read_fleet
 from godwitlanding.store import HttpStore
 from godwitlanding.survey import summarise_leases, summarise_services, summarise_vms
 from godwitlanding.table import format_table
@@ -39,6 +40,16 @@
 EXIT_INTERRUPTED = 130
 
 WAIT_POLL_S = 0.3
+PLATFORM_TIMEOUT_S = 5.0
+
+
+@asynccontextmanager
+async def _open_store(arguments):
+    store = HttpStore(arguments.platform, PLATFORM_TIMEOUT_S)
+    try:
+        yield store
+    finally:
+        await store.close()
 
 
 async def run_validate(arguments):
@@ -59,7 +70,7 @@
     read = _read_file(arguments.file)
     if read.is_err():
         return _fail_problems(read.unwrap_err(), arguments)
-    async with HttpStore(arguments.platform) as store:
+    async with _open_store(arguments) as store:
         current = await read_current(store)
     if current.is_err():
         return _fail_platform(current.unwrap_err())
@@ -73,7 +84,7 @@
     if read.is_err():
         return _fail_problems(read.unwrap_err(), arguments)
     text, _ = read.unwrap()
-    async with HttpStore(arguments.platform) as store:
+    async with _open_store(arguments) as store:
         current = await read_current(store)
         if current.is_err():
             return _fail_platform(current.unwrap_err())
@@ -85,7 +96,7 @@
 
 async def run_get(arguments):
     """Print the text in force, or an earlier one."""
-    async with HttpStore(arguments.platform) as store:
+    async with _open_store(arguments) as store:
         found = await _find_version(store, arguments.at)
     if found.is_err():
         return _fail_platform(found.unwrap_err())
@@ -99,7 +110,7 @@
 
 async def run_history(arguments):
     """List the texts, newest first."""
-    async with HttpStore(arguments.platform) as store:
+    async with _open_store(arguments) as store:
         history = await read_history(store)
     if history.is_err():
         return _fail_platform(history.unwrap_err())
@@ -113,7 +124,7 @@
 
 async def run_rollback(arguments):
     """Apply an earlier text as a new version."""
-    async with HttpStore(arguments.platform) as store:
+    async with _open_store(arguments) as store:
         found = await _find_version(store, arguments.to)
         if found.is_err():
             return _fail_platform(found.unwrap_err())
@@ -127,7 +138,7 @@
 
 async def run_status(arguments):
     """Show VMs, leases, permits and services."""
-    async with HttpStore(arguments.platform) as store:
+    async with _open_store(arguments) as store:
         listed = await store.list_vms()
         current = await read_current(store)
         plan = await store.get("plan", "main")
@@ -163,7 +174,7 @@
 
 async def run_explain(arguments):
     """Tell what became of a request."""
-    async with HttpStore(arguments.platform) as store:
+    async with _open_store(arguments) as store:
         listed = await store.list_vms()
     if listed.is_err():
         return _fail_platform(listed.unwrap_err())
@@ -245,7 +256,7 @@
 
 
 async def _edit(arguments, edit, note):
-    async with HttpStore(arguments.platform) as store:
+    async with _open_store(arguments) as store:
         current = await read_current(store)
         if current.is_err():
             return _fail_platform(current.unwrap_err())
--- a/godwitlanding/tests/test_ctl.py
+++ b/godwitlanding/tests/test_ctl.py
@@ -10,20 +10,10 @@
 from godwitlanding.tests.test_config import TEXT
 
 
-class OpenStore(FakeStore):
-    """A fake that stays the same through ``async with``."""
-
-    async def __aenter__(self):
-        return self
-
-    async def __aexit__(self, *error):
-        return None
-
-
 @pytest.fixture
 def store(monkeypatch):
-    store = OpenStore()
-    monkeypatch.setattr(operations, "HttpStore", lambda url: store)
+    store = FakeStore()
+    monkeypatch.setattr(operations, "HttpStore", lambda url, timeout_s: store)
     return store
 
 
