Carry a request from caller to upstream and back

Retries, passing on, tickets are still to come.

11 tests over HTTP against a fake zone daemon and a raw upstream pass.

--- a/godwitlanding/client.py
+++ b/godwitlanding/client.py
@@ -11,9 +11,14 @@
 import aiohttp
 
 
-def make_session(max_connections, **keywords):
-    """Return a session of the running loop; ``keywords`` are aiohttp's."""
-    connector = aiohttp.TCPConnector(limit=max_connections)
+def make_session(max_connections, connector_options=None, **keywords):
+    """Return a session of the running loop; ``keywords`` are aiohttp's.
+
+    ``max_connections`` of 0 sets no limit; ``connector_options`` are those
+    of aiohttp's ``TCPConnector``.
+    """
+    options = connector_options or {}
+    connector = aiohttp.TCPConnector(limit=max_connections, **options)
     session = aiohttp.ClientSession(connector=connector, **keywords)
     # There is no public switch; aiohttp's own test client sets the same.
     session._retry_connection = False
--- a/godwitlanding/entry.py
+++ b/godwitlanding/entry.py
@@ -47,7 +47,9 @@
     routes = [
         Route("/s/{service}", requests),
         Route("/s/{service}/{path:path}", requests),
-        *make_status_routes(lambda: kernel[0], context.counters, feed.is_ready),
+        *make_status_routes(
+            lambda: kernel[0], context.counters, feed.is_ready, context.replica
+        ),
     ]
     server = _EntryServer(
         "server",
--- a/godwitlanding/permits.py
+++ b/godwitlanding/permits.py
@@ -8,8 +8,8 @@
 Pure: ``now`` is passed in, in seconds of the process's monotonic clock.
 
 >>> book = PermitBook(start_s=0.5)
->>> permit = book.accept(granted, asked_at=1.0, address="127.0.1.1:7101", now=1.1)
->>> book.may_dispatch(permit.unwrap(), now=1.2)
+>>> permit = book.accept(granted, 1.0, "127.0.1.1:7101", now=1.1).unwrap()
+>>> book.may_dispatch(permit, now=1.2)
 True
 """
 
--- a/godwitlanding/request.py
+++ b/godwitlanding/request.py
@@ -43,6 +43,13 @@
             return self.method in ("GET", "HEAD", "OPTIONS")
         return self.method in IDEMPOTENT_METHODS
 
+    def get(self, name):
+        """Return the last header called ``name`` (lower case), or ``""``."""
+        for found, value in reversed(self.headers):
+            if found == name:
+                return value
+        return ""
+
     @property
     def is_repeatable(self):
         """Tell whether the body is still here to be sent again."""
@@ -51,9 +58,5 @@
 
 def compute_fingerprint(service, method, target, body):
     """Return 64 bits that are the same when a caller sends it again."""
-    digest = xxhash.xxh64(service)
-    for part in (method, target):
-        digest.update("\0" + part)
-    digest.update(b"\0")
-    digest.update(body[:FINGERPRINT_BODY_BYTES])
-    return digest.intdigest()
+    head = f"{service}\0{method}\0{target}\0".encode()
+    return xxhash.xxh64_intdigest(head + body[:FINGERPRINT_BODY_BYTES])
--- a/godwitlanding/services/requests.py
+++ b/godwitlanding/services/requests.py
@@ -5,12 +5,12 @@
 
 from result import Err, Ok
 
-from godwitlanding.answer import SMALL_ANSWER_BYTES
-from godwitlanding.codes import Code, Refusal, make_refusal
+from godwitlanding.codes import RUN_UNKNOWN, Code, Refusal, make_refusal
 from godwitlanding.headers import DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID
 from godwitlanding.kernel import Service
 from godwitlanding.messages import OUTCOME_CANCELLED, OUTCOME_UNUSED, PassOn
 from godwitlanding.request import Request, compute_fingerprint
+from godwitlanding.upload import Upload
 from godwitlanding.web import make_problem
 
 # A body up to this size is read whole before a permit is asked for, so a
@@ -19,10 +19,6 @@
 MAX_ID_CHARS = 64
 
 
-class CallerGone(Exception):
-    """The caller closed its connection."""
-
-
 class Sink:
     """Where an answer goes: the caller's connection."""
 
@@ -84,32 +80,34 @@
 
     async def _handle(self, scope, receive, send):
         request_id = uuid.uuid4().hex
-        read = await self._read(scope, receive, request_id)
-        if read is None:
+        upload = Upload(receive, self._settings["max_body_bytes"])
+        read = await self._read(scope, upload, request_id)
+        if upload.is_gone:
             return
         if read.is_err():
             await self._refuse(read.unwrap_err(), request_id, scope, receive, send)
             return
         request = read.unwrap()
         sink = Sink(send, request_id)
-        watch = None
-        if request.rest is None:
-            watch = _watch(receive, asyncio.current_task())
         try:
             refusal = await self._run(request, sink)
         except asyncio.CancelledError:
-            if watch is None or not watch.done():
-                raise
-            self._counters.add("callers_gone", service=request.service.name)
-            return
-        except CallerGone:
-            return
+            refusal = self._explain_cancel(request, upload)
         finally:
-            if watch:
-                watch.cancel()
+            upload.end()
         if refusal:
             await self._end(refusal, request, sink, scope, receive, send)
 
+    def _explain_cancel(self, request, upload):
+        """Return the refusal for a request that its own caller ended."""
+        if not (upload.is_gone or upload.is_too_large):
+            raise asyncio.CancelledError
+        asyncio.current_task().uncancel()
+        if upload.is_gone:
+            self._counters.add("callers_gone", service=request.service.name)
+            return None
+        return make_refusal(Code.BODY_TOO_LARGE, run=RUN_UNKNOWN)
+
     async def _end(self, refusal, request, sink, scope, receive, send):
         if sink.started:
             # Returning without the last part closes the connection, so a
@@ -124,7 +122,7 @@
         response.headers[REQUEST_ID] = request_id
         await response(scope, receive, send)
 
-    async def _read(self, scope, receive, request_id):
+    async def _read(self, scope, upload, request_id):
         config = self._feed.view.get_config()
         if config is None:
             return Err(make_refusal(Code.NOT_READY, 1.0))
@@ -139,10 +137,10 @@
         if remaining.is_err():
             return remaining
         deadline = asyncio.get_running_loop().time() + remaining.unwrap()
-        body = await self._read_body(receive, value_by_name)
-        if body is None or body.is_err():
-            return body
-        head, rest = body.unwrap()
+        fault = self._check_length(value_by_name)
+        body = b"" if fault else await upload.read_head(WHOLE_BODY_BYTES)
+        if fault or upload.is_too_large:
+            return Err(fault or make_refusal(Code.BODY_TOO_LARGE))
         target = _make_target(scope)
         return Ok(
             Request(
@@ -151,37 +149,24 @@
                 scope["method"],
                 target,
                 headers,
-                head,
-                rest,
+                body,
+                upload.watch(asyncio.current_task()),
                 self._get_caller(scope, value_by_name),
                 deadline,
-                compute_fingerprint(service.name, scope["method"], target, head),
+                compute_fingerprint(service.name, scope["method"], target, body),
                 "",
                 value_by_name.get(IDEMPOTENCY_KEY.lower(), ""),
             )
         )
 
-    async def _read_body(self, receive, value_by_name):
+    def _check_length(self, value_by_name):
         limit = self._settings["max_body_bytes"]
         length = value_by_name.get("content-length", "0")
         if not length.isdigit():
-            return Err(make_refusal(Code.MALFORMED_REQUEST, detail="content-length"))
+            return make_refusal(Code.MALFORMED_REQUEST, detail="content-length")
         if int(length) > limit:
-            return Err(make_refusal(Code.BODY_TOO_LARGE, detail=f"limit {limit}"))
-        parts = []
-        size = 0
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                return None
-            parts.append(message["body"])
-            size += len(message["body"])
-            if size > limit:
-                return Err(make_refusal(Code.BODY_TOO_LARGE, detail=f"limit {limit}"))
-            if not message.get("more_body"):
-                return Ok((b"".join(parts), None))
-            if size > WHOLE_BODY_BYTES:
-                return Ok((b"".join(parts), _read_rest(receive, limit - size)))
+            return make_refusal(Code.BODY_TOO_LARGE, detail=f"limit {limit} bytes")
+        return None
 
     def _get_caller(self, scope, value_by_name):
         if self._settings["trust_caller_header"] and "x-caller" in value_by_name:
@@ -233,28 +218,3 @@
     target = raw.decode("latin-1")[prefix:] or "/"
     query = scope.get("query_string", b"")
     return f"{target}?{query.decode('latin-1')}" if query else target
-
-
-async def _read_rest(receive, left):
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise CallerGone
-        left -= len(message["body"])
-        if left < 0:
-            raise CallerGone
-        yield message["body"]
-        if not message.get("more_body"):
-            return
-
-
-def _watch(receive, task):
-    """Cancel ``task`` when the caller closes its connection."""
-
-    async def wait():
-        message = await receive()
-        while message["type"] != "http.disconnect":
-            message = await receive()
-        task.cancel()
-
-    return asyncio.ensure_future(wait())
--- a/godwitlanding/services/upstreams.py
+++ b/godwitlanding/services/upstreams.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 import aiohttp
+from yarl import URL
 
 from godwitlanding.answer import (
     SMALL_ANSWER_BYTES,
@@ -11,6 +12,7 @@
     read_length,
     read_refusal,
 )
+from godwitlanding.client import make_session
 from godwitlanding.codes import RUN_NO, RUN_UNKNOWN, RUN_YES, Code, Run
 from godwitlanding.headers import (
     UPSTREAM_DEADLINE,
@@ -30,6 +32,8 @@
 # Shorter than servers commonly keep an idle connection (5 s and more), so
 # that a request seldom meets a connection that is just being closed.
 KEEP_ALIVE_S = 3.0
+READ_BUFFER_BYTES = 65_536
+_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 _SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -58,8 +62,8 @@
 
     async def start(self, kernel):
         """Open the connection pools."""
-        self._session = self._make_session(keepalive_timeout=KEEP_ALIVE_S)
-        self._fresh_session = self._make_session(force_close=True)
+        self._session = _make_session(keepalive_timeout=KEEP_ALIVE_S)
+        self._fresh_session = _make_session(force_close=True)
 
     async def stop(self):
         """Close every connection to upstreams."""
@@ -96,11 +100,13 @@
     async def _exchange(self, request, permit, sink, remaining_s):
         session = self._session if request.is_idempotent else self._fresh_session
         headers = select_request_headers(request.headers)
+        if request.rest is not None and (length := request.get("content-length")):
+            headers.append(("Content-Length", length))
         headers.append((UPSTREAM_DEADLINE, f"{remaining_s:.3f}"))
         headers.append((UPSTREAM_REQUEST_ID, request.id))
         async with session.request(
             request.method,
-            f"http://{permit.upstream_address}{request.target}",
+            URL(f"http://{permit.upstream_address}{request.target}", encoded=True),
             headers=headers,
             data=_make_data(request),
             allow_redirects=False,
@@ -117,25 +123,16 @@
             outcome = OUTCOME_FAILED if response.status >= 500 else OUTCOME_OK
             return Attempt(outcome, RUN_YES)
 
-    def _make_session(self, **keywords):
-        connector = aiohttp.TCPConnector(
-            limit=0, use_dns_cache=False, ttl_dns_cache=None, **keywords
-        )
-        session = aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=CONNECT_TIMEOUT_S, connect=CONNECT_TIMEOUT_S
-            ),
-            read_bufsize=2**16,
-        )
-        # aiohttp sends an idempotent request again by itself when a kept
-        # connection closes under it. A request that crashes its upstream
-        # would run a second time there, past the retry budget and the
-        # count of crashes; so only our own retries are left.
-        session._retry_connection = False
-        return session
+
+def _make_session(**connector_options):
+    return make_session(
+        0,
+        connector_options,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=_TIMEOUT,
+        read_bufsize=READ_BUFFER_BYTES,
+    )
 
 
 def _make_data(request):
--- /dev/null
+++ b/godwitlanding/tests/test_entry.py
@@ -0,0 +1,115 @@
+"""The entry daemon over HTTP, from caller to upstream and back."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from godwitlanding.messages import Refused
+from godwitlanding.tests.support_entry import (
+    Bench,
+    answer_hello,
+    get_header,
+    make_answer,
+    wait_until,
+)
+
+ADDRESS = "127.0.30.1"
+
+
+async def fetch(bench, path="/s/status/x", method="GET", **keywords):
+    """Return status, headers and body of one request."""
+    async with aiohttp.ClientSession() as session:
+        async with session.request(method, bench.url + path, **keywords) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+
+async def test_request_is_carried_whole():
+    async with Bench(ADDRESS, [answer_hello]) as bench:
+        status, headers, body = await fetch(bench, "/s/status/a%2Fb?q=1%20")
+        assert (status, body) == (200, b"hello")
+        head = bench.upstreams[0].heads[0]
+        assert head.startswith("GET /a%2Fb?q=1%20 HTTP/1.1")
+        assert get_header(head, "Request-Id") == headers["Godwit-Request-Id"]
+        assert 0 < float(get_header(head, "Request-Deadline")) <= 5
+        await wait_until(lambda: bench.zone.released)
+        assert bench.zone.released[0].outcome == "ok"
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status", "code"),
+    [
+        ("/s/nothing/x", {}, 404, 1001),
+        ("/s/status/x", {"Godwit-Deadline": "soon"}, 400, 1002),
+        ("/s/status/x", {"Godwit-Deadline": "nan"}, 400, 1002),
+        ("/s/status/x", {"Godwit-Deadline": "-1"}, 400, 1002),
+    ],
+)
+async def test_bad_request_is_refused(path, headers, status, code):
+    async with Bench(ADDRESS, [answer_hello]) as bench:
+        answer = await fetch(bench, path, headers=headers)
+        assert answer[0] == status
+        assert f'"code":{code}'.encode() in answer[2]
+        assert answer[1]["Godwit-Request-Id"]
+        assert not bench.upstreams[0].heads
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+async def test_too_large_body_is_refused(chunked):
+    async with Bench(ADDRESS, [answer_hello], max_body_bytes=1000) as bench:
+
+        async def stream():
+            yield b"x" * 2000
+
+        data = stream() if chunked else b"x" * 2000
+        status, _, body = await fetch(bench, method="PUT", data=data)
+        assert (status, b'"code":1003' in body) == (413, True)
+        assert not bench.zone.asked
+
+
+async def test_refusal_of_the_arbiter_reaches_the_caller():
+    async with Bench(ADDRESS, [answer_hello]) as bench:
+        bench.zone.answer = lambda message: Refused(2001, 3.0)
+        status, headers, body = await fetch(bench)
+        assert (status, headers["Retry-After"]) == (503, "3")
+        assert b'"run":"no"' in body
+        assert bench.counters.get("requests_refused", code="QUEUE_FULL") == 1
+
+
+async def test_long_upload_and_download_are_streamed():
+    async def echo(writer, head, body):
+        writer.write(make_answer(head, body * 8))
+
+    async with Bench(ADDRESS, [echo]) as bench:
+        data = b"0123456789abcdef" * 30_000
+        status, _, body = await fetch(bench, "/s/passes/x", "PUT", data=data)
+        assert (status, body == data * 8) == (200, True)
+
+
+async def test_caller_that_goes_gives_its_slot_back():
+    """A caller closes its connection while the upstream works for it.
+
+    Were its permit kept, others would wait for a slot that works for nobody.
+    """
+
+    async def hang(writer, head, body):
+        await asyncio.sleep(60)
+
+    async with Bench(ADDRESS, [hang]) as bench:
+        task = asyncio.ensure_future(fetch(bench))
+        await wait_until(lambda: bench.upstreams[0].heads)
+        task.cancel()
+        await wait_until(lambda: bench.zone.released)
+        assert bench.zone.released[0].outcome == "cancelled"
+
+
+async def test_caller_that_goes_while_it_waits_is_withdrawn():
+    """A caller gives up in the queue; the arbiter must not grant it a slot."""
+    async with Bench(ADDRESS, [answer_hello]) as bench:
+        bench.zone.answer = lambda message: asyncio.sleep(60)
+        task = asyncio.ensure_future(fetch(bench))
+        await wait_until(lambda: bench.zone.asked)
+        task.cancel()
+        await wait_until(lambda: bench.zone.withdrawn)
+        asked, withdrawn = bench.zone.asked[0], bench.zone.withdrawn[0]
+        assert withdrawn.request_id == asked.request_id
--- /dev/null
+++ b/godwitlanding/upload.py
@@ -0,0 +1,89 @@
+"""A caller's side of a request: its body as it comes, and whether it left."""
+
+import asyncio
+
+# Parts of a body that wait for the upstream to take them; each is at most
+# what one read of the connection gives, 64 KB or so.
+_MAX_WAITING_PARTS = 4
+_END = None
+
+
+class Upload:
+    """Reads a request's body and watches its connection.
+
+    ``receive`` is ASGI's. After ``read_head``, ``watch`` cancels the task
+    that serves the request as soon as the caller is gone or has sent more
+    than ``limit_bytes``; ``is_gone`` and ``is_too_large`` tell which.
+    """
+
+    def __init__(self, receive, limit_bytes):
+        self.is_gone = False
+        self.is_too_large = False
+        self._receive = receive
+        self._left = limit_bytes
+        self._is_whole = False
+        self._parts = None
+        self._task = None
+
+    async def read_head(self, whole_bytes):
+        """Return the body, or its beginning where it is longer.
+
+        Stops early when the caller is gone or the body too large.
+        """
+        first = await self._read_part()
+        if self._is_whole or self.is_gone or self.is_too_large:
+            return first
+        parts = [first]
+        size = len(first)
+        while size <= whole_bytes and not self._is_over():
+            parts.append(await self._read_part())
+            size += len(parts[-1])
+        return b"".join(parts)
+
+    def watch(self, task):
+        """Begin to watch; return an iterator over the rest of the body.
+
+        Returns ``None`` where the body is here whole.
+        """
+        rest = None
+        if not self._is_whole:
+            self._parts = asyncio.Queue(_MAX_WAITING_PARTS)
+            rest = self._iterate()
+        self._task = asyncio.ensure_future(self._watch(task))
+        return rest
+
+    def end(self):
+        """Stop watching."""
+        if self._task:
+            self._task.cancel()
+
+    def _is_over(self):
+        return self._is_whole or self.is_gone or self.is_too_large
+
+    async def _read_part(self):
+        message = await self._receive()
+        if message["type"] == "http.disconnect":
+            self.is_gone = True
+            return b""
+        body = message.get("body", b"")
+        self._left -= len(body)
+        self.is_too_large = self._left < 0
+        self._is_whole = not message.get("more_body", False)
+        return body
+
+    async def _watch(self, task):
+        while not self._is_whole and not self._is_over():
+            part = await self._read_part()
+            if not self._is_over() or self._is_whole:
+                await self._parts.put(part)
+        if self._is_whole and not self.is_too_large:
+            if self._parts:
+                await self._parts.put(_END)
+            while (await self._receive())["type"] != "http.disconnect":
+                pass
+            self.is_gone = True
+        task.cancel()
+
+    async def _iterate(self):
+        while (part := await self._parts.get()) is not _END:
+            yield part
--- a/godwitlanding/view.py
+++ b/godwitlanding/view.py
@@ -10,8 +10,8 @@
 from eliot import log_message
 
 from godwitlanding.config import CONFIG_KIND, CONFIG_NAME, parse_config
+from godwitlanding.fleet import Member, parse_members, parse_vms
 from godwitlanding.plan import EMPTY_PLAN, parse_plan
-from godwitlanding.store import VmEntry
 
 MEMBERS_KIND = "members"
 VMS_KIND = "vms"
@@ -21,17 +21,6 @@
 TICKET_NAME = "ticket"
 
 
-class Member(NamedTuple):
-    """A member of the zone as its zone daemon sees it."""
-
-    vm: str
-    address: str
-    entry_incarnation: str
-    alive: bool
-    leaving: bool
-    platform_reachable: bool
-
-
 class Members(NamedTuple):
     """The zone daemon's view: members and each service's arbiters."""
 
@@ -42,29 +31,10 @@
 NO_MEMBERS = Members((), {})
 
 
-def parse_members(body):
-    """Return the ``Members`` in a state's body; raises ``ValueError``."""
-    value = json.loads(body)
-    members = tuple(
-        Member(
-            row["vm"],
-            row["address"],
-            row.get("entry_incarnation", ""),
-            row.get("alive", True),
-            row.get("leaving", False),
-            row.get("platform_reachable", False),
-        )
-        for row in value["members"]
-    )
-    arbiters = value.get("arbiters_by_service", {})
-    return Members(members, {name: tuple(vms) for name, vms in arbiters.items()})
-
-
-def parse_vms(body):
-    """Return the rows of the platform's VM list in a state's body."""
-    return tuple(
-        VmEntry(row["vm"], row["address"], row["availability_zone"], row["state"])
-        for row in json.loads(body)["vms"]
+def _parse_zone(body):
+    arbiters = json.loads(body).get("arbiters_by_service", {})
+    return Members(
+        parse_members(body), {name: tuple(vms) for name, vms in arbiters.items()}
     )
 
 
@@ -91,7 +61,7 @@
         self._parser_by_kind = {
             CONFIG_KIND: _parse_config,
             PLAN_KIND: parse_plan,
-            MEMBERS_KIND: parse_members,
+            MEMBERS_KIND: _parse_zone,
             VMS_KIND: parse_vms,
             SECRET_KIND: _parse_key,
         }
