Retry safely, continue broken downloads, pass on to other zones

Carrier asks for a permit, dispatches, and on a failure asks for another upstream only where that is safe, inside the retry budget, three tries at most; a fingerprint that crashed two upstreams is stopped. "Not run" is said only if no earlier try may have run. Answers without length or chunks, with another request's id, or broken off are never passed off as whole; a long download is continued by range under a strong validator. Spill is forwarded to an entry VM of the named zone with signed headers, metered by the link's limits (a member's share of them), and asked for again at home when it was certainly not run.

Kept connections are used only for idempotent requests to upstreams that echo the request id: aiohttp hands a second answer that lies on a kept connection to the next request (seen failing with the check taken out).

Seen failing without their mechanism: mixed-up and endless answers, weak and changed validators, run qualified by earlier tries, poison, forged spill, stale grant, late permit, withdrawal, give-back, silent arbiter.

--- a/godwitlanding/entry.py
+++ b/godwitlanding/entry.py
@@ -9,10 +9,13 @@
 from starlette.routing import Route
 
 from godwitlanding import daemon
+from godwitlanding.services.carrier import Carrier
 from godwitlanding.services.feed import Feed
-from godwitlanding.services.peers import PeerServer
+from godwitlanding.services.holder import HolderServer
+from godwitlanding.services.passer import Passer
 from godwitlanding.services.permits import PermitClient
 from godwitlanding.services.requests import RequestHandler
+from godwitlanding.services.tickets import TicketService
 from godwitlanding.services.upstreams import UpstreamClient
 from godwitlanding.web import HttpServer, make_status_routes
 
@@ -34,8 +37,11 @@
     return [
         feed,
         PermitClient(context),
-        PeerServer(context),
         UpstreamClient(context),
+        Passer(context),
+        Carrier(context),
+        TicketService(context),
+        HolderServer(context),
         requests,
         server,
     ]
@@ -56,7 +62,7 @@
         Starlette(routes=routes),
         settings["address"],
         settings["entry_port"],
-        ("requests", "peers"),
+        ("requests", "holder"),
         settings["max_connections"],
     )
     server.kernel = kernel
--- /dev/null
+++ b/godwitlanding/forward.py
@@ -0,0 +1,79 @@
+"""Requests that one entry process hands to another, and proof of that.
+
+The headers of a forwarded request change how it is treated: spill is not
+passed on again and its ticket is held elsewhere. Were they believed from
+anyone, a caller could have non-idempotent work run without a ticket; so
+they are signed with the key that authenticates tickets.
+
+>>> forward = Forward(HOP, "za", "10.1.2.3", "r1")
+>>> headers = sign_forward(key, forward, "GET", "/s/status/x")
+"""
+
+import hashlib
+import hmac
+from typing import NamedTuple
+
+from godwitlanding import headers as names
+
+HOP = "hop"
+HOME = "home"
+_DIGEST_CHARS = 32
+
+
+class Forward(NamedTuple):
+    """How a request came here; ``kind`` is ``HOP``, ``HOME`` or ``""``."""
+
+    kind: str
+    from_zone: str
+    caller: str
+    request_id: str
+
+
+NOT_FORWARDED = Forward("", "", "", "")
+_HEADER_BY_KIND = {HOP: names.HOP, HOME: names.HOME}
+
+
+def sign_forward(key, forward, method, target, idempotency_key=""):
+    """Return the headers that mark and prove a forwarded request."""
+    return [
+        (_HEADER_BY_KIND[forward.kind], "1"),
+        (names.FROM_ZONE, forward.from_zone),
+        (names.CALLER, forward.caller),
+        (names.REQUEST_ID, forward.request_id),
+        (names.SIGNATURE, _sign(key, forward, method, target, idempotency_key)),
+    ]
+
+
+def read_forward(key, value_by_name, method, target):
+    """Return the ``Forward``; ``None`` where its signature is not ours.
+
+    ``value_by_name`` holds the headers by lower-case name.
+    """
+    kind = _read_kind(value_by_name)
+    if not kind:
+        return NOT_FORWARDED
+    forward = Forward(
+        kind,
+        value_by_name.get(names.FROM_ZONE.lower(), ""),
+        value_by_name.get(names.CALLER.lower(), ""),
+        value_by_name.get(names.REQUEST_ID.lower(), ""),
+    )
+    if key is None:
+        return None
+    idempotency_key = value_by_name.get(names.IDEMPOTENCY_KEY.lower(), "")
+    good = _sign(key, forward, method, target, idempotency_key)
+    given = value_by_name.get(names.SIGNATURE.lower(), "")
+    return forward if hmac.compare_digest(good.encode(), given.encode()) else None
+
+
+def _read_kind(value_by_name):
+    for kind, name in _HEADER_BY_KIND.items():
+        if name.lower() in value_by_name:
+            return kind
+    return ""
+
+
+def _sign(key, forward, method, target, idempotency_key):
+    parts = (*forward, method, target, idempotency_key)
+    text = "\n".join(parts).encode("utf-8", "surrogateescape")
+    return hmac.digest(key, text, hashlib.sha256).hex()[:_DIGEST_CHARS]
--- a/godwitlanding/headers.py
+++ b/godwitlanding/headers.py
@@ -24,6 +24,7 @@
 HOME = "Godwit-Home"
 SIGNATURE = "Godwit-Signature"
 REFUSED = "Godwit-Refused"
+RUN = "Godwit-Run"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 
 UPSTREAM_DEADLINE = "Request-Deadline"
--- a/godwitlanding/permits.py
+++ b/godwitlanding/permits.py
@@ -36,6 +36,16 @@
     waited_s: float
 
 
+class Spill(NamedTuple):
+    """Leave to hand the request to another zone, until ``until``."""
+
+    availability_zone: str
+    until: float
+    arbiter_address: str
+    service: str
+    ask_id: str
+
+
 class PermitBook:
     """Open permits of one process, and the arbiter heeded by upstream."""
 
--- a/godwitlanding/request.py
+++ b/godwitlanding/request.py
@@ -4,8 +4,10 @@
 
 import xxhash
 
-from godwitlanding.config import ServiceConfig
+from godwitlanding.config import KIND_TRANSACTION, ServiceConfig
+from godwitlanding.forward import HOP, NOT_FORWARDED, Forward
 
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
 # Enough to tell two requests apart, little enough to cost microseconds.
 FINGERPRINT_BODY_BYTES = 4096
@@ -29,20 +31,33 @@
     caller: str
     deadline: float
     fingerprint: int
-    from_zone: str = ""
     key: str = ""
+    forward: Forward = NOT_FORWARDED
+
+    @property
+    def from_zone(self):
+        """Return the zone that spilled the request, ``""`` for none."""
+        return self.forward.from_zone if self.forward.kind == HOP else ""
 
     @property
     def is_idempotent(self):
         """Tell whether running it twice does no harm.
 
-        A service of transactions answers for every method but the safe
-        ones: an operator who declares it so means what it does.
+        In a service of transactions only reading is believed to be safe.
         """
-        if self.service.kind == "transaction":
-            return self.method in ("GET", "HEAD", "OPTIONS")
+        if self.service.kind == KIND_TRANSACTION:
+            return self.method in SAFE_METHODS
         return self.method in IDEMPOTENT_METHODS
 
+    @property
+    def needs_ticket(self):
+        """Tell whether it may run at most once and its key is kept here.
+
+        A request that another zone spilled has its claim kept there.
+        """
+        is_work = self.service.kind == KIND_TRANSACTION
+        return is_work and self.method not in SAFE_METHODS and not self.from_zone
+
     def get(self, name):
         """Return the last header called ``name`` (lower case), or ``""``."""
         for found, value in reversed(self.headers):
--- /dev/null
+++ b/godwitlanding/retry.py
@@ -0,0 +1,111 @@
+"""Whether a request that failed is sent again.
+
+Load pattern: an upstream dies, sheds or drains with requests in progress.
+Without retries its callers see each failure; with unbounded ones a
+struggling service gets several times its load, and a request that crashes
+upstreams takes them all.
+
+A request is sent again only where that is safe (idempotent, or certainly
+not run), on another upstream, at most twice, inside the service's retry
+budget and only while there is time left for the usual work. Three tries in
+all: with 2 % of tries failing on their own, 8 requests in a million would
+fail three times, and a fourth try mostly burns a slot on a request that
+fails by its own doing.
+"""
+
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from godwitlanding.budget import RetryBudget
+from godwitlanding.codes import RUN_NO, RUN_UNKNOWN, Code, make_refusal
+from godwitlanding.messages import OUTCOME_CRASHED
+from godwitlanding.poison import PoisonLedger
+
+MAX_TRIES = 3
+
+
+class Failure(NamedTuple):
+    """A try that failed, as the retry decision sees it."""
+
+    outcome: str
+    run: str
+    code: Code
+    detail: str = ""
+
+
+class Tries:
+    """What has been tried for one request so far."""
+
+    def __init__(self):
+        self.count = 0
+        self.excluded_upstreams = []
+        self.may_have_run = False
+
+    def note(self, upstream, run):
+        """Count a try at ``upstream``, ``""`` for one in another zone."""
+        self.count += 1
+        if upstream:
+            self.excluded_upstreams.append(upstream)
+        self.may_have_run = self.may_have_run or run != RUN_NO
+
+    def qualify(self, refusal):
+        """Return the refusal with what all tries together allow to say.
+
+        The last try may truly not have run while an earlier one may have:
+        a caller that is told "not run" would then run it twice.
+        """
+        if self.may_have_run and refusal.run == RUN_NO:
+            return refusal._replace(run=RUN_UNKNOWN)
+        return refusal
+
+
+class RetryPolicy:
+    """Decides on retries with a budget a service and one poison ledger."""
+
+    def __init__(self, ledger=None):
+        self.ledger = ledger or PoisonLedger()
+        self._budget_by_service = {}
+
+    def check(self, request, now):
+        """Return the ``Refusal`` of a request that crashes upstreams."""
+        if not self.ledger.is_stopped(request.fingerprint, now):
+            return None
+        retry_after_s = self.ledger.get_retry_after_s(request.fingerprint, now)
+        return make_refusal(Code.POISON_REQUEST, retry_after_s)
+
+    def note_first_try(self, service, now):
+        """Count a first try, which earns a share of a retry."""
+        self._get_budget(service).note_first_try(now)
+
+    def note_success(self, request, now):
+        """An upstream ran the request whole."""
+        self.ledger.note_success(request.fingerprint, now)
+
+    def note_failure(self, request, failure, upstream, now):
+        """Count a crash of one of this zone's upstreams."""
+        if failure.outcome == OUTCOME_CRASHED and upstream:
+            self.ledger.note_crash(request.fingerprint, upstream, now)
+
+    def decide(self, request, failure, tries, now):
+        """Return ``Ok(reason)`` to try again, else ``Err(refusal)``."""
+        refusal = make_refusal(failure.code, 1.0, failure.detail, failure.run)
+        if not request.is_repeatable:
+            return Err(refusal)
+        if failure.run != RUN_NO and not request.is_idempotent:
+            return Err(refusal)
+        poison = self.check(request, now)
+        if poison:
+            return Err(poison)
+        if tries.count >= MAX_TRIES:
+            return Err(refusal)
+        if request.deadline - now < request.service.work_s:
+            return Err(refusal)
+        if not self._get_budget(request.service.name).may_retry(now):
+            return Err(make_refusal(Code.RETRY_BUDGET_SPENT, 1.0, run=failure.run))
+        return Ok(failure.code.name)
+
+    def _get_budget(self, service):
+        if service not in self._budget_by_service:
+            self._budget_by_service[service] = RetryBudget()
+        return self._budget_by_service[service]
--- a/godwitlanding/services/peers.py
+++ b/godwitlanding/services/holder.py
@@ -5,11 +5,11 @@
 from godwitlanding.wire import Server
 
 
-class PeerServer(Service):
+class HolderServer(Service):
     """Answers an arbiter's ``Holdings`` and takes ``Poison`` notices."""
 
-    name = "peers"
-    needs = ("permits",)
+    name = "holder"
+    needs = ("permits", "carrier")
 
     def __init__(self, context):
         self._context = context
@@ -18,6 +18,7 @@
     async def start(self, kernel):
         """Listen on the entry daemon's port for our own processes."""
         self._permits = kernel.get("permits")
+        self._carrier = kernel.get("carrier")
         handlers = {Holdings: self._answer_holdings, Poison: self._take_poison}
         context = self._context
         self._server = Server(context.make_hello(), handlers, context.counters)
@@ -34,3 +35,4 @@
 
     async def _take_poison(self, channel, message):
         self._context.counters.add("poison_noted", upstream=message.upstream)
+        self._carrier.note_poison(message)
--- /dev/null
+++ b/godwitlanding/services/passer.py
@@ -0,0 +1,120 @@
+"""Hands requests to entry processes of other VMs over HTTP."""
+
+import asyncio
+import random
+
+from godwitlanding.answer import Attempt
+from godwitlanding.codes import RUN_NO, RUN_UNKNOWN, Code, Run
+from godwitlanding.forward import HOP, Forward, sign_forward
+from godwitlanding.headers import DEADLINE, REFUSED, RUN, select_request_headers
+from godwitlanding.kernel import Service
+from godwitlanding.messages import OUTCOME_FAILED
+from godwitlanding.spill import LinkMeter
+
+# One VM that has just died must not fail the spill; with more, the caller
+# waits through a zone that is gone.
+MAX_TARGETS = 2
+STATE_LIVE = "live"
+
+
+class Passer(Service):
+    """Forwards requests and meters the links between zones."""
+
+    name = "passer"
+    needs = ("feed", "upstreams")
+
+    def __init__(self, context):
+        self._context = context
+        self._counters = context.counters
+        self._port = context.settings["entry_port"]
+        self._meter_by_zone = {}
+        self._bad_until_by_vm = {}
+
+    async def start(self, kernel):
+        """Find the services that it uses."""
+        self._feed = kernel.get("feed")
+        self._upstreams = kernel.get("upstreams")
+
+    async def pass_on(self, request, spill, sink):
+        """Send to an entry VM of the spill's zone; return an ``Attempt``."""
+        zone = spill.availability_zone
+        end = min(spill.until, request.deadline)
+        attempt = _refuse(Code.PEER_UNREACHABLE, detail=f"no entry VM in {zone}")
+        for row in self._list_targets(zone)[:MAX_TARGETS]:
+            attempt = await self.forward(request, row, HOP, end, sink)
+            if attempt.code is not Code.PEER_UNREACHABLE:
+                return attempt
+        return attempt
+
+    async def forward(self, request, row, kind, end, sink):
+        """Send to the entry process of the VM in ``row``, once."""
+        loop = asyncio.get_running_loop()
+        key = self._feed.view.get_ticket_key()
+        if key is None:
+            return _refuse(Code.NOT_READY, detail="no key to sign with")
+        meter = self._get_meter(row.availability_zone)
+        if meter and not meter.may_send(loop.time(), len(request.body)):
+            wait_s = meter.get_retry_after_s(loop.time())
+            return _refuse(Code.LINK_LIMIT, wait_s)
+        zone = self._context.availability_zone
+        mark = Forward(kind, zone, request.caller, request.id)
+        target = f"/s/{request.service.name}{request.target}"
+        headers = select_request_headers(request.headers)
+        headers += sign_forward(key, mark, request.method, target, request.key)
+        headers.append((DEADLINE, f"{end - loop.time():.3f}"))
+        before = sink.sent_bytes
+        attempt = await self._upstreams.send(
+            request, f"{row.address}:{self._port}", target, headers, end, sink, _read
+        )
+        if meter:
+            meter.note_bytes(sink.sent_bytes - before, loop.time())
+        if attempt.code is Code.UPSTREAM_FAILED and attempt.run == RUN_NO:
+            return _refuse(Code.PEER_UNREACHABLE, detail=attempt.detail)
+        return attempt
+
+    def _list_targets(self, zone):
+        rows = [
+            row
+            for row in self._feed.view.get_vms()
+            if row.availability_zone == zone and row.state == STATE_LIVE
+        ]
+        random.shuffle(rows)
+        return rows
+
+    def _get_meter(self, zone):
+        """Return the meter of the link to ``zone``; ``None`` for no limit.
+
+        The text limits the link of the whole zone, over which each of its
+        members sends for itself, so each meters its share.
+        """
+        config = self._feed.view.get_config()
+        own = self._context.availability_zone
+        link = config.link_by_zones.get((own, zone)) if config else None
+        if link is None or zone == own:
+            return None
+        members = self._feed.view.get_members()
+        count = max(1, sum(member.alive for member in members))
+        held = self._meter_by_zone.get(zone)
+        if held is None or held[0] != (link, count):
+            meter = LinkMeter(link.requests_per_s / count, link.bytes_per_s / count)
+            held = ((link, count), meter)
+            self._meter_by_zone[zone] = held
+        return held[1]
+
+
+def _refuse(code, retry_after_s=1.0, detail=""):
+    return Attempt(OUTCOME_FAILED, RUN_NO, code, detail, retry_after_s)
+
+
+def _read(status, headers):
+    """Return the ``Attempt`` of an entry process that refused."""
+    number = headers.get(REFUSED)
+    if number is None:
+        return None
+    try:
+        code = Code(int(number))
+        retry_after_s = float(headers.get("Retry-After", "0"))
+    except ValueError:
+        return Attempt(OUTCOME_FAILED, RUN_UNKNOWN, Code.UPSTREAM_FAILED, number)
+    run = Run(headers.get(RUN, RUN_UNKNOWN))
+    return Attempt(OUTCOME_FAILED, run, code, "in another zone", retry_after_s)
--- a/godwitlanding/services/permits.py
+++ b/godwitlanding/services/permits.py
@@ -10,11 +10,12 @@
     OUTCOME_UNUSED,
     Acquire,
     Granted,
+    PassOn,
     Refused,
     Release,
     Withdraw,
 )
-from godwitlanding.permits import PermitBook
+from godwitlanding.permits import PermitBook, Spill
 from godwitlanding.view import MEMBERS_KIND
 
 # An arbiter that is replaced takes a moment to collect the open permits.
@@ -55,7 +56,10 @@
         return {"open": len(self.book)}
 
     async def acquire(self, request, excluded=(), attempt=0, may_pass_on=True):
-        """Return a ``Permit``, a ``PassOn`` or a ``Refusal``."""
+        """Return a ``Permit``, a ``Spill`` or a ``Refusal``.
+
+        ``attempt`` tells the asks of one request apart.
+        """
         loop = asyncio.get_running_loop()
         tried = set()
         while True:
@@ -83,7 +87,7 @@
                 may_pass_on,
             )
             answer = await self._ask(vm, message, remaining_s)
-            taken = self._take(answer, vm, asked_at)
+            taken = self._take(answer, message, vm, asked_at)
             if taken is not None:
                 return taken
             tried.add(vm)
@@ -107,8 +111,12 @@
             ),
         )
 
+    def end_spill(self, spill):
+        """Tell the arbiter that a request passed on has ended."""
+        self._send(spill.arbiter_address, Withdraw(spill.service, spill.ask_id))
+
     def _choose(self, service, tried):
-        for vm in self._feed.view.get_zone().arbiters_by_service.get(service, ()):
+        for vm in self._get_arbiters(service):
             if vm not in tried and self._feed.view.get_address(vm):
                 return vm
         return None
@@ -120,7 +128,7 @@
         address = self._get_address(vm)
         call = asyncio.ensure_future(self._feed.pool.call(address, message, timeout_s))
         asks = self._asks_by_vm.setdefault(vm, {})
-        asks[call] = message
+        asks[call] = (message, self._is_first(vm, message.service))
         try:
             await asyncio.wait((call,))
             if call.cancelled():
@@ -136,7 +144,7 @@
         finally:
             del asks[call]
 
-    def _take(self, answer, vm, asked_at):
+    def _take(self, answer, asked, vm, asked_at):
         """Return the final word of an arbiter, or ``None``: ask another."""
         if answer.is_err():
             refusal = answer.unwrap_err()
@@ -151,7 +159,15 @@
             return make_refusal(
                 Code(message.code), message.retry_after_s, message.detail
             )
-        return message
+        if isinstance(message, PassOn):
+            return Spill(
+                message.availability_zone,
+                asked_at + message.valid_s,
+                self._get_address(vm),
+                asked.service,
+                asked.request_id,
+            )
+        return make_refusal(Code.UNEXPECTED_MESSAGE)
 
     def _accept(self, granted, vm, asked_at):
         now = asyncio.get_running_loop().time()
@@ -193,8 +209,13 @@
         """
         if state.kind != MEMBERS_KIND:
             return
-        arbiters_by_service = self._feed.view.get_zone().arbiters_by_service
         for vm, asks in self._asks_by_vm.items():
-            for call, message in list(asks.items()):
-                if vm not in arbiters_by_service.get(message.service, ())[:1]:
+            for call, (message, was_first) in list(asks.items()):
+                if was_first and not self._is_first(vm, message.service):
                     call.cancel()
+
+    def _is_first(self, vm, service):
+        return vm in self._get_arbiters(service)[:1]
+
+    def _get_arbiters(self, service):
+        return self._feed.view.get_zone().arbiters_by_service.get(service, ())
--- a/godwitlanding/services/requests.py
+++ b/godwitlanding/services/requests.py
@@ -1,15 +1,17 @@
 """The way of a request through the entry daemon, from caller to caller."""
 
 import asyncio
+import re
 import uuid
 
 from result import Err, Ok
 
-from godwitlanding.codes import RUN_UNKNOWN, Code, Refusal, make_refusal
-from godwitlanding.headers import DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID
+from godwitlanding.codes import RUN_UNKNOWN, Code, make_refusal
+from godwitlanding.forward import read_forward
+from godwitlanding.headers import DEADLINE, IDEMPOTENCY_KEY, REFUSED, REQUEST_ID, RUN
 from godwitlanding.kernel import Service
-from godwitlanding.messages import OUTCOME_CANCELLED, OUTCOME_UNUSED, PassOn
 from godwitlanding.request import Request, compute_fingerprint
+from godwitlanding.sink import Sink
 from godwitlanding.upload import Upload
 from godwitlanding.web import make_problem
 
@@ -17,43 +19,14 @@
 # slow upload holds no slot and the request can be sent again.
 WHOLE_BODY_BYTES = 262_144
 MAX_ID_CHARS = 64
-
-
-class Sink:
-    """Where an answer goes: the caller's connection."""
-
-    def __init__(self, send, request_id):
-        self.started = False
-        self.finished = False
-        self._send = send
-        self._request_id = request_id
-
-    async def start(self, status, headers):
-        """Send the head of the answer."""
-        self.started = True
-        pairs = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
-        pairs.append((REQUEST_ID.lower().encode(), self._request_id.encode()))
-        await self._send(
-            {"type": "http.response.start", "status": status, "headers": pairs}
-        )
-
-    async def write(self, chunk):
-        """Send a part of the body; waits while the caller reads slowly."""
-        await self._send(
-            {"type": "http.response.body", "body": chunk, "more_body": True}
-        )
-
-    async def finish(self, chunk=b""):
-        """Send the last part of the body."""
-        self.finished = True
-        await self._send({"type": "http.response.body", "body": chunk})
+_SERVICE_PREFIX = re.compile(r"/s/[^/?]*")
 
 
 class RequestHandler(Service):
     """The ASGI application under ``/s/``."""
 
     name = "requests"
-    needs = ("feed", "permits", "upstreams")
+    needs = ("feed", "carrier", "tickets")
 
     def __init__(self, context):
         self.in_progress = 0
@@ -64,8 +37,8 @@
     async def start(self, kernel):
         """Find the services that a request passes through."""
         self._feed = kernel.get("feed")
-        self._permits = kernel.get("permits")
-        self._upstreams = kernel.get("upstreams")
+        self._carrier = kernel.get("carrier")
+        self._tickets = kernel.get("tickets")
 
     def get_status(self):
         """Return the number of requests in progress."""
@@ -120,6 +93,8 @@
         self._counters.add("requests_refused", code=refusal.code.name)
         response = make_problem(refusal, request_id)
         response.headers[REQUEST_ID] = request_id
+        response.headers[REFUSED] = str(refusal.code.value)
+        response.headers[RUN] = refusal.run
         await response(scope, receive, send)
 
     async def _read(self, scope, upload, request_id):
@@ -129,10 +104,16 @@
         service = config.service_by_name.get(scope["path_params"]["service"])
         if service is None:
             return Err(make_refusal(Code.UNKNOWN_SERVICE))
-        headers = tuple(
-            (n.decode("latin-1"), v.decode("latin-1")) for n, v in scope["headers"]
-        )
+        headers = _decode_headers(scope["headers"])
+        target = _make_target(scope)
+        if headers is None or target is None:
+            return Err(make_refusal(Code.MALFORMED_REQUEST, detail="not in UTF-8"))
         value_by_name = dict(headers)
+        forward = read_forward(
+            self._feed.view.get_ticket_key(), value_by_name, scope["method"], target
+        )
+        if forward is None:
+            return Err(make_refusal(Code.MALFORMED_REQUEST, detail="forged forward"))
         remaining = _read_deadline(value_by_name, service)
         if remaining.is_err():
             return remaining
@@ -141,21 +122,21 @@
         body = b"" if fault else await upload.read_head(WHOLE_BODY_BYTES)
         if fault or upload.is_too_large:
             return Err(fault or make_refusal(Code.BODY_TOO_LARGE))
-        target = _make_target(scope)
+        target = _strip(target)
         return Ok(
             Request(
-                request_id,
+                forward.request_id or request_id,
                 service,
                 scope["method"],
                 target,
                 headers,
                 body,
                 upload.watch(asyncio.current_task()),
-                self._get_caller(scope, value_by_name),
+                forward.caller or self._get_caller(scope, value_by_name),
                 deadline,
                 compute_fingerprint(service.name, scope["method"], target, body),
-                "",
                 value_by_name.get(IDEMPOTENCY_KEY.lower(), ""),
+                forward,
             )
         )
 
@@ -174,28 +155,9 @@
         return scope["client"][0] if scope.get("client") else ""
 
     async def _run(self, request, sink):
-        """Carry the request; return the ``Refusal`` to give, if any."""
-        loop = asyncio.get_running_loop()
-        granted = await self._permits.acquire(request)
-        if isinstance(granted, Refusal):
-            return granted
-        if isinstance(granted, PassOn):
-            return make_refusal(Code.NO_UPSTREAM, 1.0)
-        started_at = loop.time()
-        outcome = OUTCOME_CANCELLED
-        try:
-            if not self._permits.book.may_dispatch(granted, started_at):
-                outcome = OUTCOME_UNUSED
-                return make_refusal(Code.DEADLINE_UNREACHABLE, 1.0)
-            attempt = await self._upstreams.dispatch(request, granted, sink)
-            outcome = attempt.outcome
-        finally:
-            self._permits.release(
-                granted, outcome, loop.time() - started_at, request.fingerprint
-            )
-        if attempt.code is None:
-            return None
-        return make_refusal(attempt.code, 1.0, attempt.detail, attempt.run)
+        if request.needs_ticket:
+            return await self._tickets.run(request, sink)
+        return await self._carrier.carry(request, sink)
 
 
 def _read_deadline(value_by_name, service):
@@ -212,9 +174,23 @@
     return Ok(min(remaining_s, service.deadline_s))
 
 
+def _decode_headers(pairs):
+    try:
+        return tuple((name.decode("ascii"), value.decode()) for name, value in pairs)
+    except UnicodeDecodeError:
+        return None
+
+
 def _make_target(scope):
-    prefix = len("/s/") + len(scope["path_params"]["service"])
+    """Return path and query as sent, ``None`` where they are not ASCII."""
     raw = scope.get("raw_path") or scope["path"].encode()
-    target = raw.decode("latin-1")[prefix:] or "/"
-    query = scope.get("query_string", b"")
-    return f"{target}?{query.decode('latin-1')}" if query else target
+    if query := scope.get("query_string", b""):
+        raw += b"?" + query
+    return raw.decode("ascii") if raw.isascii() and b"#" not in raw else None
+
+
+def _strip(target):
+    """Return what follows the service's name, which may be escaped."""
+    match = _SERVICE_PREFIX.match(target)
+    rest = target[match.end() :]
+    return rest if rest.startswith("/") else "/" + rest
--- /dev/null
+++ b/godwitlanding/services/tickets.py
@@ -0,0 +1,18 @@
+"""Non-idempotent work: at most once, whoever fails."""
+
+from godwitlanding.codes import Code, make_refusal
+from godwitlanding.kernel import Service
+
+
+class TicketService(Service):
+    """Runs requests that carry a ticket."""
+
+    name = "tickets"
+    needs = ("carrier",)
+
+    def __init__(self, context):
+        self._context = context
+
+    async def run(self, request, sink):
+        """Return the ``Refusal`` to give, if any."""
+        return make_refusal(Code.MISSING_TICKET)
--- a/godwitlanding/services/upstreams.py
+++ b/godwitlanding/services/upstreams.py
@@ -1,19 +1,22 @@
-"""Sends a request to the upstream that a permit names, and its answer back."""
+"""Sends a request to one upstream, and its answer to the caller."""
 
 import asyncio
-from typing import NamedTuple
 
 import aiohttp
 from yarl import URL
 
 from godwitlanding.answer import (
     SMALL_ANSWER_BYTES,
+    Attempt,
+    check_continuation,
     check_head,
+    find_resume,
+    make_range_headers,
     read_length,
-    read_refusal,
+    read_upstream_refusal,
 )
 from godwitlanding.client import make_session
-from godwitlanding.codes import RUN_NO, RUN_UNKNOWN, RUN_YES, Code, Run
+from godwitlanding.codes import RUN_NO, RUN_UNKNOWN, RUN_YES, Code
 from godwitlanding.headers import (
     UPSTREAM_DEADLINE,
     UPSTREAM_REQUEST_ID,
@@ -37,21 +40,8 @@
 _SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
-class Attempt(NamedTuple):
-    """What became of one dispatch; ``code`` is ``None`` when all is well.
-
-    ``outcome`` goes to the arbiter, ``run`` says whether the upstream may
-    have run the request.
-    """
-
-    outcome: str
-    run: Run
-    code: Code | None = None
-    detail: str = ""
-
-
 class UpstreamClient(Service):
-    """Carries requests to upstreams over HTTP/1.1."""
+    """Carries requests over HTTP/1.1."""
 
     name = "upstreams"
 
@@ -59,6 +49,7 @@
         self._context = context
         self._session = None
         self._fresh_session = None
+        self._echoes_by_address = {}
 
     async def start(self, kernel):
         """Open the connection pools."""
@@ -79,50 +70,94 @@
         """
         loop = asyncio.get_running_loop()
         end = min(permit.until, request.deadline)
+        headers = select_request_headers(request.headers)
+        headers.append((UPSTREAM_DEADLINE, f"{end - loop.time():.3f}"))
+        headers.append((UPSTREAM_REQUEST_ID, request.id))
+        address = permit.upstream_address
+        return await self.send(
+            request, address, request.target, headers, end, sink, read_upstream_refusal
+        )
+
+    async def send(self, request, address, target, headers, end, sink, read_refusal):
+        """Send once to ``address``, until ``end`` at most, as ``dispatch``.
+
+        ``read_refusal(status, headers)`` returns the ``Attempt`` of an
+        answer that says the request was not run, else ``None``.
+        """
         try:
             async with asyncio.timeout_at(end):
-                return await self._exchange(request, permit, sink, end - loop.time())
+                return await self._exchange(
+                    request, address, target, headers, sink, read_refusal
+                )
+        # A connection that was never made carried nothing; its timeout is
+        # also a TimeoutError, so the order matters.
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Attempt(OUTCOME_FAILED, RUN_NO, Code.UPSTREAM_FAILED, str(error))
         except TimeoutError:
             return Attempt(OUTCOME_TIMEOUT, RUN_UNKNOWN, Code.UPSTREAM_TIMEOUT)
-        except aiohttp.ClientConnectorError as error:
-            return Attempt(OUTCOME_FAILED, RUN_NO, Code.UPSTREAM_FAILED, str(error))
-        except aiohttp.ServerTimeoutError as error:
-            return Attempt(OUTCOME_FAILED, RUN_NO, Code.UPSTREAM_FAILED, str(error))
-        except aiohttp.ClientPayloadError as error:
-            return Attempt(
-                OUTCOME_FAILED, RUN_UNKNOWN, Code.UPSTREAM_TRUNCATED, str(error)
-            )
         except (aiohttp.ClientError, OSError) as error:
-            return Attempt(
-                OUTCOME_CRASHED, RUN_UNKNOWN, Code.UPSTREAM_FAILED, repr(error)
-            )
+            return _explain_break(sink, repr(error))
 
-    async def _exchange(self, request, permit, sink, remaining_s):
-        session = self._session if request.is_idempotent else self._fresh_session
-        headers = select_request_headers(request.headers)
+    async def _exchange(self, request, address, target, headers, sink, read_refusal):
+        if sink.started:
+            headers = headers + make_range_headers(sink.resume, sink.sent_bytes)
         if request.rest is not None and (length := request.get("content-length")):
-            headers.append(("Content-Length", length))
-        headers.append((UPSTREAM_DEADLINE, f"{remaining_s:.3f}"))
-        headers.append((UPSTREAM_REQUEST_ID, request.id))
-        async with session.request(
+            headers = headers + [("Content-Length", length)]
+        async with self._choose_session(request, address).request(
             request.method,
-            URL(f"http://{permit.upstream_address}{request.target}", encoded=True),
+            URL(f"http://{address}{target}", encoded=True),
             headers=headers,
             data=_make_data(request),
             allow_redirects=False,
             skip_auto_headers=_SKIPPED,
         ) as response:
+            self._note_echo(address, request.id, response)
             refused = read_refusal(response.status, response.headers)
             if refused:
-                return Attempt(refused.outcome, RUN_NO, refused.code)
-            fault = check_head(request, response.status, response.headers)
+                return refused
+            fault = _check(request, response, sink)
             if fault:
                 response.close()
                 return Attempt(OUTCOME_FAILED, RUN_UNKNOWN, Code.UPSTREAM_FAILED, fault)
-            await _copy_answer(response, sink)
+            await _copy_answer(request, response, sink)
             outcome = OUTCOME_FAILED if response.status >= 500 else OUTCOME_OK
             return Attempt(outcome, RUN_YES)
 
+    def _choose_session(self, request, address):
+        """Return the session whose connections are safe for the request.
+
+        An upstream that answers twice leaves the second answer on the kept
+        connection, where the next request would take it for its own; the
+        echoed request id shows that, so an upstream that echoes none, or
+        ever echoed another's, gets a new connection each time. So does
+        non-idempotent work: a kept connection that closes while it is sent
+        leaves its fate unknown.
+        """
+        if request.is_idempotent and self._echoes_by_address.get(address):
+            return self._session
+        return self._fresh_session
+
+    def _note_echo(self, address, request_id, response):
+        echoed_id = response.headers.get(UPSTREAM_REQUEST_ID)
+        if echoed_id is not None and echoed_id != request_id:
+            self._context.counters.add("answers_mixed_up", upstream=address)
+            self._echoes_by_address[address] = False
+        else:
+            self._echoes_by_address.setdefault(address, echoed_id is not None)
+
+
+def _explain_break(sink, detail):
+    """Return the ``Attempt`` of a connection that broke.
+
+    One that gave no whole answer counts as a crash, for which the request
+    may be to blame. One that broke after a good part of a long answer does
+    not: two breaks would stop a bundle that another upstream can complete.
+    """
+    if sink.started:
+        code = Code.UPSTREAM_TRUNCATED
+        return Attempt(OUTCOME_FAILED, RUN_UNKNOWN, code, detail)
+    return Attempt(OUTCOME_CRASHED, RUN_UNKNOWN, Code.UPSTREAM_FAILED, detail)
+
 
 def _make_session(**connector_options):
     return make_session(
@@ -147,17 +182,28 @@
     return stream()
 
 
-async def _copy_answer(response, sink):
+def _check(request, response, sink):
+    fault = check_head(request, response.status, response.headers)
+    if fault or not sink.started:
+        return fault
+    return check_continuation(
+        sink.resume, sink.sent_bytes, response.status, response.headers
+    )
+
+
+async def _copy_answer(request, response, sink):
     headers = select_answer_headers(response.headers.items())
     length = read_length(response.headers)
     # A short answer is read whole first: the slot is free without waiting
     # for the caller to read, and one that breaks off has not been begun.
-    if length is not None and length <= SMALL_ANSWER_BYTES:
+    if not sink.started and length is not None and length <= SMALL_ANSWER_BYTES:
         body = await response.read()
         await sink.start(response.status, headers)
         await sink.finish(body)
         return
-    await sink.start(response.status, headers)
+    if not sink.started:
+        sink.resume = find_resume(request, response.status, response.headers)
+        await sink.start(response.status, headers)
     async for chunk in response.content.iter_any():
         await sink.write(chunk)
     await sink.finish()
