--- a/godwitlanding/tests/tools/listener.py
+++ b/godwitlanding/tests/tools/listener.py
@@ -44,6 +44,11 @@
         self._port = port
         self._server = None
 
+    @property
+    def is_open(self):
+        """Tell whether it listens."""
+        return self._server is not None
+
     async def start(self):
         """Listen; raises ``OSError`` where the port cannot be had."""
 
--- /dev/null
+++ b/godwitlanding/tests/tools/standin_upstream.py
@@ -0,0 +1,122 @@
+"""A stand-in for licensed upstreams, for tests and the demo.
+
+Hosts every upstream of a configuration text on its own address and serves
+``docs/upstream_api.rst`` there; switches and counts stand under
+``/standin/`` at the control address.
+
+    python -m godwitlanding.tests.tools.standin_upstream \\
+        --config samples/demo.json5 --control 127.0.0.9:8001
+"""
+
+import argparse
+import asyncio
+from pathlib import Path
+
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from godwitlanding.config import parse_config
+from godwitlanding.tests.tools.licensed import Executions, LicensedUpstream
+from godwitlanding.tests.tools.listener import Listener
+
+
+class Fleet:
+    """All upstreams of a process."""
+
+    def __init__(self, config, availability_zones=(), seed=0):
+        self.executions = Executions()
+        self.upstream_by_id = {
+            upstream.id: LicensedUpstream(
+                upstream, service.work_s, self.executions, seed
+            )
+            for service in config.service_by_name.values()
+            for upstream in service.upstream_by_id.values()
+            if not availability_zones
+            or upstream.availability_zone in availability_zones
+        }
+
+    def make_app(self):
+        """Return the ASGI app of the control address."""
+        return Starlette(
+            routes=[
+                Route("/standin/stats", self.get_stats),
+                Route("/standin/executions", self.get_executions),
+                Route("/standin/upstreams/{id}", self.change, methods=["PUT"]),
+                Route("/standin/upstreams/{id}/crash", self.crash, methods=["POST"]),
+            ]
+        )
+
+    async def start(self):
+        """Start every upstream."""
+        for upstream in self.upstream_by_id.values():
+            await upstream.start()
+
+    def stop(self):
+        """End every upstream for good."""
+        for upstream in self.upstream_by_id.values():
+            upstream.stop()
+
+    async def get_stats(self, request):
+        """Answer each upstream's counts."""
+        stats = {id: u.get_stats() for id, u in self.upstream_by_id.items()}
+        return JSONResponse(stats)
+
+    async def get_executions(self, request):
+        """Answer how often each piece of non-idempotent work ran."""
+        executions = self.executions
+        return JSONResponse(
+            {"by_id": executions.count_by_id, "by_key": executions.count_by_key}
+        )
+
+    async def change(self, request):
+        """Turn switches of one upstream, or of all with the id ``all``."""
+        chosen = self._find(request)
+        try:
+            values = await request.json()
+            for upstream in chosen:
+                upstream.change(values)
+        except ValueError as error:
+            return JSONResponse({"error": str(error)}, status_code=400)
+        return JSONResponse({"changed": len(chosen)})
+
+    async def crash(self, request):
+        """Crash an upstream for ``down_s`` of the query."""
+        chosen = self._find(request)
+        for upstream in chosen:
+            upstream.crash(float(request.query_params.get("down_s", 3.0)))
+        return JSONResponse({"changed": len(chosen)})
+
+    def _find(self, request):
+        upstream_id = request.path_params["id"]
+        if upstream_id == "all":
+            return list(self.upstream_by_id.values())
+        found = self.upstream_by_id.get(upstream_id)
+        return [found] if found else []
+
+
+def parse_arguments(argv=None):
+    """Return the arguments."""
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--config", required=True, help="Configuration text to read")
+    parser.add_argument(
+        "--control", default="127.0.0.9:8001", help="IP:port of control"
+    )
+    parser.add_argument("--zones", nargs="*", default=[], help="Only these zones")
+    parser.add_argument("--seed", type=int, default=0, help="Seed of working times")
+    return parser.parse_args(argv)
+
+
+async def serve(arguments):
+    """Serve until the process is ended."""
+    config = parse_config(Path(arguments.config).read_text()).unwrap()
+    fleet = Fleet(config, arguments.zones, arguments.seed)
+    await fleet.start()
+    host, _, port = arguments.control.rpartition(":")
+    await Listener(fleet.make_app(), host, int(port)).start()
+    print("ready", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(parse_arguments()))
