Replace the arbiter's linear scans by a pooled fair queue

Cause: the stub scanned all requests and permits at each decision, served first come first served and held what it could not serve to its deadline. Change: queue by priority and start-time fair queueing, early refusal by estimated wait, spill by allowance, outlier ejection, slow start, poison and long-job reserve behind the agreed interface.

--- /dev/null
+++ b/godwitlanding/fairness.py
@@ -0,0 +1,89 @@
+"""Fair shares by caller: in which order waiting requests are served.
+
+Load pattern: one caller, such as a script of a transit office, sends ten
+times what the others send. First come, first served gives it ten times the
+slots, and everyone else waits behind its requests.
+
+Start-time fair queueing: each request gets a tag, the larger of the virtual
+time and the caller's last finish; the caller's finish moves on by the
+request's cost; the smallest tag is served first, and virtual time follows
+the tag served last. A caller that sends little is served next, one that
+sends much queues behind itself, and a slot is never idle to be fair. It
+takes one sorted insertion a request, where rounds over callers would need
+a list of callers kept in step with withdrawals and deadlines.
+
+The cost of a request is 1, or what requests with its fingerprint took
+before as a multiple of the mean, between 0.25 and 20: below, bookkeeping
+would cost more than the work, and above, one outlier would lock its caller
+out for the length of many deadlines.
+"""
+
+from typing import NamedTuple
+
+MIN_COST = 0.25
+MAX_COST = 20.0
+# Callers whose finish lies behind the virtual time need no record; they are
+# swept when their number has doubled, which costs constant time a request.
+_SWEEP_FROM = 1024
+
+
+class Tag(NamedTuple):
+    """A place in the order of service: smaller is first."""
+
+    start: float
+    sequence: int
+    request_id: str
+
+
+class VirtualClock:
+    """Tags for the requests of one priority.
+
+    >>> clock = VirtualClock()
+    >>> [clock.make_tag("hot", "r%d" % n, 1.0).start for n in range(3)]
+    [0.0, 1.0, 2.0]
+    >>> clock.make_tag("other", "r9", 1.0).start
+    0.0
+    """
+
+    def __init__(self):
+        self._now = 0.0
+        self._finish_by_caller = {}
+        self._sequence = 0
+        self._sweep_at = _SWEEP_FROM
+
+    def make_tag(self, caller, request_id, cost):
+        """Return the tag of a caller's next request."""
+        start = max(self._now, self._finish_by_caller.get(caller, 0.0))
+        self._finish_by_caller[caller] = start + cost
+        self._sequence += 1
+        if len(self._finish_by_caller) > self._sweep_at:
+            self._sweep()
+        return Tag(start, self._sequence, request_id)
+
+    def note_served(self, tag):
+        """Move virtual time on to the tag of a request that got a slot."""
+        self._now = max(self._now, tag.start)
+
+    def take_back(self, caller, tag, cost):
+        """Undo the charge of a request that got no slot.
+
+        Only the caller's last one can be undone; that is the one which is
+        refused first, since it has the caller's largest tag.
+        """
+        if self._finish_by_caller.get(caller) == tag.start + cost:
+            self._finish_by_caller[caller] = tag.start
+
+    def _sweep(self):
+        self._finish_by_caller = {
+            caller: finish
+            for caller, finish in self._finish_by_caller.items()
+            if finish > self._now
+        }
+        self._sweep_at = max(_SWEEP_FROM, 2 * len(self._finish_by_caller))
+
+
+def bound_cost(expected_s, mean_s):
+    """Return the cost of a request expected to hold a slot that long."""
+    if expected_s <= 0 or mean_s <= 0:
+        return 1.0
+    return min(MAX_COST, max(MIN_COST, expected_s / mean_s))
--- /dev/null
+++ b/godwitlanding/permits.py
@@ -0,0 +1,132 @@
+"""The open permits of an arbiter, and what is learnt when they end.
+
+A permit holds a slot until its holder releases it or, where the holder has
+died, until it ends by itself; so no message that is lost can keep a slot
+for longer than the request's deadline. Permits that a former arbiter
+granted are counted in the same book, and one whose loan has ended stays
+counted, since its request still runs on the upstream.
+"""
+
+from typing import NamedTuple
+
+from godwitlanding.messages import (
+    OUTCOME_CANCELLED,
+    OUTCOME_CRASHED,
+    OUTCOME_LEAVING,
+    OUTCOME_OK,
+    OUTCOME_SHED,
+    OUTCOME_TIMEOUT,
+)
+from godwitlanding.timers import Timers
+
+# The upstream may hear of a cancellation later than the permit ends; its
+# slot is not used again before. A one-way trip in the zone takes 1 ms and
+# a busy loop answers within tens.
+PERMIT_GRACE_S = 0.05
+# An upstream that refuses work answers faster than any other and would be
+# offered the whole queue; by then the health join has heard of it.
+SHED_PAUSE_S = 0.25
+LEAVING_PAUSE_S = 2.0
+# Outcomes after which the time held tells what a slot serves.
+_WORKED = frozenset({OUTCOME_OK, OUTCOME_TIMEOUT, OUTCOME_CANCELLED})
+
+
+class Permit(NamedTuple):
+    """An open permit; ``granted_at`` is ``None`` for a former arbiter's."""
+
+    upstream_id: str
+    granted_at: float | None
+    fingerprint: int
+    is_long: bool
+
+
+class PermitBook:
+    """Open permits by id."""
+
+    def __init__(self, pool):
+        self._pool = pool
+        self._timers = Timers()
+        self._permit_by_id = {}
+        self._open_by_fingerprint = {}
+        self.long_count = 0
+
+    def __len__(self):
+        return len(self._permit_by_id)
+
+    def get(self, permit_id):
+        """Return the open permit, or ``None``."""
+        return self._permit_by_id.get(permit_id)
+
+    def count_open(self, fingerprint):
+        """Return how many requests with the fingerprint are running."""
+        return self._open_by_fingerprint.get(fingerprint, 0)
+
+    def open(self, permit_id, permit, until, now):
+        """Count a permit that ends by itself at ``until``."""
+        if permit_id in self._permit_by_id:
+            return
+        self._permit_by_id[permit_id] = permit
+        self._timers.set(permit_id, until + PERMIT_GRACE_S)
+        self.long_count += permit.is_long
+        if permit.fingerprint:
+            count = self.count_open(permit.fingerprint)
+            self._open_by_fingerprint[permit.fingerprint] = count + 1
+        self._pool.take(self._pool.get(permit.upstream_id), now)
+
+    def close(self, permit_id, now):
+        """Free the permit's slot."""
+        permit = self._permit_by_id.pop(permit_id)
+        self._timers.cancel(permit_id)
+        self.long_count -= permit.is_long
+        if permit.fingerprint:
+            count = self._open_by_fingerprint[permit.fingerprint] - 1
+            self._open_by_fingerprint[permit.fingerprint] = count
+            if count == 0:
+                del self._open_by_fingerprint[permit.fingerprint]
+        self._pool.give_back(self._pool.get(permit.upstream_id), now)
+
+    def close_ended(self, now):
+        """Free the slots of permits that nobody released in time."""
+        for permit_id in self._timers.pop_due(now):
+            self.close(permit_id, now)
+
+    def get_next_time(self):
+        """Return when the next permit ends by itself, or ``None``."""
+        return self._timers.get_next_time()
+
+
+class Teacher:
+    """Passes the outcome of a permit to the modules that learn from it."""
+
+    def __init__(self, pool, outliers, poison, admission, long_jobs):
+        self._pool = pool
+        self._outliers = outliers
+        self._poison = poison
+        self._admission = admission
+        self._long_jobs = long_jobs
+
+    def note(self, permit, outcome, took_s, now):
+        """Learn from a permit that its holder has released."""
+        held_s = took_s if permit.granted_at is None else now - permit.granted_at
+        if outcome in _WORKED and held_s > 0:
+            self._admission.work_time.note(held_s)
+        if outcome in (OUTCOME_OK, OUTCOME_TIMEOUT):
+            self._long_jobs.note(permit.fingerprint, took_s or held_s)
+        if outcome == OUTCOME_OK:
+            self._poison.note_success(permit.fingerprint, now)
+        if outcome == OUTCOME_CRASHED:
+            self._poison.note_crash(permit.fingerprint, permit.upstream_id, now)
+        self._outliers.note(permit.upstream_id, outcome, took_s or held_s, now)
+        self._judge_upstream(permit.upstream_id, outcome, now)
+
+    def _judge_upstream(self, upstream_id, outcome, now):
+        upstream = self._pool.get(upstream_id)
+        upstream.ejected_until = self._outliers.get_ejected_until(upstream_id)
+        upstream.slow_until = self._outliers.get_slow_until(upstream_id)
+        if outcome == OUTCOME_CRASHED:
+            self._pool.warmup.note_cold(upstream_id, max(now, upstream.ejected_until))
+        if outcome == OUTCOME_SHED:
+            upstream.paused_until = max(upstream.paused_until, now + SHED_PAUSE_S)
+        if outcome == OUTCOME_LEAVING:
+            upstream.paused_until = max(upstream.paused_until, now + LEAVING_PAUSE_S)
+        self._pool.refresh(upstream, now)
--- /dev/null
+++ b/godwitlanding/pool.py
@@ -0,0 +1,179 @@
+"""The lent upstreams of an arbiter, and which of them takes the next request.
+
+Load pattern: many entry VMs, a few slots on each upstream. Where each VM
+picks by load reports that lag, several pick the same upstream at once and
+push it over its slots while others idle. Here the one holder of all slots
+counts them itself.
+
+The next request goes to the upstream with the smallest share of its slots
+in use; among equal ones to the least recently used, so that work spreads
+and an idle upstream is noticed when it fails. Upstreams marked slow come
+after all others. Every operation is logarithmic in the number of upstreams.
+"""
+
+from sortedcontainers import SortedList
+
+from godwitlanding.timers import Timers
+
+
+class PooledUpstream:
+    """What the pool knows of an upstream; times on the arbiter's clock."""
+
+    def __init__(self, upstream_id):
+        self.id = upstream_id
+        self.slots = 0
+        self.loan_end = 0.0
+        self.blocked_until = 0.0
+        self.ejected_until = 0.0
+        self.paused_until = 0.0
+        self.slow_until = 0.0
+        self.usable = True
+        self.open_count = 0
+        self.capacity = 0
+        self.used_at = 0
+        self.key = None
+
+    def is_on_loan(self, now):
+        """Tell whether the upstream's owner lends it at ``now``."""
+        return self.loan_end > now
+
+    def may_serve(self, now):
+        """Tell whether a grant is allowed, ejection aside."""
+        return (
+            self.usable
+            and self.loan_end > now
+            and self.blocked_until <= now
+            and self.paused_until <= now
+        )
+
+
+class Pool:
+    """Upstreams by id, with those that have a free slot in order."""
+
+    def __init__(self, warmup):
+        self.warmup = warmup
+        self.upstream_by_id = {}
+        self.usable_slots = 0
+        self.usable_count = 0
+        self._free = SortedList()
+        self._timers = Timers()
+        self._uses = 0
+
+    def get(self, upstream_id):
+        """Return the upstream, known from now on."""
+        upstream = self.upstream_by_id.get(upstream_id)
+        if upstream is None:
+            upstream = PooledUpstream(upstream_id)
+            self.upstream_by_id[upstream_id] = upstream
+        return upstream
+
+    def forget(self, upstream_id):
+        """Drop an upstream that has neither loan nor open permits."""
+        upstream = self.upstream_by_id.get(upstream_id)
+        if upstream and upstream.open_count == 0:
+            self._set_place(upstream, 0, None)
+            self._timers.cancel(upstream_id)
+            del self.upstream_by_id[upstream_id]
+
+    def refresh(self, upstream, now):
+        """Bring an upstream's place up to date after any change to it."""
+        capacity = self._get_capacity(upstream, now)
+        key = None
+        if upstream.open_count < capacity:
+            share = upstream.open_count / upstream.slots
+            is_slow = upstream.slow_until > now
+            key = (is_slow, share, upstream.used_at, upstream.id)
+        self._set_place(upstream, capacity, key)
+        self._set_timer(upstream, now)
+
+    def run_timers(self, now):
+        """Bring up to date the upstreams whose loan, block or rest ended."""
+        for upstream_id in self._timers.pop_due(now):
+            self.refresh(self.upstream_by_id[upstream_id], now)
+
+    def get_next_time(self):
+        """Return when ``run_timers`` is due, or ``None``."""
+        return self._timers.get_next_time()
+
+    def find_free(self, excluded, now):
+        """Return the best upstream with a free slot, or ``None``."""
+        for *_, upstream_id in self._free:
+            upstream = self.upstream_by_id[upstream_id]
+            if upstream_id not in excluded and upstream.may_serve(now):
+                return upstream
+        return None
+
+    def is_all_excluded(self, excluded):
+        """Tell whether every usable upstream is among the excluded ones."""
+        if len(excluded) < self.usable_count:
+            return False
+        known = (self.upstream_by_id.get(upstream_id) for upstream_id in excluded)
+        usable = sum(1 for upstream in known if upstream and upstream.capacity)
+        return usable >= self.usable_count
+
+    def has_free(self):
+        """Tell whether any upstream has a free slot."""
+        return bool(self._free)
+
+    def take(self, upstream, now):
+        """Count a permit opened on the upstream."""
+        self._uses += 1
+        upstream.used_at = self._uses
+        upstream.open_count += 1
+        self.refresh(upstream, now)
+
+    def give_back(self, upstream, now):
+        """Count a permit ended on the upstream."""
+        upstream.open_count -= 1
+        self.refresh(upstream, now)
+
+    def lift_ejections(self, now):
+        """Use ejected upstreams again: nothing else is left."""
+        for upstream in self.upstream_by_id.values():
+            if upstream.ejected_until > now:
+                upstream.ejected_until = 0.0
+                self.refresh(upstream, now)
+
+    def may_recover(self, now):
+        """Tell whether slots may become usable soon.
+
+        So it is while no loan has come in yet, while a loan has lapsed or
+        while the permits of a former arbiter are being counted; not where
+        every upstream is out by its own health.
+        """
+        usable = [u for u in self.upstream_by_id.values() if u.usable]
+        if not self.upstream_by_id:
+            return True
+        return any(u.paused_until <= now for u in usable)
+
+    def _get_capacity(self, upstream, now):
+        if not upstream.may_serve(now) or upstream.ejected_until > now:
+            return 0
+        return self.warmup.get_slots(upstream.id, upstream.slots, now)
+
+    def _set_place(self, upstream, capacity, key):
+        self.usable_slots += capacity - upstream.capacity
+        self.usable_count += (capacity > 0) - (upstream.capacity > 0)
+        upstream.capacity = capacity
+        if key == upstream.key:
+            return
+        if upstream.key is not None:
+            self._free.remove(upstream.key)
+        if key is not None:
+            self._free.add(key)
+        upstream.key = key
+
+    def _set_timer(self, upstream, now):
+        times = (
+            upstream.loan_end,
+            upstream.blocked_until,
+            upstream.ejected_until,
+            upstream.paused_until,
+            upstream.slow_until,
+            self.warmup.get_next_time(upstream.id, upstream.slots, now) or 0.0,
+        )
+        coming = [time for time in times if time > now]
+        if coming:
+            self._timers.set(upstream.id, min(coming))
+        else:
+            self._timers.cancel(upstream.id)
--- /dev/null
+++ b/godwitlanding/queue.py
@@ -0,0 +1,156 @@
+"""The pooled queue: who is next for any slot of the service in the zone.
+
+Load pattern: requests come in bursts, and several upstreams serve them. A
+queue for each upstream or each VM lets requests wait at one while a slot is
+free at another; one pooled queue gives the least waiting that the slots
+allow. Order is by priority of the kind of work, then by fair share of
+callers. Requests expected to take long stand in a lane of their own, so
+that they can be passed over while long jobs hold their share of the slots.
+
+Every operation is logarithmic in the number of requests that wait.
+"""
+
+from typing import NamedTuple
+
+from sortedcontainers import SortedDict, SortedList
+
+from godwitlanding.fairness import Tag, VirtualClock
+
+
+class Waiting(NamedTuple):
+    """A request in the queue; times are on the arbiter's clock.
+
+    ``start_by`` is the latest time at which a grant still helps.
+    """
+
+    ask: tuple
+    asked_at: float
+    start_by: float
+    is_long: bool
+    cost: float
+    tag: Tag
+
+
+class _Priority:
+    def __init__(self):
+        self.clock = VirtualClock()
+        self.short = SortedList()
+        self.long = SortedList()
+
+    def __len__(self):
+        return len(self.short) + len(self.long)
+
+    def get_lane(self, is_long):
+        return self.long if is_long else self.short
+
+    def get_first(self, may_take_long):
+        heads = [self.short[0]] if self.short else []
+        if self.long and may_take_long:
+            heads.append(self.long[0])
+        return min(heads, default=None)
+
+    def get_last(self):
+        return max(lane[-1] for lane in (self.short, self.long) if lane)
+
+
+class AskQueue:
+    """Requests that wait for a slot."""
+
+    def __init__(self):
+        self._waiting_by_id = {}
+        self._by_priority = SortedDict()
+        self._count_by_caller = {}
+
+    def __len__(self):
+        return len(self._waiting_by_id)
+
+    def __contains__(self, request_id):
+        return request_id in self._waiting_by_id
+
+    def add(self, ask, now, start_by, is_long=False, cost=1.0):
+        """Queue a request and return its ``Waiting``."""
+        priority = self._by_priority.setdefault(ask.priority, _Priority())
+        tag = priority.clock.make_tag(ask.caller, ask.request_id, cost)
+        waiting = Waiting(ask, now, start_by, is_long, cost, tag)
+        self._insert(priority, waiting)
+        return waiting
+
+    def put_back(self, waiting):
+        """Queue again, in its old place, what ``remove`` took out."""
+        self._insert(self._by_priority[waiting.ask.priority], waiting)
+
+    def get(self, request_id):
+        """Return the request's ``Waiting``, or ``None``."""
+        return self._waiting_by_id.get(request_id)
+
+    def remove(self, request_id):
+        """Take a request out; return its ``Waiting``, or ``None``."""
+        waiting = self._waiting_by_id.pop(request_id, None)
+        if waiting:
+            priority = self._by_priority[waiting.ask.priority]
+            priority.get_lane(waiting.is_long).remove(waiting.tag)
+            self._count(waiting.ask.caller, -1)
+        return waiting
+
+    def get_first(self, may_take_long=True):
+        """Return who is next, or ``None``; long jobs only if they may."""
+        for priority in self._by_priority.values():
+            tag = priority.get_first(may_take_long)
+            if tag:
+                return self._waiting_by_id[tag.request_id]
+        return None
+
+    def get_last(self):
+        """Return who would be served last, or ``None``."""
+        for priority in reversed(self._by_priority.values()):
+            if len(priority):
+                return self._waiting_by_id[priority.get_last().request_id]
+        return None
+
+    def note_served(self, waiting):
+        """A request that was taken out got a slot."""
+        self._by_priority[waiting.ask.priority].clock.note_served(waiting.tag)
+
+    def note_refused(self, waiting):
+        """A request that was taken out got none: do not charge for it."""
+        clock = self._by_priority[waiting.ask.priority].clock
+        clock.take_back(waiting.ask.caller, waiting.tag, waiting.cost)
+
+    def count_ahead(self, waiting):
+        """Return how many requests are served before this one."""
+        ahead = 0
+        for level, priority in self._by_priority.items():
+            if level >= waiting.ask.priority:
+                break
+            ahead += len(priority)
+        own = self._by_priority[waiting.ask.priority]
+        return ahead + sum(
+            lane.bisect_left(waiting.tag) for lane in (own.short, own.long)
+        )
+
+    def count_long_ahead(self, waiting):
+        """Return how many long requests are served before this one."""
+        ahead = 0
+        for level, priority in self._by_priority.items():
+            if level >= waiting.ask.priority:
+                break
+            ahead += len(priority.long)
+        own = self._by_priority[waiting.ask.priority]
+        return ahead + own.long.bisect_left(waiting.tag)
+
+    def is_over_share(self, caller):
+        """Tell whether the caller has more than twice its share waiting."""
+        share = len(self) / max(1, len(self._count_by_caller))
+        return self._count_by_caller.get(caller, 0) > max(1.0, 2 * share)
+
+    def _insert(self, priority, waiting):
+        priority.get_lane(waiting.is_long).add(waiting.tag)
+        self._waiting_by_id[waiting.ask.request_id] = waiting
+        self._count(waiting.ask.caller, 1)
+
+    def _count(self, caller, change):
+        count = self._count_by_caller.get(caller, 0) + change
+        if count:
+            self._count_by_caller[caller] = count
+        else:
+            del self._count_by_caller[caller]
--- /dev/null
+++ b/godwitlanding/reserve.py
@@ -0,0 +1,74 @@
+"""Long jobs kept from holding all the slots.
+
+Load pattern: one request in ten takes forty times as long as the others,
+such as a bundle of plans for a school's roof among single sheets. Long jobs
+gather in the slots, since each stays so much longer; when they hold all of
+them, every short request waits for a long one to end.
+
+What a request will take is foreseen from what requests with the same
+fingerprint took, or from the caller's hint. A job is long from 6 times the
+typical time: work of one kind whose times spread exponentially around a
+mean is above that in 3 cases of 100, so it is not split by mere chance.
+Typical is the geometric mean, which some very long jobs hardly move; where
+all work is long, none is.
+
+Long jobs may hold three quarters of the slots. The reserve is idle only
+while no short request waits for it, and the figures of other shares stand
+in ``docs/decisions.rst``.
+"""
+
+from collections import OrderedDict
+from math import exp, floor, log
+
+LONG_TIMES = 6.0
+LONG_SHARE = 0.75
+MAX_FINGERPRINTS = 4096
+_ALPHA = 0.3
+_TYPICAL_ALPHA = 0.02
+_LEAST_S = 1e-4
+
+
+class LongJobs:
+    """Foresees how long a request takes and limits the long ones."""
+
+    def __init__(self, work_s, long_share=LONG_SHARE):
+        self._typical_log = log(max(_LEAST_S, work_s))
+        self._long_share = long_share
+        self._expected_by_fingerprint = OrderedDict()
+        self.mean_long_s = 0.0
+
+    @property
+    def typical_s(self):
+        """Return the geometric mean of the times that requests took."""
+        return exp(self._typical_log)
+
+    def note(self, fingerprint, took_s):
+        """Learn from a request that was finished."""
+        took_s = max(_LEAST_S, took_s)
+        self._typical_log += _TYPICAL_ALPHA * (log(took_s) - self._typical_log)
+        if took_s > LONG_TIMES * self.typical_s:
+            change_s = took_s - self.mean_long_s
+            self.mean_long_s += change_s * (_ALPHA if self.mean_long_s else 1.0)
+        if not fingerprint:
+            return
+        held_s = self._expected_by_fingerprint.get(fingerprint, took_s)
+        self._expected_by_fingerprint[fingerprint] = held_s + _ALPHA * (took_s - held_s)
+        self._expected_by_fingerprint.move_to_end(fingerprint)
+        if len(self._expected_by_fingerprint) > MAX_FINGERPRINTS:
+            self._expected_by_fingerprint.popitem(last=False)
+
+    def get_expected_s(self, fingerprint):
+        """Return what such requests took before, 0 where not known."""
+        return self._expected_by_fingerprint.get(fingerprint, 0.0)
+
+    def is_long(self, expected_s):
+        """Tell whether a request of that time counts as long."""
+        return expected_s > LONG_TIMES * self.typical_s
+
+    def get_limit(self, slots):
+        """Return how many of the slots long jobs may hold."""
+        return max(1, floor(slots * self._long_share))
+
+    def may_start(self, open_count, slots):
+        """Tell whether one more long job may run beside ``open_count``."""
+        return open_count < self.get_limit(slots)
--- a/godwitlanding/spill.py
+++ b/godwitlanding/spill.py
@@ -97,6 +97,7 @@
 
     def take(self, request_id, now):
         """Return a zone with room for the request, or ``None``."""
+        self.end(request_id)
         for zone, allowance in self._allowance_by_zone.items():
             if self._open_by_zone.get(zone, 0) >= int(allowance):
                 continue
