--- /dev/null
+++ b/godwitlanding/decision.py
@@ -0,0 +1,45 @@
+"""What an arbiter is asked and what it decides."""
+
+from typing import NamedTuple
+
+from godwitlanding.codes import Refusal
+
+
+class Ask(NamedTuple):
+    """A request that wants a slot; ``deadline`` is on the arbiter's clock.
+
+    ``expected_s`` is a hint of how long the work takes, 0 for none.
+    """
+
+    request_id: str
+    caller: str
+    priority: int
+    deadline: float
+    fingerprint: int = 0
+    excluded_upstreams: frozenset[str] = frozenset()
+    attempt: int = 0
+    may_pass_on: bool = True
+    expected_s: float = 0.0
+
+
+class Grant(NamedTuple):
+    """A permit for one slot of an upstream until ``until``."""
+
+    permit_id: int
+    upstream: str
+    until: float
+    waited_s: float
+
+
+class Spill(NamedTuple):
+    """Leave to hand the request to another zone, once."""
+
+    availability_zone: str
+    waited_s: float
+
+
+class Decision(NamedTuple):
+    """What becomes of a request: ``Grant``, ``Spill`` or ``Refusal``."""
+
+    request_id: str
+    outcome: Grant | Spill | Refusal
--- /dev/null
+++ b/godwitlanding/intake.py
@@ -0,0 +1,150 @@
+"""The requests that wait for a slot, and those that are given up.
+
+Load pattern: overload. Each arrival is judged at once: where it could not
+start in time it is refused or handed to another zone in the same moment,
+and where it pushes a less important request beyond its time, that one is.
+Without this a caller learns of a refusal only when its time is over, and
+what it does next comes too late.
+"""
+
+from godwitlanding.admission import RECOVERY_WAIT_S
+from godwitlanding.codes import Code, Refusal
+from godwitlanding.decision import Decision, Spill
+from godwitlanding.fairness import bound_cost
+from godwitlanding.queue import AskQueue
+from godwitlanding.timers import Timers
+
+# Slots assumed before any upstream has been lent.
+DEFAULT_SLOTS = 3
+# Places that shrink at once, as when upstreams leave, are cut back by a few
+# of the last requests at each arrival; the others end by their own time.
+MAX_DISPLACED = 4
+
+
+class Intake:
+    """Queue, waiting limits and spill of one arbiter."""
+
+    def __init__(self, pool, admission, long_jobs, spill):
+        self.queue = AskQueue()
+        self._pool = pool
+        self._admission = admission
+        self._long_jobs = long_jobs
+        self._spill = spill
+        self._timers = Timers()
+        self._last_slots = DEFAULT_SLOTS
+
+    def add(self, ask, now):
+        """Queue a request; return its ``Waiting``."""
+        expected_s = ask.expected_s or self._long_jobs.get_expected_s(ask.fingerprint)
+        start_by = self._admission.get_start_by(now, ask.deadline)
+        waiting = self.queue.add(
+            ask,
+            now,
+            start_by,
+            self._long_jobs.is_long(expected_s),
+            bound_cost(expected_s, self._admission.work_time.mean_s),
+        )
+        self._timers.set(("ask", ask.request_id), start_by)
+        return waiting
+
+    def take_first(self, long_count):
+        """Take out who is next, or ``None``; ``long_count`` long jobs run."""
+        slots = self._pool.usable_slots
+        may_take_long = self._long_jobs.may_start(long_count, slots)
+        waiting = self.queue.get_first(may_take_long)
+        if waiting:
+            self.queue.remove(waiting.ask.request_id)
+            self._timers.cancel(("ask", waiting.ask.request_id))
+        return waiting
+
+    def put_back(self, waiting):
+        """Queue again, in its old place, what ``take_first`` took out."""
+        self.queue.put_back(waiting)
+        self._timers.set(("ask", waiting.ask.request_id), waiting.start_by)
+
+    def bound(self, waiting, excluded, now):
+        """Give up the newcomer or those it displaces, where all are late."""
+        if self._pool.usable_slots == 0:
+            if not self._pool.may_recover(now):
+                return [self._give_up(waiting, Code.NO_UPSTREAM, now)]
+            end = min(waiting.start_by, now + RECOVERY_WAIT_S)
+            self._timers.set(("ask", waiting.ask.request_id), end)
+        elif self._pool.is_all_excluded(excluded):
+            return [self._give_up(waiting, Code.NO_UPSTREAM, now)]
+        if self._is_late(waiting, now):
+            return [self._give_up(waiting, self._get_full_code(waiting), now)]
+        return self._displace(waiting, now)
+
+    def end_waits(self, now):
+        """Give up those whose time to start is over."""
+        self._last_slots = self._pool.usable_slots or self._last_slots
+        code = Code.DEADLINE_UNREACHABLE
+        if self._pool.usable_slots == 0:
+            code = Code.NO_UPSTREAM
+        decisions = []
+        for _, request_id in self._timers.pop_due(now):
+            waiting = self.queue.get(request_id)
+            if waiting:
+                decisions.append(self._give_up(waiting, code, now))
+            else:
+                self._spill.end(request_id)
+        return decisions
+
+    def withdraw(self, request_id):
+        """Forget a request whose caller has gone."""
+        waiting = self.queue.remove(request_id)
+        if waiting:
+            self._timers.cancel(("ask", request_id))
+            self.queue.note_refused(waiting)
+
+    def end_spill(self, request_id):
+        """The request that was passed on has ended."""
+        self._timers.cancel(("spill", request_id))
+        self._spill.end(request_id)
+
+    def get_next_time(self):
+        """Return when ``end_waits`` is due, or ``None``."""
+        return self._timers.get_next_time()
+
+    def get_return(self, now):
+        """Return in how many seconds a refused caller should come back."""
+        queued = len(self.queue)
+        return self._admission.get_retry_after_s(now, queued, self._last_slots)
+
+    def _displace(self, newcomer, now):
+        decisions = []
+        for _ in range(MAX_DISPLACED):
+            last = self.queue.get_last()
+            if last is newcomer or not self._is_late(last, now):
+                break
+            decisions.append(self._give_up(last, Code.DISPLACED, now))
+        return decisions
+
+    def _is_late(self, waiting, now):
+        slots = self._last_slots
+        ahead = self.queue.count_ahead(waiting)
+        wait_s = self._admission.get_wait_s(ahead, slots)
+        if waiting.is_long:
+            ahead = self.queue.count_long_ahead(waiting)
+            limit = self._long_jobs.get_limit(slots)
+            long_s = self._long_jobs.mean_long_s
+            wait_s = max(wait_s, self._admission.get_wait_s(ahead, limit, long_s))
+        return now + wait_s > waiting.start_by
+
+    def _get_full_code(self, waiting):
+        if self.queue.is_over_share(waiting.ask.caller):
+            return Code.CALLER_OVER_SHARE
+        return Code.QUEUE_FULL
+
+    def _give_up(self, waiting, code, now):
+        ask = waiting.ask
+        self.queue.remove(ask.request_id)
+        self.queue.note_refused(waiting)
+        self._timers.cancel(("ask", ask.request_id))
+        waited_s = now - waiting.asked_at
+        if ask.may_pass_on and ask.deadline - now > self._admission.work_time.mean_s:
+            zone = self._spill.take(ask.request_id, now)
+            if zone:
+                self._timers.set(("spill", ask.request_id), ask.deadline)
+                return Decision(ask.request_id, Spill(zone, waited_s))
+        return Decision(ask.request_id, Refusal(code, self.get_return(now)))
