--- /dev/null
+++ b/godwitlanding/loan.py
@@ -0,0 +1,264 @@
+"""Loans of upstreams: the owner's side and the arbiter's side.
+
+Answers the pattern of a full service whose slots are spread over many
+upstreams: one arbiter has to grant all of them for the pooled queue to
+work, and must lose them by itself when it dies, is paused or is cut off.
+Without loans either each member would keep a share (and slots would idle
+beside a queue) or two arbiters would grant the same slot (and upstreams
+would be pushed over). ``loan_s`` of five heartbeats passes over two lost
+renewals; it is also the time for which slots idle after an arbiter dies.
+
+The owner counts a loan from its answer, the arbiter from its question, so
+the owner's view always ends later. Pure: ``now`` is seconds of one
+monotonic clock, never shared between the two sides.
+"""
+
+from typing import NamedTuple
+
+from godwitlanding.messages import FORMER_NONE, Holder, Lent, Loan
+
+# Clocks of two machines run at slightly different rates.
+CLOCK_RATE_MARGIN = 1.01
+
+
+class Handover(NamedTuple):
+    """What the former owner told the new one about an upstream."""
+
+    to_incarnation: str
+    former_arbiter: str
+    holders: tuple[Holder, ...] = ()
+
+
+class _Owned:
+    """An upstream of this owner."""
+
+    def __init__(self, former, may_lend_at):
+        self.former = former
+        self.borrower = ""
+        self.is_confirmed = False
+        self.may_lend_at = may_lend_at
+        self.lent_until = 0.0
+        self.releasing = False
+
+
+class Lender:
+    """Lends the upstreams of one owner, each to one arbiter at a time."""
+
+    def __init__(self, incarnation, loan_s, started_at):
+        self._incarnation = incarnation
+        self._loan_s = loan_s
+        self._started_at = started_at
+        self._owned_by_upstream = {}
+        self._reported_by_holder = {}
+
+    def set_owned(self, handover_by_upstream, now):
+        """Take the roster's word on what this owner has.
+
+        A handover counts only for the incarnation it names: one that has
+        started again knows nothing of what its predecessor lent since, so
+        it lends nothing until the longest of those loans has ended.
+        """
+        for upstream in set(self._owned_by_upstream) - set(handover_by_upstream):
+            del self._owned_by_upstream[upstream]
+        for upstream, handover in handover_by_upstream.items():
+            if upstream not in self._owned_by_upstream:
+                self._owned_by_upstream[upstream] = self._take(handover, now)
+
+    def get_owned(self):
+        """Return the upstreams of this owner."""
+        return frozenset(self._owned_by_upstream)
+
+    def lend(self, loan, upstreams, longest_permit_s, now):
+        """Answer a ``Loan`` for the owner's ``upstreams`` of its service."""
+        known = self._list_holders(now, longest_permit_s)
+        for holder in loan.holders:
+            self._reported_by_holder[holder] = now
+        lent = []
+        former = []
+        for upstream in upstreams:
+            owned = self._owned_by_upstream.get(upstream)
+            if owned is None:
+                continue
+            self._note_holding(owned, upstream, loan)
+            if not self._may_lend(owned, loan.arbiter, now):
+                continue
+            if owned.borrower != loan.arbiter:
+                owned.former = self._get_last(owned, longest_permit_s, now)
+                owned.borrower = loan.arbiter
+                owned.is_confirmed = False
+            lent.append(upstream)
+            former.append(self._get_former(owned))
+            owned.lent_until = now + self._loan_s * CLOCK_RATE_MARGIN
+        return Lent(tuple(lent), self._loan_s, tuple(former), known)
+
+    def give_back(self, arbiter):
+        """End the loans to ``arbiter``, which says that it uses none."""
+        for owned in self._owned_by_upstream.values():
+            if owned.borrower == arbiter:
+                owned.lent_until = 0.0
+
+    def set_releasing(self, upstream, releasing):
+        """Lend an upstream no more, or again."""
+        if upstream in self._owned_by_upstream:
+            self._owned_by_upstream[upstream].releasing = releasing
+
+    def is_free(self, upstream, now):
+        """Tell whether no arbiter has the upstream on loan."""
+        owned = self._owned_by_upstream.get(upstream)
+        if owned is None:
+            return True
+        return max(owned.lent_until, owned.may_lend_at) <= now
+
+    def make_handover(self, upstream, to_incarnation, longest_permit_s, now):
+        """Return what the next owner has to know."""
+        owned = self._owned_by_upstream[upstream]
+        former = self._get_last(owned, longest_permit_s, now)
+        # A borrower that may never have got the loan has not asked about
+        # the permits of the one before: nobody knows them.
+        if owned.borrower and not owned.is_confirmed:
+            former = ""
+        holders = self._list_holders(now, longest_permit_s)
+        return Handover(to_incarnation, former, holders)
+
+    def get_status(self, now):
+        """Return who has which upstream on loan, for operators."""
+        return {
+            upstream: {
+                "arbiter": owned.borrower if owned.lent_until > now else "",
+                "lent_s": round(max(0.0, owned.lent_until - now), 2),
+                "releasing": owned.releasing,
+            }
+            for upstream, owned in sorted(self._owned_by_upstream.items())
+        }
+
+    def _take(self, handover, now):
+        if handover is None or handover.to_incarnation != self._incarnation:
+            wait_s = self._loan_s * CLOCK_RATE_MARGIN
+            return _Owned("", self._started_at + wait_s)
+        for holder in handover.holders:
+            self._reported_by_holder[holder] = now
+        return _Owned(handover.former_arbiter, now)
+
+    def _note_holding(self, owned, upstream, loan):
+        if owned.borrower != loan.arbiter:
+            return
+        if upstream in loan.holding:
+            owned.is_confirmed = True
+        else:
+            # The arbiter asks one question at a time and drops late
+            # answers: what it does not list it can no longer come to hold.
+            owned.lent_until = 0.0
+
+    def _may_lend(self, owned, arbiter, now):
+        if owned.releasing or owned.may_lend_at > now:
+            return False
+        return owned.borrower == arbiter or owned.lent_until <= now
+
+    def _get_former(self, owned):
+        """Return whom the borrower has to think of: itself if it had it."""
+        return owned.borrower if owned.is_confirmed else owned.former
+
+    def _get_last(self, owned, longest_permit_s, now):
+        if owned.borrower or owned.former:
+            return owned.borrower or owned.former
+        all_ended_at = owned.may_lend_at + longest_permit_s * CLOCK_RATE_MARGIN
+        return FORMER_NONE if now >= all_ended_at else ""
+
+    def _list_holders(self, now, longest_permit_s):
+        keep_s = (self._loan_s + longest_permit_s) * CLOCK_RATE_MARGIN
+        for holder, at in list(self._reported_by_holder.items()):
+            if now - at > keep_s:
+                del self._reported_by_holder[holder]
+        return tuple(sorted(self._reported_by_holder))
+
+
+class Gain(NamedTuple):
+    """An upstream that the arbiter may use until ``until``.
+
+    ``blocked_s`` is how long to grant nothing on it unless every one of
+    ``ask_holders`` has told its open permits before; 0 is no block.
+    """
+
+    upstream: str
+    until: float
+    is_new: bool
+    blocked_s: float = 0.0
+    ask_holders: tuple[Holder, ...] | None = None
+
+
+class Borrower:
+    """What the arbiter of one service has on loan."""
+
+    def __init__(self, arbiter, service):
+        self._arbiter = arbiter
+        self._service = service
+        self._until_by_upstream_by_owner = {}
+        self._holders = set()
+        self._told_by_owner = {}
+
+    def add_holder(self, holder):
+        """Note an entry process that asks for permits."""
+        self._holders.add(holder)
+
+    def remove_holder(self, holder):
+        """Forget an entry process whose permits have all ended."""
+        self._holders.discard(holder)
+
+    def may_grant_to(self, holder, now):
+        """Tell whether every lender knows that ``holder`` may have permits.
+
+        A lender that does not know it could not name it to the next
+        arbiter, which would then not ask it and grant its slots twice.
+        """
+        return all(
+            holder in self._told_by_owner.get(owner, ())
+            for owner, until_by_upstream in self._until_by_upstream_by_owner.items()
+            if any(until > now for until in until_by_upstream.values())
+        )
+
+    def make_loan(self, owner, now):
+        """Return the question to ``owner``."""
+        until_by_upstream = self._until_by_upstream_by_owner.get(owner, {})
+        holding = [u for u, until in until_by_upstream.items() if until > now]
+        return Loan(
+            self._arbiter,
+            self._service,
+            tuple(sorted(self._holders)),
+            tuple(sorted(holding)),
+        )
+
+    def take_lent(self, owner, loan, lent, asked_at, longest_permit_s, now):
+        """Take an owner's answer; return the gains and the upstreams lost."""
+        before = self._until_by_upstream_by_owner.get(owner, {})
+        until = asked_at + lent.valid_s
+        gains = []
+        for upstream, former in zip(lent.upstreams, lent.former_arbiters):
+            is_new = before.get(upstream, 0.0) <= now or former != self._arbiter
+            gain = Gain(upstream, until, is_new)
+            if former not in (self._arbiter, FORMER_NONE):
+                asks = lent.holders if former else None
+                blocked_s = longest_permit_s * CLOCK_RATE_MARGIN
+                gain = Gain(upstream, until, True, blocked_s, asks)
+            gains.append(gain)
+        now_held = dict.fromkeys(lent.upstreams, until)
+        self._until_by_upstream_by_owner[owner] = now_held
+        self._told_by_owner[owner] = frozenset(loan.holders)
+        return gains, sorted(set(before) - set(now_held))
+
+    def drop_owner(self, owner):
+        """Use nothing more of an owner; return its upstreams."""
+        self._told_by_owner.pop(owner, None)
+        return sorted(self._until_by_upstream_by_owner.pop(owner, {}))
+
+    def get_owners(self):
+        """Return the owners that lend something or did."""
+        return sorted(self._until_by_upstream_by_owner)
+
+    def get_upstreams(self, now):
+        """Return the upstreams on loan now."""
+        return sorted(
+            upstream
+            for until_by_upstream in self._until_by_upstream_by_owner.values()
+            for upstream, until in until_by_upstream.items()
+            if until > now
+        )
--- a/godwitlanding/messages.capnp
+++ b/godwitlanding/messages.capnp
@@ -75,6 +75,7 @@
   versions @3 :List(VersionOf);
   entryIncarnation @4 :Text;
   platformReachable @5 :Bool;
+  address @6 :Text;
 }
 
 struct Acquire {
@@ -144,14 +145,26 @@
   permits @0 :List(HeldPermit);
 }
 
+# An entry process that may hold permits.
+struct Holder {
+  vm @0 :Text;
+  incarnation @1 :Text;
+}
+
 struct Loan {
   arbiter @0 :Text;
   service @1 :Text;
+  holders @2 :List(Holder);
+  holding @3 :List(Text);
 }
 
+# For each upstream the arbiter that had it on loan last, "none" where no
+# permit can be open, empty where the owner does not know.
 struct Lent {
   upstreams @0 :List(Text);
   validS @1 :Float64;
+  formerArbiters @2 :List(Text);
+  holders @3 :List(Holder);
 }
 
 struct GiveBack {
--- a/godwitlanding/messages.py
+++ b/godwitlanding/messages.py
@@ -79,6 +79,7 @@
     versions: tuple[VersionOf, ...] = ()
     entry_incarnation: str = ""
     platform_reachable: bool = False
+    address: str = ""
 
 
 class Acquire(NamedTuple):
@@ -164,18 +165,39 @@
     permits: tuple[HeldPermit, ...] = ()
 
 
+class Holder(NamedTuple):
+    """An entry process that may hold permits."""
+
+    vm: str
+    incarnation: str
+
+
 class Loan(NamedTuple):
-    """An arbiter asks an owner to lend it its upstreams of a service."""
+    """An arbiter asks an owner to lend it its upstreams of a service.
+
+    ``holders`` may be granted permits once the owner has answered;
+    ``holding`` are the owner's upstreams that the arbiter still uses.
+    """
 
     arbiter: str
     service: str
+    holders: tuple[Holder, ...] = ()
+    holding: tuple[str, ...] = ()
 
 
 class Lent(NamedTuple):
-    """The upstreams lent; the borrower counts from when it asked."""
+    """The upstreams lent; the borrower counts from when it asked.
+
+    ``former_arbiters`` has, for each upstream, the incarnation that
+    borrowed it last, ``FORMER_NONE`` where no permit can be open, or
+    nothing where the owner does not know. ``holders`` may have permits of
+    former arbiters.
+    """
 
     upstreams: tuple[str, ...]
     valid_s: float
+    former_arbiters: tuple[str, ...] = ()
+    holders: tuple[Holder, ...] = ()
 
 
 class GiveBack(NamedTuple):
@@ -200,6 +222,8 @@
     state: str
 
 
+FORMER_NONE = "none"
+
 OUTCOME_OK = "ok"
 OUTCOME_FAILED = "failed"
 OUTCOME_TIMEOUT = "timeout"
@@ -270,7 +294,7 @@
 
 
 _CLASS_BY_UNION_NAME = {_union_name(cls): cls for cls in _CLASSES}
-_ROWS_BY_CLASS = {cls: _field_rows(cls) for cls in (*_CLASSES, VersionOf, HeldPermit)}
+_ROWS_BY_CLASS = {cls: _field_rows(cls) for cls in (*_CLASSES, VersionOf, HeldPermit, Holder)}
 
 
 def _to_dict(message):
--- /dev/null
+++ b/godwitlanding/roster.py
@@ -0,0 +1,138 @@
+"""Which member of a zone owns which upstream, and when that may change.
+
+Answers the pattern of VMs that are restarted or replaced under load: the
+slots of a lost member have to come back into use, yet never while somebody
+may still use them. An upstream passes to another member only when its owner
+has released it, or when the platform's list says that the owner's VM is
+gone and the longest loan and the longest permit have ended since. Without
+the waits two members would lend the same slots and upstreams would be
+pushed over; without the second way the slots of a lost VM would idle for
+good. A member that is merely silent keeps its upstreams.
+
+Pure: ``now`` is seconds of one monotonic clock.
+"""
+
+import json
+from typing import NamedTuple
+
+from godwitlanding.loan import CLOCK_RATE_MARGIN, Handover
+from godwitlanding.messages import FORMER_NONE, Holder
+from godwitlanding.rendezvous import choose
+
+ROSTER_KIND = "roster"
+# A member that has just come is given work when it has stayed this long,
+# so that one which starts and fails in a loop does not move slots about.
+REBALANCE_AFTER_S = 3.0
+
+
+class Roster(NamedTuple):
+    """The owners of a zone's upstreams."""
+
+    owner_by_upstream: dict[str, str]
+    handover_by_upstream: dict[str, Handover]
+
+    def get_owned(self, vm):
+        """Return the handover, or ``None``, of each upstream of ``vm``."""
+        return {
+            upstream: self.handover_by_upstream.get(upstream)
+            for upstream, owner in self.owner_by_upstream.items()
+            if owner == vm
+        }
+
+    def assign(self, handover_by_upstream, owner_by_upstream):
+        """Return the roster with the changes made."""
+        return Roster(
+            {**self.owner_by_upstream, **owner_by_upstream},
+            {**self.handover_by_upstream, **handover_by_upstream},
+        )
+
+
+EMPTY_ROSTER = Roster({}, {})
+
+
+def parse_roster(body):
+    """Return the roster in a state's body; ``ValueError`` if it is none."""
+    try:
+        value = json.loads(body)
+        handover_by_upstream = {
+            upstream: Handover(to, former, tuple(Holder(*row) for row in holders))
+            for upstream, (to, former, holders) in value.get(
+                "handover_by_upstream", {}
+            ).items()
+        }
+        return Roster(dict(value["owner_by_upstream"]), handover_by_upstream)
+    except (TypeError, KeyError, AttributeError) as error:
+        raise ValueError(f"not a roster: {error}") from error
+
+
+def format_roster(roster):
+    """Return the bytes of a roster as the platform stores it."""
+    return json.dumps(roster._asdict(), sort_keys=True).encode()
+
+
+class Candidate(NamedTuple):
+    """A member that may own upstreams."""
+
+    vm: str
+    incarnation: str
+    alive_since: float
+
+
+class RosterKeeper:
+    """Decides which upstreams may change hands; others make the writes."""
+
+    def __init__(self, vm, loan_s):
+        self._vm = vm
+        self._loan_s = loan_s
+        self._gone_since_by_vm = {}
+
+    def note_gone(self, gone_vms, now):
+        """Take which owners' VMs the platform's list lacks."""
+        for vm in set(self._gone_since_by_vm) - set(gone_vms):
+            del self._gone_since_by_vm[vm]
+        for vm in gone_vms:
+            self._gone_since_by_vm.setdefault(vm, now)
+
+    def find_claims(self, roster, longest_permit_s_by_upstream, candidates, now):
+        """Return ``(owners, handovers)`` of upstreams that nobody can use."""
+        incarnation_by_vm = {c.vm: c.incarnation for c in candidates}
+        owner_by_upstream = {}
+        handover_by_upstream = {}
+        for upstream, permit_s in longest_permit_s_by_upstream.items():
+            owner = roster.owner_by_upstream.get(upstream)
+            if owner and not self._has_ended(owner, permit_s, now):
+                continue
+            heir = choose(f"owner/{upstream}", incarnation_by_vm)
+            if heir:
+                owner_by_upstream[upstream] = heir
+                handover_by_upstream[upstream] = Handover(
+                    incarnation_by_vm[heir], FORMER_NONE
+                )
+        return owner_by_upstream, handover_by_upstream
+
+    def find_releases(self, owned, candidates, leaving, now):
+        """Return the next owner of each upstream that this member gives up."""
+        stable = [
+            candidate.vm
+            for candidate in candidates
+            if leaving or now - candidate.alive_since >= REBALANCE_AFTER_S
+        ]
+        others = [vm for vm in stable if vm != self._vm]
+        heirs = others if leaving else sorted({*others, self._vm})
+        heir_by_upstream = {}
+        for upstream in owned:
+            heir = choose(f"owner/{upstream}", heirs)
+            if heir and heir != self._vm:
+                heir_by_upstream[upstream] = heir
+        return heir_by_upstream
+
+    def get_status(self, now):
+        """Return the owners that are gone and for how long, in seconds."""
+        return {vm: round(now - at, 1) for vm, at in self._gone_since_by_vm.items()}
+
+    def _has_ended(self, owner, permit_s, now):
+        gone_since = self._gone_since_by_vm.get(owner)
+        if gone_since is None:
+            return False
+        wait_s = (self._loan_s + permit_s) * CLOCK_RATE_MARGIN
+        return now - gone_since >= wait_s
--- /dev/null
+++ b/godwitlanding/services/configuration.py
@@ -0,0 +1,58 @@
+"""The operators' configuration and the plan, parsed once for a process."""
+
+from godwitlanding.config import CONFIG_KIND, parse_config
+from godwitlanding.kernel import Service
+from godwitlanding.log import log_error
+from godwitlanding.plan import EMPTY_PLAN, parse_plan
+
+
+class Configuration(Service):
+    """Holds the typed form of the newest configuration and plan."""
+
+    name = "configuration"
+
+    def __init__(self, context):
+        self.config = None
+        self.plan = EMPTY_PLAN
+        self.version = 0
+        self.plan_version = 0
+        self._context = context
+
+    async def start(self, kernel):
+        """Follow the replica; listeners that come later see the new form."""
+        self._context.replica.listen(self._take)
+
+    def get_status(self):
+        """Return the versions in force."""
+        return {
+            "version": self.version,
+            "plan_version": self.plan_version,
+            "plan_step": self.plan.step,
+            "plan_why": self.plan.why,
+        }
+
+    def _take(self, state):
+        if state.kind == CONFIG_KIND:
+            self._take_config(state)
+        elif state.kind == "plan":
+            self._take_plan(state)
+
+    def _take_config(self, state):
+        parsed = parse_config(state.body.decode(errors="replace"))
+        # Somebody wrote past the checks of godwitctl: the last good text
+        # stays in force, and the error log and the counter show it.
+        if parsed.is_err():
+            self._context.counters.add("config_refused")
+            problems = [str(problem) for problem in parsed.unwrap_err()[:5]]
+            log_error("config:refused", version=state.version, problems=problems)
+            return
+        self.config = parsed.unwrap()
+        self.version = state.version
+
+    def _take_plan(self, state):
+        try:
+            self.plan = parse_plan(state.body)
+            self.plan_version = state.version
+        except ValueError as error:
+            self._context.counters.add("plan_refused")
+            log_error("plan:refused", version=state.version, error=str(error))
--- /dev/null
+++ b/godwitlanding/services/members.py
@@ -0,0 +1,237 @@
+"""Heartbeats between the members of a zone, and the view they give."""
+
+import asyncio
+import json
+
+from godwitlanding.kernel import Service
+from godwitlanding.log import log_warning
+from godwitlanding.membership import Membership, choose_arbiters, get_active
+from godwitlanding.messages import Fetch, Heartbeat, State, VersionOf
+from godwitlanding.store import VmEntry, VmList
+from godwitlanding.tasks import Tasks
+
+VMS_KIND = "vms"
+MEMBERS_KIND = "members"
+# A zone's summary comes again by itself every few seconds, so its version
+# is not worth its bytes in every heartbeat.
+KINDS_IN_HEARTBEATS = ("config", "plan", "secret", "roster", "vms", "blocks")
+
+
+def parse_vm_list(state):
+    """Return the ``VmList`` in a ``vms`` state."""
+    rows = json.loads(state.body)["vms"]
+    return VmList(state.version, tuple(VmEntry(**row) for row in rows))
+
+
+def format_vm_list(vm_list):
+    """Return the ``vms`` state of a list of VMs."""
+    rows = [entry._asdict() for entry in vm_list.vms]
+    body = json.dumps({"vms": rows}, sort_keys=True).encode()
+    return State(VMS_KIND, "main", vm_list.version, body)
+
+
+class Members(Service):
+    """Sends and takes heartbeats; publishes the ``members`` state."""
+
+    name = "members"
+    needs = ("peers", "configuration")
+
+    def __init__(self, context):
+        self.member_by_vm = {}
+        self.platform_reachable = False
+        self.entry_incarnation = ""
+        self.membership = None
+        self._context = context
+        self._tasks = Tasks()
+        self._pool = None
+        self._configuration = None
+        self._listeners = []
+        self._alive_since_by_vm = {}
+        self._push_count = 0
+
+    async def start(self, kernel):
+        """Begin the heartbeats."""
+        settings = self._context.settings
+        self.membership = Membership(
+            self._context.vm,
+            settings["address"],
+            self._context.availability_zone,
+            settings["member_timeout_s"],
+            self._now(),
+        )
+        self._configuration = kernel.get("configuration")
+        peers = kernel.get("peers")
+        self._pool = peers.pool
+        peers.handle(Heartbeat, self._take_heartbeat)
+        self._context.replica.listen(self._take_state)
+        self._tasks.repeat(settings["heartbeat_s"], self._beat)
+
+    async def stop(self):
+        """End the heartbeats."""
+        await self._tasks.stop()
+
+    def listen(self, listener):
+        """Call ``listener()`` when the view of the zone may have changed."""
+        self._listeners.append(listener)
+
+    def get_services(self):
+        """Return the names of the services in the configuration in force."""
+        config = self._configuration.config
+        return sorted(config.service_by_name) if config else []
+
+    def get_arbiters(self):
+        """Return the VMs to ask for permits, best first, by service."""
+        return choose_arbiters(self.get_services(), self.member_by_vm)
+
+    def get_active(self):
+        """Return the VMs of the zone that may be given work."""
+        return get_active(self.member_by_vm)
+
+    def get_alive_since(self, vm):
+        """Return since when a member has been alive without a break."""
+        return self._alive_since_by_vm.get(vm, self._now())
+
+    def is_settled(self):
+        """Tell whether the other members have had time to be heard."""
+        return self.membership.is_settled(self._now())
+
+    def get_peer_addresses(self):
+        """Return ``ip:port`` of the other members' zone daemons, by VM."""
+        port = self._context.settings["zone_port"]
+        return {
+            vm: f"{member.address}:{port}"
+            for vm, member in self.member_by_vm.items()
+            if vm != self._context.vm and member.address
+        }
+
+    async def announce(self):
+        """Send a heartbeat now, as when this VM begins to leave."""
+        await self._beat()
+
+    def set_leaving(self):
+        """Take this VM out of answers; it goes on serving what it has."""
+        self.membership.leaving = True
+        self.refresh()
+
+    def refresh(self):
+        """Work out the view again and publish it if it has changed."""
+        now = self._now()
+        self.member_by_vm = self.membership.get_members(now, self._make_heartbeat())
+        self._note_alive(now)
+        if self.is_settled():
+            self._publish()
+
+    def get_status(self):
+        """Return the members and arbiters as this process sees them."""
+        if self.membership is None:
+            return {}
+        members = [m._asdict() for _, m in sorted(self.member_by_vm.items())]
+        return {
+            "availability_zone": self._context.availability_zone,
+            "incarnation": self._context.incarnation,
+            "members": members,
+            "arbiters_by_service": self.get_arbiters(),
+            "vm_list_version": self.membership.vm_list.version,
+            "platform_reachable": self.platform_reachable,
+        }
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+    def _note_alive(self, now):
+        for vm, member in self.member_by_vm.items():
+            if member.alive:
+                self._alive_since_by_vm.setdefault(vm, now)
+            else:
+                self._alive_since_by_vm.pop(vm, None)
+
+    def _publish(self):
+        body = json.dumps(
+            {
+                "members": [
+                    {
+                        "vm": member.vm,
+                        "address": member.address,
+                        "entry_incarnation": member.entry_incarnation,
+                        "alive": member.alive,
+                        "leaving": member.leaving,
+                        "platform_reachable": member.platform_reachable,
+                    }
+                    for _, member in sorted(self.member_by_vm.items())
+                ],
+                "arbiters_by_service": self.get_arbiters(),
+            },
+            sort_keys=True,
+        ).encode()
+        zone = self._context.availability_zone
+        held = self._context.replica.get(MEMBERS_KIND, zone)
+        if held and held.body == body:
+            return
+        self._push_count += 1
+        state = State(MEMBERS_KIND, zone, self._push_count, body)
+        self._context.replica.offer(state)
+        for listener in self._listeners:
+            listener()
+
+    def _make_heartbeat(self):
+        return Heartbeat(
+            vm=self._context.vm,
+            incarnation=self._context.incarnation,
+            leaving=self.membership.leaving,
+            versions=self._get_versions(),
+            entry_incarnation=self.entry_incarnation,
+            platform_reachable=self.platform_reachable,
+            address=self._context.settings["address"],
+        )
+
+    def _get_versions(self):
+        return tuple(
+            VersionOf(state.kind, state.name, state.version)
+            for kind in KINDS_IN_HEARTBEATS
+            for state in self._context.replica.get_kind(kind)
+        )
+
+    async def _beat(self):
+        self.refresh()
+        heartbeat = self._make_heartbeat()
+        for vm, address in self.get_peer_addresses().items():
+            self._tasks.run(self._send(address, heartbeat))
+        self._context.counters.add(
+            "heartbeats_sent", amount=len(self.get_peer_addresses())
+        )
+
+    async def _send(self, address, heartbeat):
+        sent = await self._pool.send(address, heartbeat)
+        if sent.is_err():
+            self._context.counters.add("heartbeats_unsent")
+
+    async def _take_heartbeat(self, channel, heartbeat):
+        if channel.peer.availability_zone != self._context.availability_zone:
+            return
+        is_news = self.membership.take_heartbeat(heartbeat, self._now())
+        if is_news:
+            self.refresh()
+        await self._fetch_missing(channel, heartbeat)
+
+    async def _fetch_missing(self, channel, heartbeat):
+        replica = self._context.replica
+        for row in heartbeat.versions:
+            if row.version <= replica.get_version(row.kind, row.name):
+                continue
+            timeout_s = self._context.settings["member_timeout_s"]
+            fetched = await channel.call(Fetch(row.kind, row.name), timeout_s)
+            if fetched.is_ok() and isinstance(fetched.unwrap(), State):
+                self._context.counters.add("versions_fetched", kind=row.kind)
+                replica.offer(fetched.unwrap())
+
+    def _take_state(self, state):
+        if state.kind == VMS_KIND:
+            try:
+                vm_list = parse_vm_list(state)
+            except (ValueError, KeyError, TypeError) as error:
+                log_warning("members:bad_vm_list", error=repr(error))
+                return
+            self.membership.take_list(vm_list, self._now())
+            self.refresh()
+        elif state.kind == "config":
+            self.refresh()
--- /dev/null
+++ b/godwitlanding/services/platform.py
@@ -0,0 +1,16 @@
+"""The platform's object API as a service of a daemon."""
+
+from godwitlanding.kernel import Service
+
+
+class Platform(Service):
+    """Opens and closes the client of the platform."""
+
+    name = "platform"
+
+    def __init__(self, store):
+        self.store = store
+
+    async def stop(self):
+        """Close the client's connections."""
+        await self.store.close()
--- /dev/null
+++ b/godwitlanding/services/replication.py
@@ -0,0 +1,233 @@
+"""Brings versioned objects from the platform to every process of a zone.
+
+Two members of a zone watch the platform and pass each change on to the
+others at once, so that the platform's reads grow with zones and not with
+VMs. Every member pushes what it holds to the processes of its VM.
+"""
+
+import asyncio
+import json
+import secrets
+
+from godwitlanding.codes import Code
+from godwitlanding.kernel import Service
+from godwitlanding.log import log_warning
+from godwitlanding.membership import choose_reachable
+from godwitlanding.messages import Failure, Fetch, State, Subscribe
+from godwitlanding.services.members import VMS_KIND, format_vm_list
+from godwitlanding.tasks import Tasks
+
+WATCHED_KINDS = ("config", "plan", "secret", "roster", "summary", "blocks")
+WATCHERS = 2
+WATCH_S = 30.0
+RETRY_S = 0.5
+# Members that do not watch look this many list intervals apart whether the
+# platform answers them; at 2,000 nodes that is 200 reads a second.
+REACH_INTERVALS = 5
+SECRET_BYTES = 32
+FETCH_TIMEOUT_S = 1.0
+
+
+class Replication(Service):
+    """Watches, passes on, serves ``Fetch`` and pushes to subscribers."""
+
+    name = "replication"
+    needs = ("peers", "members", "platform")
+
+    def __init__(self, context):
+        self._context = context
+        self._tasks = Tasks()
+        self._kinds_by_channel = {}
+        self._after_by_kind = {}
+        self._watch_task_by_kind = {}
+        self._stored_older_by_key = {}
+        self._members = None
+        self._peers = None
+        self._store = None
+        self._loops = 0
+
+    async def start(self, kernel):
+        """Begin to watch, or take what peers hold."""
+        self._members = kernel.get("members")
+        self._peers = kernel.get("peers")
+        self._store = kernel.get("platform").store
+        self._peers.handle(Subscribe, self._subscribe)
+        self._peers.handle(State, self._take_from_peer)
+        self._peers.handle(Fetch, self._answer_fetch)
+        self._context.replica.listen(self._push)
+        interval_s = self._context.settings["vm_list_s"]
+        self._tasks.repeat(interval_s, self._read_vm_list)
+        self._tasks.repeat(RETRY_S, self._choose_watchers)
+        self._tasks.repeat(RETRY_S, self._ask_seeds)
+
+    async def stop(self):
+        """End the watches."""
+        for task in self._watch_task_by_kind.values():
+            task.cancel()
+        await self._tasks.stop()
+
+    def is_ready(self):
+        """Tell whether there is a configuration to serve by."""
+        replica = self._context.replica
+        return bool(replica.get("config", "main") and replica.get(VMS_KIND, "main"))
+
+    def is_watcher(self):
+        """Tell whether this member reads the platform for the zone."""
+        zone = self._context.availability_zone
+        members = self._members.member_by_vm
+        return self._context.vm in choose_reachable(f"watch/{zone}", members, WATCHERS)
+
+    async def spread(self, state):
+        """Take a state that this process has written and pass it on."""
+        self._context.replica.offer(state)
+        self._pass_on(state)
+
+    def get_status(self):
+        """Return the versions held and whether this member watches."""
+        replica = self._context.replica
+        return {
+            "is_watcher": bool(self._watch_task_by_kind),
+            "watched_kinds": sorted(self._watch_task_by_kind),
+            "ready": self.is_ready(),
+            "version_by_object": {
+                f"{kind}/{name}": state.version
+                for (kind, name), state in sorted(replica.state_by_key.items())
+            },
+            "older_on_platform": self._stored_older_by_key,
+            "subscribers": len(self._kinds_by_channel),
+        }
+
+    async def _choose_watchers(self):
+        wanted = self.is_watcher() or not self._members.is_settled()
+        for kind in WATCHED_KINDS:
+            task = self._watch_task_by_kind.get(kind)
+            if wanted and (task is None or task.done()):
+                self._watch_task_by_kind[kind] = self._tasks.run(self._watch(kind))
+            elif task and not wanted:
+                task.cancel()
+                del self._watch_task_by_kind[kind]
+
+    async def _watch(self, kind):
+        while True:
+            after = self._after_by_kind.get(kind, 0)
+            answer = await self._store.watch(kind, after, WATCH_S)
+            if answer.is_err():
+                await self._note_watch_failure(kind, answer.unwrap_err())
+                continue
+            self._members.platform_reachable = True
+            batch = answer.unwrap()
+            self._after_by_kind[kind] = batch.version
+            for event in batch.events:
+                if not event.deleted:
+                    self._take_from_platform(event.stored)
+            if kind == "secret":
+                await self._create_secret()
+            if kind == "summary":
+                # Summaries change all the time: one look a second gathers
+                # them instead of one answer for each.
+                await asyncio.sleep(1.0)
+
+    async def _note_watch_failure(self, kind, refusal):
+        code = refusal.code
+        self._context.counters.add("platform_watch_failed", code=code.name)
+        if code is Code.WATCH_EXPIRED:
+            self._after_by_kind[kind] = 0
+            return
+        if code is Code.PLATFORM_UNAVAILABLE:
+            self._members.platform_reachable = False
+        await asyncio.sleep(max(RETRY_S, refusal.retry_after_s))
+
+    def _take_from_platform(self, stored):
+        state = State(stored.kind, stored.name, stored.version, stored.value)
+        key = f"{state.kind}/{state.name}"
+        if state.version < self._context.replica.get_version(state.kind, state.name):
+            self._stored_older_by_key[key] = state.version
+        else:
+            self._stored_older_by_key.pop(key, None)
+        if self._context.replica.offer(state):
+            self._pass_on(state)
+
+    def _pass_on(self, state):
+        for address in self._members.get_peer_addresses().values():
+            self._tasks.run(self._peers.pool.send(address, state))
+
+    async def _create_secret(self):
+        if self._context.replica.get("secret", "ticket"):
+            return
+        key = secrets.token_hex(SECRET_BYTES)
+        body = json.dumps({"key": key}).encode()
+        # Whoever loses the race reads the winner's key from the watch.
+        await self._store.put("secret", "ticket", body, 0)
+
+    async def _read_vm_list(self):
+        self._loops += 1
+        mine = self.is_watcher() or not self.is_ready()
+        if not mine and self._loops % REACH_INTERVALS:
+            return
+        answer = await self._store.list_vms()
+        if answer.is_err():
+            code = answer.unwrap_err().code
+            self._context.counters.add("platform_read_failed", code=code.name)
+            if code is Code.PLATFORM_UNAVAILABLE:
+                self._members.platform_reachable = False
+            return
+        self._members.platform_reachable = True
+        state = format_vm_list(answer.unwrap())
+        if self._context.replica.offer(state):
+            self._pass_on(state)
+
+    async def _ask_seeds(self):
+        """Take the newest of everything from peers while the platform is away.
+
+        A VM started during an outage has no list of VMs: it asks the
+        addresses in its settings, in any zone, and then what those name.
+        """
+        if self.is_ready():
+            return
+        port = self._context.settings["zone_port"]
+        for seed in self._context.settings["seeds"]:
+            for kind, name in (
+                (VMS_KIND, "main"),
+                ("config", "main"),
+                ("plan", "main"),
+                ("secret", "ticket"),
+                ("roster", self._context.availability_zone),
+            ):
+                fetch = Fetch(kind, name)
+                answer = await self._peers.pool.call(
+                    f"{seed}:{port}", fetch, FETCH_TIMEOUT_S
+                )
+                if answer.is_ok() and isinstance(answer.unwrap(), State):
+                    self._context.replica.offer(answer.unwrap())
+
+    async def _subscribe(self, channel, message):
+        self._kinds_by_channel[channel] = frozenset(message.kinds)
+        if channel.peer.role == "entry" and channel.peer.vm == self._context.vm:
+            self._members.entry_incarnation = channel.peer.incarnation
+            self._members.refresh()
+        for state in list(self._context.replica.state_by_key.values()):
+            if state.kind in message.kinds:
+                channel.send(state)
+        self._tasks.run(self._forget_when_closed(channel))
+
+    async def _forget_when_closed(self, channel):
+        await channel.closed.wait()
+        self._kinds_by_channel.pop(channel, None)
+
+    def _push(self, state):
+        for channel, kinds in self._kinds_by_channel.items():
+            if state.kind in kinds:
+                channel.send(state)
+
+    async def _take_from_peer(self, channel, state):
+        if state.kind == "members":
+            return
+        if state.version > self._context.replica.get_version(state.kind, state.name):
+            self._context.counters.add("states_from_peers", kind=state.kind)
+            self._context.replica.offer(state)
+        elif state.version < self._context.replica.get_version(state.kind, state.name):
+            log_warning("replication:peer_is_behind", peer=channel.peer.vm)
+
+    async def _answer_fetch(self, channel, fetch):
+        held = self._context.replica.get(fetch.kind, fetch.name)
+        return held or Failure(Code.NOT_FOUND.value)
--- a/godwitlanding/settings.py
+++ b/godwitlanding/settings.py
@@ -30,6 +30,12 @@
     "address": Field("text", help="IP number on which this VM's daemons listen."),
     "availability_zone": Field("text", help="Availability zone of this VM."),
     "platform_url": Field("text", help="Base URL of the platform's object API."),
+    "seeds": Field(
+        "list",
+        [],
+        item=Field("text"),
+        help="IP numbers of VMs, of any zone, to ask while the platform is away.",
+    ),
     "log_level": Field(
         "text",
         "info",
--- /dev/null
+++ b/godwitlanding/tasks.py
@@ -0,0 +1,52 @@
+"""Loops that a service runs until it is stopped."""
+
+import asyncio
+import traceback
+
+from godwitlanding.log import log_error
+
+
+class Tasks:
+    """Background coroutines of a service, ended together."""
+
+    def __init__(self):
+        self._tasks = set()
+
+    def run(self, coroutine):
+        """Run a coroutine in the background; a failure is logged."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._end)
+        return task
+
+    def repeat(self, interval_s, function):
+        """Call a coroutine function again and again, ``interval_s`` apart."""
+        return self.run(_repeat(interval_s, function))
+
+    async def stop(self):
+        """Cancel what still runs and wait for its end."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _end(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            log_error("task:failed", error=repr(task.exception()))
+
+
+async def _repeat(interval_s, function):
+    # One failure must not end the loop: a heartbeat that stops for good
+    # would take its member out of the zone though the process runs.
+    while True:
+        try:
+            await function()
+        except Exception as error:
+            log_error(
+                "task:round_failed",
+                function=function.__qualname__,
+                error=repr(error),
+                trace=traceback.format_exc(limit=-3),
+            )
+        await asyncio.sleep(interval_s)
