--- a/godwitlanding/loan.py
+++ b/godwitlanding/loan.py
@@ -15,7 +15,7 @@
 
 from typing import NamedTuple
 
-from godwitlanding.messages import FORMER_NONE, Holder, Lent, Loan
+from godwitlanding.messages import FORMER_NONE, GiveBack, Holder, Lent, Loan
 
 # Clocks of two machines run at slightly different rates.
 CLOCK_RATE_MARGIN = 1.01
@@ -50,6 +50,7 @@
         self._started_at = started_at
         self._owned_by_upstream = {}
         self._reported_by_holder = {}
+        self._number_by_arbiter = {}
 
     def set_owned(self, handover_by_upstream, now):
         """Take the roster's word on what this owner has.
@@ -71,6 +72,8 @@
     def lend(self, loan, upstreams, longest_permit_s, now):
         """Answer a ``Loan`` for the owner's ``upstreams`` of its service."""
         known = self._list_holders(now, longest_permit_s)
+        if self._is_late(loan):
+            return Lent((), 0.0)
         for holder in loan.holders:
             self._reported_by_holder[holder] = now
         lent = []
@@ -91,10 +94,13 @@
             owned.lent_until = now + self._loan_s * CLOCK_RATE_MARGIN
         return Lent(tuple(lent), self._loan_s, tuple(former), known)
 
-    def give_back(self, arbiter):
-        """End the loans to ``arbiter``, which says that it uses none."""
-        for owned in self._owned_by_upstream.values():
-            if owned.borrower == arbiter:
+    def give_back(self, message, upstreams):
+        """End the loans of ``upstreams`` to an arbiter that uses none."""
+        if self._is_late(message):
+            return
+        for upstream in upstreams:
+            owned = self._owned_by_upstream.get(upstream)
+            if owned and owned.borrower == message.arbiter:
                 owned.lent_until = 0.0
 
     def set_releasing(self, upstream, releasing):
@@ -139,6 +145,15 @@
             self._reported_by_holder[holder] = now
         return _Owned(handover.former_arbiter, now)
 
+    def _is_late(self, message):
+        # A message of a connection that broke may be read after those of
+        # the next one. What it lists as not in use may be in use by now.
+        key = (message.arbiter, message.service)
+        if message.number <= self._number_by_arbiter.get(key, 0):
+            return True
+        self._number_by_arbiter[key] = message.number
+        return False
+
     def _note_holding(self, owned, upstream, loan):
         if owned.borrower != loan.arbiter:
             return
@@ -195,6 +210,7 @@
         self._until_by_upstream_by_owner = {}
         self._holders = set()
         self._told_by_owner = {}
+        self._number = 0
 
     def add_holder(self, holder):
         """Note an entry process that asks for permits."""
@@ -210,23 +226,35 @@
         A lender that does not know it could not name it to the next
         arbiter, which would then not ask it and grant its slots twice.
         """
-        return all(
-            holder in self._told_by_owner.get(owner, ())
+        return holder in self._holders and not self.get_untold(holder, now)
+
+    def get_untold(self, holder, now):
+        """Return the lenders that do not know ``holder`` yet."""
+        return [
+            owner
             for owner, until_by_upstream in self._until_by_upstream_by_owner.items()
             if any(until > now for until in until_by_upstream.values())
-        )
+            and holder not in self._told_by_owner.get(owner, ())
+        ]
 
     def make_loan(self, owner, now):
         """Return the question to ``owner``."""
         until_by_upstream = self._until_by_upstream_by_owner.get(owner, {})
         holding = [u for u, until in until_by_upstream.items() if until > now]
+        self._number += 1
         return Loan(
             self._arbiter,
             self._service,
             tuple(sorted(self._holders)),
             tuple(sorted(holding)),
+            self._number,
         )
 
+    def make_give_back(self):
+        """Return the word to an owner that nothing of its is in use."""
+        self._number += 1
+        return GiveBack(self._arbiter, self._service, self._number)
+
     def take_lent(self, owner, loan, lent, asked_at, longest_permit_s, now):
         """Take an owner's answer; return the gains and the upstreams lost."""
         before = self._until_by_upstream_by_owner.get(owner, {})
--- a/godwitlanding/messages.capnp
+++ b/godwitlanding/messages.capnp
@@ -156,6 +156,7 @@
   service @1 :Text;
   holders @2 :List(Holder);
   holding @3 :List(Text);
+  number @4 :UInt64;
 }
 
 # For each upstream the arbiter that had it on loan last, "none" where no
@@ -170,6 +171,7 @@
 struct GiveBack {
   arbiter @0 :Text;
   service @1 :Text;
+  number @2 :UInt64;
 }
 
 struct Poison {
--- a/godwitlanding/messages.py
+++ b/godwitlanding/messages.py
@@ -177,12 +177,14 @@
 
     ``holders`` may be granted permits once the owner has answered;
     ``holding`` are the owner's upstreams that the arbiter still uses.
+    ``number`` grows, so that a question which arrives late is told apart.
     """
 
     arbiter: str
     service: str
     holders: tuple[Holder, ...] = ()
     holding: tuple[str, ...] = ()
+    number: int = 0
 
 
 class Lent(NamedTuple):
@@ -205,6 +207,7 @@
 
     arbiter: str
     service: str
+    number: int = 0
 
 
 class Poison(NamedTuple):
@@ -294,7 +297,9 @@
 
 
 _CLASS_BY_UNION_NAME = {_union_name(cls): cls for cls in _CLASSES}
-_ROWS_BY_CLASS = {cls: _field_rows(cls) for cls in (*_CLASSES, VersionOf, HeldPermit, Holder)}
+_ROWS_BY_CLASS = {
+    cls: _field_rows(cls) for cls in (*_CLASSES, VersionOf, HeldPermit, Holder)
+}
 
 
 def _to_dict(message):
--- a/godwitlanding/rendezvous.py
+++ b/godwitlanding/rendezvous.py
@@ -21,4 +21,4 @@
 
 
 def _score(key, name):
-    return xxhash.xxh3_64_intdigest(f"{key}\0{name}")
+    return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
--- /dev/null
+++ b/godwitlanding/services/departure.py
@@ -0,0 +1,40 @@
+"""The graceful stop of a zone daemon, while everything else still runs."""
+
+import asyncio
+
+from godwitlanding.kernel import Service
+from godwitlanding.log import log_warning
+
+
+class Departure(Service):
+    """Takes this VM out of answers, gives up its upstreams, then ends."""
+
+    name = "departure"
+    needs = ("listener", "arbitration", "lending", "members", "probes", "http")
+
+    def __init__(self, context):
+        self._context = context
+        self._kernel = None
+
+    def get_kernel(self):
+        """Return the kernel that started this service."""
+        return self._kernel
+
+    async def start(self, kernel):
+        """Note the kernel for the status page."""
+        self._kernel = kernel
+
+    async def stop(self):
+        """Leave, waiting at most ``stop_limit_s``."""
+        members = self._kernel.get("members")
+        members.set_leaving()
+        await members.announce()
+        limit_s = self._context.settings["stop_limit_s"]
+        try:
+            await asyncio.wait_for(self._give_up(), limit_s)
+        except TimeoutError:
+            log_warning("departure:limit_reached", waited_s=limit_s)
+
+    async def _give_up(self):
+        await self._kernel.get("arbitration").give_up()
+        await self._kernel.get("lending").give_up()
--- a/godwitlanding/services/lending.py
+++ b/godwitlanding/services/lending.py
@@ -37,7 +37,6 @@
         self._configuration = None
         self._replication = None
         self._store = None
-        self._must_read = True
         self._heir_by_upstream = {}
         self._leaving = False
 
@@ -115,8 +114,13 @@
             return Failure(Code.LOAN_REFUSED.value)
         return lent
 
+    def take_give_back(self, message):
+        """Take the word of an arbiter that uses its loans no more."""
+        owned = self._get_owned(message.service)
+        self._lender.give_back(message, owned)
+
     async def _take_give_back(self, channel, message):
-        self._lender.give_back(message.arbiter)
+        self.take_give_back(message)
 
     def _take_state(self, state):
         zone = self._context.availability_zone
--- /dev/null
+++ b/godwitlanding/services/probes.py
@@ -0,0 +1,86 @@
+"""Probes the health endpoints of the upstreams that this VM arbitrates."""
+
+import asyncio
+import json
+
+import aiohttp
+
+from godwitlanding.health import DRAINING, FAILED, READY
+from godwitlanding.kernel import Service
+from godwitlanding.tasks import Tasks
+
+MAX_BODY_BYTES = 4096
+
+
+class Probes(Service):
+    """Asks ``/healthz`` of each upstream every ``probe_s``."""
+
+    name = "probes"
+    needs = ("arbitration", "configuration")
+
+    def __init__(self, context):
+        self._context = context
+        self._tasks = Tasks()
+        self._session = None
+        self._probing = set()
+        self.state_by_upstream = {}
+
+    async def start(self, kernel):
+        """Begin to probe."""
+        self._arbitration = kernel.get("arbitration")
+        self._configuration = kernel.get("configuration")
+        timeout_s = self._context.settings["probe_timeout_s"]
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=timeout_s)
+        )
+        self._tasks.repeat(self._context.settings["probe_s"], self._probe_all)
+
+    async def stop(self):
+        """End the probes."""
+        await self._tasks.stop()
+        if self._session:
+            await self._session.close()
+
+    def get_status(self):
+        """Return what each upstream last said of itself."""
+        return {"state_by_upstream": self.state_by_upstream}
+
+    async def _probe_all(self):
+        config = self._configuration.config
+        zone = self._context.availability_zone
+        for service in config.service_by_name.values() if config else ():
+            desk = self._arbitration.desk_by_service.get(service.name)
+            if desk and desk.active:
+                for upstream in service.get_upstreams(zone):
+                    if upstream.id not in self._probing:
+                        self._tasks.run(self._probe(upstream))
+
+    async def _probe(self, upstream):
+        self._probing.add(upstream.id)
+        try:
+            state = await self._ask(upstream.address)
+        finally:
+            self._probing.discard(upstream.id)
+        before = self.state_by_upstream.get(upstream.id)
+        self.state_by_upstream[upstream.id] = state
+        health = self._arbitration.health_by_service.get(upstream.service)
+        if health is None:
+            return
+        word = {"draining": DRAINING, FAILED: FAILED}.get(state, READY)
+        now = asyncio.get_running_loop().time()
+        health.note_probe(upstream.id, word, now)
+        self._arbitration.refresh_usable(upstream.service)
+        if state == "cold" and before not in ("cold", None):
+            self._arbitration.note_cold(upstream.service, upstream.id)
+
+    async def _ask(self, address):
+        try:
+            async with self._session.get(f"http://{address}/healthz") as response:
+                body = await response.content.read(MAX_BODY_BYTES)
+            state = json.loads(body)["state"]
+            return state if state in ("ready", "cold", "draining") else FAILED
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._context.counters.add("probes_failed", reason=type(error).__name__)
+        except (ValueError, KeyError, TypeError):
+            self._context.counters.add("probes_failed", reason="garbage")
+        return FAILED
--- a/godwitlanding/services/replication.py
+++ b/godwitlanding/services/replication.py
@@ -73,9 +73,11 @@
 
     def is_watcher(self):
         """Tell whether this member reads the platform for the zone."""
-        zone = self._context.availability_zone
-        members = self._members.member_by_vm
-        return self._context.vm in choose_reachable(f"watch/{zone}", members, WATCHERS)
+        return self._context.vm in self._choose_readers(WATCHERS)
+
+    def is_first_reader(self):
+        """Tell whether this member writes what the zone writes once."""
+        return self._context.vm in self._choose_readers(1)
 
     async def spread(self, state):
         """Take a state that this process has written and pass it on."""
@@ -97,6 +99,11 @@
             "subscribers": len(self._kinds_by_channel),
         }
 
+    def _choose_readers(self, count):
+        zone = self._context.availability_zone
+        members = self._members.member_by_vm
+        return choose_reachable(f"watch/{zone}", members, count)
+
     async def _choose_watchers(self):
         wanted = self.is_watcher() or not self._members.is_settled()
         for kind in WATCHED_KINDS:
