Hold caller blocks in packed arrays, in pieces and deltas

A table of 3.2 million blocks as Python objects would not fit a node. It is kept as arrays of starts and groups, by pieces; objects of the platform are deflated pieces, numbered deltas and a marker that makes them whole.

Seen failing first: a piece of a newer generation was dropped when it came before its marker (test_folding_keeps_later_deltas), and a truncated piece whose columns were whole was taken (test_unreadable_part_is_a_value_error).

--- /dev/null
+++ b/godwitlanding/blockstore.py
@@ -0,0 +1,232 @@
+"""Caller blocks as objects of the platform: pieces, deltas, a marker.
+
+Pure: no network and no clock. The table is far larger than the platform's
+largest value, and of its millions of blocks a handful change at a time.
+Rewriting it for each change would send every node megabytes; so a change
+is an object of its own, a delta, and now and then the pieces that deltas
+touched are written anew and the marker tells that they are folded in.
+
+``piece-NNNN``
+    a run of blocks, packed, in its generation;
+``delta-NNNNNNNN``
+    changes, numbered without gaps from 1;
+``marker``
+    JSON: the pieces with their generations, the number of the last delta
+    folded into them, and the sites by group with their origin zones.
+
+Starts are stored as differences, then deflated: neighbouring blocks have
+much in common, and the copies that wait in memory to be passed on to other
+members take a fifth of the packed size.
+"""
+
+import base64
+import json
+import struct
+import zlib
+from array import array
+from itertools import accumulate
+from typing import NamedTuple
+
+from godwitlanding.blocks import GROUP, START, BlockChange, BlockTable, Piece
+
+BLOCKS_KIND = "blocks"
+MARKER_NAME = "marker"
+PIECE_PREFIX = "piece-"
+DELTA_PREFIX = "delta-"
+
+_HEAD = struct.Struct("<4sII")
+_PIECE_MAGIC = b"GWP1"
+_DELTA_MAGIC = b"GWD1"
+_LEVEL = 6
+# A piece is at most one megabyte packed; more is not one of ours.
+_MAX_PACKED_BYTES = 8_000_000
+
+
+class Site(NamedTuple):
+    """A site of callers and the zone whose weights its callers follow."""
+
+    name: str
+    availability_zone: str
+
+
+class Marker(NamedTuple):
+    """What makes a set of pieces whole; ``folded`` is a delta's number."""
+
+    generation_by_piece: dict[str, int]
+    folded: int
+    sites: tuple[Site, ...]
+
+
+def format_piece(piece, generation):
+    """Return the value of a piece's object."""
+    steps = array(START, piece.starts[:1])
+    steps.extend(b - a for a, b in zip(piece.starts, piece.starts[1:]))
+    columns = _split_columns(steps) + _split_columns(piece.groups)
+    return _pack(_PIECE_MAGIC, generation, len(piece.starts), columns)
+
+
+def parse_piece(body):
+    """Return ``(generation, piece)``; ``ValueError`` if it is none."""
+    generation, count, columns = _unpack(_PIECE_MAGIC, body, 6)
+    steps = _join_columns(START, columns[: 4 * count], count)
+    try:
+        starts = array(START, accumulate(steps))
+    except OverflowError as error:
+        raise ValueError("starts past the last address") from error
+    groups = _join_columns(GROUP, columns[4 * count :], count)
+    return generation, Piece(starts, groups)
+
+
+def format_delta(number, changes):
+    """Return the value of the delta with that number."""
+    columns = b"".join(
+        _split_columns(array(code, column))
+        for code, column in zip((START, START, GROUP), zip(*changes))
+    )
+    return _pack(_DELTA_MAGIC, number, len(changes), columns)
+
+
+def parse_delta(body):
+    """Return ``(number, changes)``; ``ValueError`` if it is no delta."""
+    number, count, columns = _unpack(_DELTA_MAGIC, body, 10)
+    firsts = _join_columns(START, columns[: 4 * count], count)
+    lasts = _join_columns(START, columns[4 * count : 8 * count], count)
+    groups = _join_columns(GROUP, columns[8 * count :], count)
+    return number, tuple(map(BlockChange, firsts, lasts, groups))
+
+
+def format_marker(marker):
+    """Return the value of the marker."""
+    return json.dumps(marker._asdict()).encode()
+
+
+def parse_marker(body):
+    """Return the marker; ``ValueError`` if it is none."""
+    try:
+        value = json.loads(body)
+        sites = tuple(Site(*site) for site in value["sites"])
+        return Marker(value["generation_by_piece"], value["folded"], sites)
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a marker: {error}") from error
+
+
+def make_objects(pieces, sites, generation=1, folded=0):
+    """Return ``{name: value}`` of whole pieces and their marker."""
+    names = [f"{PIECE_PREFIX}{index:04}" for index in range(len(pieces))]
+    objects = {
+        name: format_piece(piece, generation) for name, piece in zip(names, pieces)
+    }
+    marker = Marker(dict.fromkeys(names, generation), folded, tuple(sites))
+    objects[MARKER_NAME] = format_marker(marker)
+    return objects
+
+
+class BlockLoader:
+    """Puts a table together from objects that arrive in any order.
+
+    The table in use stays until the next one is whole, so that no caller
+    is answered from half a table.
+    """
+
+    def __init__(self):
+        self.table = None
+        self.sites = ()
+        self.applied = 0
+        self._marker = None
+        self._assembled_marker = None
+        self._piece_by_key = {}
+        self._delta_by_number = {}
+
+    @property
+    def is_loading(self):
+        """Tell whether parts have arrived but no whole table yet."""
+        has_parts = self._piece_by_key or self._marker
+        return self.table is None and bool(has_parts)
+
+    def offer(self, name, body):
+        """Take an object; tell whether the table changed by it.
+
+        Raises ``ValueError`` on an object that cannot be read.
+        """
+        if name == MARKER_NAME:
+            self._marker = parse_marker(body)
+            return self._assemble()
+        if name.startswith(PIECE_PREFIX):
+            generation, piece = parse_piece(body)
+            self._piece_by_key[name, generation] = piece
+            return self._assemble()
+        if name.startswith(DELTA_PREFIX):
+            number, changes = parse_delta(body)
+            self._delta_by_number[number] = changes
+            return self._apply_deltas()
+        raise ValueError(f"no object of the blocks is named {name!r}")
+
+    def _assemble(self):
+        if self._marker is None or self._marker is self._assembled_marker:
+            return False
+        keys = self._marker.generation_by_piece.items()
+        if not all(key in self._piece_by_key for key in keys):
+            return False
+        self.table = BlockTable(self._piece_by_key[key] for key in keys)
+        self.sites = self._marker.sites
+        self._assembled_marker = self._marker
+        self._forget_older_pieces()
+        self.applied = self._marker.folded
+        for number in [n for n in self._delta_by_number if n <= self.applied]:
+            del self._delta_by_number[number]
+        self._apply_deltas()
+        return True
+
+    def _forget_older_pieces(self):
+        # Newer ones wait for the marker that is to name them.
+        generations = self._marker.generation_by_piece
+        for name, generation in list(self._piece_by_key):
+            if generation < generations.get(name, generation + 1):
+                del self._piece_by_key[name, generation]
+
+    def _apply_deltas(self):
+        # A delta that overtook another would be undone by it: both would
+        # set the same block, and nodes would differ for good.
+        changed = False
+        while self.table and self.applied + 1 in self._delta_by_number:
+            self.applied += 1
+            for change in self._delta_by_number[self.applied]:
+                self.table.apply(change)
+            changed = True
+        return changed
+
+
+def _split_columns(values):
+    # High bytes are nearly all alike: side by side they deflate to little.
+    data = values.tobytes()
+    size = values.itemsize
+    return b"".join(data[at::size] for at in range(size))
+
+
+def _join_columns(code, columns, count):
+    values = array(code)
+    size = values.itemsize
+    data = bytearray(len(columns))
+    for at in range(size):
+        data[at::size] = columns[at * count : (at + 1) * count]
+    values.frombytes(data)
+    return values
+
+
+def _pack(magic, number, count, columns):
+    head = _HEAD.pack(magic, number, count)
+    return base64.b64encode(head + zlib.compress(columns, _LEVEL))
+
+
+def _unpack(magic, body, row_bytes):
+    try:
+        data = base64.b64decode(body, validate=True)
+        found, number, count = _HEAD.unpack_from(data)
+        inflater = zlib.decompressobj()
+        columns = inflater.decompress(data[_HEAD.size :], _MAX_PACKED_BYTES)
+    except (struct.error, zlib.error) as error:
+        raise ValueError(f"not an object of the blocks: {error}") from error
+    whole = inflater.eof and len(columns) == count * row_bytes
+    if found != magic or not count or not whole:
+        raise ValueError("an object of the blocks with a wrong head")
+    return number, count, columns
