Answer look-ups on ASGI from kept answers; take state from the feed

The steer daemon now subscribes at its VM's zone daemon. Callers listed in the blocks belong to their site's zone. The service of tickets and the way a process leaves stand in modules of their own. The replica can drop a body whose content is held elsewhere, so that the blocks stand in memory once.

--- a/godwitlanding/choice.py
+++ b/godwitlanding/choice.py
@@ -11,10 +11,11 @@
 ``docs/decisions_steering.rst`` has the measurement against its rivals.
 """
 
-import math
+from functools import lru_cache
+from math import log
 from typing import NamedTuple
 
-import xxhash
+from xxhash import xxh3_64_intdigest
 
 # A caller tries the choices in turn, each costs it a connect timeout when
 # the VM is gone: three in the zone outlast two VMs lost within a max-age.
@@ -22,6 +23,8 @@
 FALLBACK_ZONES = 2
 
 _HASH_RANGE = 2**64
+# Names of 2,000 VMs and of some services in 85 zones.
+_SEEDS_KEPT = 16_384
 
 
 class Target(NamedTuple):
@@ -32,9 +35,10 @@
     availability_zone: str
 
 
-def hash_name(name, seed=0):
-    """Return the 64-bit hash of a name, the same in every process."""
-    return xxhash.xxh3_64_intdigest(name.encode(), seed)
+@lru_cache(_SEEDS_KEPT)
+def get_seed(name):
+    """Return the 64-bit seed of a name, the same in every process."""
+    return xxh3_64_intdigest(name.encode())
 
 
 def choose_origin(caller, zones):
@@ -42,7 +46,10 @@
 
     ``zones`` are all zones of the configuration; ``None`` without any.
     """
-    return max(zones, key=lambda zone: hash_name(caller, hash_name(zone)), default=None)
+    data = caller.encode()
+    return max(
+        zones, key=lambda zone: xxh3_64_intdigest(data, get_seed(zone)), default=None
+    )
 
 
 def rank_zones(caller, service, weight_by_zone):
@@ -52,33 +59,28 @@
     A larger weight only draws callers to its zone, a smaller one only
     sends them away.
     """
+    zones = [zone for zone, weight in weight_by_zone.items() if weight > 0]
+    if len(zones) < 2:
+        return zones
+    data = caller.encode()
 
     def get_cost(zone):
-        drawn = hash_name(caller, hash_name(f"{service}@{zone}"))
-        return -math.log((drawn + 1) / _HASH_RANGE) / weight_by_zone[zone]
+        drawn = xxh3_64_intdigest(data, get_seed(f"{service}@{zone}"))
+        return -log((drawn + 1) / _HASH_RANGE) / weight_by_zone[zone]
 
-    zones = [zone for zone, weight in weight_by_zone.items() if weight > 0]
     return sorted(zones, key=get_cost)
 
 
-def rank_targets(caller, targets, seed_by_vm=None):
+def rank_targets(caller, targets):
     """Return a zone's entry VMs in the order for this caller.
 
     The first of a caller changes only when its VM leaves or a new VM
     takes its share.
     """
-    seeds = seed_by_vm or {target.vm: hash_name(target.vm) for target in targets}
-    return sorted(targets, key=lambda target: hash_name(caller, seeds[target.vm]))
-
-
-def rank_all_zones(caller, service, weight_by_zone, neighbours):
-    """Return the plan's zones for the caller, then the ``neighbours``.
-
-    Neighbours are the other zones that serve, nearest first; they matter
-    when no VM of a planned zone is left.
-    """
-    planned = rank_zones(caller, service, weight_by_zone)
-    return planned + [zone for zone in neighbours if zone not in planned]
+    data = caller.encode()
+    return sorted(
+        targets, key=lambda target: xxh3_64_intdigest(data, get_seed(target.vm))
+    )
 
 
 def choose_targets(caller, ranked_zones, targets_by_zone):
@@ -90,7 +92,7 @@
     chosen = []
     zones_used = 0
     for zone in ranked_zones:
-        targets = targets_by_zone.get(zone, ())
+        targets = targets_by_zone.get(zone)
         if not targets:
             continue
         wanted = 1 if zones_used else CHOICES_IN_ZONE
--- a/godwitlanding/replica.py
+++ b/godwitlanding/replica.py
@@ -64,6 +64,12 @@
         """Call ``listener(state)`` for each state taken from now on."""
         self._listeners.append(listener)
 
+    def drop_body(self, state):
+        """Keep only the version of a state whose body is held elsewhere."""
+        key = (state.kind, state.name)
+        if self.state_by_key.get(key) is state:
+            self.state_by_key[key] = state._replace(body=b"")
+
     def _note_older(self, state, held):
         if self._counters:
             self._counters.add("replica_refused", code="OLDER_VERSION")
--- a/godwitlanding/services/answers.py
+++ b/godwitlanding/services/answers.py
@@ -1,184 +1,172 @@
-"""The HTTP side of ``steer``: where to go, and tickets."""
+"""The HTTP side of ``steer``: where to go, and the way to tickets.
+
+Look-ups are most of what the process does, 900 a second on each node, and
+are answered right on ASGI; everything else goes through starlette.
+"""
 
-import asyncio
 import json
-import time
-import uuid
+from typing import NamedTuple
 
 from starlette.applications import Starlette
-from starlette.responses import JSONResponse, RedirectResponse
+from starlette.responses import Response
 from starlette.routing import Route
 
-from godwitlanding.codes import Code, make_refusal
+from godwitlanding.codes import Code, Refusal, make_refusal
 from godwitlanding.kernel import Service
-from godwitlanding.ticket import JOURNALED, MEMORY_ONLY, Ticket, issue_ticket
+from godwitlanding.services.tickets import NOT_READY_RETRY_S
 from godwitlanding.web import make_problem, make_status_routes
 
-_STEER_PATH = "/v1/steer/"
-# Callers that find the process without a configuration come back soon: it
-# has one as soon as a peer answers, which takes well under a second.
-NOT_READY_RETRY_S = 1.0
+STEER_PATH = "/v1/steer/"
+_CALLER_HEADER = b"x-caller"
+# Answers differ by service, origin and order of VMs: a busy node meets a
+# few thousand of half a kilobyte between two changes.
+MAX_KEPT_ANSWERS = 8192
+
+
+class Encoded(NamedTuple):
+    """An answer as the two messages that ASGI takes."""
+
+    start: dict
+    body: dict
 
 
 class Answers(Service):
-    """Answers look-ups and issues tickets from the view."""
+    """An ASGI app that answers look-ups from encoded answers it keeps."""
 
     name = "answers"
-    needs = ("view",)
+    needs = ("routing", "tickets")
 
     def __init__(self, context):
         self._context = context
         self._counters = context.counters
-        self._view = None
         self._kernel = None
+        self._routing = None
+        self._tickets = None
         self._trusts_header = context.settings["trust_caller_header"]
         self._max_age_s = context.settings["steer_max_age_s"]
+        self._extra_headers = []
+        self._generation = -1
+        self._answer_by_key = {}
         routes = make_status_routes(
-            lambda: self._kernel, self._counters, lambda: self._view.is_ready()
+            lambda: self._kernel,
+            self._counters,
+            lambda: self._routing.is_ready(),
+            context.replica,
         )
-        routes += [
-            Route("/v1/steer/{service}", self.get_choices, methods=["GET"]),
-            Route("/v1/tickets/{service}", self.post_ticket, methods=["POST"]),
-        ]
-        self.app = Starlette(routes=routes)
+        routes.append(
+            Route("/v1/tickets/{service}", self._post_ticket, methods=["POST"])
+        )
+        self._app = Starlette(routes=routes)
 
     async def start(self, kernel):
-        """Find the view."""
+        """Find the services that decide."""
         self._kernel = kernel
-        self._view = kernel.get("view")
+        self._routing = kernel.get("routing")
+        self._tickets = kernel.get("tickets")
+
+    async def __call__(self, scope, receive, send):
+        """Answer a request, as an ASGI app."""
+        is_http = scope["type"] == "http"
+        if is_http and scope["path"].startswith(STEER_PATH):
+            if scope["method"] in ("GET", "HEAD"):
+                await self._answer_look_up(scope, receive, send)
+                return
+        await self._app(scope, receive, send)
+
+    def close_connections(self):
+        """Tell callers with each answer that their connection closes."""
+        self._extra_headers = [(b"connection", b"close")]
+        self._answer_by_key.clear()
+
+    async def _answer_look_up(self, scope, receive, send):
+        service = scope["path"][len(STEER_PATH) :]
+        found = self._find_answer(service, self._find_caller(scope))
+        if isinstance(found, Refusal):
+            await self._refuse(found)(scope, receive, send)
+            return
+        self._counters.add("steer_answers", service=service)
+        await send(found.start)
+        await send(found.body)
 
-    async def get_choices(self, request):
-        """Answer a look-up with the ordered choices of its caller."""
-        service = request.path_params["service"]
+    def _find_answer(self, service, caller):
+        """Return the ``Encoded`` answer for a caller, or a refusal."""
         refusal = self._find_refusal(service)
         if refusal:
-            return self._refuse(refusal)
-        caller = self._find_caller(request)
-        origin = self._view.find_origin(caller)
-        targets = self._view.choose(caller, service, origin)
+            return refusal
+        routing = self._routing
+        origin = routing.find_origin(caller)
+        targets = routing.choose(caller, service, origin)
         if not targets:
-            return self._refuse(make_refusal(Code.NOT_READY, NOT_READY_RETRY_S))
-        self._counters.add("steer_answers", service=service)
-        headers = {"Cache-Control": f"private, max-age={self._max_age_s:g}"}
-        return JSONResponse(self._describe(service, origin, targets), headers=headers)
+            return make_refusal(Code.NOT_READY, NOT_READY_RETRY_S)
+        if self._generation != routing.generation:
+            self._generation = routing.generation
+            self._answer_by_key.clear()
+        key = (service, origin, targets)
+        answer = self._answer_by_key.get(key)
+        if answer is None:
+            if len(self._answer_by_key) >= MAX_KEPT_ANSWERS:
+                self._answer_by_key.clear()
+            answer = self._answer_by_key[key] = self._encode(*key)
+        return answer
+
+    def _encode(self, service, origin, targets):
+        config_version, plan_version = self._routing.versions
+        port = self._context.settings["entry_port"]
+        choices = [
+            {
+                "vm": target.vm,
+                "availability_zone": target.availability_zone,
+                "url": f"http://{target.address}:{port}/s/{service}",
+            }
+            for target in targets
+        ]
+        body = json.dumps(
+            {
+                "service": service,
+                "choices": choices,
+                "max_age_s": self._max_age_s,
+                "plan_version": plan_version,
+                "config_version": config_version,
+                "origin_zone": origin,
+            }
+        ).encode()
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(body)).encode()),
+            # Private: another caller behind the same cache has another answer.
+            (b"cache-control", f"private, max-age={self._max_age_s:g}".encode()),
+            *self._extra_headers,
+        ]
+        return Encoded(
+            {"type": "http.response.start", "status": 200, "headers": headers},
+            {"type": "http.response.body", "body": body},
+        )
 
-    async def post_ticket(self, request):
-        """Issue a ticket whose home is an entry process of this zone."""
+    def _find_caller(self, scope):
+        if self._trusts_header:
+            for name, value in scope["headers"]:
+                if name == _CALLER_HEADER:
+                    return value.decode("latin-1")
+        client = scope["client"]
+        return client[0] if client else ""
+
+    async def _post_ticket(self, request):
         service = request.path_params["service"]
         refusal = self._find_refusal(service)
         if refusal:
             return self._refuse(refusal)
-        caller = self._find_caller(request)
-        origin = self._view.find_origin(caller)
-        ranked = self._view.rank_zones(caller, service, origin)
-        elsewhere = self._find_other_steer(request, ranked, caller)
-        if elsewhere:
-            self._counters.add("tickets_redirected", service=service)
-            return RedirectResponse(elsewhere, 307, {"Cache-Control": "no-store"})
-        return self._issue(service, caller)
-
-    def _issue(self, service, caller):
-        secret = self._context.replica.get("secret", "ticket")
-        home = self._find_home(caller)
-        if home is None or secret is None:
-            return self._refuse(make_refusal(Code.NOT_READY, NOT_READY_RETRY_S))
-        kind = JOURNALED if home.platform_reachable else MEMORY_ONLY
-        ticket = Ticket(
-            service,
-            kind,
-            home.vm,
-            home.entry_incarnation,
-            int(time.time()),
-            uuid.uuid4().hex,
-        )
-        key = bytes.fromhex(json.loads(secret.body)["key"])
-        self._counters.add("tickets_issued", service=service, kind=kind)
-        body = {
-            "ticket": issue_ticket(key, ticket),
-            "url": self._make_entry_url(home.address, service),
-            "service": service,
-            "expires_in_s": self._context.settings["ticket_keep_s"],
-        }
-        return JSONResponse(body, 201, {"Cache-Control": "no-store"})
-
-    def _find_home(self, caller):
-        zone = self._context.availability_zone
-        targets = self._view.rank_targets(caller, zone)
-        members = (self._view.member_by_vm.get(target.vm) for target in targets)
-        return next((m for m in members if m and m.entry_incarnation), None)
-
-    def _find_other_steer(self, request, ranked, caller):
-        """Return the URL of the planned zone's steer, if it should issue."""
-        # Two zones with different versions of the plan could send a caller
-        # back and forth; the one that a caller was sent to issues.
-        if "from" in request.query_params or not ranked:
-            return None
-        own = self._context.availability_zone
-        zone = next((z for z in ranked if self._view.targets_by_zone.get(z)), own)
-        if zone == own or not self._view.is_fresh(zone):
-            return None
-        target = self._view.rank_targets(caller, zone)[0]
-        port = self._context.settings["steer_port"]
-        return f"http://{target.address}:{port}{request.url.path}?from={own}"
-
-    def _describe(self, service, origin, targets):
-        return {
-            "service": service,
-            "choices": [
-                {
-                    "vm": target.vm,
-                    "availability_zone": target.availability_zone,
-                    "url": self._make_entry_url(target.address, service),
-                }
-                for target in targets
-            ],
-            "max_age_s": self._max_age_s,
-            "plan_version": self._view.plan_version,
-            "config_version": self._view.config_version,
-            "origin_zone": origin,
-        }
-
-    def _make_entry_url(self, address, service):
-        port = self._context.settings["entry_port"]
-        return f"http://{address}:{port}/s/{service}"
-
-    def _find_caller(self, request):
-        if self._trusts_header and "x-caller" in request.headers:
-            return request.headers["x-caller"]
-        return request.client.host if request.client else ""
+        caller = self._find_caller(request.scope)
+        was_sent = "from" in request.query_params
+        answer = self._tickets.answer(caller, service, request.url.path, was_sent)
+        return answer if isinstance(answer, Response) else self._refuse(answer)
 
     def _find_refusal(self, service):
-        if self._view.config is None:
+        if not self._routing.is_ready():
             return make_refusal(Code.NOT_READY, NOT_READY_RETRY_S)
-        if service not in self._view.config.service_by_name:
+        if service not in self._routing.config.service_by_name:
             return make_refusal(Code.UNKNOWN_SERVICE)
         return None
 
     def _refuse(self, refusal):
         self._counters.add("steer_refused", code=refusal.code.name)
         return make_problem(refusal)
-
-
-class Leave(Service):
-    """Keeps answering for one max-age after a stop was asked for.
-
-    The first answer after the signal names this VM no more, and a caller
-    that still asks here is told where to go instead of being cut off.
-    """
-
-    name = "leave"
-    needs = ("steer_http", "view")
-
-    def __init__(self, context):
-        self._max_age_s = context.settings["steer_max_age_s"]
-        self._limit_s = context.settings["stop_limit_s"]
-        self._view = None
-
-    async def start(self, kernel):
-        """Find the view."""
-        self._view = kernel.get("view")
-
-    async def stop(self):
-        """Leave the answers, then go on answering for one max-age."""
-        self._view.leave()
-        await asyncio.sleep(min(self._max_age_s, self._limit_s))
--- a/godwitlanding/steer.py
+++ b/godwitlanding/steer.py
@@ -3,25 +3,39 @@
 import sys
 
 from godwitlanding.daemon import run_daemon
-from godwitlanding.services.answers import Answers, Leave
-from godwitlanding.services.view import View
+from godwitlanding.services.answers import Answers
+from godwitlanding.services.callers import Callers
+from godwitlanding.services.feed import Feed
+from godwitlanding.services.leave import Leave
+from godwitlanding.services.routing import Routing
+from godwitlanding.services.tickets import Tickets
 from godwitlanding.web import HttpServer
 
 DESCRIPTION = "Tell callers which entry VMs to use and issue tickets."
 
+KINDS = ("config", "plan", "secret", "vms", "summary", "members", "blocks")
+
 
 def make_services(context):
     """Return the services of a steer process."""
     answers = Answers(context)
     server = HttpServer(
         "steer_http",
-        answers.app,
+        answers,
         context.settings["address"],
         context.settings["steer_port"],
         needs=("answers",),
         max_connections=context.settings["max_connections"],
     )
-    return [View(context), answers, server, Leave(context)]
+    return [
+        Feed(context, KINDS),
+        Callers(context),
+        Routing(context),
+        Tickets(context),
+        answers,
+        server,
+        Leave(context),
+    ]
 
 
 def main(argv=None):
