--- a/godwitlanding/fleet.py
+++ b/godwitlanding/fleet.py
@@ -8,12 +8,43 @@
 """
 
 import json
+from typing import NamedTuple
 
 from godwitlanding.choice import Target
 
 STATE_LIVE = "live"
 
 
+class Member(NamedTuple):
+    """A VM of one's own zone as its zone daemon sees it."""
+
+    vm: str
+    address: str
+    entry_incarnation: str = ""
+    alive: bool = True
+    leaving: bool = False
+    platform_reachable: bool = False
+
+
+class VmRow(NamedTuple):
+    """A row of the platform's list; ``state`` is live or leaving."""
+
+    vm: str
+    address: str
+    availability_zone: str
+    state: str = STATE_LIVE
+
+
+def parse_vms(body):
+    """Return the rows in a ``vms`` state; ``ValueError`` if it is none."""
+    return tuple(_read_rows(VmRow, body, "vms"))
+
+
+def parse_members(body):
+    """Return the members in a ``members`` state; ``ValueError`` if none."""
+    return tuple(_read_rows(Member, body, "members"))
+
+
 def parse_leaving_vms(body):
     """Return the VMs that a zone's summary says are leaving."""
     try:
@@ -22,6 +53,18 @@
         raise ValueError(f"not a summary: {error}") from error
 
 
+def _read_rows(cls, body, key):
+    # Fields that a newer process adds must not stop an older one.
+    try:
+        rows = json.loads(body)[key]
+        return [
+            cls(**{name: row[name] for name in cls._fields if name in row})
+            for row in rows
+        ]
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a list of {key}: {error}") from error
+
+
 def list_targets(availability_zone, vms, members, leaving_vms, drained_vms):
     """Return ``{zone: (target, ...)}`` of the VMs that may be named.
 
