--- a/godwitlanding/ctl.py
+++ b/godwitlanding/ctl.py
@@ -25,7 +25,7 @@
     run_validate,
 )
 
-DEFAULT_PLATFORM = "http://127.0.0.9:7000"
+DEFAULT_PLATFORM = "http://127.0.0.9:8000"
 
 
 def parse_arguments(argv=None):
--- a/godwitlanding/survey.py
+++ b/godwitlanding/survey.py
@@ -18,14 +18,20 @@
 
 
 class ServiceRow(NamedTuple):
-    """A service in a zone as its arbiter counts it."""
+    """A service in a zone as its arbiter counts it.
+
+    ``usable`` slots may be granted; ``out`` names upstreams that get
+    nothing new.
+    """
 
     service: str
     availability_zone: str
     arbiter: str
     slots: int
+    usable: int
     busy: int
     queued: int
+    out: str
 
 
 def summarise_vms(fleet, config_version):
@@ -57,7 +63,7 @@
     rows = []
     for daemon in fleet:
         services = (daemon.status or {}).get("services", {})
-        arbiters = services.get("arbiter", {}).get("services", {})
+        arbiters = services.get("arbitration", {}).get("services", {})
         for name, status in sorted(arbiters.items()):
             if only and name != only:
                 continue
@@ -67,13 +73,23 @@
                     daemon.availability_zone,
                     daemon.vm,
                     status.get("slots", 0),
+                    status.get("usable_slots", 0),
                     status.get("busy", 0),
                     status.get("queued", 0),
+                    _format_out(status),
                 )
             )
     return sorted(rows)
 
 
+def _format_out(status):
+    """Return which upstreams get nothing new, each with the reason."""
+    why_by_upstream = {name: "ejected" for name in status.get("ejected", ())}
+    why_by_upstream.update(status.get("out", {}))
+    pairs = sorted(why_by_upstream.items())
+    return ", ".join(f"{name} ({why})" for name, why in pairs)
+
+
 def summarise_leases(fleet, lease, plan):
     """Return the planner's lease and the plan's state by name."""
     result = {}
--- a/godwitlanding/zone.py
+++ b/godwitlanding/zone.py
@@ -29,7 +29,10 @@
     replication = Replication(context)
     departure = Departure(context)
     routes = make_status_routes(
-        departure.get_kernel, context.counters, replication.is_ready
+        departure.get_kernel,
+        context.counters,
+        replication.is_ready,
+        context.replica,
     )
     return [
         Peers(context),
