--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -61,7 +61,14 @@
 class Cluster:
     """The processes of one system and the switches of its stand-ins."""
 
-    def __init__(self, text, network=Network(), vms_per_zone=2, settings=None):
+    def __init__(
+        self,
+        text,
+        network=Network(),
+        vms_per_zone=2,
+        settings=None,
+        log_directory=None,
+    ):
         self.text = text.replace("127.0.2.", network.upstreams)
         self.config = parse_config(self.text).unwrap()
         self.platform_url = f"http://{network.control}:{PLATFORM_PORT}"
@@ -72,17 +79,13 @@
         self._settings = settings or {}
         self._process_by_key = {}
         self._state_by_vm = {}
-        self._directory = tempfile.TemporaryDirectory(prefix="godwit-")
+        self._directory = None
+        self.directory = Path(log_directory or self._make_directory())
         self._session = None
         for zone in self.config.region_by_zone:
             for number in range(1, vms_per_zone + 1):
                 self._add_vm(f"{zone}-{number}", zone)
 
-    @property
-    def directory(self):
-        """Return the directory with settings and logs."""
-        return Path(self._directory.name)
-
     async def start(self):
         """Start everything, apply the text and wait until all is ready."""
         self._session = aiohttp.ClientSession()
@@ -93,7 +96,10 @@
         await self.run_ctl("apply", str(text_path), "--yes")
         for vm in self.vm_by_name:
             await self.start_vm(vm)
-        await wait_until(self.is_ready, START_LIMIT_S, "every daemon to be ready")
+        try:
+            await wait_until(self.is_ready, START_LIMIT_S, "every daemon to be ready")
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}{await self._describe_unready()}") from error
 
     async def stop(self):
         """End every process that this cluster started."""
@@ -104,7 +110,8 @@
             await process.wait()
         if self._session:
             await self._session.close()
-        self._directory.cleanup()
+        if self._directory:
+            self._directory.cleanup()
 
     def add_vm(self, name, availability_zone):
         """Add a VM to the list; ``start_vm`` starts its daemons."""
@@ -233,6 +240,18 @@
         """Return what a daemon has written."""
         return (self.directory / f"{vm}-{role}.log").read_text()
 
+    async def _describe_unready(self):
+        lines = []
+        for vm, role in self._process_by_key:
+            if role in PORT_BY_ROLE and not await self.is_role_ready(vm, role):
+                last = self.read_log(vm, role).strip().splitlines()[-3:]
+                lines += [f"{vm} {role}: {line}" for line in last or ["no log"]]
+        return "\n".join(["", *lines[:20]])
+
+    def _make_directory(self):
+        self._directory = tempfile.TemporaryDirectory(prefix="godwit-")
+        return self._directory.name
+
     def _add_vm(self, name, availability_zone):
         address = f"{self._network.vms}{len(self.vm_by_name) + 1}"
         self.vm_by_name[name] = Vm(name, address, availability_zone)
