Run clusters beside each other and fail at once when a process ends

Two demos at the same addresses mixed: the second one's stand-in could not listen and its callers changed the first one's text ("is drained already").

--- a/godwitlanding/services/permits.py
+++ b/godwitlanding/services/permits.py
@@ -5,6 +5,7 @@
 from result import Err
 
 from godwitlanding.codes import Code, make_refusal
+from godwitlanding.holdings import PermitBook
 from godwitlanding.kernel import Service
 from godwitlanding.messages import (
     OUTCOME_UNUSED,
@@ -14,7 +15,6 @@
     Release,
     Withdraw,
 )
-from godwitlanding.holdings import PermitBook
 from godwitlanding.view import MEMBERS_KIND
 
 # An arbiter that is replaced takes a moment to collect the open permits.
--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -12,6 +12,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import sys
 import tempfile
@@ -40,6 +41,14 @@
     upstreams: str = "127.0.2."
 
 
+def make_network(number):
+    """Return a network of its own at 127.0.NUMBER.x and the one above."""
+    if number == 1:
+        return Network()
+    control = f"127.0.{number}.250"
+    return Network(f"127.0.{number}.", control, f"127.0.{number + 1}.")
+
+
 class Vm(NamedTuple):
     """An entry VM of the cluster."""
 
@@ -69,7 +78,7 @@
         settings=None,
         log_directory=None,
     ):
-        self.text = text.replace("127.0.2.", network.upstreams)
+        self.text = re.sub(r"127\.0\.[23]\.", network.upstreams, text)
         self.config = parse_config(self.text).unwrap()
         self.platform_url = f"http://{network.control}:{PLATFORM_PORT}"
         self.vm_by_name = {}
@@ -96,8 +105,14 @@
         await self.run_ctl("apply", str(text_path), "--yes")
         for vm in self.vm_by_name:
             await self.start_vm(vm)
+
+        async def is_up():
+            return self._has_failed() or await self.is_ready()
+
         try:
-            await wait_until(self.is_ready, START_LIMIT_S, "every daemon to be ready")
+            await wait_until(is_up, START_LIMIT_S, "every daemon to be ready")
+            if self._has_failed():
+                raise TimeoutError("a process has ended by itself")
         except TimeoutError as error:
             raise TimeoutError(f"{error}{await self._describe_unready()}") from error
 
@@ -281,10 +296,23 @@
         for url in (self.platform_url, self._control_url):
 
             async def is_up(url=url):
+                self._check_standins()
                 return (await self._call("GET", f"{url}/standin/stats"))[0] == 200
 
             await wait_until(is_up, START_LIMIT_S, f"the stand-in at {url}")
 
+    def _has_failed(self):
+        processes = self._process_by_key.values()
+        return any(process.returncode is not None for process in processes)
+
+    def _check_standins(self):
+        # Another cluster at the same addresses would answer in their place
+        # and the two runs would change each other's objects.
+        for vm, role in (("platform", "platform"), ("upstreams", "upstreams")):
+            if self._process_by_key[vm, role].returncode is not None:
+                last = self.read_log(vm, role).strip().splitlines()[-1:]
+                raise RuntimeError(f"the stand-in of {vm} has ended: {last}")
+
     async def _spawn(self, key, module, *arguments):
         log = (self.directory / f"{key[0]}-{key[1]}.log").open("ab")
         with log:
--- a/godwitlanding/tests/tools/demo.py
+++ b/godwitlanding/tests/tools/demo.py
@@ -11,7 +11,7 @@
 import sys
 from pathlib import Path
 
-from godwitlanding.tests.tools.cluster import ROOT, Cluster
+from godwitlanding.tests.tools.cluster import ROOT, Cluster, make_network
 from godwitlanding.tests.tools.load import Load, Rate
 from godwitlanding.tests.tools.verdict import judge
 
@@ -24,9 +24,9 @@
 RATES = (Rate("status", 60.0), Rate("renewal", 12.0), Rate("passes", 6.0))
 
 
-async def run_demo(sample, drive_s=DRIVE_S, log_directory=None):
+async def run_demo(sample, network, drive_s=DRIVE_S, log_directory=None):
     """Run it all; return the verdict after printing the table."""
-    cluster = Cluster(sample.read_text(), log_directory=log_directory)
+    cluster = Cluster(sample.read_text(), network, log_directory=log_directory)
     loop = asyncio.get_running_loop()
     began = loop.time()
     try:
@@ -110,6 +110,13 @@
     parser.add_argument(
         "--seconds", type=float, default=DRIVE_S, help="How long to send requests"
     )
+    parser.add_argument(
+        "--loopback",
+        type=int,
+        default=1,
+        metavar="N",
+        help="VMs at 127.0.N.x, upstreams at the next, to run beside another",
+    )
     parser.add_argument("--logs", metavar="DIR", help="Keep settings and logs there")
     return parser.parse_args(argv)
 
@@ -117,7 +124,8 @@
 def main(argv=None):
     """Run the demo; return its exit code."""
     arguments = parse_arguments(argv)
-    demo = run_demo(arguments.sample, arguments.seconds, arguments.logs)
+    network = make_network(arguments.loopback)
+    demo = run_demo(arguments.sample, network, arguments.seconds, arguments.logs)
     try:
         verdict = asyncio.run(asyncio.wait_for(demo, LIMIT_S))
     except (TimeoutError, RuntimeError) as error:
