--- /dev/null
+++ b/godwitlanding/tests/tools/measure.py
@@ -0,0 +1,158 @@
+"""What benchmarks share: processes, their cost, tables and plots."""
+
+import asyncio
+import contextlib
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+from godwitlanding.messages import PROTOCOL_VERSION, Fetch, Hello, Subscribe
+from godwitlanding.metrics import Counters
+from godwitlanding.wire import Server
+
+OUT = Path("out")
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_START_LIMIT_S = 120
+
+
+class Cost(NamedTuple):
+    """What a process has used: processor seconds, megabytes resident."""
+
+    cpu_s: float
+    resident_mb: float
+    peak_mb: float
+
+
+def read_cost(pid):
+    """Return the cost so far of a process of this machine."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    cpu_s = (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+    rows = Path(f"/proc/{pid}/status").read_text().splitlines()
+    kb_by_name = {
+        row.split(":")[0]: int(row.split()[1]) for row in rows if row.endswith(" kB")
+    }
+    return Cost(cpu_s, kb_by_name["VmRSS"] / 1000, kb_by_name["VmHWM"] / 1000)
+
+
+class ZoneStandIn:
+    """A zone daemon that only pushes states to whoever subscribes."""
+
+    def __init__(self, states, vm="vm", zone="zone"):
+        self.states = list(states)
+        hello = Hello(PROTOCOL_VERSION, "zone", vm, zone, "stand-in")
+        handlers = {Subscribe: self._subscribe, Fetch: self._fetch}
+        self.server = Server(hello, handlers, Counters())
+
+    async def push(self, state):
+        """Send a changed state to every subscriber."""
+        self.states.append(state)
+        for channel in self.server.channels:
+            channel.send(state)
+
+    async def _subscribe(self, channel, message):
+        asyncio.ensure_future(self._push_all(channel, message.kinds))
+
+    async def _push_all(self, channel, kinds):
+        for state in list(self.states):
+            if state.kind in kinds:
+                channel.send(state)
+                # The real daemon lets others in between two pieces as well.
+                await asyncio.sleep(0.001)
+
+    async def _fetch(self, channel, message):
+        wanted = (message.kind, message.name)
+        found = [s for s in self.states if (s.kind, s.name) == wanted]
+        return found[-1] if found else None
+
+
+@contextlib.contextmanager
+def run_process(module, *arguments, stdout=None):
+    """Run ``python -m module`` until the block ends; yield the process."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", module, *arguments],
+        stdout=stdout,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        yield process
+    finally:
+        process.terminate()
+        try:
+            process.wait(30)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+@contextlib.contextmanager
+def write_settings(settings):
+    """Write settings to a temporary file; yield its path."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.json"
+        path.write_text(json.dumps(settings))
+        yield str(path)
+
+
+async def wait_for_health(address, port):
+    """Wait until the daemon there says that it is ready."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + _START_LIMIT_S
+    while loop.time() < end:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            if await _is_healthy(address, port):
+                return
+        await asyncio.sleep(0.05)
+    raise TimeoutError(f"{address}:{port} did not become ready")
+
+
+async def _is_healthy(address, port):
+    reader, writer = await asyncio.open_connection(address, port)
+    writer.write(b"GET /-/health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    head = await reader.readline()
+    writer.close()
+    return b" 200 " in head
+
+
+def format_table(head, rows):
+    """Return a table as text with aligned columns."""
+    lines = [head, *rows]
+    texts = [[_format_cell(cell) for cell in line] for line in lines]
+    widths = [max(map(len, column)) for column in zip(*texts)]
+    return "\n".join(
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths)).rstrip()
+        for line in texts
+    )
+
+
+def _format_cell(cell):
+    if not isinstance(cell, float):
+        return str(cell)
+    return f"{cell:,.0f}" if abs(cell) >= 1000 else f"{cell:.3g}"
+
+
+def plot(name, title, x_label, y_label, series, log=False):
+    """Write ``out/NAME.png``; ``series`` is ``{label: [(x, y)]}``."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    OUT.mkdir(exist_ok=True)
+    figure, axes = pyplot.subplots(figsize=(7, 4.5))
+    for label, points in series.items():
+        axes.plot(*zip(*points), marker="o", label=label)
+    if log:
+        axes.set_xscale("log")
+        axes.set_yscale("log")
+    axes.set_title(title)
+    axes.set_xlabel(x_label)
+    axes.set_ylabel(y_label)
+    axes.grid(True, alpha=0.3)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(OUT / f"{name}.png", dpi=110)
+    pyplot.close(figure)
