--- a/godwitlanding/tests/tools/bench_steer.py
+++ b/godwitlanding/tests/tools/bench_steer.py
@@ -42,7 +42,7 @@
 ADDRESS = "127.0.50.1"
 PORT = 17101
 ZONE_PORT = 17102
-LOAD = "godwitlanding.tests.tools.load"
+LOAD = "godwitlanding.tests.tools.lookups"
 LOAD_PROCESSES = 4
 NODE_SHARE_PER_S = 900
 PROFILE_ROWS = 22
