--- a/godwitlanding/entry.py
+++ b/godwitlanding/entry.py
@@ -10,12 +10,12 @@
 
 from godwitlanding import daemon
 from godwitlanding.services.carrier import Carrier
+from godwitlanding.services.claims import ClaimService
 from godwitlanding.services.feed import Feed
 from godwitlanding.services.holder import HolderServer
 from godwitlanding.services.passer import Passer
 from godwitlanding.services.permits import PermitClient
 from godwitlanding.services.requests import RequestHandler
-from godwitlanding.services.tickets import TicketService
 from godwitlanding.services.upstreams import UpstreamClient
 from godwitlanding.web import HttpServer, make_status_routes
 
@@ -40,7 +40,7 @@
         UpstreamClient(context),
         Passer(context),
         Carrier(context),
-        TicketService(context),
+        ClaimService(context),
         HolderServer(context),
         requests,
         server,
--- a/godwitlanding/permits.py
+++ b/godwitlanding/permits.py
@@ -1,119 +1,132 @@
-"""The permits that an entry process holds, and whose grants it may use.
+"""The open permits of an arbiter, and what is learnt when they end.
 
-Load pattern: an arbiter dies or is paused, another takes its place, and a
-grant of the former one arrives late. Without the checks here both grants
-would be used and an upstream would run more than its licensed slots, which
-shows as work that the upstream sheds or as a licence overrun.
-
-Pure: ``now`` is passed in, in seconds of the process's monotonic clock.
-
->>> book = PermitBook(start_s=0.5)
->>> permit = book.accept(granted, 1.0, "127.0.1.1:7101", now=1.1).unwrap()
->>> book.may_dispatch(permit, now=1.2)
-True
+A permit holds a slot until its holder releases it or, where the holder has
+died, until it ends by itself; so no message that is lost can keep a slot
+for longer than the request's deadline. Permits that a former arbiter
+granted are counted in the same book, and one whose loan has ended stays
+counted, since its request still runs on the upstream.
 """
 
 from typing import NamedTuple
 
-from result import Err, Ok
-
-from godwitlanding.messages import Held, HeldPermit
-
-STALE = "stale_arbiter"
-EXPIRED = "expired"
+from godwitlanding.messages import (
+    OUTCOME_CANCELLED,
+    OUTCOME_CRASHED,
+    OUTCOME_LEAVING,
+    OUTCOME_OK,
+    OUTCOME_SHED,
+    OUTCOME_TIMEOUT,
+)
+from godwitlanding.timers import Timers
+
+# The upstream may hear of a cancellation later than the permit ends; its
+# slot is not used again before. A one-way trip in the zone takes 1 ms and
+# a busy loop answers within tens.
+PERMIT_GRACE_S = 0.05
+# An upstream that refuses work answers faster than any other and would be
+# offered the whole queue; by then the health join has heard of it.
+SHED_PAUSE_S = 0.25
+LEAVING_PAUSE_S = 2.0
+# Outcomes after which the time held tells what a slot serves.
+_WORKED = frozenset({OUTCOME_OK, OUTCOME_TIMEOUT, OUTCOME_CANCELLED})
 
 
 class Permit(NamedTuple):
-    """A permit in use; ``until`` ends it, ``start_until`` its first use."""
-
-    permit_id: int
-    upstream: str
-    upstream_address: str
-    arbiter: str
-    arbiter_address: str
-    start_until: float
-    until: float
-    waited_s: float
-
-
-class Spill(NamedTuple):
-    """Leave to hand the request to another zone, until ``until``."""
+    """An open permit; ``granted_at`` is ``None`` for a former arbiter's."""
 
-    availability_zone: str
-    until: float
-    arbiter_address: str
-    service: str
-    ask_id: str
+    upstream_id: str
+    granted_at: float | None
+    fingerprint: int
+    is_long: bool
 
 
 class PermitBook:
-    """Open permits of one process, and the arbiter heeded by upstream."""
+    """Open permits by id."""
 
-    def __init__(self, start_s):
-        self._start_s = start_s
-        self._permit_by_key = {}
-        self._arbiter_by_upstream = {}
+    def __init__(self, pool):
+        self._pool = pool
+        self._timers = Timers()
+        self._permit_by_id = {}
+        self._open_by_fingerprint = {}
+        self.long_count = 0
 
     def __len__(self):
-        return len(self._permit_by_key)
-
-    def answer(self, holdings, now):
-        """Heed only this arbiter on its upstreams; return what is open.
-
-        The arbiter counts these permits and grants the rest of the slots.
-        A grant of another arbiter that is still under way would come on
-        top, so from this answer on ``accept`` turns it away.
-        """
-        for upstream in holdings.upstreams:
-            self._arbiter_by_upstream[upstream] = holdings.arbiter
-        asked = frozenset(holdings.upstreams)
-        return Held(
-            tuple(
-                HeldPermit(permit.permit_id, permit.upstream, permit.until - now)
-                for permit in self._permit_by_key.values()
-                if permit.upstream in asked and permit.until > now
-            )
-        )
-
-    def accept(self, granted, asked_at, address, now):
-        """Return ``Ok(permit)``, or ``Err`` with why it must go back.
-
-        Validity counts from when this process asked, which is before the
-        arbiter granted, so the holder's view always ends first.
-        """
-        heeded = self._arbiter_by_upstream.get(granted.upstream, granted.arbiter)
-        if heeded != granted.arbiter:
-            return Err(STALE)
-        permit = Permit(
-            granted.permit_id,
-            granted.upstream,
-            granted.address,
-            granted.arbiter,
-            address,
-            asked_at + granted.waited_s + self._start_s,
-            asked_at + granted.valid_s,
-            granted.waited_s,
-        )
-        if not self._is_current(permit, now):
-            return Err(EXPIRED)
-        self._permit_by_key[(permit.arbiter, permit.permit_id)] = permit
-        return Ok(permit)
-
-    def may_dispatch(self, permit, now):
-        """Check again right before the first byte goes to the upstream.
-
-        The process may have been paused since it accepted the permit; the
-        arbiter may meanwhile have given the slot to another.
-        """
-        heeded = self._arbiter_by_upstream.get(permit.upstream, permit.arbiter)
-        is_open = (permit.arbiter, permit.permit_id) in self._permit_by_key
-        # One that is still open was reported in ``answer``, so the new
-        # arbiter counts it: whom the process heeds by now does not matter.
-        return (is_open or heeded == permit.arbiter) and self._is_current(permit, now)
-
-    def end(self, permit):
-        """Forget a permit that is given back."""
-        self._permit_by_key.pop((permit.arbiter, permit.permit_id), None)
-
-    def _is_current(self, permit, now):
-        return now < permit.until and now <= permit.start_until
+        return len(self._permit_by_id)
+
+    def get(self, permit_id):
+        """Return the open permit, or ``None``."""
+        return self._permit_by_id.get(permit_id)
+
+    def count_open(self, fingerprint):
+        """Return how many requests with the fingerprint are running."""
+        return self._open_by_fingerprint.get(fingerprint, 0)
+
+    def open(self, permit_id, permit, until, now):
+        """Count a permit that ends by itself at ``until``."""
+        if permit_id in self._permit_by_id:
+            return
+        self._permit_by_id[permit_id] = permit
+        self._timers.set(permit_id, until + PERMIT_GRACE_S)
+        self.long_count += permit.is_long
+        if permit.fingerprint:
+            count = self.count_open(permit.fingerprint)
+            self._open_by_fingerprint[permit.fingerprint] = count + 1
+        self._pool.take(self._pool.get(permit.upstream_id), now)
+
+    def close(self, permit_id, now):
+        """Free the permit's slot."""
+        permit = self._permit_by_id.pop(permit_id)
+        self._timers.cancel(permit_id)
+        self.long_count -= permit.is_long
+        if permit.fingerprint:
+            count = self._open_by_fingerprint[permit.fingerprint] - 1
+            self._open_by_fingerprint[permit.fingerprint] = count
+            if count == 0:
+                del self._open_by_fingerprint[permit.fingerprint]
+        self._pool.give_back(self._pool.get(permit.upstream_id), now)
+
+    def close_ended(self, now):
+        """Free the slots of permits that nobody released in time."""
+        for permit_id in self._timers.pop_due(now):
+            self.close(permit_id, now)
+
+    def get_next_time(self):
+        """Return when the next permit ends by itself, or ``None``."""
+        return self._timers.get_next_time()
+
+
+class Teacher:
+    """Passes the outcome of a permit to the modules that learn from it."""
+
+    def __init__(self, pool, outliers, poison, admission, long_jobs):
+        self._pool = pool
+        self._outliers = outliers
+        self._poison = poison
+        self._admission = admission
+        self._long_jobs = long_jobs
+
+    def note(self, permit, outcome, took_s, now):
+        """Learn from a permit that its holder has released."""
+        held_s = took_s if permit.granted_at is None else now - permit.granted_at
+        if outcome in _WORKED and held_s > 0:
+            self._admission.work_time.note(held_s)
+        if outcome in (OUTCOME_OK, OUTCOME_TIMEOUT):
+            self._long_jobs.note(permit.fingerprint, took_s or held_s)
+        if outcome == OUTCOME_OK:
+            self._poison.note_success(permit.fingerprint, now)
+        if outcome == OUTCOME_CRASHED:
+            self._poison.note_crash(permit.fingerprint, permit.upstream_id, now)
+        self._outliers.note(permit.upstream_id, outcome, took_s or held_s, now)
+        self._judge_upstream(permit.upstream_id, outcome, now)
+
+    def _judge_upstream(self, upstream_id, outcome, now):
+        upstream = self._pool.get(upstream_id)
+        upstream.ejected_until = self._outliers.get_ejected_until(upstream_id)
+        upstream.slow_until = self._outliers.get_slow_until(upstream_id)
+        if outcome == OUTCOME_CRASHED:
+            self._pool.warmup.note_cold(upstream_id, max(now, upstream.ejected_until))
+        if outcome == OUTCOME_SHED:
+            upstream.paused_until = max(upstream.paused_until, now + SHED_PAUSE_S)
+        if outcome == OUTCOME_LEAVING:
+            upstream.paused_until = max(upstream.paused_until, now + LEAVING_PAUSE_S)
+        self._pool.refresh(upstream, now)
--- a/godwitlanding/services/carrier.py
+++ b/godwitlanding/services/carrier.py
@@ -5,9 +5,9 @@
 from typing import NamedTuple
 
 from godwitlanding.codes import RUN_NO, Code, Refusal, make_refusal
+from godwitlanding.holdings import Permit, Spill
 from godwitlanding.kernel import Service
 from godwitlanding.messages import OUTCOME_CANCELLED, OUTCOME_UNUSED
-from godwitlanding.permits import Permit, Spill
 from godwitlanding.poison import PoisonLedger
 from godwitlanding.retry import Failure, RetryPolicy, Tries
 
--- a/godwitlanding/services/permits.py
+++ b/godwitlanding/services/permits.py
@@ -5,6 +5,7 @@
 from result import Err
 
 from godwitlanding.codes import Code, make_refusal
+from godwitlanding.holdings import PermitBook, Spill
 from godwitlanding.kernel import Service
 from godwitlanding.messages import (
     OUTCOME_UNUSED,
@@ -15,7 +16,6 @@
     Release,
     Withdraw,
 )
-from godwitlanding.permits import PermitBook, Spill
 from godwitlanding.view import MEMBERS_KIND
 
 # An arbiter that is replaced takes a moment to collect the open permits.
--- a/godwitlanding/services/requests.py
+++ b/godwitlanding/services/requests.py
@@ -26,7 +26,7 @@
     """The ASGI application under ``/s/``."""
 
     name = "requests"
-    needs = ("feed", "carrier", "tickets")
+    needs = ("feed", "carrier", "claims")
 
     def __init__(self, context):
         self.in_progress = 0
@@ -38,7 +38,7 @@
         """Find the services that a request passes through."""
         self._feed = kernel.get("feed")
         self._carrier = kernel.get("carrier")
-        self._tickets = kernel.get("tickets")
+        self._claims = kernel.get("claims")
 
     def get_status(self):
         """Return the number of requests in progress."""
@@ -156,7 +156,7 @@
 
     async def _run(self, request, sink):
         if request.needs_ticket:
-            return await self._tickets.run(request, sink)
+            return await self._claims.run(request, sink)
         return await self._carrier.carry(request, sink)
 
 
--- a/godwitlanding/tests/test_permits.py
+++ b/godwitlanding/tests/test_holdings.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from godwitlanding.holdings import EXPIRED, STALE, PermitBook
 from godwitlanding.messages import Granted, HeldPermit, Holdings
-from godwitlanding.permits import EXPIRED, STALE, PermitBook
 from godwitlanding.tests.support_entry import Bench, answer_hello, wait_until
 from godwitlanding.tests.test_entry import ADDRESS, fetch
 
