--- /dev/null
+++ b/godwitlanding/tests/test_journal.py
@@ -0,0 +1,324 @@
+"""At most once: the journal against every step where a fault may fall.
+
+The long version: ``GODWIT_SCHEDULES=2000 pytest .../test_journal.py``
+"""
+
+import os
+
+import pytest
+from hypothesis import HealthCheck, given, settings, strategies as st
+
+from godwitlanding.codes import Code
+from godwitlanding.journal import Claim, Journal, close_journal
+from godwitlanding.journaltext import Closer, Outcome, parse_journal
+from godwitlanding.store import StoredObject
+from godwitlanding.ticket import JOURNALED, MEMORY_ONLY, Ticket
+
+CI_SCHEDULES = 100
+SCHEDULES = int(os.environ.get("GODWIT_SCHEDULES", CI_SCHEDULES))
+PAID = Outcome(201, (("content-type", "text/plain"),), b"paid")
+
+
+def make_ticket(nonce="n1", kind=JOURNALED, issued_s=100):
+    return Ticket("pay", kind, "za1", "h0", issued_s, nonce)
+
+
+class FakeObject:
+    """One object of the platform, changed by conditional update only."""
+
+    def __init__(self):
+        self.stored = None
+
+    def put(self, value, expected_version):
+        """Return the new version, or ``None`` on a conflict."""
+        version = self.stored.version if self.stored else 0
+        if version != expected_version:
+            return None
+        self.stored = StoredObject("journal", "h0", version + 1, value)
+        return version + 1
+
+
+def test_work_is_dispatched_only_after_its_claim_is_recorded():
+    journal = Journal("h0")
+    claim = journal.press(make_ticket(), 7).unwrap()
+    assert not claim.may_dispatch
+    write = journal.begin_write()
+    assert not claim.may_dispatch
+    assert journal.end_write(write, 1) == [claim]
+    assert claim.may_dispatch
+
+
+def run_to(step):
+    """Bring a home as far as ``step``; return its journal and object."""
+    journal, platform = Journal("h0"), FakeObject()
+    claim = journal.press(make_ticket(), 7).unwrap()
+    if step == "pressed":
+        return journal, platform
+    write = journal.begin_write()
+    version = platform.put(write.value, write.expected_version)
+    if step == "answer lost":
+        return journal, platform
+    journal.end_write(write, version)
+    if step == "claimed":
+        return journal, platform
+    journal.finish(claim, None if step == "unknown" else PAID)
+    if step == "done, not written":
+        return journal, platform
+    write = journal.begin_write()
+    journal.end_write(write, platform.put(write.value, write.expected_version))
+    return journal, platform
+
+
+@pytest.mark.parametrize(
+    ("step", "expected"),
+    [
+        ("pressed", "runs"),
+        ("answer lost", Code.OUTCOME_UNKNOWN),
+        ("claimed", Code.OUTCOME_UNKNOWN),
+        ("done, not written", Code.OUTCOME_UNKNOWN),
+        ("done", PAID),
+        ("unknown", Code.OUTCOME_UNKNOWN),
+    ],
+)
+def test_press_after_the_home_was_killed(step, expected):
+    """A home is killed at some step of a payment; its caller presses again.
+
+    Run a second time, a pensioner would be charged twice; told "unknown"
+    where nothing was claimed, she would be sent to the helpline for nothing.
+    """
+    _, platform = run_to(step)
+    closed, value = close_journal(platform.stored, "h0", Closer("za2", "h1"))
+    assert platform.put(value, platform.stored.version if platform.stored else 0)
+    pressed = Journal("h1").press(make_ticket(), 7, [closed])
+    if expected == "runs":
+        assert isinstance(pressed.unwrap(), Claim)
+    elif expected == PAID:
+        assert pressed.unwrap() == PAID
+    else:
+        assert pressed.unwrap_err().code == expected
+
+
+@pytest.mark.parametrize("step", ["pressed", "answer lost", "claimed"])
+def test_home_that_was_paused_past_its_replacement_runs_nothing_new(step):
+    """A home is paused, its journal is closed by another, and it goes on.
+
+    Whatever it had not claimed in time belongs to the other now.
+    """
+    journal, platform = run_to(step)
+    _, value = close_journal(platform.stored, "h0", Closer("za2", "h1"))
+    platform.put(value, platform.stored.version if platform.stored else 0)
+    late = journal.press(make_ticket("n2"), 7).unwrap()
+    write = journal.begin_write()
+    assert platform.put(write.value, write.expected_version) is None
+    assert journal.settle(platform.stored) == []
+    assert journal.closed_by == Closer("za2", "h1")
+    assert late in journal.void_waiting()
+    assert not late.may_dispatch
+    refused = journal.press(make_ticket("n3"), 7)
+    assert refused.unwrap_err().code == Code.JOURNAL_UNAVAILABLE
+
+
+@pytest.mark.parametrize("took_effect", [True, False])
+def test_lost_answer_is_settled_by_reading_back(took_effect):
+    """The platform does a write, or not, and its answer is lost either way.
+
+    Dispatching on a guess, a write that fails later would leave a payment
+    that was run without a claim.
+    """
+    journal, platform = Journal("h0"), FakeObject()
+    claim = journal.press(make_ticket(), 7).unwrap()
+    write = journal.begin_write()
+    if took_effect:
+        platform.put(write.value, write.expected_version)
+    assert journal.settle(platform.stored) == ([claim] if took_effect else [])
+    assert claim.may_dispatch is took_effect
+    again = journal.begin_write()
+    version = platform.put(again.value, again.expected_version)
+    journal.end_write(again, version)
+    assert claim.may_dispatch
+
+
+def test_write_that_takes_effect_late_is_known_from_its_number():
+    """A write hangs, the next is sent, and the first takes effect first."""
+    journal, platform = Journal("h0"), FakeObject()
+    first = journal.press(make_ticket("n1"), 7).unwrap()
+    slow = journal.begin_write()
+    journal.settle(platform.stored)
+    second = journal.press(make_ticket("n2"), 7).unwrap()
+    fast = journal.begin_write()
+    platform.put(slow.value, slow.expected_version)
+    assert platform.put(fast.value, fast.expected_version) is None
+    assert journal.settle(platform.stored) == [first]
+    assert (first.may_dispatch, second.may_dispatch) == (True, False)
+
+
+@pytest.mark.parametrize("kind", [JOURNALED, MEMORY_ONLY])
+def test_second_press_at_home(kind):
+    """A caller presses again while its first press runs, and afterwards."""
+    journal = Journal("h0")
+    ticket = make_ticket(kind=kind)
+    claim = journal.press(ticket, 7).unwrap()
+    assert journal.press(ticket, 7).unwrap_err().code == Code.STILL_RUNNING
+    assert journal.press(ticket, 8).unwrap_err().code == Code.TICKET_MISMATCH
+    journal.finish(claim, PAID)
+    assert journal.press(ticket, 7).unwrap() == PAID
+    assert journal.press(ticket, 8).unwrap_err().code == Code.TICKET_MISMATCH
+
+
+def test_ticket_whose_record_was_dropped_is_never_run_again():
+    """A caller presses a ticket again after its record is no longer kept.
+
+    Nothing is known of it then, so it must not be taken for new work, at
+    home or at the process that replaced it.
+    """
+    journal, platform = run_to("done")
+    journal.forget(100)
+    assert journal.press(make_ticket(), 7).unwrap_err().code == Code.TICKET_EXPIRED
+    write = journal.begin_write()
+    platform.put(write.value, write.expected_version)
+    closed, _ = close_journal(platform.stored, "h0", Closer("za2", "h1"))
+    pressed = Journal("h1").press(make_ticket(), 7, [closed])
+    assert pressed.unwrap_err().code == Code.TICKET_EXPIRED
+
+
+def test_work_under_way_is_not_forgotten():
+    journal = Journal("h0")
+    journal.press(make_ticket(), 7)
+    journal.forget(500)
+    assert journal.press(make_ticket(), 7).unwrap_err().code == Code.STILL_RUNNING
+
+
+def test_bodies_are_dropped_from_the_platform_but_not_from_memory():
+    journal, _ = run_to("done")
+    journal.drop_bodies(100)
+    text = parse_journal(journal.begin_write().value)
+    assert text.entry_by_nonce["n1"].outcome == PAID._replace(body=None)
+    assert journal.press(make_ticket(), 7).unwrap() == PAID
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"{}", b"[]", b'{"format": 2}', b'{"format": 1, "entries": 3}']
+)
+def test_broken_journal_is_a_value_error(value):
+    with pytest.raises(ValueError):
+        parse_journal(value)
+
+
+HOMES = (0, 1, 2)
+FATES = ("answered", "answered", "lost", "late")
+ENDS = ("done", "unknown", "withdraw", "forget")
+ACTIONS = [
+    *(("press", home, issued_s) for home in HOMES for issued_s in (1, 2, 2)),
+    *(("write", home, fate) for home in HOMES for fate in FATES),
+    *(("dispatch", home) for home in HOMES * 2),
+    *(("end", home, end) for home in HOMES for end in ENDS if home < 2),
+    *(("land_late", home) for home in HOMES),
+    ("close", 0),
+    ("close", 1),
+]
+
+
+class Schedule:
+    """Three homes in a row, writes that take effect at any time, or never.
+
+    Home ``k`` closes the journals of the homes before it. A home that was
+    replaced goes on as if nothing had happened, since it may only have
+    been paused.
+    """
+
+    def __init__(self):
+        self.journals = [Journal(f"h{number}") for number in range(3)]
+        self.platforms = [FakeObject() for _ in range(3)]
+        self.closed = {}
+        self.writes = [[] for _ in range(3)]
+        self.claims = [[] for _ in range(3)]
+        self.runs = {}
+        self.done = set()
+
+    def find_former(self, home):
+        """Return the closed journals before ``home``, if it may run."""
+        if not all(number in self.closed for number in range(home)):
+            return None
+        return [self.closed[number] for number in range(home)]
+
+    def press(self, home, issued_s):
+        former = self.find_former(home)
+        if former is None:
+            return
+        ticket = make_ticket(f"n{issued_s}", issued_s=issued_s)
+        pressed = self.journals[home].press(ticket, 7, former)
+        if pressed.is_ok() and isinstance(pressed.unwrap(), Claim):
+            self.claims[home].append(pressed.unwrap())
+        elif pressed.is_ok():
+            assert ticket.nonce in self.done
+
+    def write(self, home, fate):
+        journal, platform = self.journals[home], self.platforms[home]
+        if journal.is_unsettled:
+            self.settle(home)
+        write = journal.begin_write()
+        if fate == "late":
+            self.writes[home].append(write)
+            return
+        version = platform.put(write.value, write.expected_version)
+        if version and fate == "answered":
+            journal.end_write(write, version)
+
+    def land_late(self, home):
+        if self.writes[home]:
+            write = self.writes[home].pop(0)
+            self.platforms[home].put(write.value, write.expected_version)
+
+    def settle(self, home):
+        self.journals[home].settle(self.platforms[home].stored)
+        if self.journals[home].closed_by:
+            self.journals[home].void_waiting()
+
+    def dispatch(self, home):
+        for claim in self.claims[home]:
+            nonce = claim.ticket.nonce
+            if claim.may_dispatch and not hasattr(claim, "ran"):
+                claim.ran = True
+                self.runs[nonce] = self.runs.get(nonce, 0) + 1
+
+    def end(self, home, end):
+        journal = self.journals[home]
+        for claim in self.claims[home]:
+            has_run = getattr(claim, "ran", None)
+            if has_run is None and end == "withdraw":
+                journal.withdraw(claim)
+            if has_run and end in ("done", "unknown"):
+                claim.ran = False
+                self.done.add(claim.ticket.nonce)
+                journal.finish(claim, PAID if end == "done" else None)
+        if end == "forget":
+            journal.forget(1)
+
+    def close(self, home):
+        if home in self.closed or self.find_former(home) is None:
+            return
+        platform = self.platforms[home]
+        closer = Closer(f"vm{home + 1}", f"h{home + 1}")
+        closed, value = close_journal(platform.stored, f"h{home}", closer)
+        version = platform.stored.version if platform.stored else 0
+        assert platform.put(value, version)
+        self.closed[home] = closed
+
+
+@settings(
+    max_examples=SCHEDULES,
+    deadline=None,
+    derandomize=SCHEDULES == CI_SCHEDULES,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+@given(st.lists(st.sampled_from(ACTIONS), min_size=100, max_size=200))
+def test_random_schedules_run_nothing_twice(actions):
+    """Presses, writes, pauses and replacements come in any order at all.
+
+    A pensioner who is charged twice is what must never come of it.
+    """
+    schedule = Schedule()
+    for name, *arguments in actions:
+        getattr(schedule, name)(*arguments)
+        assert all(count == 1 for count in schedule.runs.values())
