Run tickets and callers' own keys at most once

JournalWriter writes claims and outcomes (a claim that comes long after the last write at once, those during a write with the next one, at least journal_batch_s apart; outcomes within 0.5 s or with the next claim) and closes others' journals. ClaimService follows a ticket's homes: to the home over HTTP, to its replacement, or takes over once the home is certainly gone. OnceRunner lets work run on after its caller left and hands on the whole answer. Answers up to 2 KB are recorded, their bodies for 60 s in the platform; a longer one is answered ANSWER_NOT_KEPT (new code 4005, run yes). A caller's own key is one conditional create, settled by reading back. Claim and permit are asked for at once; with the platform failing a claim is refused at once, so no slot idles through an outage.

--- a/godwitlanding/codes.py
+++ b/godwitlanding/codes.py
@@ -48,6 +48,7 @@
     OUTCOME_UNKNOWN = 4002
     JOURNAL_UNAVAILABLE = 4003
     HOME_UNREACHABLE = 4004
+    ANSWER_NOT_KEPT = 4005
 
     NOT_READY = 5001
     STOPPING = 5002
@@ -143,6 +144,9 @@
     Code.HOME_UNREACHABLE: CodeRow(
         503, RUN_UNKNOWN, "The process that may run this ticket cannot be reached."
     ),
+    Code.ANSWER_NOT_KEPT: CodeRow(
+        409, RUN_YES, "The work ran; its answer is too long ago or too large."
+    ),
     Code.NOT_READY: CodeRow(503, RUN_NO, "The process has no configuration yet."),
     Code.STOPPING: CodeRow(503, RUN_NO, "The process is stopping."),
     Code.NO_ARBITER: CodeRow(503, RUN_NO, "No permit arbiter can be reached."),
--- a/godwitlanding/entry.py
+++ b/godwitlanding/entry.py
@@ -13,10 +13,14 @@
 from godwitlanding.services.claims import ClaimService
 from godwitlanding.services.feed import Feed
 from godwitlanding.services.holder import HolderServer
+from godwitlanding.services.journal import JournalWriter
+from godwitlanding.services.keys import KeyService
+from godwitlanding.services.once import OnceRunner
 from godwitlanding.services.passer import Passer
 from godwitlanding.services.permits import PermitClient
 from godwitlanding.services.requests import RequestHandler
 from godwitlanding.services.upstreams import UpstreamClient
+from godwitlanding.store import HttpStore
 from godwitlanding.web import HttpServer, make_status_routes
 
 ROLE = "entry"
@@ -29,17 +33,27 @@
     return daemon.parse_arguments(ROLE, DESCRIPTION, argv)
 
 
-def make_services(context):
-    """Return the services of an entry process."""
+def make_services(context, store=None):
+    """Return the services of an entry process.
+
+    ``store`` stands in for the platform in tests.
+    """
     feed = Feed(context, FEED_KINDS)
     requests = RequestHandler(context)
     server = _make_server(context, feed, requests)
+    settings = context.settings
+    store = store or HttpStore(
+        settings["platform_url"], settings["platform_timeout_s"], context.counters
+    )
     return [
         feed,
         PermitClient(context),
         UpstreamClient(context),
         Passer(context),
         Carrier(context),
+        OnceRunner(context),
+        JournalWriter(context, store),
+        KeyService(context, store),
         ClaimService(context),
         HolderServer(context),
         requests,
--- a/godwitlanding/forward.py
+++ b/godwitlanding/forward.py
@@ -21,22 +21,26 @@
 
 
 class Forward(NamedTuple):
-    """How a request came here; ``kind`` is ``HOP``, ``HOME`` or ``""``."""
+    """How a request came here; ``kind`` is ``HOP``, ``HOME`` or ``""``.
+
+    ``depth`` counts the processes that it passed.
+    """
 
     kind: str
     from_zone: str
     caller: str
     request_id: str
+    depth: int = 1
 
 
-NOT_FORWARDED = Forward("", "", "", "")
+NOT_FORWARDED = Forward("", "", "", "", 0)
 _HEADER_BY_KIND = {HOP: names.HOP, HOME: names.HOME}
 
 
 def sign_forward(key, forward, method, target, idempotency_key=""):
     """Return the headers that mark and prove a forwarded request."""
     return [
-        (_HEADER_BY_KIND[forward.kind], "1"),
+        (_HEADER_BY_KIND[forward.kind], str(forward.depth)),
         (names.FROM_ZONE, forward.from_zone),
         (names.CALLER, forward.caller),
         (names.REQUEST_ID, forward.request_id),
@@ -49,7 +53,7 @@
 
     ``value_by_name`` holds the headers by lower-case name.
     """
-    kind = _read_kind(value_by_name)
+    kind, depth = _read_kind(value_by_name)
     if not kind:
         return NOT_FORWARDED
     forward = Forward(
@@ -57,6 +61,7 @@
         value_by_name.get(names.FROM_ZONE.lower(), ""),
         value_by_name.get(names.CALLER.lower(), ""),
         value_by_name.get(names.REQUEST_ID.lower(), ""),
+        depth,
     )
     if key is None:
         return None
@@ -68,12 +73,12 @@
 
 def _read_kind(value_by_name):
     for kind, name in _HEADER_BY_KIND.items():
-        if name.lower() in value_by_name:
-            return kind
-    return ""
+        if depth := value_by_name.get(name.lower()):
+            return kind, int(depth) if depth.isdecimal() else 0
+    return "", 0
 
 
 def _sign(key, forward, method, target, idempotency_key):
-    parts = (*forward, method, target, idempotency_key)
+    parts = (*map(str, forward), method, target, idempotency_key)
     text = "\n".join(parts).encode("utf-8", "surrogateescape")
     return hmac.digest(key, text, hashlib.sha256).hex()[:_DIGEST_CHARS]
--- a/godwitlanding/headers.py
+++ b/godwitlanding/headers.py
@@ -25,6 +25,7 @@
 SIGNATURE = "Godwit-Signature"
 REFUSED = "Godwit-Refused"
 RUN = "Godwit-Run"
+REPLAYED = "Godwit-Replayed"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 
 UPSTREAM_DEADLINE = "Request-Deadline"
--- a/godwitlanding/journal.py
+++ b/godwitlanding/journal.py
@@ -51,6 +51,7 @@
         self.entry = Entry(fingerprint, ticket.issued_s, CLAIMED, None)
         self.is_recorded = ticket.kind != JOURNALED
         self.is_void = False
+        self.has_body = False
         self.text = format_entry(ticket.nonce, self.entry)
 
     @property
@@ -105,6 +106,10 @@
             return Err(make_refusal(Code.JOURNAL_UNAVAILABLE, 60.0, "journal full"))
         return Ok(self._add(ticket, fingerprint))
 
+    def holds(self, ticket):
+        """Tell whether there is a record of the ticket."""
+        return ticket.nonce in self._claim_by_nonce
+
     def withdraw(self, claim):
         """Forget a claim that was certainly not run.
 
@@ -120,6 +125,7 @@
         state = UNKNOWN if outcome is None else DONE
         claim.entry = claim.entry._replace(state=state, outcome=outcome)
         self._set_text(claim, claim.entry)
+        claim.has_body = bool(outcome and outcome.body)
 
     def forget(self, issued_s):
         """Drop ended work whose ticket was issued at ``issued_s`` or before.
@@ -149,9 +155,10 @@
         """
         for claim in self._claim_by_nonce.values():
             entry = claim.entry
-            if entry.issued_s <= issued_s and entry.outcome and entry.outcome.body:
+            if claim.has_body and entry.issued_s <= issued_s:
                 bare = entry.outcome._replace(body=None)
                 self._set_text(claim, entry._replace(outcome=bare))
+                claim.has_body = False
 
     @property
     def is_waiting(self):
@@ -265,12 +272,15 @@
     """Return the closed text of a journal and the bytes to write.
 
     ``stored`` is the platform's object, ``None`` where the home never
-    wrote; ``closer`` becomes the one new home.
+    wrote; ``closer`` becomes the one new home. The bytes are ``None``
+    where another has closed it before.
     """
     if stored is None:
         value = format_journal(incarnation, 0, closer, 0, ())
         return parse_journal(value), value
     text = parse_journal(stored.value)
+    if text.closed_by:
+        return text, None
     entries = (format_entry(*pair) for pair in text.entry_by_nonce.items())
     value = format_journal(incarnation, text.number, closer, text.forgotten_s, entries)
     return text._replace(closed_by=closer), value
--- a/godwitlanding/journaltext.py
+++ b/godwitlanding/journaltext.py
@@ -104,10 +104,10 @@
     return Entry(int(fingerprint, 16), issued_s, state, parse_outcome(rest))
 
 
-def parse_outcome(row):
+def parse_outcome(row, decode=base64.b64decode):
     """Return the ``Outcome`` in a JSON list, ``None`` for an empty one."""
     if not row:
         return None
     status, headers, body = row
     pairs = tuple((name, value) for name, value in headers)
-    return Outcome(status, pairs, None if body is None else base64.b64decode(body))
+    return Outcome(status, pairs, None if body is None else decode(body))
--- a/godwitlanding/request.py
+++ b/godwitlanding/request.py
@@ -75,3 +75,9 @@
     """Return 64 bits that are the same when a caller sends it again."""
     head = f"{service}\0{method}\0{target}\0".encode()
     return xxhash.xxh64_intdigest(head + body[:FINGERPRINT_BODY_BYTES])
+
+
+def compute_body_fingerprint(request):
+    """Return 64 bits over the whole request, which a key is bound to."""
+    head = f"{request.service.name}\0{request.method}\0{request.target}\0".encode()
+    return xxhash.xxh64_intdigest(head + request.body)
--- a/godwitlanding/services/claims.py
+++ b/godwitlanding/services/claims.py
@@ -1,18 +1,161 @@
-"""Non-idempotent work: at most once, whoever fails."""
+"""Non-idempotent work: finds the one process that may run a ticket."""
 
-from godwitlanding.codes import Code, make_refusal
+from godwitlanding.codes import RUN_UNKNOWN, Code, make_refusal
+from godwitlanding.fleet import VmRow
+from godwitlanding.forward import HOME
+from godwitlanding.journal import Claim
+from godwitlanding.journaltext import Closer
 from godwitlanding.kernel import Service
+from godwitlanding.messages import OUTCOME_UNUSED
+from godwitlanding.request import compute_body_fingerprint
+from godwitlanding.services.carrier import Final
+from godwitlanding.services.once import answer_again
+from godwitlanding.services.upstreams import CONNECTION_REFUSED
+from godwitlanding.ticket import JOURNALED, is_ticket, read_ticket
+
+# Homes in a row that were replaced while one ticket was pressed.
+MAX_HOMES = 8
+# From the VM that the caller chose to the home, and to its replacement.
+MAX_DEPTH = 3
+RETRY_S = 1.0
 
 
 class ClaimService(Service):
-    """Runs requests that carry a ticket."""
+    """Runs work that carries a key at most once."""
 
     name = "claims"
-    needs = ("carrier",)
+    needs = ("feed", "passer", "journal", "once", "keys")
 
     def __init__(self, context):
         self._context = context
+        self._counters = context.counters
+
+    async def start(self, kernel):
+        """Find the services that it uses."""
+        self._view = kernel.get("feed").view
+        self._passer = kernel.get("passer")
+        self._journal = kernel.get("journal")
+        self._once = kernel.get("once")
+        self._keys = kernel.get("keys")
 
     async def run(self, request, sink):
-        """Return the ``Refusal`` to give, if any."""
-        return make_refusal(Code.MISSING_TICKET)
+        """Run or answer a press; return the ``Refusal`` to give, if any."""
+        if not request.key:
+            return make_refusal(Code.MISSING_TICKET)
+        if not request.is_repeatable:
+            detail = "non-idempotent work has to fit into memory"
+            return make_refusal(Code.BODY_TOO_LARGE, detail=detail)
+        if not is_ticket(request.key):
+            return await self._keys.run(request, sink)
+        key = self._view.get_ticket_key()
+        if key is None:
+            return make_refusal(Code.NOT_READY, RETRY_S, run=RUN_UNKNOWN)
+        read = read_ticket(key, request.key)
+        if read.is_err():
+            return read.unwrap_err()
+        ticket = read.unwrap()
+        if ticket.service != request.service.name:
+            return make_refusal(Code.BAD_TICKET, detail=f"it is for {ticket.service}")
+        return await self._find_home(request, sink, ticket)
+
+    async def _find_home(self, request, sink, ticket):
+        """Follow the homes of a ticket to the one that may run it."""
+        home = Closer(ticket.home_vm, ticket.home_incarnation)
+        former = []
+        for _ in range(MAX_HOMES):
+            if self._is_open_here(home, ticket):
+                return await self._run_here(request, sink, ticket, former)
+            closed = self._journal.get_closed(home.incarnation)
+            if closed is None:
+                ended = await self._try_there(request, sink, home)
+                if ended:
+                    return ended.refusal
+                if ticket.kind != JOURNALED:
+                    # Only the memory of its home knew, and it is gone.
+                    return make_refusal(Code.OUTCOME_UNKNOWN)
+                closing = await self._journal.close(home.incarnation)
+                if closing.is_err():
+                    return make_refusal(Code.HOME_UNREACHABLE, RETRY_S)
+                closed = closing.unwrap()
+            former.append(closed)
+            home = closed.closed_by
+        return make_refusal(Code.HOME_UNREACHABLE, RETRY_S)
+
+    def _is_open_here(self, home, ticket):
+        if home.incarnation != self._context.incarnation:
+            return False
+        journal = self._journal.journal
+        return (
+            not journal.closed_by or ticket.kind != JOURNALED or journal.holds(ticket)
+        )
+
+    async def _run_here(self, request, sink, ticket, former):
+        fingerprint = compute_body_fingerprint(request)
+        pressed = self._journal.press(ticket, fingerprint, former)
+        if pressed.is_err():
+            return pressed.unwrap_err()
+        claim = pressed.unwrap()
+        if not isinstance(claim, Claim):
+            self._counters.add("answers_replayed", service=ticket.service)
+            return await answer_again(claim, sink)
+        return await self._once.run(request, sink, _JournalRecord(self._journal, claim))
+
+    async def _try_there(self, request, sink, home):
+        """Hand the press to ``home``; ``None`` where it is certainly gone.
+
+        Taking over from a home that only seems gone is safe, since closing
+        its journal fences it; but it would have to turn away its tickets
+        from then on, so a home that is merely slow is left alone.
+        """
+        if home.vm == self._context.vm:
+            return None
+        if request.forward.depth >= MAX_DEPTH:
+            return Final(make_refusal(Code.HOME_UNREACHABLE, RETRY_S))
+        row = self._find_row(home.vm)
+        if row is None:
+            return None
+        attempt = await self._passer.forward(request, row, HOME, request.deadline, sink)
+        if attempt.code is None:
+            return Final(None)
+        if attempt.outcome == OUTCOME_UNUSED:
+            return Final(
+                make_refusal(
+                    attempt.code, attempt.retry_after_s, attempt.detail, attempt.run
+                )
+            )
+        is_unreached = attempt.code is Code.PEER_UNREACHABLE
+        if is_unreached and self._is_gone(home, attempt.detail):
+            return None
+        # An earlier press may have run there, whatever became of this one.
+        return Final(make_refusal(Code.HOME_UNREACHABLE, RETRY_S, attempt.detail))
+
+    def _find_row(self, vm):
+        for row in self._view.get_vms():
+            if row.vm == vm:
+                return row
+        member = self._view.find_member(vm)
+        zone = self._context.availability_zone
+        return VmRow(vm, member.address, zone) if member else None
+
+    def _is_gone(self, home, detail):
+        member = self._view.find_member(home.vm)
+        if member:
+            return not member.alive or member.entry_incarnation != home.incarnation
+        return detail == CONNECTION_REFUSED
+
+
+class _JournalRecord:
+    """A claim in the journal, as ``once`` sees it."""
+
+    def __init__(self, writer, claim):
+        self._writer = writer
+        self._claim = claim
+
+    async def confirm(self):
+        return await self._writer.wait_recorded(self._claim)
+
+    def withdraw(self):
+        self._writer.withdraw(self._claim)
+
+    def finish(self, outcome):
+        self._writer.finish(self._claim, outcome)
--- /dev/null
+++ b/godwitlanding/services/journal.py
@@ -0,0 +1,216 @@
+"""Writes this process's journal to the platform, many claims to a write."""
+
+import asyncio
+import contextlib
+import time
+
+from eliot import log_message
+from result import Err, Ok
+
+from godwitlanding.codes import Code, make_refusal
+from godwitlanding.journal import Journal, close_journal
+from godwitlanding.journaltext import Closer
+from godwitlanding.kernel import Service
+from godwitlanding.log import log_error
+from godwitlanding.tasks import Tasks
+
+JOURNAL_KIND = "journal"
+# An outcome that is not written yet is lost with its process; a caller who
+# presses again is then told "unknown". Within half a second the next claim
+# comes at today's rates, and its write carries the outcome.
+OUTCOME_DELAY_S = 0.5
+RETRY_S = 0.1
+# A press minutes later is answered with the status alone from a journal
+# that was taken over; each write carries every body that is kept.
+BODY_KEEP_S = 60.0
+TIDY_S = 5.0
+CLOSE_TRIES = 5
+
+
+class JournalWriter(Service):
+    """Keeps the ``Journal`` of this incarnation and takes over others'."""
+
+    name = "journal"
+
+    def __init__(self, context, store):
+        self.journal = Journal(context.incarnation)
+        self._store = store
+        self._counters = context.counters
+        self._settings = context.settings
+        self._closer = Closer(context.vm, context.incarnation)
+        self._future_by_claim = {}
+        self._changed = asyncio.Event()
+        self._closed_by_incarnation = {}
+        self._written_at = 0.0
+        self._is_failing = False
+        self._tasks = Tasks()
+
+    async def start(self, kernel):
+        """Begin to write what changes."""
+        self._tasks.run(self._write_always())
+        self._tasks.repeat(TIDY_S, self._tidy)
+
+    async def stop(self):
+        """Write the last outcomes, unless the platform is away."""
+        await self._tasks.stop()
+        if self.journal.is_dirty and not self.journal.closed_by:
+            await self._write()
+
+    def get_status(self):
+        """Return counts for operators."""
+        return self.journal.get_status()
+
+    def press(self, ticket, fingerprint, former=()):
+        """Press a ticket as ``Journal.press`` does."""
+        pressed = self.journal.press(ticket, fingerprint, former)
+        self._changed.set()
+        return pressed
+
+    async def wait_recorded(self, claim):
+        """Return ``None`` once the claim may be dispatched, else a refusal.
+
+        To be bounded by the caller; a claim that is given up on has to be
+        withdrawn.
+        """
+        if claim.may_dispatch:
+            return None
+        # Held back, it would keep a licensed slot idle through an outage.
+        if self._is_failing:
+            return make_refusal(Code.JOURNAL_UNAVAILABLE, 1.0)
+        if not claim.is_void:
+            future = asyncio.get_running_loop().create_future()
+            self._future_by_claim[claim] = future
+            try:
+                await future
+            finally:
+                self._future_by_claim.pop(claim, None)
+        if claim.may_dispatch:
+            return None
+        return make_refusal(Code.JOURNAL_UNAVAILABLE, 1.0)
+
+    def withdraw(self, claim):
+        """Forget a claim that was certainly not run."""
+        self.journal.withdraw(claim)
+        self._changed.set()
+
+    def finish(self, claim, outcome):
+        """Record an outcome; ``None`` where it is not known."""
+        self.journal.finish(claim, outcome)
+        self._changed.set()
+
+    def get_closed(self, incarnation):
+        """Return another's ``JournalText`` if it is known to be closed.
+
+        A closed journal never changes again, so it is read once.
+        """
+        return self._closed_by_incarnation.get(incarnation)
+
+    async def close(self, incarnation):
+        """Close another's journal; return ``Ok`` of its closed text.
+
+        Another process may have closed it first: ``closed_by`` tells.
+        """
+        for _ in range(CLOSE_TRIES):
+            stored = await self._read(incarnation)
+            if stored.is_err():
+                return stored
+            found = stored.unwrap()
+            try:
+                text, value = close_journal(found, incarnation, self._closer)
+            except ValueError as error:
+                log_error("journal:unreadable", of=incarnation, error=str(error))
+                break
+            if value is None:
+                self._closed_by_incarnation[incarnation] = text
+                return Ok(text)
+            version = found.version if found else 0
+            put = await self._store.put(JOURNAL_KIND, incarnation, value, version)
+            if put.is_ok():
+                self._counters.add("journals_closed")
+                log_message("journal:closed", of=incarnation)
+                self._closed_by_incarnation[incarnation] = text
+                return Ok(text)
+            # After a conflict or a lost answer only reading tells.
+            await asyncio.sleep(RETRY_S)
+        return Err(make_refusal(Code.JOURNAL_UNAVAILABLE, 1.0))
+
+    async def _read(self, incarnation):
+        answer = await self._store.get(JOURNAL_KIND, incarnation)
+        if answer.is_err() and answer.unwrap_err().code is Code.NOT_FOUND:
+            return Ok(None)
+        return answer
+
+    async def _write_always(self):
+        while not self.journal.closed_by:
+            await self._changed.wait()
+            self._changed.clear()
+            if not self.journal.is_dirty:
+                continue
+            await self._gather()
+            self._is_failing = not await self._write()
+            if self._is_failing:
+                self._changed.set()
+                await asyncio.sleep(RETRY_S)
+        log_error("journal:fenced", closed_by=self.journal.closed_by.incarnation)
+
+    async def _gather(self):
+        """Wait for more to write: shortly for claims, longer for outcomes.
+
+        A claim that comes long after the last write is written at once;
+        those that come while a write is under way share the next.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + OUTCOME_DELAY_S
+        while not self.journal.is_waiting and (left := end - loop.time()) > 0:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), left)
+            self._changed.clear()
+        next_at = self._written_at + self._settings["journal_batch_s"]
+        await asyncio.sleep(max(0.0, next_at - loop.time()))
+        self._written_at = loop.time()
+
+    async def _write(self):
+        """Write once and learn what became of it; tell whether all is well."""
+        if self.journal.is_unsettled and not await self._settle():
+            return False
+        if self.journal.closed_by:
+            return True
+        write = self.journal.begin_write()
+        put = await self._store.put(
+            JOURNAL_KIND, self.journal.incarnation, write.value, write.expected_version
+        )
+        if put.is_ok():
+            self._counters.add("journal_writes")
+            self._tell(self.journal.end_write(write, put.unwrap()))
+            return True
+        code = put.unwrap_err().code
+        self._counters.add("journal_writes_failed", code=code.name)
+        if code in (Code.RATE_LIMITED, Code.VALUE_TOO_LARGE):
+            self.journal.fail_write(write)
+            return False
+        return await self._settle() and not self.journal.is_waiting
+
+    async def _settle(self):
+        stored = await self._read(self.journal.incarnation)
+        if stored.is_err():
+            return False
+        try:
+            self._tell(self.journal.settle(stored.unwrap()))
+        except ValueError as error:
+            log_error("journal:unreadable", error=str(error))
+            return False
+        if self.journal.closed_by:
+            self._tell(self.journal.void_waiting())
+        return True
+
+    def _tell(self, claims):
+        for claim in claims:
+            future = self._future_by_claim.get(claim)
+            if future and not future.done():
+                future.set_result(None)
+
+    async def _tidy(self):
+        now = int(time.time())
+        self.journal.drop_bodies(now - int(BODY_KEEP_S))
+        self.journal.forget(now - int(self._settings["ticket_keep_s"]))
+        self._changed.set()
--- /dev/null
+++ b/godwitlanding/services/keys.py
@@ -0,0 +1,223 @@
+"""Non-idempotent work under keys that callers made up themselves.
+
+One conditional create for each request, where a ticket's claim shares its
+write with others; so tickets are the way for callers that can use them.
+"""
+
+import asyncio
+import time
+import uuid
+
+from result import Err, Ok
+
+from godwitlanding.codes import Code, make_refusal
+from godwitlanding.journaltext import CLAIMED, DONE, UNKNOWN
+from godwitlanding.kernel import Service
+from godwitlanding.keyrecord import (
+    MAX_KEY_CHARS,
+    KeyRecord,
+    format_record,
+    make_name,
+    parse_record,
+)
+from godwitlanding.log import log_error
+from godwitlanding.request import compute_body_fingerprint
+from godwitlanding.services.once import answer_again
+from godwitlanding.tasks import Tasks
+
+CLAIM_KIND = "claim"
+RETRY_S = 0.1
+WRITE_TRIES = 5
+TIDY_S = 5.0
+# Deletes are writes like any other, and nobody waits for these.
+TIDY_BATCH = 10
+
+
+class KeyService(Service):
+    """Claims callers' keys in the platform and keeps their outcomes."""
+
+    name = "keys"
+    needs = ("feed", "once")
+
+    def __init__(self, context, store):
+        self._context = context
+        self._counters = context.counters
+        self._store = store
+        self._held_by_name = {}
+        self._tasks = Tasks()
+
+    async def start(self, kernel):
+        """Begin to delete what is no longer kept."""
+        self._once = kernel.get("once")
+        self._view = kernel.get("feed").view
+        self._tasks.repeat(TIDY_S, self._tidy)
+
+    async def stop(self):
+        """End, after the outcomes under way are written."""
+        writes = [held.task for held in self._held_by_name.values() if held.task]
+        if writes:
+            await asyncio.wait(writes)
+        await self._tasks.stop()
+
+    async def run(self, request, sink):
+        """Run or answer a press; return the ``Refusal`` to give, if any."""
+        if len(request.key) > MAX_KEY_CHARS:
+            return make_refusal(Code.MALFORMED_REQUEST, detail="Idempotency-Key")
+        name = make_name(request.service.name, request.key)
+        fingerprint = compute_body_fingerprint(request)
+        if name in self._held_by_name:
+            return await self._answer(
+                self._held_by_name[name].record, fingerprint, sink
+            )
+        context = self._context
+        record = KeyRecord(
+            uuid.uuid4().hex, context.vm, context.incarnation, fingerprint
+        )
+        held = _Held(self, name, record)
+        # Held before the first await: a second press must not claim too.
+        self._held_by_name[name] = held
+        try:
+            found = await self._claim(held)
+        except asyncio.CancelledError:
+            held.withdraw()
+            raise
+        if found.is_err():
+            held.withdraw()
+            return found.unwrap_err()
+        if found.unwrap():
+            del self._held_by_name[name]
+            return await self._answer(found.unwrap(), fingerprint, sink)
+        return await self._once.run(request, sink, held)
+
+    async def _claim(self, held):
+        """Return ``Ok(None)`` once claimed, ``Ok(record)`` of who has it."""
+        for _ in range(WRITE_TRIES):
+            value = format_record(held.record)
+            put = await self._store.put(CLAIM_KIND, held.name, value, held.version)
+            if put.is_ok():
+                held.version = put.unwrap()
+                return Ok(None)
+            if put.unwrap_err().code is Code.RATE_LIMITED:
+                break
+            stored = await self._store.get(CLAIM_KIND, held.name)
+            if stored.is_err():
+                if stored.unwrap_err().code is Code.NOT_FOUND:
+                    held.version = 0
+                    continue
+                break
+            found = self._parse(stored.unwrap().value)
+            if found is None:
+                break
+            if found.claim_id == held.record.claim_id:
+                held.version = stored.unwrap().version
+                return Ok(None)
+            if not self._is_left_behind(found):
+                return Ok(found)
+            held.version = stored.unwrap().version
+        return Err(make_refusal(Code.JOURNAL_UNAVAILABLE, 1.0))
+
+    def _is_left_behind(self, found):
+        """Tell whether this process claimed it and certainly never ran it.
+
+        The answer to the create was lost and the claim given up before it
+        took effect after all; whatever this process ran it still holds.
+        """
+        is_ours = found.incarnation == self._context.incarnation
+        return is_ours and found.state == CLAIMED
+
+    async def _answer(self, record, fingerprint, sink):
+        if record.fingerprint != fingerprint:
+            return make_refusal(Code.TICKET_MISMATCH)
+        if record.state == DONE:
+            return await answer_again(record.outcome, sink)
+        if record.state == CLAIMED and self._may_still_run(record):
+            return make_refusal(Code.STILL_RUNNING, 1.0)
+        return make_refusal(Code.OUTCOME_UNKNOWN)
+
+    def _may_still_run(self, record):
+        if record.incarnation == self._context.incarnation:
+            return True
+        member = self._view.find_member(record.vm)
+        if member:
+            return member.alive and member.entry_incarnation == record.incarnation
+        return any(row.vm == record.vm for row in self._view.get_vms())
+
+    def _parse(self, value):
+        try:
+            return parse_record(value)
+        except ValueError as error:
+            log_error("keys:unreadable", error=str(error))
+            return None
+
+    async def write_outcome(self, held):
+        """Write a held record until it stands or the tries are used up."""
+        for _ in range(WRITE_TRIES):
+            value = format_record(held.record)
+            put = await self._store.put(CLAIM_KIND, held.name, value, held.version)
+            if put.is_ok():
+                held.version = put.unwrap()
+                return
+            await asyncio.sleep(RETRY_S)
+            stored = await self._store.get(CLAIM_KIND, held.name)
+            if stored.is_ok():
+                held.version = stored.unwrap().version
+        self._counters.add("key_outcomes_lost")
+
+    async def delete(self, held):
+        """Delete the claim of work that was not run, or is no longer kept."""
+        for _ in range(WRITE_TRIES):
+            gone = await self._store.delete(CLAIM_KIND, held.name, held.version)
+            if gone.is_ok() or gone.unwrap_err().code is Code.NOT_FOUND:
+                return
+            await asyncio.sleep(RETRY_S)
+            stored = await self._store.get(CLAIM_KIND, held.name)
+            if stored.is_ok():
+                found = self._parse(stored.unwrap().value)
+                if found is None or found.claim_id != held.record.claim_id:
+                    return
+                held.version = stored.unwrap().version
+
+    def forget(self, held):
+        """Let go of a key that was not run; delete its claim, if any."""
+        self._held_by_name.pop(held.name, None)
+        if held.version or held.is_unsure:
+            self._tasks.run(self.delete(held))
+
+    def keep(self, held):
+        """Write the outcome of a key that was run."""
+        held.task = self._tasks.run(self.write_outcome(held))
+
+    async def _tidy(self):
+        oldest = time.monotonic() - self._context.settings["ticket_keep_s"]
+        old = [
+            held
+            for held in self._held_by_name.values()
+            if held.record.state != CLAIMED and held.claimed_at < oldest
+        ]
+        for held in old[:TIDY_BATCH]:
+            await self.delete(held)
+            self._held_by_name.pop(held.name, None)
+
+
+class _Held:
+    """A key that this process claims, as ``once`` sees it."""
+
+    def __init__(self, service, name, record):
+        self.name = name
+        self.record = record
+        self.version = 0
+        self.is_unsure = True
+        self.claimed_at = time.monotonic()
+        self.task = None
+        self._service = service
+
+    async def confirm(self):
+        return None
+
+    def withdraw(self):
+        self._service.forget(self)
+
+    def finish(self, outcome):
+        state = UNKNOWN if outcome is None else DONE
+        self.record = self.record._replace(state=state, outcome=outcome)
+        self._service.keep(self)
--- a/godwitlanding/services/passer.py
+++ b/godwitlanding/services/passer.py
@@ -8,7 +8,7 @@
 from godwitlanding.forward import HOP, Forward, sign_forward
 from godwitlanding.headers import DEADLINE, REFUSED, RUN, select_request_headers
 from godwitlanding.kernel import Service
-from godwitlanding.messages import OUTCOME_FAILED
+from godwitlanding.messages import OUTCOME_FAILED, OUTCOME_UNUSED
 from godwitlanding.spill import LinkMeter
 
 # One VM that has just died must not fail the spill; with more, the caller
@@ -57,7 +57,8 @@
             wait_s = meter.get_retry_after_s(loop.time())
             return _refuse(Code.LINK_LIMIT, wait_s)
         zone = self._context.availability_zone
-        mark = Forward(kind, zone, request.caller, request.id)
+        depth = request.forward.depth + 1
+        mark = Forward(kind, zone, request.caller, request.id, depth)
         target = f"/s/{request.service.name}{request.target}"
         headers = select_request_headers(request.headers)
         headers += sign_forward(key, mark, request.method, target, request.key)
@@ -107,7 +108,11 @@
 
 
 def _read(status, headers):
-    """Return the ``Attempt`` of an entry process that refused."""
+    """Return the ``Attempt`` of an entry process that refused.
+
+    Its outcome is ``OUTCOME_UNUSED``, which tells a refusal that the other
+    process gave from a failure to reach it.
+    """
     number = headers.get(REFUSED)
     if number is None:
         return None
@@ -117,4 +122,4 @@
     except ValueError:
         return Attempt(OUTCOME_FAILED, RUN_UNKNOWN, Code.UPSTREAM_FAILED, number)
     run = Run(headers.get(RUN, RUN_UNKNOWN))
-    return Attempt(OUTCOME_FAILED, run, code, "in another zone", retry_after_s)
+    return Attempt(OUTCOME_UNUSED, run, code, "in another zone", retry_after_s)
--- a/godwitlanding/services/upstreams.py
+++ b/godwitlanding/services/upstreams.py
@@ -35,6 +35,8 @@
 # Shorter than servers commonly keep an idle connection (5 s and more), so
 # that a request seldom meets a connection that is just being closed.
 KEEP_ALIVE_S = 3.0
+# Nobody listens there: the machine is up and the process is not.
+CONNECTION_REFUSED = "connection refused"
 READ_BUFFER_BYTES = 65_536
 _TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 _SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -91,7 +93,11 @@
                 )
         # A connection that was never made carried nothing; its timeout is
         # also a TimeoutError, so the order matters.
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except aiohttp.ClientConnectorError as error:
+            is_refused = isinstance(error.os_error, ConnectionRefusedError)
+            detail = CONNECTION_REFUSED if is_refused else str(error)
+            return Attempt(OUTCOME_FAILED, RUN_NO, Code.UPSTREAM_FAILED, detail)
+        except aiohttp.ConnectionTimeoutError as error:
             return Attempt(OUTCOME_FAILED, RUN_NO, Code.UPSTREAM_FAILED, str(error))
         except TimeoutError:
             return Attempt(OUTCOME_TIMEOUT, RUN_UNKNOWN, Code.UPSTREAM_TIMEOUT)
--- a/godwitlanding/sink.py
+++ b/godwitlanding/sink.py
@@ -1,7 +1,9 @@
 """Where an answer goes: the caller's connection."""
 
-from godwitlanding.headers import REQUEST_ID
+from godwitlanding.headers import REPLAYED, REQUEST_ID
+from godwitlanding.journaltext import RECORDED_BODY_BYTES, Outcome
 
+_RECORDED_HEADERS = frozenset(("content-type", "content-language", "location", "etag"))
 _BODILESS_STATUSES = (204, 304)
 
 
@@ -48,3 +50,75 @@
         self.finished = True
         self.sent_bytes += len(chunk)
         await self._send({"type": "http.response.body", "body": chunk})
+
+
+class Recorder:
+    """Takes the answer to non-idempotent work, whether or not it is wanted.
+
+    The work goes on when its caller has left, and a caller that reads
+    slowly must not keep its slot. So the answer is kept here whole and
+    handed on at the end; only one over ``MAX_KEPT_BYTES`` is passed
+    through as it comes.
+    """
+
+    MAX_KEPT_BYTES = 1_000_000
+
+    def __init__(self, sink):
+        self.started = False
+        self.finished = False
+        self.sent_bytes = 0
+        self.resume = None
+        self._sink = sink
+        self._status = 0
+        self._headers = []
+        self._parts = []
+        self._is_passing = False
+
+    async def start(self, status, headers):
+        """Take the head of the answer."""
+        self.started = True
+        self._status = status
+        self._headers = headers
+
+    async def write(self, chunk):
+        """Take a part of the body."""
+        self.sent_bytes += len(chunk)
+        self._parts.append(chunk)
+        if self._is_passing or self.sent_bytes > self.MAX_KEPT_BYTES:
+            await self._pass_through()
+
+    async def finish(self, chunk=b""):
+        """Take the last part of the body."""
+        self.sent_bytes += len(chunk)
+        self._parts.append(chunk)
+        self.finished = True
+
+    def make_outcome(self):
+        """Return the ``Outcome`` to record."""
+        headers = tuple(
+            (name, value) for name, value in self._headers if name in _RECORDED_HEADERS
+        )
+        is_small = self.sent_bytes <= RECORDED_BODY_BYTES
+        body = b"".join(self._parts) if is_small else None
+        return Outcome(self._status, headers, body)
+
+    async def hand_on(self):
+        """Give the caller what is here, if there is an answer."""
+        if self.finished and not self._is_passing:
+            await self._sink.start(self._status, self._headers)
+        if self.finished:
+            await self._sink.finish(b"".join(self._parts))
+
+    async def _pass_through(self):
+        if not self._is_passing:
+            self._is_passing = True
+            await self._sink.start(self._status, self._headers)
+        await self._sink.write(b"".join(self._parts))
+        self._parts.clear()
+
+
+async def replay(outcome, sink):
+    """Give a caller the recorded answer to its ticket."""
+    headers = [*outcome.headers, ("content-length", str(len(outcome.body)))]
+    await sink.start(outcome.status, [*headers, (REPLAYED.lower(), "1")])
+    await sink.finish(outcome.body)
--- a/godwitlanding/tests/support_entry.py
+++ b/godwitlanding/tests/support_entry.py
@@ -22,6 +22,7 @@
 )
 from godwitlanding.metrics import Counters
 from godwitlanding.settings import check_settings
+from godwitlanding.tests.support import FakeStore
 from godwitlanding.wire import Server
 
 ZONE = "za"
@@ -253,7 +254,7 @@
 class Bench:
     """An entry process, its zone daemon and its upstreams, started."""
 
-    def __init__(self, address, scripts, **settings):
+    def __init__(self, address, scripts, store=None, **settings):
         host = address.rsplit(".", 1)[0]
         self.address = address
         self.url = f"http://{address}:{ENTRY_PORT}"
@@ -264,7 +265,8 @@
         ]
         self.zone.upstreams = [upstream.address for upstream in self.upstreams]
         self.context = make_context("entry", make_settings(address, **settings))
-        self.kernel = Kernel(entry.make_services(self.context))
+        self.store = store or FakeStore()
+        self.kernel = Kernel(entry.make_services(self.context, self.store))
 
     @property
     def counters(self):
