--- a/godwitlanding/services/journal.py
+++ b/godwitlanding/services/journal.py
@@ -144,7 +144,9 @@
         while not self.journal.closed_by:
             await self._changed.wait()
             self._changed.clear()
-            if not self.journal.is_dirty:
+            # A write whose answer was lost has to be settled even where
+            # nothing new came: its outcomes may not stand in the platform.
+            if not (self.journal.is_dirty or self.journal.is_unsettled):
                 continue
             await self._gather()
             self._is_failing = not await self._write()
@@ -188,7 +190,7 @@
         if code in (Code.RATE_LIMITED, Code.VALUE_TOO_LARGE):
             self.journal.fail_write(write)
             return False
-        return await self._settle() and not self.journal.is_waiting
+        return await self._settle() and not self.journal.is_dirty
 
     async def _settle(self):
         stored = await self._read(self.journal.incarnation)
--- a/godwitlanding/tests/test_claims.py
+++ b/godwitlanding/tests/test_claims.py
@@ -162,6 +162,25 @@
         assert count_runs(bench) == 2
 
 
+async def test_outcome_is_written_after_an_outage_without_another_press():
+    """The platform goes away between a payment's claim and its outcome.
+
+    Did the outcome wait for the next payment, a home that is replaced
+    meanwhile would leave "unknown" behind.
+    """
+    async with Bench(ADDRESS, [pay]) as bench:
+        assert await press(bench, make_ticket(bench)) == (201, b"paid")
+        bench.store.set_available(False)
+        await wait_until(lambda: bench.store.writes > 1)
+        bench.store.set_available(True)
+        name = bench.context.incarnation
+        await wait_until(lambda: '"done"' in read_object(bench, JOURNAL_KIND, name))
+
+
+def read_object(bench, kind, name):
+    return bench.store.objects.get(kind, name).unwrap().value.decode()
+
+
 async def test_claim_whose_answer_was_lost_runs_once():
     """The platform records the claim and its answer gets lost."""
     async with Bench(ADDRESS, [pay]) as bench:
