Compare a peer's protocol with one's own

Cause: a process of another version compared the peer's hello with the constant of its own code, not with what it had said itself, so that the newer of two versions went on and reported the peer as unreachable. Change: each side compares with the protocol it announced. Seen failing first: test_peer_of_another_version_is_told_so got PEER_UNREACHABLE instead of PROTOCOL_MISMATCH. Conclusion: both sides name the mismatch.

--- /dev/null
+++ b/godwitlanding/tests/test_wire.py
@@ -0,0 +1,197 @@
+"""Calls between our processes, and what breaks them."""
+
+import asyncio
+import struct
+
+import pytest
+
+from godwitlanding.codes import Code
+from godwitlanding.messages import (
+    PROTOCOL_VERSION,
+    Ack,
+    Envelope,
+    Failure,
+    Fetch,
+    Hello,
+    State,
+    Withdraw,
+    encode,
+)
+from godwitlanding.metrics import Counters
+from godwitlanding.wire import MAX_FRAME_BYTES, Pool, Server
+
+HOST = "127.0.70.1"
+HELLO = Hello(PROTOCOL_VERSION, "zone", "a1", "n-a", "i1")
+TIMEOUT_S = 5.0
+
+
+def _frame(data):
+    return struct.pack("<I", len(data)) + data
+
+
+def _greet(hello=HELLO):
+    return _frame(encode(Envelope(0, False, hello)))
+
+
+class Bench:
+    """A server with one handler, and a pool that calls it."""
+
+    def __init__(self, handler):
+        self.counters = Counters()
+        self.server = Server(HELLO, {Fetch: handler}, self.counters)
+        self.pool = Pool(HELLO, {}, self.counters)
+        self.address = ""
+
+    async def __aenter__(self):
+        await self.server.start(HOST, 0)
+        port = self.server.get_port()
+        self.address = f"{HOST}:{port}"
+        return self
+
+    async def __aexit__(self, *error):
+        await self.pool.stop()
+        await self.server.stop()
+
+    async def call(self, message, timeout_s=TIMEOUT_S):
+        return await self.pool.call(self.address, message, timeout_s)
+
+    async def dial(self):
+        host, _, port = self.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+
+async def _echo(channel, message):
+    return State(message.kind, message.name, 1, b"")
+
+
+async def test_answers_out_of_order_reach_their_own_caller():
+    """A slow question is overtaken by quick ones on the same connection.
+
+    Were answers matched by order, callers would get each other's answers.
+    """
+    release = asyncio.Event()
+
+    async def answer(channel, message):
+        if message.name == "slow":
+            await release.wait()
+        return await _echo(channel, message)
+
+    async with Bench(answer) as bench:
+        slow = asyncio.ensure_future(bench.call(Fetch("k", "slow")))
+        names = [f"quick-{number}" for number in range(20)]
+        answers = await asyncio.gather(*(bench.call(Fetch("k", n)) for n in names))
+        assert [a.unwrap().name for a in answers] == names
+        release.set()
+        assert (await slow).unwrap().name == "slow"
+
+
+async def test_answer_after_its_timeout_is_dropped():
+    """The peer answers after the caller has stopped waiting.
+
+    Were it kept, the next call could take it for its own answer.
+    """
+    release = asyncio.Event()
+
+    async def answer(channel, message):
+        if message.name == "late":
+            await release.wait()
+        return await _echo(channel, message)
+
+    async with Bench(answer) as bench:
+        late = await bench.call(Fetch("k", "late"), 0.01)
+        assert late.unwrap_err().code is Code.CALL_TIMEOUT
+        release.set()
+        assert (await bench.call(Fetch("k", "next"))).unwrap().name == "next"
+        assert bench.counters.get("wire_dropped", reason="late_answer") == 1
+
+
+@pytest.mark.parametrize(
+    ("sent", "code"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", Code.FRAME_TOO_LARGE),
+        (_frame(b"garbage!" * 4), Code.GARBAGE_FRAME),
+        (_greet() + _frame(b"\xff" * 64), Code.GARBAGE_FRAME),
+        (_greet() + struct.pack("<I", MAX_FRAME_BYTES + 1), Code.FRAME_TOO_LARGE),
+        (_greet(HELLO._replace(protocol=99)), Code.PROTOCOL_MISMATCH),
+        (_frame(encode(Envelope(1, False, Ack()))), Code.PROTOCOL_MISMATCH),
+    ],
+)
+async def test_bad_bytes_end_their_connection_only(sent, code):
+    """Something that is not our protocol talks to the internal port.
+
+    A port scanner or an older version must neither end the process nor
+    disturb the peers that it serves.
+    """
+    async with Bench(_echo) as bench:
+        reader, writer = await bench.dial()
+        writer.write(sent)
+        await asyncio.wait_for(reader.read(), TIMEOUT_S)
+        writer.close()
+        assert bench.counters.get("wire_refused", code=code.name) == 1
+        assert (await bench.call(Fetch("k", "x"))).is_ok()
+
+
+async def test_peer_of_another_version_is_told_so():
+    async with Bench(_echo) as bench:
+        other = Pool(HELLO._replace(protocol=99), {}, Counters())
+        answer = await other.call(bench.address, Fetch("k", "x"), TIMEOUT_S)
+        assert answer.unwrap_err().code is Code.PROTOCOL_MISMATCH
+
+
+async def test_handler_that_fails_answers_and_goes_on():
+    async def answer(channel, message):
+        if message.name == "bad":
+            raise KeyError("bad")
+        return await _echo(channel, message)
+
+    async with Bench(answer) as bench:
+        failed = await bench.call(Fetch("k", "bad"))
+        assert failed.unwrap_err().code is Code.HANDLER_FAILED
+        assert (await bench.call(Fetch("k", "good"))).is_ok()
+
+
+async def test_message_without_a_handler_is_refused():
+    async with Bench(_echo) as bench:
+        answer = await bench.call(Withdraw("s", "r"))
+        assert answer.unwrap_err().code is Code.UNEXPECTED_MESSAGE
+
+
+async def test_calls_under_way_fail_at_once_when_the_connection_breaks():
+    """The peer dies with calls open.
+
+    Their callers must not wait for the whole timeout, or a zone's requests
+    would stand still for that long after each death.
+    """
+    reached = asyncio.Event()
+
+    async def answer(channel, message):
+        reached.set()
+        await asyncio.sleep(3600)
+
+    async with Bench(answer) as bench:
+        call = asyncio.ensure_future(bench.call(Fetch("k", "x"), 3600.0))
+        await reached.wait()
+        await bench.server.stop()
+        answer = await asyncio.wait_for(call, TIMEOUT_S)
+        assert answer.unwrap_err().code is Code.PEER_UNREACHABLE
+
+
+async def test_pool_dials_again_after_a_break():
+    async with Bench(_echo) as bench:
+        assert (await bench.call(Fetch("k", "x"))).is_ok()
+        for channel in list(bench.server.channels):
+            channel.close()
+        for _ in range(50):
+            if (await bench.call(Fetch("k", "x"))).is_ok():
+                return
+        pytest.fail("the pool did not dial again")
+
+
+async def test_failure_codes_of_a_newer_peer_are_understood():
+    async def answer(channel, message):
+        return Failure(9999, "from the future")
+
+    async with Bench(answer) as bench:
+        failed = await bench.call(Fetch("k", "x"))
+        assert failed.unwrap_err().code is Code.HANDLER_FAILED
+        assert failed.unwrap_err().detail == "from the future"
--- a/godwitlanding/wire.py
+++ b/godwitlanding/wire.py
@@ -17,7 +17,6 @@
 
 from godwitlanding.codes import Code, make_refusal
 from godwitlanding.messages import (
-    PROTOCOL_VERSION,
     Ack,
     Envelope,
     Failure,
@@ -61,10 +60,10 @@
             self._counters.add("wire_refused", code=Code.GARBAGE_FRAME.name)
             return Err(make_refusal(Code.GARBAGE_FRAME, detail=str(error)))
         hello = envelope.message
-        if not isinstance(hello, Hello) or hello.protocol != PROTOCOL_VERSION:
+        if not isinstance(hello, Hello) or hello.protocol != self._hello.protocol:
             self._counters.add("wire_refused", code=Code.PROTOCOL_MISMATCH.name)
             log_message("wire:protocol_mismatch", peer=repr(hello)[:200])
-            detail = f"this process speaks protocol {PROTOCOL_VERSION}"
+            detail = f"this process speaks protocol {self._hello.protocol}"
             self._write(
                 Envelope(0, True, Failure(Code.PROTOCOL_MISMATCH.value, detail))
             )
@@ -204,6 +203,10 @@
         """Listen on ``host:port``."""
         self._server = await asyncio.start_server(self._accept, host, port)
 
+    def get_port(self):
+        """Return the port on which the server listens."""
+        return self._server.sockets[0].getsockname()[1]
+
     async def stop(self):
         """Close the listener and every connection."""
         if self._server:
