--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,14 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.ready-$(shell sha256sum requirements.lock | cut -c1-12)
 
-.PHONY: demo test lint format setup
+.PHONY: demo play test lint format setup
 
 demo: setup
 	$(BIN)/python -m godwitlanding.tests.tools.demo
 
+play: setup
+	$(BIN)/python -m godwitlanding.tests.tools.play
+
 test: lint
 	$(BIN)/python -m pytest
 
--- /dev/null
+++ b/godwitlanding/tests/tools/play.py
@@ -0,0 +1,70 @@
+"""Runs a whole system on this machine until Ctrl-C (``make play``).
+
+For a person who wants to try the commands of the pages by hand: the same
+stand-ins and daemons as the demo, with the demo's sample applied.
+"""
+
+import argparse
+import asyncio
+import sys
+from pathlib import Path
+
+from godwitlanding.tests.tools.cluster import ROOT, Cluster
+
+HELP = """
+ready. In another terminal, with {bin} on the PATH:
+    export GODWIT_PLATFORM={platform}
+    godwitctl status
+    curl -s {steer}/v1/steer/status
+    curl -si {entry}/s/status/one
+    curl -s -X POST {steer}/v1/tickets/renewal
+logs and settings: {directory}
+Ctrl-C ends it all."""
+
+
+async def play(sample, ready=None, end=None):
+    """Start it all and wait until ``end`` is set or forever."""
+    cluster = Cluster(sample.read_text())
+    try:
+        print(f"starting {len(cluster.vm_by_name)} entry VMs and the stand-ins")
+        await cluster.start()
+        vm = next(iter(cluster.vm_by_name))
+        print(
+            HELP.format(
+                bin=Path(sys.executable).parent,
+                platform=cluster.platform_url,
+                steer=cluster.get_url(vm, "steer"),
+                entry=cluster.get_url(vm, "entry"),
+                directory=cluster.directory,
+            )
+        )
+        if ready:
+            ready.set()
+        await (end or asyncio.Event()).wait()
+    finally:
+        await cluster.stop()
+
+
+def parse_arguments(argv=None):
+    """Return the arguments."""
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument(
+        "--sample", type=Path, default=ROOT / "samples/demo.json5", help="Text to apply"
+    )
+    return parser.parse_args(argv)
+
+
+def main(argv=None):
+    """Run until interrupted; return the exit code."""
+    try:
+        asyncio.run(play(parse_arguments(argv).sample))
+    except KeyboardInterrupt:
+        print("ended")
+    except (TimeoutError, RuntimeError) as error:
+        print(f"cannot start: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
