--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -12,6 +12,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import sys
 import tempfile
@@ -40,6 +41,14 @@
     upstreams: str = "127.0.2."
 
 
+def make_network(number):
+    """Return a network of its own at 127.0.NUMBER.x and the one above."""
+    if number == 1:
+        return Network()
+    control = f"127.0.{number}.250"
+    return Network(f"127.0.{number}.", control, f"127.0.{number + 1}.")
+
+
 class Vm(NamedTuple):
     """An entry VM of the cluster."""
 
@@ -61,8 +70,15 @@
 class Cluster:
     """The processes of one system and the switches of its stand-ins."""
 
-    def __init__(self, text, network=Network(), vms_per_zone=2, settings=None):
-        self.text = text.replace("127.0.2.", network.upstreams)
+    def __init__(
+        self,
+        text,
+        network=Network(),
+        vms_per_zone=2,
+        settings=None,
+        log_directory=None,
+    ):
+        self.text = re.sub(r"127\.0\.[23]\.", network.upstreams, text)
         self.config = parse_config(self.text).unwrap()
         self.platform_url = f"http://{network.control}:{PLATFORM_PORT}"
         self.vm_by_name = {}
@@ -72,17 +88,13 @@
         self._settings = settings or {}
         self._process_by_key = {}
         self._state_by_vm = {}
-        self._directory = tempfile.TemporaryDirectory(prefix="godwit-")
+        self._directory = None
+        self.directory = Path(log_directory or self._make_directory())
         self._session = None
         for zone in self.config.region_by_zone:
             for number in range(1, vms_per_zone + 1):
                 self._add_vm(f"{zone}-{number}", zone)
 
-    @property
-    def directory(self):
-        """Return the directory with settings and logs."""
-        return Path(self._directory.name)
-
     async def start(self):
         """Start everything, apply the text and wait until all is ready."""
         self._session = aiohttp.ClientSession()
@@ -93,7 +105,16 @@
         await self.run_ctl("apply", str(text_path), "--yes")
         for vm in self.vm_by_name:
             await self.start_vm(vm)
-        await wait_until(self.is_ready, START_LIMIT_S, "every daemon to be ready")
+
+        async def is_up():
+            return self._has_failed() or await self.is_ready()
+
+        try:
+            await wait_until(is_up, START_LIMIT_S, "every daemon to be ready")
+            if self._has_failed():
+                raise TimeoutError("a process has ended by itself")
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}{await self._describe_unready()}") from error
 
     async def stop(self):
         """End every process that this cluster started."""
@@ -104,7 +125,8 @@
             await process.wait()
         if self._session:
             await self._session.close()
-        self._directory.cleanup()
+        if self._directory:
+            self._directory.cleanup()
 
     def add_vm(self, name, availability_zone):
         """Add a VM to the list; ``start_vm`` starts its daemons."""
@@ -233,6 +255,18 @@
         """Return what a daemon has written."""
         return (self.directory / f"{vm}-{role}.log").read_text()
 
+    async def _describe_unready(self):
+        lines = []
+        for vm, role in self._process_by_key:
+            if role in PORT_BY_ROLE and not await self.is_role_ready(vm, role):
+                last = self.read_log(vm, role).strip().splitlines()[-3:]
+                lines += [f"{vm} {role}: {line}" for line in last or ["no log"]]
+        return "\n".join(["", *lines[:20]])
+
+    def _make_directory(self):
+        self._directory = tempfile.TemporaryDirectory(prefix="godwit-")
+        return self._directory.name
+
     def _add_vm(self, name, availability_zone):
         address = f"{self._network.vms}{len(self.vm_by_name) + 1}"
         self.vm_by_name[name] = Vm(name, address, availability_zone)
@@ -262,10 +296,23 @@
         for url in (self.platform_url, self._control_url):
 
             async def is_up(url=url):
+                self._check_standins()
                 return (await self._call("GET", f"{url}/standin/stats"))[0] == 200
 
             await wait_until(is_up, START_LIMIT_S, f"the stand-in at {url}")
 
+    def _has_failed(self):
+        processes = self._process_by_key.values()
+        return any(process.returncode is not None for process in processes)
+
+    def _check_standins(self):
+        # Another cluster at the same addresses would answer in their place
+        # and the two runs would change each other's objects.
+        for vm, role in (("platform", "platform"), ("upstreams", "upstreams")):
+            if self._process_by_key[vm, role].returncode is not None:
+                last = self.read_log(vm, role).strip().splitlines()[-1:]
+                raise RuntimeError(f"the stand-in of {vm} has ended: {last}")
+
     async def _spawn(self, key, module, *arguments):
         log = (self.directory / f"{key[0]}-{key[1]}.log").open("ab")
         with log:
