--- a/godwitlanding/blocks.py
+++ b/godwitlanding/blocks.py
@@ -2,10 +2,9 @@
 
 Pure: no network and no clock. The table answers the pattern of 900
 look-ups a second on each node against 3.2 million blocks, of which a few
-change at a time. As Python objects the table would take some 400 MB; as
-packed arrays (4 bytes start, 2 bytes group) it takes 19 MB, cut into pieces
-so that a change moves the bytes of one piece only. ``docs/CAPACITY.md``
-has the measurements.
+change at a time. Packed arrays (4 bytes start, 2 bytes group) hold it in 19
+MB, cut into pieces so that a change moves the bytes of one piece only.
+``docs/CAPACITY.md`` has the measurements.
 
 A block reaches from its start to the start of the next one. Group 0 is no
 site; group ``n`` is the ``n``-th site of the marker.
@@ -24,8 +23,8 @@
 GROUP = "H"
 NO_GROUP = 0
 LAST_ADDRESS = 2**32 - 1
-# One piece is decoded or shifted in one go: 65,536 blocks keep the event
-# loop for about 10 ms, so look-ups wait no longer than that.
+# One piece is decoded in one go: 65,536 blocks keep the event loop for 3 ms
+# as measured, so that look-ups wait no longer than that.
 BLOCKS_IN_PIECE = 65_536
 
 
