--- a/godwitlanding/entry.py
+++ b/godwitlanding/entry.py
@@ -6,6 +6,7 @@
 import sys
 
 from starlette.applications import Starlette
+from starlette.responses import JSONResponse
 from starlette.routing import Route
 
 from godwitlanding import daemon
@@ -50,7 +51,14 @@
 def _make_server(context, feed, requests):
     settings = context.settings
     kernel = []
+
+    async def get_request(request):
+        trace = kernel[0].get("carrier").trace
+        events = trace.get(request.path_params["id"])
+        return JSONResponse({"events": events}, status_code=200 if events else 404)
+
     routes = [
+        Route("/-/requests/{id}", get_request),
         Route("/s/{service}", requests),
         Route("/s/{service}/{path:path}", requests),
         *make_status_routes(
--- a/godwitlanding/services/carrier.py
+++ b/godwitlanding/services/carrier.py
@@ -10,6 +10,7 @@
 from godwitlanding.messages import OUTCOME_CANCELLED, OUTCOME_UNUSED
 from godwitlanding.poison import PoisonLedger
 from godwitlanding.retry import Failure, RetryPolicy, Tries
+from godwitlanding.trace import Trace
 
 
 class Final(NamedTuple):
@@ -54,6 +55,7 @@
 
     def __init__(self, context):
         self.policy = RetryPolicy(PoisonLedger())
+        self.trace = Trace()
         self._counters = context.counters
 
     async def start(self, kernel):
@@ -89,6 +91,7 @@
             if isinstance(step, Final):
                 return step.refusal and job.tries.qualify(step.refusal)
             asks += 1
+            self.trace.add(request.id, "retried", reason=step.reason)
             may_pass_on = may_pass_on and not isinstance(granted, Spill)
             may_pass_on = may_pass_on and not sink.started
             self._counters.add(
@@ -103,6 +106,13 @@
     async def _(self, permit: Permit, job):
         loop = asyncio.get_running_loop()
         request = job.request
+        self.trace.add(
+            request.id,
+            "granted",
+            upstream=permit.upstream,
+            waited_s=round(permit.waited_s, 4),
+            arbiter=permit.arbiter,
+        )
         started_at = loop.time()
         outcome = OUTCOME_UNUSED
         try:
@@ -124,6 +134,7 @@
     @_use.register
     async def _(self, spill: Spill, job):
         self._counters.add("requests_passed_on", zone=spill.availability_zone)
+        self.trace.add(job.request.id, "passed on", zone=spill.availability_zone)
         try:
             refusal = await job.guard.confirm()
             if refusal:
@@ -145,7 +156,15 @@
         now = asyncio.get_running_loop().time()
         if attempt.code is None:
             self.policy.note_success(job.request, now)
+            self.trace.add(job.request.id, "answered")
             return Final(None)
+        self.trace.add(
+            job.request.id,
+            "failed",
+            code=attempt.code.name,
+            run=attempt.run,
+            detail=attempt.detail,
+        )
         job.tries.note(upstream, attempt.run)
         failure = Failure(attempt.outcome, attempt.run, attempt.code, attempt.detail)
         self.policy.note_failure(job.request, failure, upstream, now)
--- a/godwitlanding/services/requests.py
+++ b/godwitlanding/services/requests.py
@@ -61,6 +61,13 @@
             await self._refuse(read.unwrap_err(), request_id, scope, receive, send)
             return
         request = read.unwrap()
+        self._carrier.trace.add(
+            request.id,
+            "arrived",
+            service=request.service.name,
+            caller=request.caller,
+            from_zone=request.from_zone,
+        )
         sink = Sink(send, request_id)
         try:
             refusal = await self._run(request, sink)
@@ -78,6 +85,7 @@
         asyncio.current_task().uncancel()
         if upload.is_gone:
             self._counters.add("callers_gone", service=request.service.name)
+            self._carrier.trace.add(request.id, "caller gone")
             return None
         return make_refusal(Code.BODY_TOO_LARGE, run=RUN_UNKNOWN)
 
@@ -86,11 +94,20 @@
             # Returning without the last part closes the connection, so a
             # body that broke off cannot look complete.
             self._counters.add("answers_cut", code=refusal.code.name)
+            self._carrier.trace.add(request.id, "cut", code=refusal.code.name)
             return
         await self._refuse(refusal, request.id, scope, receive, send)
 
     async def _refuse(self, refusal, request_id, scope, receive, send):
         self._counters.add("requests_refused", code=refusal.code.name)
+        self._carrier.trace.add(
+            request_id,
+            "refused",
+            code=refusal.code.name,
+            run=refusal.run,
+            retry_after_s=round(refusal.retry_after_s, 3),
+            detail=refusal.detail,
+        )
         response = make_problem(refusal, request_id)
         response.headers[REQUEST_ID] = request_id
         response.headers[REFUSED] = str(refusal.code.value)
--- /dev/null
+++ b/godwitlanding/tests/test_trace.py
@@ -0,0 +1,38 @@
+"""An operator can ask what became of a request."""
+
+import aiohttp
+
+from godwitlanding.tests.support_entry import Bench, answer_hello
+from godwitlanding.trace import KEPT_EVENTS, Trace
+
+ADDRESS = "127.0.71.1"
+
+
+def test_oldest_requests_are_forgotten():
+    trace = Trace(kept_requests=2)
+    for number in range(3):
+        trace.add(f"r{number}", "arrived")
+    assert [bool(trace.get(f"r{number}")) for number in range(3)] == [0, 1, 1]
+
+
+def test_events_of_a_request_are_bounded():
+    trace = Trace()
+    for _ in range(KEPT_EVENTS + 5):
+        trace.add("r", "retried")
+    assert len(trace.get("r")) == KEPT_EVENTS
+
+
+async def test_carried_and_refused_requests_are_explained():
+    async with Bench(ADDRESS, [answer_hello]) as bench, aiohttp.ClientSession() as http:
+        for path, wanted in (
+            ("/s/status/x", ["arrived", "granted", "answered"]),
+            ("/s/nothing/x", ["refused"]),
+        ):
+            async with http.get(bench.url + path) as answer:
+                await answer.read()
+            request_id = answer.headers["Godwit-Request-Id"]
+            async with http.get(f"{bench.url}/-/requests/{request_id}") as answer:
+                events = (await answer.json())["events"]
+            assert [event["event"] for event in events] == wanted
+        async with http.get(f"{bench.url}/-/requests/none") as answer:
+            assert answer.status == 404
