--- a/godwitlanding/fleet.py
+++ b/godwitlanding/fleet.py
@@ -2,9 +2,9 @@
 
 Pure: no network and no clock. The platform's list lags, the members' view
 covers one's own zone only, summaries tell who leaves elsewhere, and the
-operators drain VMs and zones by the text. The first that says a VM leaves
-wins: a caller that is sent to a VM which stops would be cut off, while a
-VM passed over for a while costs nothing but headroom.
+operators drain VMs by the text. The first that says a VM leaves wins: a
+caller that is sent to a VM which stops would be cut off, while a VM passed
+over for a while costs nothing but headroom.
 """
 
 import json
@@ -72,23 +72,21 @@
     than the platform's list knows them.
     """
     out = {vm.vm for vm in vms if vm.state != STATE_LIVE}
-    out |= leaving_vms
-    out |= drained_vms
+    out |= leaving_vms | drained_vms
+    targets = [
+        Target(vm.vm, vm.address, vm.availability_zone)
+        for vm in vms
+        if not members or vm.availability_zone != availability_zone
+    ]
+    targets += [
+        Target(member.vm, member.address, availability_zone)
+        for member in _find_serving(members)
+    ]
     targets_by_zone = {}
-    for vm in vms:
-        if vm.availability_zone == availability_zone and members:
-            continue
-        target = Target(vm.vm, vm.address, vm.availability_zone)
-        _add(targets_by_zone, target, out)
-    for member in _find_serving(members):
-        target = Target(member.vm, member.address, availability_zone)
-        _add(targets_by_zone, target, out)
-    return {zone: tuple(targets) for zone, targets in targets_by_zone.items()}
-
-
-def _add(targets_by_zone, target, out):
-    if target.vm not in out:
-        targets_by_zone.setdefault(target.availability_zone, []).append(target)
+    for target in targets:
+        if target.vm not in out:
+            targets_by_zone.setdefault(target.availability_zone, []).append(target)
+    return {zone: tuple(found) for zone, found in targets_by_zone.items()}
 
 
 def _find_serving(members):
--- a/godwitlanding/tests/tools/load_designs.py
+++ b/godwitlanding/tests/tools/load_designs.py
@@ -10,7 +10,7 @@
     OUTCOME_FAILED,
     OUTCOME_OK,
 )
-from godwitlanding.tests.tools.load import (
+from godwitlanding.tests.tools.load_driver import (
     CRASHED,
     FAILED,
     OK,
--- a/godwitlanding/tests/tools/load_patterns.py
+++ b/godwitlanding/tests/tools/load_patterns.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from godwitlanding.tests.tools.load import Stream
+from godwitlanding.tests.tools.load_driver import Stream
 
 SLOTS = 3
 
