--- a/godwitlanding/admission.py
+++ b/godwitlanding/admission.py
@@ -19,7 +19,8 @@
 and are refused together; told a short time, they double the load. Each is
 told a time of its own: they are spaced at ``RETURN_SHARE`` of what the
 slots serve: half of what a service planned for 70 % load has to spare, so
-that the queue stays short for new callers meanwhile. Beyond 30 seconds a person presses again anyway.
+that the queue stays short for new callers meanwhile. Beyond 30 seconds a
+person presses again anyway.
 """
 
 WAIT_SHARE_BY_PRIORITY = {0: 0.5, 1: 0.15, 2: 0.25}
