--- a/godwitlanding/arbiter.py
+++ b/godwitlanding/arbiter.py
@@ -116,10 +116,11 @@
         ``cold`` tells that it has just started, so that slow start applies.
         """
         upstream = self.pool.get(upstream_id)
-        upstream.usable = usable
         if usable and cold:
             self.warmup.note_cold(upstream_id, now)
-        self.pool.refresh(upstream, now)
+        if cold or usable != upstream.usable:
+            upstream.usable = usable
+            self.pool.refresh(upstream, now)
         return self.tick(now)
 
     def set_allowances(self, allowance_by_zone, now):
--- a/godwitlanding/reserve.py
+++ b/godwitlanding/reserve.py
@@ -31,10 +31,9 @@
 class LongJobs:
     """Foresees how long a request takes and limits the long ones."""
 
-    def __init__(self, work_s, long_share=LONG_SHARE):
+    def __init__(self, work_s):
         self.work_s = max(_LEAST_S, work_s)
         self._typical_log = log(self.work_s)
-        self._long_share = long_share
         self._expected_by_fingerprint = OrderedDict()
         self.mean_long_s = 0.0
 
@@ -72,7 +71,7 @@
 
     def get_limit(self, slots):
         """Return how many of the slots long jobs may hold."""
-        return max(1, floor(slots * self._long_share))
+        return max(1, floor(slots * LONG_SHARE))
 
     def may_start(self, open_count, slots):
         """Tell whether one more long job may run beside ``open_count``."""
--- /dev/null
+++ b/godwitlanding/tests/tools/bench_decisions.py
@@ -0,0 +1,129 @@
+"""Compares the arbiter with naive designs by what callers receive.
+
+Prints a table for each load pattern and writes a plot of each to ``out/``;
+then what one decision costs by length of the queue and number of upstreams.
+
+    python -m godwitlanding.tests.tools.bench_decisions --pattern burst
+"""
+
+import argparse
+import sys
+from functools import partial
+from pathlib import Path
+
+from godwitlanding.tests.tools.bench_cost import print_costs
+from godwitlanding.tests.tools.load_designs import (
+    DESIGNS,
+    HashByKey,
+    Hedged,
+    LeastLoadedOld,
+    Pooled,
+)
+from godwitlanding.tests.tools.load_driver import Run
+from godwitlanding.tests.tools.load_patterns import WORKLOADS, make_patterns
+from godwitlanding.tests.tools.load_plot import plot_pattern
+from godwitlanding.tests.tools.load_report import summarise
+
+EXTRA_DESIGNS_BY_PATTERN = {
+    "hot key": (HashByKey,),
+    "slow upstream 10x": (Hedged,),
+    "steady 70%": (Hedged, LeastLoadedOld),
+    "reports stop": (LeastLoadedOld,),
+}
+HEADINGS = (
+    "design",
+    "tries",
+    "good",
+    "refused",
+    "late",
+    "failed",
+    "goodput",
+    "on time",
+    "p50",
+    "p99",
+    "others p99",
+    "others wait",
+    "others good",
+    "most on one",
+    "normal after",
+)
+ROW = "{:19}{:>7}{:>7}{:>8}{:>7}{:>7}" + "{:>9}" * 4 + "{:>12}" * 5
+
+
+def parse_arguments(argv=None):
+    """Return the arguments of the benchmark."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--pattern", default="", help="Only patterns with this word")
+    parser.add_argument("--workload", default="", help="Only workloads with this word")
+    parser.add_argument("--seed", type=int, default=1, help="Seed of the arrivals")
+    parser.add_argument("--out", default="out", metavar="DIR", help="Where plots go")
+    parser.add_argument("--no-plots", action="store_true", help="Print tables only")
+    parser.add_argument("--no-costs", action="store_true", help="Leave out the costs")
+    return parser.parse_args(argv)
+
+
+def run_design(design, workload, pattern, seed=1):
+    """Run a design under a pattern; return the finished run."""
+    if issubclass(design, Pooled):
+        design = partial(design, work_s=workload.work_s)
+    run = Run(design, pattern.streams, workload.upstreams, seed, pattern.events)
+    run.run(pattern.seconds)
+    return run
+
+
+def print_rows(rows):
+    """Print a table of ``(name, Summary)`` rows."""
+    print(ROW.format(*HEADINGS))
+    for name, s in rows:
+        print(
+            ROW.format(
+                name,
+                s.offered,
+                s.good,
+                s.refused,
+                s.late,
+                s.failed,
+                f"{s.goodput:.3f}",
+                f"{s.on_time:.4f}",
+                f"{s.p50_s:.3f}",
+                f"{s.p99_s:.3f}",
+                f"{s.others_p99_s:.3f}",
+                f"{s.wait_p99_s:.3f}",
+                f"{s.others_good:.4f}",
+                s.most_assigned,
+                f"{s.recovery_s:.0f}",
+            )
+        )
+
+
+def run_pattern(workload, pattern, arguments):
+    """Run every design under a pattern; print the table, write the plot."""
+    print(f"\n{workload.name}: {pattern.name}")
+    designs = DESIGNS + EXTRA_DESIGNS_BY_PATTERN.get(pattern.name, ())
+    run_by_design = {
+        design.name: run_design(design, workload, pattern, arguments.seed)
+        for design in designs
+    }
+    print_rows((name, summarise(run, pattern)) for name, run in run_by_design.items())
+    if not arguments.no_plots:
+        name = f"{workload.name} {pattern.name}".replace(" ", "-").replace(",", "")
+        path = Path(arguments.out) / f"decisions-{name.replace('%', '')}.png"
+        path.parent.mkdir(exist_ok=True)
+        plot_pattern(workload, pattern, run_by_design, path)
+
+
+def main(argv=None):
+    """Run the benchmark."""
+    arguments = parse_arguments(argv)
+    print("Times in seconds; goodput is a share of what the slots can serve.")
+    for workload in WORKLOADS:
+        for name, pattern in make_patterns(workload).items():
+            if arguments.pattern in name and arguments.workload in workload.name:
+                run_pattern(workload, pattern, arguments)
+    if not arguments.no_costs:
+        print_costs(sys.stdout)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/godwitlanding/tests/tools/bench_ways.py
@@ -0,0 +1,206 @@
+"""Weighs other values and other ways for the decisions' figures.
+
+Each way changes one constant of a pure module and runs the load patterns
+that it matters for, with the mean over several seeds.
+
+    python -m godwitlanding.tests.tools.bench_ways --way return
+"""
+
+import argparse
+import sys
+from functools import partial
+from math import isinf
+from statistics import fmean
+from typing import NamedTuple
+from unittest.mock import patch
+
+from godwitlanding import admission, fairness, intake, outlier, pool, reserve, warmup
+from godwitlanding.tests.tools.bench_decisions import run_design
+from godwitlanding.tests.tools.load_designs import Hedged, Pooled, StaticShares
+from godwitlanding.tests.tools.load_patterns import WORKLOADS, make_patterns
+from godwitlanding.tests.tools.load_report import summarise
+
+ROW = "{:16}{:<12}{:22}" + "{:>10}" * 8
+HEADINGS = (
+    "workload",
+    "value",
+    "pattern",
+    "goodput",
+    "refused",
+    "late",
+    "p50",
+    "p99",
+    "others p99",
+    "others wait",
+    "normal",
+)
+
+
+class Way(NamedTuple):
+    """A constant, the values to weigh and the patterns to weigh them by.
+
+    ``change(value)`` returns a context in which the value holds.
+    """
+
+    name: str
+    values: tuple
+    patterns: tuple
+    change: object
+
+
+def _change_constant(module, name):
+    return lambda value: patch.object(module, name, value)
+
+
+def _change_wait(value):
+    return patch.dict(admission.WAIT_SHARE_BY_PRIORITY, {1: value})
+
+
+def _change_reluctance(value):
+    # Slow and cold slots used like any other, or only when waiting is long.
+    if value == "reluctant":
+        return patch.object(intake, "PRESSED_SHARE", intake.PRESSED_SHARE)
+    return patch.object(pool.Pool, "_get_eager", lambda self, upstream, now: 10**6)
+
+
+WAYS = (
+    Way(
+        "wait share of look-ups",
+        (0.05, 0.1, 0.15, 0.25, 0.5),
+        ("steady 70%", "burst 5x 10 s", "overload 2x"),
+        _change_wait,
+    ),
+    Way(
+        "return share",
+        (0.1, 0.15, 0.3, 0.5, 1.0),
+        ("all come back",),
+        _change_constant(admission, "RETURN_SHARE"),
+    ),
+    Way(
+        "longest return",
+        (1.0, 30.0, 60.0),
+        ("all come back",),
+        _change_constant(admission, "MAX_RETRY_AFTER_S"),
+    ),
+    Way(
+        "share of long jobs",
+        (0.34, 0.5, 0.75, 0.9, 1.0),
+        ("long among short",),
+        _change_constant(reserve, "LONG_SHARE"),
+    ),
+    Way(
+        "burst of a caller",
+        (0.0, 2.0, 4.0, 8.0, 1e9),
+        ("steady 70%", "hot caller 10x"),
+        _change_constant(fairness, "BURST"),
+    ),
+    Way(
+        "slow at times the median",
+        (3.0, 5.0, 8.0, 1e9),
+        ("steady 70%", "slow upstream 10x", "long among short"),
+        _change_constant(outlier, "SLOW_TIMES"),
+    ),
+    Way(
+        "slow and cold slots",
+        ("reluctant", "like others"),
+        ("slow upstream 10x", "cold zone, all at once"),
+        _change_reluctance,
+    ),
+    Way(
+        "pressed share",
+        (0.0, 0.25, 0.5, 1.0),
+        ("slow upstream 10x", "cold zone, all at once", "crashing request"),
+        _change_constant(intake, "PRESSED_SHARE"),
+    ),
+    Way(
+        "warm after samples",
+        (10, 30, 10**9),
+        ("cold zone, all at once", "crashing request"),
+        _change_constant(warmup, "WARM_SAMPLES"),
+    ),
+)
+DESIGN_WAYS = (
+    ("hedging", ("steady 70%", "slow upstream 10x", "overload 2x"), (Pooled, Hedged)),
+    ("pooling", ("steady 70%", "hot caller 10x"), (Pooled, StaticShares)),
+)
+
+
+def parse_arguments(argv=None):
+    """Return the arguments of the benchmark."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--way", default="", help="Only ways with this word")
+    parser.add_argument("--seeds", type=int, default=5, help="How many seeds to mean")
+    return parser.parse_args(argv)
+
+
+def print_row(workload, value, pattern, summaries):
+    """Print the means of a row over its seeds."""
+
+    def mean(name, digits=3):
+        values = [getattr(summary, name) for summary in summaries]
+        finite = [item for item in values if not isinf(item)]
+        text = f"{fmean(finite):.{digits}f}" if finite else "never"
+        never = len(values) - len(finite)
+        return f"{text}+{never}n" if never and finite else text
+
+    print(
+        ROW.format(
+            workload.name,
+            str(value),
+            pattern.name,
+            mean("goodput"),
+            mean("refused", 0),
+            mean("late", 0),
+            mean("p50_s"),
+            mean("p99_s"),
+            mean("others_p99_s"),
+            mean("wait_p99_s"),
+            mean("recovery_s", 1),
+        )
+    )
+
+
+def run_way(way, seeds):
+    """Print the rows of a way."""
+    for workload in WORKLOADS:
+        pattern_by_name = make_patterns(workload)
+        for name in way.patterns:
+            for value in way.values:
+                with way.change(value):
+                    measure(workload, value, pattern_by_name[name], Pooled, seeds)
+
+
+def measure(workload, value, pattern, design, seeds):
+    """Run a design with each seed and print the means."""
+    run = partial(run_design, design, workload, pattern)
+    summaries = [summarise(run(seed), pattern) for seed in range(1, seeds + 1)]
+    print_row(workload, value, pattern, summaries)
+
+
+def main(argv=None):
+    """Run the benchmark."""
+    arguments = parse_arguments(argv)
+    for way in WAYS:
+        if arguments.way in way.name:
+            print(f"\n{way.name}\n{ROW.format(*HEADINGS)}")
+            run_way(way, arguments.seeds)
+    for name, patterns, designs in DESIGN_WAYS:
+        if arguments.way in name:
+            print(f"\n{name}\n{ROW.format(*HEADINGS)}")
+            for workload in WORKLOADS:
+                pattern_by_name = make_patterns(workload)
+                for pattern in patterns:
+                    for design in designs:
+                        label = design.name.removeprefix("pooled, ")
+                        measure(
+                            workload,
+                            label[:11],
+                            pattern_by_name[pattern],
+                            design,
+                            arguments.seeds,
+                        )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
