--- a/godwitlanding/tests/tools/sizes.py
+++ b/godwitlanding/tests/tools/sizes.py
@@ -2,6 +2,7 @@
 
 The fleet is drawn from a fixed seed: zones in regions, VMs in zones,
 services with upstreams in every zone, a plan, summaries, caller blocks.
+All addresses are loopback ones on which nothing listens.
 """
 
 import json
@@ -40,7 +41,7 @@
         """Return ``(vm, address)`` of a zone's VMs."""
         number = self.get_zones().index(zone)
         return [
-            (f"{zone}-v{n:02}", f"10.{number}.0.{n + 1}")
+            (f"{zone}-v{n:02}", f"127.{100 + number}.0.{n + 1}")
             for n in range(self.vms_in_zone)
         ]
 
@@ -60,7 +61,7 @@
     upstreams = [
         {
             "id": f"u{n:05}",
-            "address": f"10.{n % 200}.{100 + n // 50000}.{1 + n // 200 % 250}:80",
+            "address": f"127.{200 + n // 50_000}.{n // 250 % 200}.{1 + n % 250}:1",
             "availability_zone": zones[n % len(zones)],
         }
         for n in range(size.upstreams)
