--- a/godwitlanding/entry.py
+++ b/godwitlanding/entry.py
@@ -6,11 +6,15 @@
 import sys
 
 from starlette.applications import Starlette
+from starlette.responses import JSONResponse
 from starlette.routing import Route
 
 from godwitlanding import daemon
+from godwitlanding.services.carrier import Carrier
+from godwitlanding.services.claims import ClaimService
 from godwitlanding.services.feed import Feed
-from godwitlanding.services.peers import PeerServer
+from godwitlanding.services.holder import HolderServer
+from godwitlanding.services.passer import Passer
 from godwitlanding.services.permits import PermitClient
 from godwitlanding.services.requests import RequestHandler
 from godwitlanding.services.upstreams import UpstreamClient
@@ -34,8 +38,11 @@
     return [
         feed,
         PermitClient(context),
-        PeerServer(context),
         UpstreamClient(context),
+        Passer(context),
+        Carrier(context),
+        ClaimService(context),
+        HolderServer(context),
         requests,
         server,
     ]
@@ -44,7 +51,14 @@
 def _make_server(context, feed, requests):
     settings = context.settings
     kernel = []
+
+    async def get_request(request):
+        trace = kernel[0].get("carrier").trace
+        events = trace.get(request.path_params["id"])
+        return JSONResponse({"events": events}, status_code=200 if events else 404)
+
     routes = [
+        Route("/-/requests/{id}", get_request),
         Route("/s/{service}", requests),
         Route("/s/{service}/{path:path}", requests),
         *make_status_routes(
@@ -56,7 +70,7 @@
         Starlette(routes=routes),
         settings["address"],
         settings["entry_port"],
-        ("requests", "peers"),
+        ("requests", "holder"),
         settings["max_connections"],
     )
     server.kernel = kernel
