--- a/godwitlanding/arbiter.py
+++ b/godwitlanding/arbiter.py
@@ -116,10 +116,11 @@
         ``cold`` tells that it has just started, so that slow start applies.
         """
         upstream = self.pool.get(upstream_id)
-        upstream.usable = usable
         if usable and cold:
             self.warmup.note_cold(upstream_id, now)
-        self.pool.refresh(upstream, now)
+        if cold or usable != upstream.usable:
+            upstream.usable = usable
+            self.pool.refresh(upstream, now)
         return self.tick(now)
 
     def set_allowances(self, allowance_by_zone, now):
@@ -205,7 +206,7 @@
     def _grant_waiting(self, now):
         decisions = []
         passed_over = []
-        while len(passed_over) < MAX_PASSED_OVER and self.pool.has_free():
+        while len(passed_over) < MAX_PASSED_OVER and self._has_free(now):
             waiting = self._intake.take_first(self._permits.long_count)
             if waiting is None:
                 break
@@ -218,6 +219,11 @@
             self._intake.put_back(waiting)
         return decisions
 
+    def _has_free(self, now):
+        if self.pool.has_free(may_be_reluctant=False):
+            return True
+        return self.pool.has_free() and self._intake.is_pressed(now)
+
     def _place(self, waiting, now):
         ask = waiting.ask
         poisoned = self._check_poison(ask, now)
