--- a/godwitlanding/loan.py
+++ b/godwitlanding/loan.py
@@ -22,17 +22,23 @@
 
 
 class Handover(NamedTuple):
-    """What the former owner told the new one about an upstream."""
+    """What the former owner told the new one about an upstream.
+
+    ``turn`` grows with each change of the owner, so that one who had the
+    upstream before, and saw nothing of the time between, notices.
+    """
 
     to_incarnation: str
     former_arbiter: str
     holders: tuple[Holder, ...] = ()
+    turn: int = 0
 
 
 class _Owned:
     """An upstream of this owner."""
 
-    def __init__(self, former, may_lend_at):
+    def __init__(self, handover, former, may_lend_at):
+        self.handover = handover
         self.former = former
         self.borrower = ""
         self.is_confirmed = False
@@ -62,7 +68,8 @@
         for upstream in set(self._owned_by_upstream) - set(handover_by_upstream):
             del self._owned_by_upstream[upstream]
         for upstream, handover in handover_by_upstream.items():
-            if upstream not in self._owned_by_upstream:
+            owned = self._owned_by_upstream.get(upstream)
+            if owned is None or owned.handover != handover:
                 self._owned_by_upstream[upstream] = self._take(handover, now)
 
     def get_owned(self):
@@ -140,10 +147,10 @@
     def _take(self, handover, now):
         if handover is None or handover.to_incarnation != self._incarnation:
             wait_s = self._loan_s * CLOCK_RATE_MARGIN
-            return _Owned("", self._started_at + wait_s)
+            return _Owned(handover, "", self._started_at + wait_s)
         for holder in handover.holders:
             self._reported_by_holder[holder] = now
-        return _Owned(handover.former_arbiter, now)
+        return _Owned(handover, handover.former_arbiter, now)
 
     def _is_late(self, message):
         # A message of a connection that broke may be read after those of
@@ -210,6 +217,7 @@
         self._until_by_upstream_by_owner = {}
         self._holders = set()
         self._told_by_owner = {}
+        self._question_by_owner = {}
         self._number = 0
 
     def add_holder(self, holder):
@@ -242,6 +250,7 @@
         until_by_upstream = self._until_by_upstream_by_owner.get(owner, {})
         holding = [u for u, until in until_by_upstream.items() if until > now]
         self._number += 1
+        self._question_by_owner[owner] = self._number
         return Loan(
             self._arbiter,
             self._service,
@@ -256,7 +265,13 @@
         return GiveBack(self._arbiter, self._service, self._number)
 
     def take_lent(self, owner, loan, lent, asked_at, longest_permit_s, now):
-        """Take an owner's answer; return the gains and the upstreams lost."""
+        """Take an owner's answer; return the gains and the upstreams lost.
+
+        Only the answer to the last question counts: an earlier one may list
+        what the owner has taken as given back since.
+        """
+        if self._question_by_owner.get(owner) != loan.number:
+            return [], []
         before = self._until_by_upstream_by_owner.get(owner, {})
         until = asked_at + lent.valid_s
         gains = []
@@ -276,6 +291,7 @@
     def drop_owner(self, owner):
         """Use nothing more of an owner; return its upstreams."""
         self._told_by_owner.pop(owner, None)
+        self._question_by_owner.pop(owner, None)
         return sorted(self._until_by_upstream_by_owner.pop(owner, {}))
 
     def get_owners(self):
--- a/godwitlanding/roster.py
+++ b/godwitlanding/roster.py
@@ -41,10 +41,11 @@
 
     def assign(self, handover_by_upstream, owner_by_upstream):
         """Return the roster with the changes made."""
-        return Roster(
-            {**self.owner_by_upstream, **owner_by_upstream},
-            {**self.handover_by_upstream, **handover_by_upstream},
-        )
+        handovers = dict(self.handover_by_upstream)
+        for upstream, handover in handover_by_upstream.items():
+            turn = handovers[upstream].turn + 1 if upstream in handovers else 1
+            handovers[upstream] = handover._replace(turn=turn)
+        return Roster({**self.owner_by_upstream, **owner_by_upstream}, handovers)
 
 
 EMPTY_ROSTER = Roster({}, {})
@@ -55,8 +56,8 @@
     try:
         value = json.loads(body)
         handover_by_upstream = {
-            upstream: Handover(to, former, tuple(Holder(*row) for row in holders))
-            for upstream, (to, former, holders) in value.get(
+            upstream: Handover(to, former, tuple(Holder(*h) for h in holders), turn)
+            for upstream, (to, former, holders, turn) in value.get(
                 "handover_by_upstream", {}
             ).items()
         }
--- a/godwitlanding/services/arbitration.py
+++ b/godwitlanding/services/arbitration.py
@@ -191,7 +191,7 @@
                 desk.borrower.remove_holder(holder)
 
     async def _renew_desk(self, desk):
-        owners = set(self._lending.roster.owner_by_upstream.values())
+        owners = self._lending.get_owners()
         addresses = self._members.get_peer_addresses()
         members = self._members.member_by_vm
         await asyncio.gather(
--- a/godwitlanding/services/lending.py
+++ b/godwitlanding/services/lending.py
@@ -4,17 +4,10 @@
 
 from godwitlanding.codes import Code
 from godwitlanding.kernel import Service
-from godwitlanding.loan import Lender
 from godwitlanding.log import log_warning
 from godwitlanding.messages import Failure, GiveBack, Loan, State
-from godwitlanding.roster import (
-    EMPTY_ROSTER,
-    ROSTER_KIND,
-    Candidate,
-    RosterKeeper,
-    format_roster,
-    parse_roster,
-)
+from godwitlanding.roster import ROSTER_KIND, Candidate, format_roster, parse_roster
+from godwitlanding.steward import Steward, Surroundings
 from godwitlanding.tasks import Tasks
 
 ROUND_S = 0.3
@@ -27,24 +20,20 @@
     needs = ("peers", "members", "replication", "configuration", "platform")
 
     def __init__(self, context):
-        self.roster = EMPTY_ROSTER
         self.longest_permit_s_by_service = {}
         self._context = context
         self._tasks = Tasks()
-        self._lender = None
-        self._keeper = None
-        self._members = None
-        self._configuration = None
-        self._replication = None
-        self._store = None
-        self._heir_by_upstream = {}
+        self._steward = None
         self._leaving = False
 
     async def start(self, kernel):
         """Begin to keep the roster."""
-        loan_s = self._context.settings["loan_s"]
-        self._lender = Lender(self._context.incarnation, loan_s, self._now())
-        self._keeper = RosterKeeper(self._context.vm, loan_s)
+        self._steward = Steward(
+            self._context.vm,
+            self._context.incarnation,
+            self._context.settings["loan_s"],
+            self._now(),
+        )
         self._members = kernel.get("members")
         self._configuration = kernel.get("configuration")
         self._replication = kernel.get("replication")
@@ -59,6 +48,10 @@
         """End the rounds."""
         await self._tasks.stop()
 
+    def get_owners(self):
+        """Return the members that own upstreams of the zone."""
+        return set(self._steward.roster.owner_by_upstream.values())
+
     def get_longest_permit_s(self, service):
         """Return the longest life of a permit that may still be open.
 
@@ -74,28 +67,25 @@
             return None
         permit_s = self.get_longest_permit_s(loan.service)
         upstreams = self._get_owned(loan.service)
-        return self._lender.lend(loan, upstreams, permit_s, self._now())
+        return self._steward.lender.lend(loan, upstreams, permit_s, self._now())
+
+    def take_give_back(self, message):
+        """Take the word of an arbiter that uses its loans no more."""
+        owned = self._get_owned(message.service)
+        self._steward.lender.give_back(message, owned)
 
     async def give_up(self):
         """Give every upstream to another member before this VM ends."""
         self._leaving = True
-        while self._lender.get_owned():
-            if not self._has_heirs():
-                return
+        while self._steward.lender.get_owned() and self._has_heirs():
             await asyncio.sleep(ROUND_S)
 
     def get_status(self):
         """Return what this VM owns and to whom it is lent."""
-        if self._lender is None:
+        if self._steward is None:
             return {}
-        now = self._now()
-        return {
-            "loan_by_upstream": self._lender.get_status(now),
-            "owner_by_upstream": self.roster.owner_by_upstream,
-            "roster_version": self._get_version(),
-            "gone_s_by_vm": self._keeper.get_status(now),
-            "giving_up": self._heir_by_upstream,
-        }
+        status = self._steward.get_status(self._now())
+        return {**status, "roster_version": self._get_version()}
 
     def _now(self):
         return asyncio.get_running_loop().time()
@@ -105,7 +95,7 @@
         if config is None or service not in config.service_by_name:
             return []
         known = config.service_by_name[service].upstream_by_id
-        return sorted(u for u in self._lender.get_owned() if u in known)
+        return sorted(u for u in self._steward.lender.get_owned() if u in known)
 
     async def _answer_loan(self, channel, loan):
         lent = self.lend(channel.peer.vm, loan)
@@ -117,7 +107,7 @@
     def take_give_back(self, message):
         """Take the word of an arbiter that uses its loans no more."""
         owned = self._get_owned(message.service)
-        self._lender.give_back(message, owned)
+        self._steward.lender.give_back(message, owned)
 
     async def _take_give_back(self, channel, message):
         self.take_give_back(message)
@@ -129,17 +119,11 @@
         if state.kind != ROSTER_KIND or state.name != zone:
             return
         try:
-            self.roster = parse_roster(state.body)
+            roster = parse_roster(state.body)
         except ValueError as error:
             log_warning("roster:refused", error=str(error))
             return
-        self._take_owned()
-
-    def _take_owned(self):
-        owned = self.roster.get_owned(self._context.vm)
-        self._lender.set_owned(owned, self._now())
-        for upstream in set(self._heir_by_upstream) - set(owned):
-            del self._heir_by_upstream[upstream]
+        self._steward.take_roster(roster, state.version, self._now())
 
     def _note_deadlines(self):
         config = self._configuration.config
@@ -153,67 +137,40 @@
         return self._context.replica.get_version(ROSTER_KIND, zone)
 
     async def _keep_roster(self):
-        if self._configuration.config is None or not self._members.is_settled():
-            return
-        now = self._now()
-        owners = set(self.roster.owner_by_upstream.values())
-        membership = self._members.membership
-        gone = [vm for vm in owners if membership.is_gone(vm, now)]
-        self._keeper.note_gone(gone, now)
-        await self._claim(now)
-        await self._release(now)
-
-    def _get_candidates(self):
-        members = self._members
-        return [
-            Candidate(vm, members.member_by_vm[vm].incarnation, since)
-            for vm in members.get_active()
-            for since in [members.get_alive_since(vm)]
-        ]
-
-    async def _claim(self, now):
-        # One member writes for all, so that they do not race each other.
-        if not self._replication.is_first_reader():
+        config = self._configuration.config
+        if config is None or not self._members.is_settled():
             return
+        zone = self._context.availability_zone
         permit_s_by_upstream = {
             upstream.id: self.get_longest_permit_s(upstream.service)
-            for service in self._configuration.config.service_by_name.values()
-            for upstream in service.get_upstreams(self._context.availability_zone)
+            for service in config.service_by_name.values()
+            for upstream in service.get_upstreams(zone)
         }
-        owners, handovers = self._keeper.find_claims(
-            self.roster, permit_s_by_upstream, self._get_candidates(), now
+        roster = self._steward.find_change(
+            self._look_around(), permit_s_by_upstream, self._now()
         )
-        if owners:
-            await self._write(self.roster.assign(handovers, owners))
-
-    async def _release(self, now):
-        owned = self._lender.get_owned()
-        if self._members.platform_reachable or self._leaving:
-            heirs = self._keeper.find_releases(
-                owned, self._get_candidates(), self._leaving, now
-            )
-            self._heir_by_upstream = heirs
-        for upstream in owned:
-            self._lender.set_releasing(upstream, upstream in self._heir_by_upstream)
-        free = [u for u in self._heir_by_upstream if self._lender.is_free(u, now)]
-        if not free:
-            return
-        incarnation_by_vm = {c.vm: c.incarnation for c in self._get_candidates()}
-        handovers = {}
-        for upstream in free:
-            heir = self._heir_by_upstream[upstream]
-            handovers[upstream] = self._make_handover(
-                upstream, incarnation_by_vm.get(heir, ""), now
-            )
-        heirs = {upstream: self._heir_by_upstream[upstream] for upstream in free}
-        await self._write(self.roster.assign(handovers, heirs))
+        if roster:
+            await self._write(roster)
 
-    def _make_handover(self, upstream_id, incarnation, now):
-        found = self._configuration.config.find_upstream(upstream_id)
-        permit_s = max(self.longest_permit_s_by_service.values(), default=0.0)
-        if found:
-            permit_s = self.get_longest_permit_s(found.service)
-        return self._lender.make_handover(upstream_id, incarnation, permit_s, now)
+    def _look_around(self):
+        members = self._members
+        candidates = [
+            Candidate(
+                vm, members.member_by_vm[vm].incarnation, members.get_alive_since(vm)
+            )
+            for vm in members.get_active()
+        ]
+        now = self._now()
+        return Surroundings(
+            candidates=tuple(candidates),
+            gone_vms=tuple(
+                vm for vm in self.get_owners() if members.membership.is_gone(vm, now)
+            ),
+            # One member writes for all, so that they do not race each other.
+            is_writer=self._replication.is_first_reader(),
+            may_release=members.platform_reachable,
+            leaving=self._leaving,
+        )
 
     def _has_heirs(self):
         others = set(self._members.get_active()) - {self._context.vm}
@@ -222,7 +179,8 @@
     async def _write(self, roster):
         zone = self._context.availability_zone
         body = format_roster(roster)
-        written = await self._store.put(ROSTER_KIND, zone, body, self._get_version())
+        version = self._steward.version
+        written = await self._store.put(ROSTER_KIND, zone, body, version)
         if written.is_ok():
             state = State(ROSTER_KIND, zone, written.unwrap(), body)
             await self._replication.spread(state)
