--- a/godwitlanding/tests/test_zone_faults.py
+++ b/godwitlanding/tests/test_zone_faults.py
@@ -27,9 +27,14 @@
 class ZoneFaults(RuleBasedStateMachine):
     """Kills, pauses, cuts, wrong views, outages and lost answers."""
 
-    @initialize(seed=integers(0, 10_000), slots=integers(1, 3))
-    def begin(self, seed, slots):
+    @initialize(
+        seed=integers(0, 10_000),
+        slots=integers(1, 3),
+        finish_share=sampled_from((0.02, 0.1)),
+    )
+    def begin(self, seed, slots, finish_share):
         self.world = World(slots=slots, seed=seed)
+        self.world.finish_share = finish_share
         self.world.run(3)
 
     @rule(duration_s=floats(0.1, 4.0))
@@ -75,11 +80,14 @@
     def hold_back_messages(self, seconds):
         self.world.hold_back_s = seconds
 
-    @rule(index=integers(0, 2), arbiter=integers(0, 3))
-    def mislead(self, index, arbiter):
-        process = self.world.node_by_vm[self._pick(index)].zone
-        names = [*sorted(self.world.node_by_vm), None]
-        process.forced_arbiter = names[min(arbiter, len(names) - 1)]
+    @rule(share=sampled_from((0.0, 0.1, 0.5)), duration_s=floats(1.0, 8.0))
+    def disagree(self, share, duration_s):
+        """Members differ about who is alive and who the arbiter is."""
+        self.world.flap = share
+        self.world.run(duration_s)
+        if not share:
+            for node in self.world.node_by_vm.values():
+                node.zone.forced_arbiter = None
 
     @precondition(lambda self: len(self.world.removed_at_by_vm) < 6)
     @rule(index=integers(0, 2))
--- a/godwitlanding/tests/zone_world.py
+++ b/godwitlanding/tests/zone_world.py
@@ -86,10 +86,18 @@
 
     def tick(self):
         world = self.world
-        self.read_roster()
+        if world.flap:
+            names = sorted(world.node_by_vm)
+            if world.rng.random() < world.flap:
+                self.forced_arbiter = world.rng.choice(names)
+        if world.rng.random() < 0.8:
+            self.read_roster()
         for vm in world.node_by_vm:
             world.send(self.vm, vm, "zone", lambda p: p.take_beat(self))
         view = self.get_view()
+        if world.flap:
+            view = sorted(vm for vm in view if world.rng.random() < 0.7) or [self.vm]
+            self.since_by_vm = dict.fromkeys(view, world.now - 60)
         self.since_by_vm = {vm: self.since_by_vm.get(vm, world.now) for vm in view}
         self.keep_roster(view)
         if self.get_arbiter() == self.vm:
@@ -225,7 +233,7 @@
         if rng.random() < 0.7 and zone:
             self.ask(zone.get_arbiter(), rng.uniform(0.3, DEADLINE_S))
         for key in list(self.running_by_permit):
-            if rng.random() < 0.1:
+            if rng.random() < self.world.finish_share:
                 self.finish(key)
 
     def ask(self, vm, remaining_s):
@@ -300,6 +308,8 @@
         self.cuts = set()
         self.cut_off = set()
         self.hold_back_s = 0.0
+        self.flap = 0.0
+        self.finish_share = 0.1
         self.running_by_permit = {}
         self.started = 0
         self.over_slots = []
