--- /dev/null
+++ b/godwitlanding/services/requests.py
@@ -0,0 +1,213 @@
+"""The way of a request through the entry daemon, from caller to caller."""
+
+import asyncio
+import re
+import uuid
+
+from result import Err, Ok
+
+from godwitlanding.codes import RUN_UNKNOWN, Code, make_refusal
+from godwitlanding.forward import read_forward
+from godwitlanding.headers import DEADLINE, IDEMPOTENCY_KEY, REFUSED, REQUEST_ID, RUN
+from godwitlanding.kernel import Service
+from godwitlanding.request import Request, compute_fingerprint
+from godwitlanding.sink import Sink
+from godwitlanding.upload import Upload
+from godwitlanding.web import make_problem
+
+# A body up to this size is read whole before a permit is asked for, so a
+# slow upload holds no slot and the request can be sent again.
+WHOLE_BODY_BYTES = 262_144
+MAX_ID_CHARS = 64
+_SERVICE_PREFIX = re.compile(r"/s/[^/?]*")
+
+
+class RequestHandler(Service):
+    """The ASGI application under ``/s/``."""
+
+    name = "requests"
+    needs = ("feed", "carrier", "claims")
+
+    def __init__(self, context):
+        self.in_progress = 0
+        self._context = context
+        self._counters = context.counters
+        self._settings = context.settings
+
+    async def start(self, kernel):
+        """Find the services that a request passes through."""
+        self._feed = kernel.get("feed")
+        self._carrier = kernel.get("carrier")
+        self._claims = kernel.get("claims")
+
+    def get_status(self):
+        """Return the number of requests in progress."""
+        return {"in_progress": self.in_progress}
+
+    async def __call__(self, scope, receive, send):
+        self.in_progress += 1
+        try:
+            await self._handle(scope, receive, send)
+        finally:
+            self.in_progress -= 1
+
+    async def _handle(self, scope, receive, send):
+        request_id = uuid.uuid4().hex
+        upload = Upload(receive, self._settings["max_body_bytes"])
+        read = await self._read(scope, upload, request_id)
+        if upload.is_gone:
+            return
+        if read.is_err():
+            await self._refuse(read.unwrap_err(), request_id, scope, receive, send)
+            return
+        request = read.unwrap()
+        self._carrier.trace.add(
+            request.id,
+            "arrived",
+            service=request.service.name,
+            caller=request.caller,
+            from_zone=request.from_zone,
+        )
+        sink = Sink(send, request_id)
+        try:
+            refusal = await self._run(request, sink)
+        except asyncio.CancelledError:
+            refusal = self._explain_cancel(request, upload)
+        finally:
+            upload.end()
+        if refusal:
+            await self._end(refusal, request, sink, scope, receive, send)
+
+    def _explain_cancel(self, request, upload):
+        """Return the refusal for a request that its own caller ended."""
+        if not (upload.is_gone or upload.is_too_large):
+            raise asyncio.CancelledError
+        asyncio.current_task().uncancel()
+        if upload.is_gone:
+            self._counters.add("callers_gone", service=request.service.name)
+            self._carrier.trace.add(request.id, "caller gone")
+            return None
+        return make_refusal(Code.BODY_TOO_LARGE, run=RUN_UNKNOWN)
+
+    async def _end(self, refusal, request, sink, scope, receive, send):
+        if sink.started:
+            # Returning without the last part closes the connection, so a
+            # body that broke off cannot look complete.
+            self._counters.add("answers_cut", code=refusal.code.name)
+            self._carrier.trace.add(request.id, "cut", code=refusal.code.name)
+            return
+        await self._refuse(refusal, request.id, scope, receive, send)
+
+    async def _refuse(self, refusal, request_id, scope, receive, send):
+        self._counters.add("requests_refused", code=refusal.code.name)
+        self._carrier.trace.add(
+            request_id,
+            "refused",
+            code=refusal.code.name,
+            run=refusal.run,
+            retry_after_s=round(refusal.retry_after_s, 3),
+            detail=refusal.detail,
+        )
+        response = make_problem(refusal, request_id)
+        response.headers[REQUEST_ID] = request_id
+        response.headers[REFUSED] = str(refusal.code.value)
+        response.headers[RUN] = refusal.run
+        await response(scope, receive, send)
+
+    async def _read(self, scope, upload, request_id):
+        config = self._feed.view.get_config()
+        if config is None:
+            return Err(make_refusal(Code.NOT_READY, 1.0))
+        service = config.service_by_name.get(scope["path_params"]["service"])
+        if service is None:
+            return Err(make_refusal(Code.UNKNOWN_SERVICE))
+        headers = _decode_headers(scope["headers"])
+        target = _make_target(scope)
+        if headers is None or target is None:
+            return Err(make_refusal(Code.MALFORMED_REQUEST, detail="not in UTF-8"))
+        value_by_name = dict(headers)
+        forward = read_forward(
+            self._feed.view.get_ticket_key(), value_by_name, scope["method"], target
+        )
+        if forward is None:
+            return Err(make_refusal(Code.MALFORMED_REQUEST, detail="forged forward"))
+        remaining = _read_deadline(value_by_name, service)
+        if remaining.is_err():
+            return remaining
+        deadline = asyncio.get_running_loop().time() + remaining.unwrap()
+        fault = self._check_length(value_by_name)
+        body = b"" if fault else await upload.read_head(WHOLE_BODY_BYTES)
+        if fault or upload.is_too_large:
+            return Err(fault or make_refusal(Code.BODY_TOO_LARGE))
+        target = _strip(target)
+        return Ok(
+            Request(
+                forward.request_id or request_id,
+                service,
+                scope["method"],
+                target,
+                headers,
+                body,
+                upload.watch(asyncio.current_task()),
+                forward.caller or self._get_caller(scope, value_by_name),
+                deadline,
+                compute_fingerprint(service.name, scope["method"], target, body),
+                value_by_name.get(IDEMPOTENCY_KEY.lower(), ""),
+                forward,
+            )
+        )
+
+    def _check_length(self, value_by_name):
+        limit = self._settings["max_body_bytes"]
+        length = value_by_name.get("content-length", "0")
+        if not length.isdigit():
+            return make_refusal(Code.MALFORMED_REQUEST, detail="content-length")
+        if int(length) > limit:
+            return make_refusal(Code.BODY_TOO_LARGE, detail=f"limit {limit} bytes")
+        return None
+
+    def _get_caller(self, scope, value_by_name):
+        if self._settings["trust_caller_header"] and "x-caller" in value_by_name:
+            return value_by_name["x-caller"][:MAX_ID_CHARS]
+        return scope["client"][0] if scope.get("client") else ""
+
+    async def _run(self, request, sink):
+        if request.needs_ticket:
+            return await self._claims.run(request, sink)
+        return await self._carrier.carry(request, sink)
+
+
+def _read_deadline(value_by_name, service):
+    text = value_by_name.get(DEADLINE.lower())
+    if text is None:
+        return Ok(service.deadline_s)
+    try:
+        remaining_s = float(text)
+    except ValueError:
+        remaining_s = -1.0
+    # Also turns away "nan", which compares false with everything.
+    if not 0 < remaining_s < float("inf"):
+        return Err(make_refusal(Code.MALFORMED_REQUEST, detail=f"{DEADLINE}: {text}"))
+    return Ok(min(remaining_s, service.deadline_s))
+
+
+def _decode_headers(pairs):
+    try:
+        return tuple((name.decode("ascii"), value.decode()) for name, value in pairs)
+    except UnicodeDecodeError:
+        return None
+
+
+def _make_target(scope):
+    """Return path and query as sent, ``None`` where they are not ASCII."""
+    raw = scope.get("raw_path") or scope["path"].encode()
+    if query := scope.get("query_string", b""):
+        raw += b"?" + query
+    return raw.decode("ascii") if raw.isascii() and b"#" not in raw else None
+
+
+def _strip(target):
+    """Return what follows the service's name, which may be escaped."""
+    match = _SERVICE_PREFIX.match(target)
+    rest = target[match.end() :]
+    return rest if rest.startswith("/") else "/" + rest
