Move the plan by a planner that holds a lease

Zones now write a summary each, one candidate a zone waits for the lease, and its holder moves rows of the plan by steps under the cap, waits until every zone shows the plan and callers' answers have run out, and grants spill allowances that sum to half of the headroom.

plan.Plan gains outstanding_by_zones_by_service and cap_by_origin_by_service with empty defaults; summaries gain plan_version. Not tested yet.

--- a/godwitlanding/desk.py
+++ b/godwitlanding/desk.py
@@ -172,9 +172,13 @@
             self._forget(key)
             answer(refusal)
 
-    def get_waiting(self):
-        """Return the keys of the requests without an answer."""
-        return list(self._answer_by_request)
+    def get_warm_share(self, now):
+        """Return how warm the upstreams on loan are, from 0 to 1."""
+        upstreams = self.borrower.get_upstreams(now)
+        if not upstreams:
+            return 0.0
+        shares = [self.arbiter.warmup.get_share(u, now) for u in upstreams]
+        return round(sum(shares) / len(shares), 3)
 
     def get_status(self, now):
         """Return queue, permits and loans for operators."""
--- /dev/null
+++ b/godwitlanding/lease.py
@@ -0,0 +1,99 @@
+"""A lease in the platform: who of many may do a piece of work for a while.
+
+Answers the pattern of a holder that dies, is paused or is cut off while the
+others wait to take over. Nobody compares clocks: an observer that has seen
+no renewal for ``lease_s`` on its own monotonic clock may take the lease, by
+conditional update, so that of two which try at once one loses. A former
+holder may go on believing for as long as it was paused; so a lease only
+saves double work, and what the work writes has to be fenced by itself
+(the plan is moved by conditional update on its version).
+
+Pure: ``now`` is seconds of one monotonic clock.
+"""
+
+import json
+from typing import NamedTuple
+
+# A third: two renewals may be lost before the lease lapses.
+RENEWALS_PER_LEASE = 3
+
+
+class Lease(NamedTuple):
+    """The lease as the platform stores it; ``renewal`` counts up."""
+
+    holder: str
+    renewal: int
+
+
+def parse_lease(body):
+    """Return the lease in an object's value; ``ValueError`` if it is none."""
+    try:
+        value = json.loads(body)
+        return Lease(str(value["holder"]), int(value["renewal"]))
+    except (TypeError, KeyError) as error:
+        raise ValueError(f"not a lease: {error}") from error
+
+
+def format_lease(lease):
+    """Return the bytes of a lease as the platform stores it."""
+    return json.dumps(lease._asdict(), sort_keys=True).encode()
+
+
+class LeaseKeeper:
+    """One candidate's view of a lease."""
+
+    def __init__(self, candidate, lease_s):
+        self.lease = Lease("", 0)
+        self.version = 0
+        self._candidate = candidate
+        self._lease_s = lease_s
+        self._seen_at = None
+        self._valid_until = 0.0
+        self._tried = {}
+
+    def observe(self, lease, version, now):
+        """Take the lease as read from the platform; ``None`` if it is not.
+
+        A write of this candidate whose answer was lost is found here: it
+        counts from when the write was sent.
+        """
+        if self._seen_at is None or version != self.version:
+            self._seen_at = now
+        self.version = version
+        self.lease = lease or Lease("", 0)
+        if self.lease.holder != self._candidate:
+            self._valid_until = 0.0
+            return
+        sent_at = self._tried.get(self.lease.renewal)
+        if sent_at is not None:
+            self._valid_until = max(self._valid_until, sent_at + self._lease_s)
+
+    def holds(self, now):
+        """Tell whether this candidate holds the lease at ``now``."""
+        return self.lease.holder == self._candidate and now < self._valid_until
+
+    def get_attempt(self, now):
+        """Return the lease to write now, or ``None``.
+
+        Write it on ``version`` and note the outcome with ``note_written``.
+        """
+        if self._seen_at is None:
+            return None
+        if self.lease.holder == self._candidate:
+            interval_s = self._lease_s / RENEWALS_PER_LEASE
+            renewed_at = self._valid_until - self._lease_s
+            if self.holds(now) and now - renewed_at < interval_s:
+                return None
+        elif self.lease.holder and now - self._seen_at < self._lease_s:
+            return None
+        attempt = Lease(self._candidate, self.lease.renewal + 1)
+        self._tried = {attempt.renewal: now}
+        return attempt
+
+    def note_written(self, lease, version, now):
+        """The platform has taken ``lease`` as ``version``."""
+        self.observe(lease, version, now)
+
+    def release(self):
+        """Return the lease to write when this candidate ends."""
+        return Lease("", self.lease.renewal + 1)
--- a/godwitlanding/membership.py
+++ b/godwitlanding/membership.py
@@ -90,6 +90,23 @@
         member_by_vm[self.vm] = own
         return member_by_vm
 
+    def get_lowest_version(self, kind, name, own_version):
+        """Return the lowest version that a member has, 0 if one is unheard."""
+        lowest = own_version
+        vms = {
+            entry.vm
+            for entry in self.vm_list.vms
+            if entry.availability_zone == self._availability_zone
+        }
+        for vm in (vms | set(self._heard_by_vm)) - {self.vm}:
+            heard = self._heard_by_vm.get(vm)
+            held = 0
+            for row in heard.heartbeat.versions if heard else ():
+                if (row.kind, row.name) == (kind, name):
+                    held = row.version
+            lowest = min(lowest, held)
+        return lowest
+
     def is_settled(self, now):
         """Tell whether the others have had time to be heard.
 
--- a/godwitlanding/plan.py
+++ b/godwitlanding/plan.py
@@ -9,13 +9,21 @@
 
 
 class Plan(NamedTuple):
-    """A version of the plan; shares of an origin zone sum to 1."""
+    """A version of the plan; shares of an origin zone sum to 1.
+
+    ``outstanding_by_zones_by_service`` are the allowances that may still be
+    in use by a zone which has not shown that it has this version.
+    ``cap_by_origin_by_service`` are the cap and step time under which a row
+    was last moved, kept for the way back when its shift has left the text.
+    """
 
     weight_by_zone_by_origin_by_service: dict
     allowance_by_zones_by_service: dict
     moved_by_shift: dict
     step: int = 0
     why: str = ""
+    outstanding_by_zones_by_service: dict = {}
+    cap_by_origin_by_service: dict = {}
 
     def get_weights(self, service, origin_zone):
         """Return ``{zone: share}``; all to the origin where none is set."""
--- /dev/null
+++ b/godwitlanding/planner.py
@@ -0,0 +1,351 @@
+"""Moves the plan: one small step at a time, or not at all.
+
+Answers the pattern of large shifts of traffic: callers arrive at cold
+caches, in a region that has load of its own, while measurements lag and
+answers given to callers stay in use for ``steer_max_age_s``. Without the
+caps and the waits a shift would arrive all at once; without the look at
+headroom it would overload the region it goes to.
+
+A step of a row waits until every zone has shown in its summary that all its
+members have the plan of the last step, and from then the step time of the
+shift plus the age of callers' answers. So within any step time no more
+callers move than one cap. Both waits are counted on this process's own
+monotonic clock from when it first saw the plan, so that a planner which
+starts afresh waits in full. A summary that is missing or old stops the step.
+
+Pure: ``now`` is seconds of one monotonic clock.
+"""
+
+from typing import NamedTuple
+
+from godwitlanding.allowances import get_sources, share_out
+from godwitlanding.plan import EMPTY_PLAN, Plan
+from godwitlanding.targets import make_base, make_targets
+
+# Below this a zone's upstreams are not warm enough to be given more.
+WARM_SHARE = 0.8
+# Smaller steps are not worth a write that goes to every process.
+LEAST_STEP = 0.001
+# Allowances follow the load; written only so often, and when they change.
+ALLOWANCE_S = 5.0
+
+
+class Room:
+    """Headroom by zone and service, spent as steps are planned."""
+
+    def __init__(self, config, demand, now):
+        self._config = config
+        self._demand = demand
+        self._now = now
+        self._spent = {}
+
+    def get_load(self, zone, service):
+        """Return the zone's ``ServiceLoad`` or ``None``."""
+        return self._demand.get_load(zone, service, self._now)
+
+    def get_headroom(self, zone, service):
+        """Return the free slots; 0 where unknown, less where overspent."""
+        load = self.get_load(zone, service)
+        if load is None:
+            return 0.0
+        region = self._config.region_by_name[self._config.region_by_zone[zone]]
+        free = load.usable_slots * region.load_limit - load.demand
+        return free - self._spent.get((zone, service), 0.0)
+
+    def spend(self, zone, service, slots):
+        """Count slots as taken by a step of this plan."""
+        key = (zone, service)
+        self._spent[key] = self._spent.get(key, 0.0) + slots
+
+    def estimate_origin(self, service, origin, row):
+        """Return the most that an origin's callers can ask for, in slots.
+
+        A zone's demand is the sum over the origins of their weight there,
+        so an origin's demand is at most the zone's divided by its weight.
+        ``None`` where a zone that it uses has no fresh summary.
+        """
+        bounds = []
+        for zone, weight in row.items():
+            if weight <= 0:
+                continue
+            load = self.get_load(zone, service)
+            if load is None:
+                return None
+            bounds.append(load.demand / weight)
+        return min(bounds, default=None)
+
+    def get_dependencies(self, service):
+        """Return what one slot of ``service`` calls for, by service."""
+        own = self._sum_demand(service)
+        factor_by_name = {}
+        todo = list(self._config.service_by_name[service].depends_on)
+        while todo:
+            name = todo.pop()
+            if name not in factor_by_name:
+                factor_by_name[name] = self._sum_demand(name) / own if own else 0.0
+                todo.extend(self._config.service_by_name[name].depends_on)
+        return factor_by_name
+
+    def _sum_demand(self, service):
+        loads = (self.get_load(z, service) for z in self._config.region_by_zone)
+        return sum(load.demand for load in loads if load)
+
+
+class Step(NamedTuple):
+    """A row's next weights, or why it stays."""
+
+    weight_by_zone: dict
+    why: str
+    moved: bool
+
+
+class Planner:
+    """Decides the next plan from what it has seen."""
+
+    def __init__(self, demand, steer_max_age_s, now):
+        self.plan = EMPTY_PLAN
+        self.version = 0
+        self._demand = demand
+        self._steer_max_age_s = steer_max_age_s
+        self._started_at = now
+        self._version_by_row = {}
+        self._quiet_since_by_row = {}
+        self._written_at = now
+        self._why = ""
+
+    def take_plan(self, plan, version, now):
+        """Take the plan in force; rows that changed begin a new wait."""
+        if version <= self.version:
+            return
+        for row in _list_rows(plan) | _list_rows(self.plan):
+            service, origin = row
+            same = plan.get_weights(service, origin) == self.plan.get_weights(
+                service, origin
+            )
+            if not same or not self.version:
+                self._version_by_row[row] = version
+                self._quiet_since_by_row.pop(row, None)
+        self.plan = plan
+        self.version = version
+        self._written_at = now
+
+    def make_plan(self, config, now):
+        """Return the next ``Plan``, or ``None`` where nothing may move."""
+        self._note_quiet(config, now)
+        room = Room(config, self._demand, now)
+        zones = config.region_by_zone
+        missing = [zone for zone in zones if not self._demand.is_fresh(zone, now)]
+        self._reserve(config, room)
+        weights = {}
+        reasons = []
+        moved = False
+        targets = make_targets(config, self.plan.cap_by_origin_by_service)
+        for row, target in sorted(targets.items()):
+            step = self._step(row, target, room, missing, config, now)
+            weights.setdefault(row[0], {})[row[1]] = step.weight_by_zone
+            moved = moved or step.moved
+            if step.why:
+                reasons.append(f"{row[0]} from {row[1]}: {step.why}")
+        self._why = "; ".join(reasons[:5]) or "every row is where the text wants it"
+        allowances, outstanding = self._make_allowances(config, room, now)
+        plan = Plan(
+            weight_by_zone_by_origin_by_service=weights,
+            allowance_by_zones_by_service=allowances,
+            moved_by_shift=_measure_shifts(config, weights),
+            step=self.plan.step + moved,
+            why=self._why,
+            outstanding_by_zones_by_service=outstanding,
+            cap_by_origin_by_service=_keep_caps(weights, targets),
+        )
+        return plan if self._is_worth_writing(plan, moved, now) else None
+
+    def get_status(self, now):
+        """Return what the planner waits for, for operators."""
+        return {
+            "version": self.version,
+            "step": self.plan.step,
+            "why": self._why,
+            "moved_by_shift": self.plan.moved_by_shift,
+            "quiet_s_by_row": {
+                f"{service} from {origin}": round(now - at, 1)
+                for (service, origin), at in sorted(self._quiet_since_by_row.items())
+            },
+        }
+
+    def _note_quiet(self, config, now):
+        # Callers of a zone that still has the former plan would later move
+        # by two steps at once: the wait begins when the last zone has it.
+        held = min(
+            (self._demand.get_plan_version(zone) for zone in config.region_by_zone),
+            default=0,
+        )
+        for service in config.service_by_name:
+            for origin in config.region_by_zone:
+                row = (service, origin)
+                if held >= self._version_by_row.get(row, self.version):
+                    self._quiet_since_by_row.setdefault(row, now)
+
+    def _step(self, row, target, room, missing, config, now):
+        service, origin = row
+        current = self.plan.get_weights(service, origin)
+        gains, total = _compare(current, target.weight_by_zone)
+        if total < LEAST_STEP:
+            return Step(current, "", False)
+        if target.paused:
+            return Step(current, f"{target.shift} is paused", False)
+        if missing:
+            return Step(current, f"no fresh summary of {', '.join(missing)}", False)
+        wait_s = target.step_s + self._steer_max_age_s
+        quiet_since = self._quiet_since_by_row.get(row)
+        if quiet_since is None or now - quiet_since < wait_s:
+            return Step(current, "waits for callers' cached answers", False)
+        cold = [z for z in gains if not _is_warm(room.get_load(z, service))]
+        if cold:
+            return Step(current, f"{', '.join(cold)} not warm", False)
+        share = min(1.0, target.cap_share / total)
+        share = min(share, self._fit(service, origin, current, gains, room))
+        if share * total < LEAST_STEP:
+            return Step(current, f"no headroom in {', '.join(gains)}", False)
+        self._spend(service, origin, current, gains, share, room)
+        return Step(_move(current, target.weight_by_zone, share), "", True)
+
+    def _fit(self, service, origin, current, gains, room):
+        """Return the part of ``gains`` for which every target has room."""
+        demand = room.estimate_origin(service, origin, current)
+        if demand is None:
+            return 0.0
+        share = 1.0
+        factors = {service: 1.0, **room.get_dependencies(service)}
+        for zone, gain in gains.items():
+            for name, factor in factors.items():
+                wanted = gain * demand * factor
+                if wanted > 0:
+                    headroom = max(0.0, room.get_headroom(zone, name))
+                    share = min(share, headroom / wanted)
+        return share
+
+    def _spend(self, service, origin, current, gains, share, room):
+        demand = room.estimate_origin(service, origin, current)
+        factors = {service: 1.0, **room.get_dependencies(service)}
+        for zone, gain in gains.items():
+            for name, factor in factors.items():
+                room.spend(zone, name, gain * share * demand * factor)
+
+    def _get_in_use(self, service, source, target):
+        """Return the allowance that a zone may still be using."""
+        pair = f"{source}>{target}"
+        granted = self.plan.allowance_by_zones_by_service.get(service, {})
+        if self._demand.get_plan_version(source) >= self.version > 0:
+            return granted.get(pair, 0)
+        reserved = self.plan.outstanding_by_zones_by_service.get(service, {})
+        return max(granted.get(pair, 0), reserved.get(pair, 0))
+
+    def _list_pairs(self, config, service, target):
+        known = set(get_sources(config, (), target))
+        for granted in (
+            self.plan.allowance_by_zones_by_service.get(service, {}),
+            self.plan.outstanding_by_zones_by_service.get(service, {}),
+        ):
+            known |= {p.split(">")[0] for p in granted if p.endswith(f">{target}")}
+        return sorted(known)
+
+    def _reserve(self, config, room):
+        """Keep what was granted to spill out of the reach of steps."""
+        for service in config.service_by_name:
+            for target in config.region_by_zone:
+                for source in self._list_pairs(config, service, target):
+                    room.spend(
+                        target, service, self._get_in_use(service, source, target)
+                    )
+
+    def _make_allowances(self, config, room, now):
+        allowances = {}
+        outstanding = {}
+        for service in config.service_by_name:
+            allowed = allowances.setdefault(service, {})
+            reserved = outstanding.setdefault(service, {})
+            for target in config.region_by_zone:
+                in_use = {
+                    source: self._get_in_use(service, source, target)
+                    for source in self._list_pairs(config, service, target)
+                }
+                headroom = room.get_headroom(target, service) + sum(in_use.values())
+                new = share_out(headroom, in_use)
+                if room.get_load(target, service) is None:
+                    new = {source: 0 for source in in_use}
+                for source, amount in new.items():
+                    pair = f"{source}>{target}"
+                    if amount:
+                        allowed[pair] = amount
+                    if max(amount, in_use[source]) > amount:
+                        reserved[pair] = in_use[source]
+        return allowances, outstanding
+
+    def _is_worth_writing(self, plan, moved, now):
+        old = self.plan
+        if moved or not self.version:
+            return True
+        if now - self._written_at < ALLOWANCE_S:
+            return False
+        return (
+            plan.allowance_by_zones_by_service != old.allowance_by_zones_by_service
+            or plan.outstanding_by_zones_by_service
+            != old.outstanding_by_zones_by_service
+        )
+
+
+def _list_rows(plan):
+    return {
+        (service, origin)
+        for service, by_origin in plan.weight_by_zone_by_origin_by_service.items()
+        for origin in by_origin
+    }
+
+
+def _compare(current, wanted):
+    gains = {}
+    for zone, weight in wanted.items():
+        gain = weight - current.get(zone, 0.0)
+        if gain > 1e-9:
+            gains[zone] = gain
+    return gains, sum(gains.values())
+
+
+def _move(current, wanted, share):
+    if share >= 1.0:
+        return {zone: weight for zone, weight in wanted.items() if weight > 0}
+    moved = {
+        zone: round(
+            current.get(zone, 0.0)
+            + share * (wanted.get(zone, 0.0) - current.get(zone, 0.0)),
+            9,
+        )
+        for zone in {*current, *wanted}
+    }
+    return {zone: weight for zone, weight in sorted(moved.items()) if weight > 0}
+
+
+def _is_warm(load):
+    return load is not None and load.warm_share >= WARM_SHARE
+
+
+def _measure_shifts(config, weights):
+    moved_by_shift = {}
+    for shift in config.shift_by_name.values():
+        row = weights.get(shift.service, {}).get(shift.from_zone, {})
+        base = make_base(config, shift.service, shift.from_zone).get(shift.to_zone, 0)
+        share = row.get(shift.to_zone, 0.0)
+        moved_by_shift[shift.name] = round(max(0.0, share - base) / (1 - base or 1), 6)
+    return moved_by_shift
+
+
+def _keep_caps(weights, target_by_row):
+    """Return the cap of each row that is, or is going, off its base."""
+    caps = {}
+    for (service, origin), target in target_by_row.items():
+        row = weights[service][origin]
+        _, distance = _compare(row, target.weight_by_zone)
+        if target.shift or distance >= LEAST_STEP:
+            rows = caps.setdefault(service, {})
+            rows[origin] = [target.cap_share, target.step_s]
+    return caps
--- a/godwitlanding/services/departure.py
+++ b/godwitlanding/services/departure.py
@@ -10,7 +10,15 @@
     """Takes this VM out of answers, gives up its upstreams, then ends."""
 
     name = "departure"
-    needs = ("listener", "arbitration", "lending", "members", "probes", "http")
+    needs = (
+        "listener",
+        "arbitration",
+        "lending",
+        "members",
+        "probes",
+        "planner",
+        "http",
+    )
 
     def __init__(self, context):
         self._context = context
--- a/godwitlanding/services/lending.py
+++ b/godwitlanding/services/lending.py
@@ -104,11 +104,6 @@
             return Failure(Code.LOAN_REFUSED.value)
         return lent
 
-    def take_give_back(self, message):
-        """Take the word of an arbiter that uses its loans no more."""
-        owned = self._get_owned(message.service)
-        self._steward.lender.give_back(message, owned)
-
     async def _take_give_back(self, channel, message):
         self.take_give_back(message)
 
--- a/godwitlanding/services/members.py
+++ b/godwitlanding/services/members.py
@@ -104,6 +104,16 @@
             if vm != self._context.vm and member.address
         }
 
+    def get_lowest_version(self, kind, name):
+        """Return the version that every listed member has shown it has.
+
+        A member that is listed and has not been heard counts as having
+        none: it may be paused and still answer callers by an old version.
+        """
+        return self.membership.get_lowest_version(
+            kind, name, self._context.replica.get_version(kind, name)
+        )
+
     async def announce(self):
         """Send a heartbeat now, as when this VM begins to leave."""
         await self._beat()
--- /dev/null
+++ b/godwitlanding/services/planner.py
@@ -0,0 +1,146 @@
+"""Moves the plan while this VM holds the planner's lease."""
+
+import asyncio
+
+from godwitlanding.codes import Code
+from godwitlanding.demand import Demand
+from godwitlanding.kernel import Service
+from godwitlanding.lease import LeaseKeeper, format_lease, parse_lease
+from godwitlanding.log import log_warning
+from godwitlanding.messages import State
+from godwitlanding.plan import format_plan, parse_plan
+from godwitlanding.planner import Planner
+from godwitlanding.services.summary import SUMMARY_KIND
+from godwitlanding.tasks import Tasks
+
+LEASE_KIND = "lease"
+LEASE_NAME = "planner"
+PLAN_KIND = "plan"
+PLAN_NAME = "main"
+
+
+class Planning(Service):
+    """Holds or waits for the lease; one candidate a zone."""
+
+    name = "planner"
+    needs = ("replication", "members", "configuration", "platform", "summary")
+
+    def __init__(self, context):
+        self._context = context
+        self._tasks = Tasks()
+        self._keeper = LeaseKeeper(context.incarnation, context.settings["lease_s"])
+        self._demand = Demand(context.settings["summary_max_age_s"])
+        self._planner = None
+
+    async def start(self, kernel):
+        """Begin to follow plan, summaries and lease."""
+        self._members = kernel.get("members")
+        self._replication = kernel.get("replication")
+        self._configuration = kernel.get("configuration")
+        self._summary = kernel.get("summary")
+        self._store = kernel.get("platform").store
+        max_age_s = self._context.settings["steer_max_age_s"]
+        self._planner = Planner(self._demand, max_age_s, self._now())
+        self._context.replica.listen(self._take_state)
+        interval_s = self._context.settings["plan_interval_s"]
+        self._tasks.repeat(interval_s, self._run_round)
+
+    async def stop(self):
+        """Give the lease back, so that another planner need not wait."""
+        await self._tasks.stop()
+        if self._keeper.holds(self._now()):
+            body = format_lease(self._keeper.release())
+            await self._store.put(LEASE_KIND, LEASE_NAME, body, self._keeper.version)
+
+    def get_status(self):
+        """Return who holds the lease and what the plan waits for."""
+        if self._planner is None:
+            return {}
+        now = self._now()
+        return {
+            "holds_lease": self._keeper.holds(now),
+            "lease_holder": self._keeper.lease.holder,
+            "lease_version": self._keeper.version,
+            **self._planner.get_status(now),
+        }
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+    def _take_state(self, state):
+        now = self._now()
+        if state.kind == SUMMARY_KIND:
+            config = self._configuration.config
+            services = config.service_by_name.values() if config else ()
+            work_s_by_service = {service.name: service.work_s for service in services}
+            try:
+                self._demand.take(
+                    state.name, state.version, state.body, work_s_by_service, now
+                )
+            except (ValueError, TypeError, AttributeError) as error:
+                log_warning("planner:bad_summary", error=repr(error))
+        elif state.kind == PLAN_KIND:
+            try:
+                plan = parse_plan(state.body)
+            except ValueError as error:
+                log_warning("planner:bad_plan", error=str(error))
+                return
+            self._planner.take_plan(plan, state.version, now)
+
+    async def _run_round(self):
+        config = self._configuration.config
+        mine = self._replication.is_first_reader()
+        if config is None or not (mine or self._keeper.holds(self._now())):
+            return
+        await self._keep_lease()
+        holds = self._keeper.holds(self._now())
+        self._summary.planner_vm = self._context.vm if holds else ""
+        if not holds:
+            return
+        plan = self._planner.make_plan(config, self._now())
+        if plan:
+            await self._write(plan)
+
+    async def _keep_lease(self):
+        read = await self._store.get(LEASE_KIND, LEASE_NAME)
+        now = self._now()
+        if read.is_ok():
+            stored = read.unwrap()
+            try:
+                lease = parse_lease(stored.value)
+            except ValueError as error:
+                log_warning("planner:bad_lease", error=str(error))
+                lease = None
+            self._keeper.observe(lease, stored.version, now)
+        elif read.unwrap_err().code is Code.NOT_FOUND:
+            self._keeper.observe(None, 0, now)
+        else:
+            return
+        attempt = self._keeper.get_attempt(now)
+        if attempt is None:
+            return
+        written = await self._store.put(
+            LEASE_KIND, LEASE_NAME, format_lease(attempt), self._keeper.version
+        )
+        if written.is_ok():
+            taken_over = self._keeper.lease.holder != attempt.holder
+            self._keeper.note_written(attempt, written.unwrap(), self._now())
+            if taken_over:
+                self._context.counters.add("planner_leases_taken")
+        else:
+            code = written.unwrap_err().code
+            self._context.counters.add("lease_write_failed", code=code.name)
+
+    async def _write(self, plan):
+        body = format_plan(plan)
+        version = self._planner.version
+        written = await self._store.put(PLAN_KIND, PLAN_NAME, body, version)
+        if written.is_ok():
+            state = State(PLAN_KIND, PLAN_NAME, written.unwrap(), body)
+            await self._replication.spread(state)
+            self._context.counters.add("plans_written")
+            return
+        # A lost answer or a paused former planner: the plan that is in
+        # force comes by the watch, and nothing is written before it does.
+        code = written.unwrap_err().code
+        self._context.counters.add("plan_write_failed", code=code.name)
--- a/godwitlanding/services/replication.py
+++ b/godwitlanding/services/replication.py
@@ -45,6 +45,7 @@
         self._peers = None
         self._store = None
         self._loops = 0
+        self._handler_by_kind = {}
 
     async def start(self, kernel):
         """Begin to watch, or take what peers hold."""
@@ -77,7 +78,15 @@
 
     def is_first_reader(self):
         """Tell whether this member writes what the zone writes once."""
-        return self._context.vm in self._choose_readers(1)
+        return self._context.vm == self.choose_reader()
+
+    def handle_kind(self, kind, handler):
+        """Give states of a kind that are no objects to ``handler(state)``."""
+        self._handler_by_kind[kind] = handler
+
+    def choose_reader(self):
+        """Return the member that writes what the zone writes once."""
+        return next(iter(self._choose_readers(1)), "")
 
     async def spread(self, state):
         """Take a state that this process has written and pass it on."""
@@ -231,6 +240,9 @@
                 channel.send(state)
 
     async def _take_from_peer(self, channel, state):
+        if state.kind in self._handler_by_kind:
+            self._handler_by_kind[state.kind](state)
+            return
         if state.kind == "members":
             return
         if state.version > self._context.replica.get_version(state.kind, state.name):
--- /dev/null
+++ b/godwitlanding/services/summary.py
@@ -0,0 +1,148 @@
+"""Measures the zone's load and writes its summary to the platform.
+
+Each arbiter tells the member that writes what it measured; that one adds
+it up. The platform gets one write a zone and interval, and other zones
+learn of each other by these summaries alone.
+"""
+
+import asyncio
+import json
+
+from godwitlanding.codes import Code
+from godwitlanding.kernel import Service
+from godwitlanding.log import log_warning
+from godwitlanding.messages import State
+from godwitlanding.tasks import Tasks
+
+SUMMARY_KIND = "summary"
+# Not an object of the platform: what one arbiter tells the writer.
+LOAD_KIND = "load"
+RATE_BY_COUNT = {
+    "arrivals": "arrivals_per_s",
+    "served": "served_per_s",
+    "refused": "refused_per_s",
+    "passed_on": "passed_on_per_s",
+}
+
+
+class Summary(Service):
+    """Gathers loads and writes ``summary`` / zone."""
+
+    name = "summary"
+    needs = ("arbitration", "members", "replication", "platform", "configuration")
+
+    def __init__(self, context):
+        self.planner_vm = ""
+        self._context = context
+        self._tasks = Tasks()
+        self._load_by_service = {}
+        self._counts_by_service = {}
+        self._sequence = 0
+
+    async def start(self, kernel):
+        """Begin to measure."""
+        self._arbitration = kernel.get("arbitration")
+        self._members = kernel.get("members")
+        self._replication = kernel.get("replication")
+        self._configuration = kernel.get("configuration")
+        self._store = kernel.get("platform").store
+        self._pool = kernel.get("peers").pool
+        self._replication.handle_kind(LOAD_KIND, self._take_load)
+        self._tasks.repeat(self._context.settings["summary_s"], self._measure)
+
+    async def stop(self):
+        """End the measuring."""
+        await self._tasks.stop()
+
+    def get_status(self):
+        """Return the loads that this member was told of."""
+        return {"sequence": self._sequence, "services": self._list_loads()}
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+    async def _measure(self):
+        if not self._members.is_settled():
+            return
+        now = self._now()
+        writer = self._replication.choose_reader()
+        address = self._members.get_peer_addresses().get(writer)
+        for service, desk in self._arbitration.desk_by_service.items():
+            if not desk.active:
+                continue
+            body = json.dumps(self._make_row(service, desk, now)).encode()
+            state = State(LOAD_KIND, service, 1, body)
+            if writer == self._context.vm:
+                self._take_load(state)
+            elif address:
+                self._tasks.run(self._pool.send(address, state))
+        if writer == self._context.vm and self._configuration.config:
+            await self._write()
+
+    def _make_row(self, service, desk, now):
+        status = desk.arbiter.get_status(now)
+        row = {
+            "slots": status["slots"],
+            "usable_slots": status["usable_slots"],
+            "busy": status["busy"],
+            "queued": status["queued"],
+            "warm_share": desk.get_warm_share(now),
+        }
+        before_at, before = self._counts_by_service.get(service, (now, desk.counts))
+        elapsed_s = max(now - before_at, 0.001)
+        for count, rate in RATE_BY_COUNT.items():
+            row[rate] = round((desk.counts[count] - before[count]) / elapsed_s, 3)
+        self._counts_by_service[service] = (now, dict(desk.counts))
+        return row
+
+    def _take_load(self, state):
+        try:
+            row = json.loads(state.body)
+        except ValueError as error:
+            log_warning("summary:bad_load", error=str(error))
+            return
+        self._load_by_service[state.name] = (self._now(), row)
+
+    def _list_loads(self):
+        # An arbiter that has died tells nothing more: its last word must
+        # not stand for a measurement.
+        max_age_s = self._context.settings["summary_max_age_s"]
+        now = self._now()
+        return {
+            service: row
+            for service, (at, row) in sorted(self._load_by_service.items())
+            if now - at <= max_age_s
+        }
+
+    async def _write(self):
+        zone = self._context.availability_zone
+        self._sequence += 1
+        body = json.dumps(
+            {
+                "sequence": self._sequence,
+                "leaving_vms": sorted(
+                    vm for vm, m in self._members.member_by_vm.items() if m.leaving
+                ),
+                "planner": self.planner_vm,
+                "plan_version": self._members.get_lowest_version("plan", "main"),
+                "services": self._list_loads(),
+            },
+            sort_keys=True,
+        ).encode()
+        version = self._context.replica.get_version(SUMMARY_KIND, zone)
+        written = await self._store.put(SUMMARY_KIND, zone, body, version)
+        if written.is_ok():
+            state = State(SUMMARY_KIND, zone, written.unwrap(), body)
+            self._context.replica.offer(state)
+            return
+        code = written.unwrap_err().code
+        self._context.counters.add("summary_write_failed", code=code.name)
+        if code is Code.VERSION_CONFLICT:
+            await self._read(zone)
+
+    async def _read(self, zone):
+        read = await self._store.get(SUMMARY_KIND, zone)
+        if read.is_ok():
+            stored = read.unwrap()
+            state = State(SUMMARY_KIND, zone, stored.version, stored.value)
+            self._context.replica.offer(state)
--- /dev/null
+++ b/godwitlanding/targets.py
@@ -0,0 +1,83 @@
+"""Where each origin zone's callers should go in the end.
+
+Pure: from the configuration alone. ``planner`` moves the plan towards these
+rows, step by step.
+"""
+
+from typing import NamedTuple
+
+KIND_ZONE = "availability_zone"
+# A drain or a change of the upstreams has no cap of its own in the text: a
+# quarter of the callers a step, so that caches warm with a mixture.
+DEFAULT_CAP_SHARE = 0.25
+DEFAULT_STEP_S = 5.0
+
+
+class Target(NamedTuple):
+    """A row to reach, and how fast it may be approached."""
+
+    weight_by_zone: dict
+    cap_share: float
+    step_s: float
+    shift: str = ""
+    paused: bool = False
+
+
+def find_zones(config, service):
+    """Return the zones that may serve a service, with their slots."""
+    slots_by_zone = {}
+    for upstream in config.service_by_name[service].upstream_by_id.values():
+        zone = upstream.availability_zone
+        if not config.is_drained(KIND_ZONE, zone, service):
+            slots_by_zone[zone] = slots_by_zone.get(zone, 0) + upstream.slots
+    return slots_by_zone
+
+
+def make_base(config, service, origin):
+    """Return an origin's row without any shift: itself, else the nearest."""
+    slots_by_zone = find_zones(config, service)
+    if origin in slots_by_zone:
+        return {origin: 1.0}
+    region = config.region_by_zone.get(origin)
+    near = {
+        zone: slots
+        for zone, slots in slots_by_zone.items()
+        if config.region_by_zone.get(zone) == region
+    }
+    chosen = near or slots_by_zone
+    total = sum(chosen.values())
+    return {zone: slots / total for zone, slots in chosen.items()}
+
+
+def make_targets(config, cap_by_origin_by_service):
+    """Return every ``Target`` by ``(service, origin)``."""
+    shift_by_row = {(s.service, s.from_zone): s for s in config.shift_by_name.values()}
+    target_by_row = {}
+    for service in config.service_by_name:
+        kept = cap_by_origin_by_service.get(service, {})
+        for origin in config.region_by_zone:
+            base = make_base(config, service, origin)
+            if not base:
+                continue
+            shift = shift_by_row.get((service, origin))
+            if shift:
+                target = _apply(shift, base, find_zones(config, service))
+            elif not config.service_by_name[service].get_upstreams(origin):
+                # Nothing serves these callers where they are: only headroom
+                # bounds the move.
+                target = Target(base, 1.0, DEFAULT_STEP_S)
+            else:
+                cap_share, step_s = kept.get(
+                    origin, (DEFAULT_CAP_SHARE, DEFAULT_STEP_S)
+                )
+                target = Target(base, cap_share, step_s)
+            target_by_row[service, origin] = target
+    return target_by_row
+
+
+def _apply(shift, base, zones):
+    weights = dict(base)
+    if shift.to_zone in zones:
+        weights = {zone: (1 - shift.share) * w for zone, w in base.items()}
+        weights[shift.to_zone] = weights.get(shift.to_zone, 0.0) + shift.share
+    return Target(weights, shift.cap_share, shift.step_s, shift.name, shift.paused)
--- a/godwitlanding/tests/zone_world.py
+++ b/godwitlanding/tests/zone_world.py
@@ -76,9 +76,7 @@
     def get_view(self):
         """Return the VMs that this member takes for alive."""
         now = self.world.now
-        heard = {
-            vm for vm, at in self.heard_at_by_vm.items() if now - at <= TIMEOUT_S
-        }
+        heard = {vm for vm, at in self.heard_at_by_vm.items() if now - at <= TIMEOUT_S}
         return sorted(heard | {self.vm})
 
     def get_arbiter(self):
@@ -117,9 +115,7 @@
     def read_roster(self):
         platform = self.world.platform
         if platform.available and self.vm not in self.world.cut_off:
-            self.steward.take_roster(
-                platform.roster, platform.version, self.world.now
-            )
+            self.steward.take_roster(platform.roster, platform.version, self.world.now)
 
     def keep_roster(self, view):
         world = self.world
@@ -158,9 +154,7 @@
             if process.get_arbiter() != self.vm:
                 return
             upstreams = sorted(world.slots_by_upstream)
-            lent = process.steward.lender.lend(
-                loan, upstreams, DEADLINE_S, world.now
-            )
+            lent = process.steward.lender.lend(loan, upstreams, DEADLINE_S, world.now)
             world.send(owner, self.vm, "zone", lambda p: take(p, lent))
 
         world.send(self.vm, owner, "zone", answer)
@@ -336,9 +330,7 @@
     def restart(self, vm, role):
         """Kill a process; a new incarnation starts at once."""
         kinds = {"zone": ZoneProcess, "entry": EntryProcess}
-        setattr(
-            self.node_by_vm[vm], role, kinds[role](self, vm, self.next_number())
-        )
+        setattr(self.node_by_vm[vm], role, kinds[role](self, vm, self.next_number()))
 
     def list_gone(self):
         return [
--- a/godwitlanding/zone.py
+++ b/godwitlanding/zone.py
@@ -11,9 +11,11 @@
 from godwitlanding.services.lending import Lending
 from godwitlanding.services.links import Listener, Peers
 from godwitlanding.services.members import Members
+from godwitlanding.services.planner import Planning
 from godwitlanding.services.platform import Platform
 from godwitlanding.services.probes import Probes
 from godwitlanding.services.replication import Replication
+from godwitlanding.services.summary import Summary
 from godwitlanding.store import HttpStore
 from godwitlanding.web import HttpServer, make_status_routes
 
@@ -43,6 +45,8 @@
         Lending(context),
         Arbitration(context),
         Probes(context),
+        Summary(context),
+        Planning(context),
         Listener(context),
         HttpServer(
             "http",
