Tell what was weighed for steering; show that a planned stop cuts no look-up

test_planned_stop_cuts_no_look_up fails when the VM does not leave the answers first; it does not show the closing of connections, which another test holds by its header.

--- a/godwitlanding/tests/test_steer.py
+++ b/godwitlanding/tests/test_steer.py
@@ -1,5 +1,6 @@
 """The answers of a steer process, over HTTP."""
 
+import asyncio
 import json
 
 import aiohttp
@@ -316,3 +317,21 @@
     steer.offer(marker)
     assert (await steer.ask("/v1/steer/status"))[0].status == 200
     assert (await steer.ask("/-/health"))[0].status == 200
+
+
+async def test_planned_stop_cuts_no_look_up(steer):
+    """The process is stopped while callers ask it without a pause.
+
+    Each is answered, by another VM's name, until nobody listens any more;
+    a caller that is cut off would wait for its own timeout.
+    """
+    steer.offer(*BASE_STATES)
+    stopping = asyncio.ensure_future(steer.kernel.stop())
+    await asyncio.sleep(0)
+    answers = []
+    with pytest.raises(aiohttp.ClientConnectorError):
+        while True:
+            response, body = await steer.ask("/v1/steer/status")
+            answers.append((response.status, body["choices"][0]["vm"]))
+    assert set(answers) == {(200, "a2")}
+    await stopping
--- a/godwitlanding/tests/tools/bench_zone.py
+++ b/godwitlanding/tests/tools/bench_zone.py
@@ -13,6 +13,7 @@
 import json
 import resource
 import sys
+import zlib
 from collections import Counter
 
 from godwitlanding import wire
@@ -293,6 +294,11 @@
     body = json.dumps(make_summary(LETTER)).encode()
     frame = encode(Envelope(0, False, State("summary", "r00-z00", 1, body)))
     rows.append(["summary of a zone, 3 services", len(frame) + 4])
+    for upstreams in (45, 1000, 8000):
+        text = make_config(LETTER._replace(upstreams=upstreams)).encode()
+        name = f"configuration, {upstreams:,} upstreams"
+        rows.append([name, len(text)])
+        rows.append([f"{name}, deflated", len(zlib.compress(text))])
     return rows
 
 
