--- a/godwitlanding/tests/test_steer.py
+++ b/godwitlanding/tests/test_steer.py
@@ -1,5 +1,6 @@
 """The answers of a steer process, over HTTP."""
 
+import asyncio
 import json
 
 import aiohttp
@@ -13,6 +14,7 @@
 from godwitlanding.settings import check_settings
 from godwitlanding.steer import make_services
 from godwitlanding.ticket import read_ticket
+from godwitlanding.web import HttpServer
 
 KEY = b"k" * 32
 ADDRESS = "127.0.50.1"
@@ -79,6 +81,28 @@
     }
 
 
+async def test_caller_cannot_name_itself_by_a_proxys_header():
+    """A caller sends X-Forwarded-For though no proxy stands before us.
+
+    Believed, it would be served as somebody else and at that one's cost.
+    """
+    clients = []
+
+    async def app(scope, receive, send):
+        clients.append(scope["client"][0])
+        await send({"type": "http.response.start", "status": 204, "headers": []})
+        await send({"type": "http.response.body", "body": b""})
+
+    server = HttpServer("http", app, "127.0.0.1", PORT + 1)
+    await server.start(None)
+    headers = {"X-Forwarded-For": "10.1.2.3"}
+    async with aiohttp.ClientSession(headers=headers) as session:
+        async with session.get(f"http://127.0.0.1:{PORT + 1}/") as response:
+            assert response.status == 204
+    await server.stop()
+    assert clients == ["127.0.0.1"]
+
+
 BASE_STATES = (
     State("config", "main", 4, CONFIG.encode()),
     make_plan({"za": 1.0}),
@@ -293,3 +317,21 @@
     steer.offer(marker)
     assert (await steer.ask("/v1/steer/status"))[0].status == 200
     assert (await steer.ask("/-/health"))[0].status == 200
+
+
+async def test_planned_stop_cuts_no_look_up(steer):
+    """The process is stopped while callers ask it without a pause.
+
+    Each is answered, by another VM's name, until nobody listens any more;
+    a caller that is cut off would wait for its own timeout.
+    """
+    steer.offer(*BASE_STATES)
+    stopping = asyncio.ensure_future(steer.kernel.stop())
+    await asyncio.sleep(0)
+    answers = []
+    with pytest.raises(aiohttp.ClientConnectorError):
+        while True:
+            response, body = await steer.ask("/v1/steer/status")
+            answers.append((response.status, body["choices"][0]["vm"]))
+    assert set(answers) == {(200, "a2")}
+    await stopping
