--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -227,6 +227,11 @@
         if status != 200 or not body["changed"]:
             raise ValueError(body)
 
+    async def crash_upstream(self, upstream_id, down_s):
+        """Crash an upstream stand-in; it is away for ``down_s``."""
+        url = f"{self._control_url}/standin/upstreams/{upstream_id}/crash"
+        await self._call("POST", f"{url}?down_s={down_s}")
+
     async def get_upstream_stats(self):
         """Return each upstream's counts by its id."""
         return (await self._call("GET", f"{self._control_url}/standin/stats"))[1]
