--- a/godwitlanding/tests/test_processes.py
+++ b/godwitlanding/tests/test_processes.py
@@ -58,8 +58,8 @@
         tally = await self.load.end()
         return judge(
             tally,
-            await self.cluster.get_executions(),
-            await self.cluster.get_upstream_stats(),
+            await self.cluster.standins.get_executions(),
+            await self.cluster.standins.get_upstream_stats(),
             drained,
             least_complete=0.0,
             may_cut=may_cut,
@@ -78,7 +78,7 @@
         vms = [
             v for v in self.cluster.vm_by_name.values() if v.availability_zone == zone
         ]
-        status = await self.cluster.get_status(vms[0].name, "zone")
+        status = await self.cluster.get_status(vms[0].vm, "zone")
         return status["services"]["members"]["arbiters_by_service"][service][0]
 
 
@@ -129,9 +129,9 @@
     Payments that were begun before are settled, new ones are taken on
     tickets that need no platform, and nothing runs twice.
     """
-    await run.cluster.set_faults(outage=outage)
+    await run.cluster.standins.set_faults(outage=outage)
     await run.serve(3.0)
-    await run.cluster.set_faults(outage="none")
+    await run.cluster.standins.set_faults(outage="none")
     await run.serve(3.0)
     verdict = await run.finish()
     assert verdict.faults == ()
@@ -143,10 +143,10 @@
     A payment that is sent again because its claim seemed to have failed
     would charge a pensioner twice.
     """
-    await run.cluster.set_faults(lost_answers=10, lost_kind="journal")
+    await run.cluster.standins.set_faults(lost_answers=10, lost_kind="journal")
 
     async def are_lost():
-        stats = await run.cluster.get_platform_stats()
+        stats = await run.cluster.standins.get_platform_stats()
         return stats.get("lost_answers", 0) >= 10
 
     await wait_until(are_lost, LIMIT_S, "10 writes of the journal to lose answers")
@@ -173,10 +173,10 @@
     if switches is None:
         switches = {**DRAINS["its health alone"], "health": "always_ok"}
         await run.cluster.run_ctl("drain", "upstream", upstream_id, "--yes")
-    await run.cluster.change_upstream(upstream_id, **switches)
+    await run.cluster.standins.change_upstream(upstream_id, **switches)
 
     async def count_sent():
-        stats = (await run.cluster.get_upstream_stats())[upstream_id]
+        stats = (await run.cluster.standins.get_upstream_stats())[upstream_id]
         return stats["begun"] + stats["refused_draining"]
 
     async def is_quiet():
@@ -232,7 +232,7 @@
     """
     cluster = run.cluster
     before = await run.get_config_versions()
-    await cluster.call_platform("snapshot")
+    await cluster.standins.take_snapshot()
     path = tmp_path / "newer.json5"
     path.write_text(cluster.text.replace("work_s: 0.04", "work_s: 0.041"))
     await cluster.run_ctl("apply", str(path), "--yes")
@@ -243,6 +243,6 @@
 
     await wait_until(is_everywhere, LIMIT_S, "the change to be in force everywhere")
     newest = await run.get_config_versions()
-    await cluster.call_platform("restore")
+    await cluster.standins.restore()
     await run.serve(3.0)
     assert await run.get_config_versions() == newest
--- a/godwitlanding/tests/tools/bench_faults.py
+++ b/godwitlanding/tests/tools/bench_faults.py
@@ -90,9 +90,9 @@
 
 
 async def _outage(cluster, how):
-    await cluster.set_faults(outage=how)
+    await cluster.standins.set_faults(outage=how)
     await asyncio.sleep(DURING_S)
-    await cluster.set_faults(outage="none")
+    await cluster.standins.set_faults(outage="none")
 
 
 async def platform_down(cluster):
@@ -107,38 +107,38 @@
 
 async def platform_slow(cluster):
     """Each call of the platform takes a second."""
-    await cluster.set_faults(delay_s=1.0)
+    await cluster.standins.set_faults(delay_s=1.0)
     await asyncio.sleep(DURING_S)
-    await cluster.set_faults(delay_s=0.0)
+    await cluster.standins.set_faults(delay_s=0.0)
 
 
 async def lost_answers(cluster):
     """The platform does 20 writes and loses their answers."""
-    await cluster.set_faults(lost_answers=20)
+    await cluster.standins.set_faults(lost_answers=20)
 
 
 async def drain_upstream(cluster):
     """An upstream says that it is draining."""
-    await cluster.change_upstream(UPSTREAM, draining=True)
+    await cluster.standins.change_upstream(UPSTREAM, draining=True)
 
 
 async def slow_upstream(cluster):
     """An upstream takes ten times as long."""
-    await cluster.change_upstream(UPSTREAM, slow_factor=10.0)
+    await cluster.standins.change_upstream(UPSTREAM, slow_factor=10.0)
     await asyncio.sleep(DURING_S)
-    await cluster.change_upstream(UPSTREAM, slow_factor=1.0)
+    await cluster.standins.change_upstream(UPSTREAM, slow_factor=1.0)
 
 
 async def crash_upstream(cluster):
     """An upstream crashes and is away for 3 s."""
-    await cluster.crash_upstream(UPSTREAM, 3.0)
+    await cluster.standins.crash_upstream(UPSTREAM, 3.0)
 
 
 async def lying_health(cluster):
     """Every upstream's health says that it fails."""
-    await cluster.change_upstream("all", health="always_bad")
+    await cluster.standins.change_upstream("all", health="always_bad")
     await asyncio.sleep(DURING_S)
-    await cluster.change_upstream("all", health="true")
+    await cluster.standins.change_upstream("all", health="true")
 
 
 async def stop_vm(cluster):
@@ -172,21 +172,21 @@
     loop = asyncio.get_running_loop()
     try:
         await cluster.start()
-        await cluster.set_faults(list_lag_s=2.0, delay_s=0.003)
+        await cluster.standins.set_faults(list_lag_s=2.0, delay_s=0.003)
         load = Load(cluster)
         await load.start(*RATES)
         await asyncio.sleep(BEFORE_S)
-        before = await cluster.get_platform_stats()
+        before = await cluster.standins.get_platform_stats()
         began = loop.time()
         await fault(cluster)
         await asyncio.sleep(max(AFTER_S, began + DURING_S + AFTER_S - loop.time()))
         took_s = loop.time() - began
-        after = await cluster.get_platform_stats()
+        after = await cluster.standins.get_platform_stats()
         tally = await load.end()
         verdict = judge(
             tally,
-            await cluster.get_executions(),
-            await cluster.get_upstream_stats(),
+            await cluster.standins.get_executions(),
+            await cluster.standins.get_upstream_stats(),
             least_complete=0.0,
             may_cut=True,
         )
--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -1,7 +1,7 @@
 """A whole system on loopback addresses, as separate processes.
 
 Starts the stand-ins and every VM's three daemons, kills, pauses and stops
-them by process id. Scripts and tests start these processes, never a daemon.
+them. Scripts and tests start these processes, never a daemon.
 
 >>> cluster = Cluster(Path("samples/demo.json5").read_text())
 >>> await cluster.start()
@@ -11,26 +11,28 @@
 
 import asyncio
 import json
-import os
 import re
 import signal
-import sys
 import tempfile
 from pathlib import Path
 from typing import NamedTuple
 
-import aiohttp
-
 from godwitlanding.config import parse_config
+from godwitlanding.tests.tools.processes import Processes, run_command
+from godwitlanding.tests.tools.standins import (
+    CONTROL_PORT,
+    PLATFORM_PORT,
+    Standins,
+)
 
 ROLES = ("zone", "entry", "steer")
 PORT_BY_ROLE = {"steer": 7001, "entry": 7002, "zone": 7003}
-ROOT = Path(__file__).parents[3]
 POLL_S = 0.1
 START_LIMIT_S = 40.0
 STOP_LIMIT_S = 90.0
-PLATFORM_PORT = 8000
-CONTROL_PORT = 8001
+PLATFORM = ("standin", "platform")
+UPSTREAMS = ("standin", "upstream")
+_TOOLS = "godwitlanding.tests.tools"
 
 
 class Network(NamedTuple):
@@ -50,11 +52,12 @@
 
 
 class Vm(NamedTuple):
-    """An entry VM of the cluster."""
+    """An entry VM of the cluster; ``state`` as in the platform's list."""
 
-    name: str
+    vm: str
     address: str
     availability_zone: str
+    state: str = "live"
 
 
 async def wait_until(check, limit_s, what):
@@ -68,7 +71,7 @@
 
 
 class Cluster:
-    """The processes of one system and the switches of its stand-ins."""
+    """The processes of one system."""
 
     def __init__(
         self,
@@ -80,37 +83,34 @@
     ):
         self.text = re.sub(r"127\.0\.[23]\.", network.upstreams, text)
         self.config = parse_config(self.text).unwrap()
-        self.platform_url = f"http://{network.control}:{PLATFORM_PORT}"
+        self.standins = Standins(network.control)
         self.vm_by_name = {}
         self.killed = set()
-        self._control_url = f"http://{network.control}:{CONTROL_PORT}"
         self._network = network
         self._settings = settings or {}
-        self._process_by_key = {}
-        self._state_by_vm = {}
-        self._directory = None
-        self.directory = Path(log_directory or self._make_directory())
-        self._session = None
+        self._listed_by_vm = {}
+        self._temporary = None if log_directory else tempfile.TemporaryDirectory()
+        self.directory = Path(log_directory or self._temporary.name)
+        self._processes = Processes(self.directory)
         for zone in self.config.region_by_zone:
             for number in range(1, vms_per_zone + 1):
-                self._add_vm(f"{zone}-{number}", zone)
+                self.add_vm(f"{zone}-{number}", zone)
 
     async def start(self):
         """Start everything, apply the text and wait until all is ready."""
-        self._session = aiohttp.ClientSession()
         text_path = self.directory / "config.json5"
         text_path.write_text(self.text)
         await self._start_standins(text_path)
-        await self.set_vms()
-        await self.run_ctl("apply", str(text_path), "--yes")
+        await self._list_vms()
+        await self.run_ctl("apply", text_path, "--yes")
         for vm in self.vm_by_name:
             await self.start_vm(vm)
 
-        async def is_up():
+        async def is_done():
             return self._has_failed() or await self.is_ready()
 
         try:
-            await wait_until(is_up, START_LIMIT_S, "every daemon to be ready")
+            await wait_until(is_done, START_LIMIT_S, "every daemon to be ready")
             if self._has_failed():
                 raise TimeoutError("a process has ended by itself")
         except TimeoutError as error:
@@ -118,26 +118,24 @@
 
     async def stop(self):
         """End every process that this cluster started."""
-        for process in self._process_by_key.values():
-            if process.returncode is None:
-                process.kill()
-        for process in self._process_by_key.values():
-            await process.wait()
-        if self._session:
-            await self._session.close()
-        if self._directory:
-            self._directory.cleanup()
-
-    def add_vm(self, name, availability_zone):
-        """Add a VM to the list; ``start_vm`` starts its daemons."""
-        self._add_vm(name, availability_zone)
+        await self._processes.stop()
+        await self.standins.close()
+        if self._temporary:
+            self._temporary.cleanup()
+
+    def add_vm(self, vm, availability_zone):
+        """Add a VM; ``start_vm`` starts its daemons."""
+        address = f"{self._network.vms}{len(self.vm_by_name) + 1}"
+        self.vm_by_name[vm] = Vm(vm, address, availability_zone)
+        self._listed_by_vm[vm] = self.vm_by_name[vm]
 
     async def start_vm(self, vm):
         """Start the three daemons of a VM."""
+        path = self.directory / f"{vm}.json5"
+        path.write_text(json.dumps(self._make_settings(vm)))
         for role in ROLES:
-            path = self.directory / f"{vm}.json5"
-            path.write_text(json.dumps(self._make_settings(vm)))
-            await self._spawn((vm, role), f"godwitlanding.{role}", "--settings", path)
+            module = f"godwitlanding.{role}"
+            await self._processes.spawn((vm, role), module, "--settings", path)
         self.killed.discard(vm)
 
     async def kill_vm(self, vm):
@@ -145,44 +143,34 @@
         self.killed.add(vm)
         for role in ROLES:
             await self.kill(vm, role)
-        del self._state_by_vm[vm]
-        await self.set_vms()
+        del self._listed_by_vm[vm]
+        await self._list_vms()
 
     async def kill(self, vm, role):
         """Kill one daemon."""
-        process = self._process_by_key[vm, role]
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
+        await self._processes.kill((vm, role))
 
     def send_signal(self, vm, role, number):
         """Send a signal to one daemon, such as SIGSTOP and SIGCONT."""
-        os.kill(self._process_by_key[vm, role].pid, number)
+        self._processes.send_signal((vm, role), number)
 
     async def stop_vm(self, vm):
-        """Stop a VM as planned; return when its daemons have ended."""
-        self._state_by_vm[vm] = "leaving"
-        await self.set_vms()
-        processes = [self._process_by_key[vm, role] for role in ROLES]
-        for process in processes:
-            process.send_signal(signal.SIGTERM)
-        ended = asyncio.gather(*(process.wait() for process in processes))
-        codes = await asyncio.wait_for(ended, STOP_LIMIT_S)
-        del self._state_by_vm[vm]
-        await self.set_vms()
+        """Stop a VM as planned; return its daemons' exit codes."""
+        self._listed_by_vm[vm] = self.vm_by_name[vm]._replace(state="leaving")
+        await self._list_vms()
+        for role in ROLES:
+            self.send_signal(vm, role, signal.SIGTERM)
+        ends = [self._processes.wait((vm, role)) for role in ROLES]
+        codes = await asyncio.wait_for(asyncio.gather(*ends), STOP_LIMIT_S)
+        del self._listed_by_vm[vm]
+        await self._list_vms()
         return codes
 
     async def is_ready(self):
-        """Tell whether every daemon that runs says that it is ready."""
-        running = [key for key in self._process_by_key if key[1] in PORT_BY_ROLE]
-        checks = [self.is_role_ready(*key) for key in running]
+        """Tell whether every daemon that was started says it is ready."""
+        checks = [self._is_role_ready(*key) for key in self._get_daemon_keys()]
         return all(await asyncio.gather(*checks))
 
-    async def is_role_ready(self, vm, role):
-        """Tell whether one daemon says that it is ready."""
-        status, _ = await self._call("GET", self.get_url(vm, role) + "/-/health")
-        return status == 200
-
     def is_killed(self, url):
         """Tell whether the VM at a URL was killed."""
         return any(self.get_url(vm, "entry") in url for vm in self.killed)
@@ -193,154 +181,69 @@
 
     async def get_status(self, vm, role):
         """Return a daemon's status, ``None`` where it does not answer."""
-        return (await self._call("GET", self.get_url(vm, role) + "/-/status"))[1]
-
-    async def set_vms(self):
-        """Tell the stand-in platform which VMs there are."""
-        rows = [
-            {**self.vm_by_name[vm]._asdict(), "vm": vm, "state": state}
-            for vm, state in self._state_by_vm.items()
-        ]
-        for row in rows:
-            del row["name"]
-        await self._call("PUT", f"{self.platform_url}/standin/vms", {"vms": rows})
-
-    async def set_faults(self, **faults):
-        """Turn switches of the stand-in platform."""
-        url = f"{self.platform_url}/standin/faults"
-        status, body = await self._call("PUT", url, faults)
-        if status != 200:
-            raise ValueError(body)
-
-    async def call_platform(self, action):
-        """Take a snapshot of the stand-in's state or restore it."""
-        await self._call("POST", f"{self.platform_url}/standin/{action}")
-
-    async def get_platform_stats(self):
-        """Return how often the platform was called."""
-        return (await self._call("GET", f"{self.platform_url}/standin/stats"))[1]
-
-    async def change_upstream(self, upstream_id, **switches):
-        """Turn switches of an upstream stand-in."""
-        url = f"{self._control_url}/standin/upstreams/{upstream_id}"
-        status, body = await self._call("PUT", url, switches)
-        if status != 200 or not body["changed"]:
-            raise ValueError(body)
-
-    async def crash_upstream(self, upstream_id, down_s):
-        """Crash an upstream stand-in; it is away for ``down_s``."""
-        url = f"{self._control_url}/standin/upstreams/{upstream_id}/crash"
-        await self._call("POST", f"{url}?down_s={down_s}")
-
-    async def get_upstream_stats(self):
-        """Return each upstream's counts by its id."""
-        return (await self._call("GET", f"{self._control_url}/standin/stats"))[1]
-
-    async def get_executions(self):
-        """Return how often each piece of non-idempotent work ran, by id."""
-        url = f"{self._control_url}/standin/executions"
-        return (await self._call("GET", url))[1]["by_id"]
+        url = self.get_url(vm, role) + "/-/status"
+        return (await self.standins.call("GET", url))[1]
 
     async def run_ctl(self, *arguments, may_fail=False):
         """Run ``godwitctl``; return its exit code and output."""
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "godwitlanding.ctl",
-            *arguments,
-            "--platform",
-            self.platform_url,
-            cwd=ROOT,
-            stdin=asyncio.subprocess.DEVNULL,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
-        )
-        output, _ = await process.communicate()
-        if process.returncode and not may_fail:
-            raise RuntimeError(f"godwitctl {arguments}: {output.decode()}")
-        return process.returncode, output.decode()
+        platform = ("--platform", self.standins.platform_url)
+        code, output = await run_command("godwitlanding.ctl", *arguments, *platform)
+        if code and not may_fail:
+            raise RuntimeError(f"godwitctl {arguments}: {output}")
+        return code, output
 
-    def read_log(self, vm, role):
-        """Return what a daemon has written."""
-        return (self.directory / f"{vm}-{role}.log").read_text()
+    async def _list_vms(self):
+        rows = [row._asdict() for row in self._listed_by_vm.values()]
+        await self.standins.set_vms(rows)
+
+    async def _is_role_ready(self, vm, role):
+        url = self.get_url(vm, role) + "/-/health"
+        return (await self.standins.call("GET", url))[0] == 200
 
     async def _describe_unready(self):
         lines = []
-        for vm, role in self._process_by_key:
-            if role in PORT_BY_ROLE and not await self.is_role_ready(vm, role):
-                last = self.read_log(vm, role).strip().splitlines()[-3:]
-                lines += [f"{vm} {role}: {line}" for line in last or ["no log"]]
+        for key in self._get_daemon_keys():
+            if not await self._is_role_ready(*key):
+                last = self._processes.read_log(key).strip().splitlines()[-3:]
+                lines += [f"{' '.join(key)}: {line}" for line in last or ["no log"]]
         return "\n".join(["", *lines[:20]])
 
-    def _make_directory(self):
-        self._directory = tempfile.TemporaryDirectory(prefix="godwit-")
-        return self._directory.name
-
-    def _add_vm(self, name, availability_zone):
-        address = f"{self._network.vms}{len(self.vm_by_name) + 1}"
-        self.vm_by_name[name] = Vm(name, address, availability_zone)
-        self._state_by_vm[name] = "live"
-
     def _make_settings(self, vm):
         return {
             "vm": vm,
             "address": self.vm_by_name[vm].address,
             "availability_zone": self.vm_by_name[vm].availability_zone,
-            "platform_url": self.platform_url,
+            "platform_url": self.standins.platform_url,
             "trust_caller_header": True,
             **self._settings,
         }
 
     async def _start_standins(self, text_path):
         control = self._network.control
-        tools = "godwitlanding.tests.tools"
-        platform = ("--host", control, "--port", str(PLATFORM_PORT))
-        await self._spawn(
-            ("platform", "platform"), f"{tools}.standin_platform", *platform
+        await self._processes.spawn(
+            PLATFORM,
+            f"{_TOOLS}.standin_platform",
+            *("--host", control, "--port", PLATFORM_PORT),
         )
-        upstreams = ("--config", text_path, "--control", f"{control}:{CONTROL_PORT}")
-        await self._spawn(
-            ("upstreams", "upstreams"), f"{tools}.standin_upstream", *upstreams
+        await self._processes.spawn(
+            UPSTREAMS,
+            f"{_TOOLS}.standin_upstream",
+            *("--config", text_path, "--control", f"{control}:{CONTROL_PORT}"),
         )
-        for url in (self.platform_url, self._control_url):
 
-            async def is_up(url=url):
-                self._check_standins()
-                return (await self._call("GET", f"{url}/standin/stats"))[0] == 200
+        async def are_up():
+            # Another cluster at the same addresses would answer in their
+            # place and the two would change each other's objects.
+            for key in (PLATFORM, UPSTREAMS):
+                if self._processes.has_ended(key):
+                    log = self._processes.read_log(key)
+                    raise RuntimeError(f"{key} has ended: {log[-300:]}")
+            return await self.standins.are_up()
+
+        await wait_until(are_up, START_LIMIT_S, "the stand-ins to answer")
 
-            await wait_until(is_up, START_LIMIT_S, f"the stand-in at {url}")
+    def _get_daemon_keys(self):
+        return [key for key in self._processes.get_keys() if key[1] in ROLES]
 
     def _has_failed(self):
-        processes = self._process_by_key.values()
-        return any(process.returncode is not None for process in processes)
-
-    def _check_standins(self):
-        # Another cluster at the same addresses would answer in their place
-        # and the two runs would change each other's objects.
-        for vm, role in (("platform", "platform"), ("upstreams", "upstreams")):
-            if self._process_by_key[vm, role].returncode is not None:
-                last = self.read_log(vm, role).strip().splitlines()[-1:]
-                raise RuntimeError(f"the stand-in of {vm} has ended: {last}")
-
-    async def _spawn(self, key, module, *arguments):
-        log = (self.directory / f"{key[0]}-{key[1]}.log").open("ab")
-        with log:
-            self._process_by_key[key] = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                module,
-                *map(str, arguments),
-                cwd=ROOT,
-                stdout=log,
-                stderr=log,
-            )
-
-    async def _call(self, method, url, body=None):
-        timeout = aiohttp.ClientTimeout(total=5.0)
-        try:
-            async with self._session.request(
-                method, url, json=body, timeout=timeout
-            ) as answer:
-                return answer.status, await answer.json(content_type=None)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
-            return 0, None
+        return any(map(self._processes.has_ended, self._processes.get_keys()))
--- a/godwitlanding/tests/tools/demo.py
+++ b/godwitlanding/tests/tools/demo.py
@@ -11,8 +11,9 @@
 import sys
 from pathlib import Path
 
-from godwitlanding.tests.tools.cluster import ROOT, Cluster, make_network
+from godwitlanding.tests.tools.cluster import Cluster, make_network
 from godwitlanding.tests.tools.load import Load, Rate
+from godwitlanding.tests.tools.processes import ROOT
 from godwitlanding.tests.tools.verdict import judge
 
 LIMIT_S = 58.0
@@ -42,9 +43,9 @@
         await cluster.kill_vm(KILLED_VM)
         await asyncio.sleep(max(0.0, drive_s - KILL_AT_S))
         tally = await load.end()
-        stats = await cluster.get_upstream_stats()
+        stats = await cluster.standins.get_upstream_stats()
         waited = await read_waited(cluster)
-        executions = await cluster.get_executions()
+        executions = await cluster.standins.get_executions()
     finally:
         await cluster.stop()
     verdict = judge(tally, executions, stats, [DRAINED_UPSTREAM])
@@ -58,7 +59,7 @@
     await cluster.run_ctl("drain", "upstream", DRAINED_UPSTREAM, "--yes")
     # Its health goes on saying ok and it takes what comes, so the count
     # shows what the operators' word alone has stopped.
-    await cluster.change_upstream(
+    await cluster.standins.change_upstream(
         DRAINED_UPSTREAM,
         draining=True,
         refuses_when_draining=False,
