Let several runs of the tests stand side by side

Runs in two work trees at once met each other's stand-ins and failed (12 errors, address already in use, a drain that nobody had asked for). A run now claims a sixteenth of the test addresses by a listening socket, and the tests with one listener take a free port.

--- a/godwitlanding/tests/test_processes.py
+++ b/godwitlanding/tests/test_processes.py
@@ -11,12 +11,12 @@
 
 import pytest
 
-from godwitlanding.tests.tools.cluster import ROLES, Cluster, make_network, wait_until
+from godwitlanding.tests.tools.cluster import ROLES, Cluster, wait_until
 from godwitlanding.tests.tools.load import Load, Rate
+from godwitlanding.tests.tools.network import claim_test_network
 from godwitlanding.tests.tools.verdict import judge
 
 TEXT = (Path(__file__).parent / "data/small.json5").read_text()
-NETWORK = make_network(10)
 RATES = (Rate("status", 40.0), Rate("renewal", 12.0), Rate("passes", 4.0))
 SERVICES = tuple(rate.service for rate in RATES)
 LIMIT_S = 60.0
@@ -27,8 +27,8 @@
 class Run:
     """A cluster with load on it."""
 
-    def __init__(self, directory):
-        self.cluster = Cluster(TEXT, NETWORK, log_directory=directory)
+    def __init__(self, network, directory):
+        self.cluster = Cluster(TEXT, network, log_directory=directory)
         self.load = None
 
     async def start(self):
@@ -82,9 +82,14 @@
         return status["services"]["members"]["arbiters_by_service"][service][0]
 
 
+@pytest.fixture(scope="module")
+def network():
+    return claim_test_network()
+
+
 @pytest.fixture
-async def run(tmp_path):
-    made = Run(tmp_path)
+async def run(network, tmp_path):
+    made = Run(network, tmp_path)
     try:
         await made.start()
         yield made
--- a/godwitlanding/tests/test_standin_upstream.py
+++ b/godwitlanding/tests/test_standin_upstream.py
@@ -11,8 +11,10 @@
 from godwitlanding.tests.tools.bodies import is_whole, make_bundle
 from godwitlanding.tests.tools.licensed import Executions, LicensedUpstream
 from godwitlanding.tests.tools.listener import Listener, reset
+from godwitlanding.tests.tools.network import find_free_port
 
-ADDRESS = "127.0.10.21:9010"
+HOST = "127.0.10.250"
+ADDRESS = f"{HOST}:{find_free_port(HOST)}"
 WORK_S = 0.01
 
 
--- a/godwitlanding/tests/test_store.py
+++ b/godwitlanding/tests/test_store.py
@@ -9,10 +9,11 @@
 from godwitlanding.store import MAX_VALUE_BYTES, HttpStore
 from godwitlanding.tests.support import FakeStore
 from godwitlanding.tests.tools.listener import Listener
+from godwitlanding.tests.tools.network import find_free_port
 from godwitlanding.tests.tools.standin_platform import Platform
 
-HOST = "127.0.10.9"
-PORT = 8010
+HOST = "127.0.10.250"
+PORT = find_free_port(HOST)
 URL = f"http://{HOST}:{PORT}"
 VM = {"vm": "a1", "address": "127.0.10.1", "availability_zone": "a", "state": "live"}
 
--- a/godwitlanding/tests/tools/bench_faults.py
+++ b/godwitlanding/tests/tools/bench_faults.py
@@ -15,8 +15,9 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from godwitlanding.tests.tools.cluster import Cluster, make_network
+from godwitlanding.tests.tools.cluster import Cluster
 from godwitlanding.tests.tools.load import Load, Rate
+from godwitlanding.tests.tools.network import claim_test_network
 from godwitlanding.tests.tools.verdict import judge
 
 TEXT = (Path(__file__).parents[1] / "data/small.json5").read_text()
@@ -247,7 +248,6 @@
     """Return the arguments."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("faults", nargs="*", metavar="FAULT", help="Only these")
-    parser.add_argument("--loopback", type=int, default=10, help="As in the demo")
     parser.add_argument("--logs", metavar="DIR", help="Keep settings and logs there")
     parser.add_argument("--timeline", action="store_true", help="Show each second")
     parser.add_argument("--json", metavar="FILE", help="Write the rows there as well")
@@ -261,7 +261,7 @@
 def main(argv=None):
     """Run the faults and print the table."""
     arguments = parse_arguments(argv)
-    network = make_network(arguments.loopback)
+    network = claim_test_network()
     print(f"{'fault':<15}" + "".join(f"{name[:8]:>9}" for name in Row._fields[1:-1]))
     rows = []
     for name in arguments.faults or FAULT_BY_NAME:
--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -11,13 +11,13 @@
 
 import asyncio
 import json
-import re
 import signal
 import tempfile
 from pathlib import Path
 from typing import NamedTuple
 
 from godwitlanding.config import parse_config
+from godwitlanding.tests.tools.network import DEMO_NETWORK
 from godwitlanding.tests.tools.processes import Processes, run_command
 from godwitlanding.tests.tools.standins import (
     CONTROL_PORT,
@@ -35,22 +35,6 @@
 _TOOLS = "godwitlanding.tests.tools"
 
 
-class Network(NamedTuple):
-    """Loopback addresses of a cluster; ``upstreams`` replaces the text's."""
-
-    vms: str = "127.0.1."
-    control: str = "127.0.0.9"
-    upstreams: str = "127.0.2."
-
-
-def make_network(number):
-    """Return a network of its own at 127.0.NUMBER.x and the one above."""
-    if number == 1:
-        return Network()
-    control = f"127.0.{number}.250"
-    return Network(f"127.0.{number}.", control, f"127.0.{number + 1}.")
-
-
 class Vm(NamedTuple):
     """An entry VM of the cluster; ``state`` as in the platform's list."""
 
@@ -76,12 +60,12 @@
     def __init__(
         self,
         text,
-        network=Network(),
+        network=DEMO_NETWORK,
         vms_per_zone=2,
         settings=None,
         log_directory=None,
     ):
-        self.text = re.sub(r"127\.0\.[23]\.", network.upstreams, text)
+        self.text = network.move_upstreams(text)
         self.config = parse_config(self.text).unwrap()
         self.standins = Standins(network.control)
         self.vm_by_name = {}
@@ -125,7 +109,7 @@
 
     def add_vm(self, vm, availability_zone):
         """Add a VM; ``start_vm`` starts its daemons."""
-        address = f"{self._network.vms}{len(self.vm_by_name) + 1}"
+        address = self._network.get_vm_address(len(self.vm_by_name) + 1)
         self.vm_by_name[vm] = Vm(vm, address, availability_zone)
         self._listed_by_vm[vm] = self.vm_by_name[vm]
 
--- a/godwitlanding/tests/tools/demo.py
+++ b/godwitlanding/tests/tools/demo.py
@@ -11,8 +11,9 @@
 import sys
 from pathlib import Path
 
-from godwitlanding.tests.tools.cluster import Cluster, make_network
+from godwitlanding.tests.tools.cluster import Cluster
 from godwitlanding.tests.tools.load import Load, Rate
+from godwitlanding.tests.tools.network import claim, make_network
 from godwitlanding.tests.tools.processes import ROOT
 from godwitlanding.tests.tools.verdict import judge
 
@@ -126,6 +127,9 @@
     """Run the demo; return its exit code."""
     arguments = parse_arguments(argv)
     network = make_network(arguments.loopback)
+    if not claim(network):
+        print("demo: failed another run has these addresses; try --loopback 10")
+        return 1
     demo = run_demo(arguments.sample, network, arguments.seconds, arguments.logs)
     try:
         verdict = asyncio.run(asyncio.wait_for(demo, LIMIT_S))
--- /dev/null
+++ b/godwitlanding/tests/tools/network.py
@@ -0,0 +1,79 @@
+"""Loopback addresses of a cluster, so that several can run side by side.
+
+Two runs at the same addresses would answer in each other's place, which
+shows as versions and upstreams that nobody has touched. A run claims its
+addresses by a listening socket that ends with the process.
+"""
+
+import re
+import socket
+from contextlib import closing
+from typing import NamedTuple
+
+GUARD_PORT = 7900
+TEST_SLOTS = 16
+TEST_SLOT_ADDRESSES = 16
+_SAMPLE_ADDRESS = re.compile(r"127\.0\.[23]\.(\d+)")
+_guards = []
+
+
+class Network(NamedTuple):
+    """Addresses are a prefix and a number counted from ``offset``."""
+
+    vms: str
+    upstreams: str
+    control: str
+    offset: int = 0
+
+    def get_vm_address(self, number):
+        """Return the address of a cluster's VM, counted from 1."""
+        return f"{self.vms}{self.offset + number}"
+
+    def move_upstreams(self, text):
+        """Return a sample's text with its upstreams in this network."""
+
+        def move(match):
+            return f"{self.upstreams}{self.offset + int(match.group(1))}"
+
+        return _SAMPLE_ADDRESS.sub(move, text)
+
+
+DEMO_NETWORK = Network("127.0.1.", "127.0.2.", "127.0.0.9")
+
+
+def make_network(number):
+    """Return a network at 127.0.NUMBER.x and the one above it."""
+    if number == 1:
+        return DEMO_NETWORK
+    return Network(f"127.0.{number}.", f"127.0.{number + 1}.", f"127.0.{number}.250")
+
+
+def claim(network):
+    """Tell whether nobody else has the network; keep it until the end."""
+    guard = socket.socket()
+    try:
+        guard.bind((network.control, GUARD_PORT))
+        guard.listen()
+    except OSError:
+        guard.close()
+        return False
+    _guards.append(guard)
+    return True
+
+
+def claim_test_network():
+    """Return a small network that no other run of the tests has."""
+    for slot in range(TEST_SLOTS):
+        offset = slot * TEST_SLOT_ADDRESSES
+        control = f"127.0.10.{offset + TEST_SLOT_ADDRESSES - 1}"
+        network = Network("127.0.10.", "127.0.11.", control, offset)
+        if claim(network):
+            return network
+    raise OSError("every test network is taken")
+
+
+def find_free_port(host):
+    """Return a port on which nobody listens just now."""
+    with closing(socket.socket()) as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
