--- a/godwitlanding/tests/tools/play.py
+++ b/godwitlanding/tests/tools/play.py
@@ -9,7 +9,9 @@
 import sys
 from pathlib import Path
 
-from godwitlanding.tests.tools.cluster import ROOT, Cluster
+from godwitlanding.tests.tools.cluster import Cluster
+from godwitlanding.tests.tools.network import DEMO_NETWORK
+from godwitlanding.tests.tools.processes import ROOT
 
 HELP = """
 ready. In another terminal, with {bin} on the PATH:
@@ -22,9 +24,9 @@
 Ctrl-C ends it all."""
 
 
-async def play(sample, ready=None, end=None):
+async def play(sample, network=DEMO_NETWORK, end=None):
     """Start it all and wait until ``end`` is set or forever."""
-    cluster = Cluster(sample.read_text())
+    cluster = Cluster(sample.read_text(), network)
     try:
         print(f"starting {len(cluster.vm_by_name)} entry VMs and the stand-ins")
         await cluster.start()
@@ -32,14 +34,12 @@
         print(
             HELP.format(
                 bin=Path(sys.executable).parent,
-                platform=cluster.platform_url,
+                platform=cluster.standins.platform_url,
                 steer=cluster.get_url(vm, "steer"),
                 entry=cluster.get_url(vm, "entry"),
                 directory=cluster.directory,
             )
         )
-        if ready:
-            ready.set()
         await (end or asyncio.Event()).wait()
     finally:
         await cluster.stop()
