--- a/godwitlanding/services/permits.py
+++ b/godwitlanding/services/permits.py
@@ -174,6 +174,8 @@
         address = self._get_address(vm)
         accepted = self.book.accept(granted, asked_at, address, now)
         if accepted.is_ok():
+            if granted.waited_s > 0:
+                self._counters.add("requests_waited")
             return accepted.unwrap()
         self._counters.add("permits_returned", reason=accepted.unwrap_err())
         self._release_unused(granted, address)
--- a/godwitlanding/tests/tools/demo.py
+++ b/godwitlanding/tests/tools/demo.py
@@ -9,6 +9,7 @@
 import argparse
 import asyncio
 import sys
+from collections import Counter
 from pathlib import Path
 
 from godwitlanding.tests.tools.cluster import Cluster
@@ -19,6 +20,7 @@
 
 LIMIT_S = 58.0
 DRIVE_S = 20.0
+LIST_LAG_S = 2.0
 DRAIN_AT_S = 5.0
 KILL_AT_S = 9.0
 KILLED_VM = "north-a-1"
@@ -34,6 +36,7 @@
     try:
         print(f"starting {len(cluster.vm_by_name)} entry VMs and the stand-ins")
         await cluster.start()
+        await cluster.standins.set_faults(list_lag_s=LIST_LAG_S)
         print(f"ready after {loop.time() - began:.1f} s; driving {drive_s:.0f} s")
         load = Load(cluster)
         await load.start(*RATES)
@@ -45,12 +48,12 @@
         await asyncio.sleep(max(0.0, drive_s - KILL_AT_S))
         tally = await load.end()
         stats = await cluster.standins.get_upstream_stats()
-        waited = await read_waited(cluster)
+        counters = await read_counters(cluster)
         executions = await cluster.standins.get_executions()
     finally:
         await cluster.stop()
     verdict = judge(tally, executions, stats, [DRAINED_UPSTREAM])
-    print_table(tally, stats, waited)
+    print_table(tally, stats, counters)
     return verdict
 
 
@@ -68,17 +71,16 @@
     )
 
 
-async def read_waited(cluster):
-    """Return how many requests each zone says have waited for a slot."""
-    waited = 0
+async def read_counters(cluster):
+    """Return the entry daemons' counters, added up over the living VMs."""
+    total = Counter()
     for vm in cluster.vm_by_name:
-        status = await cluster.get_status(vm, "zone")
-        counters = (status or {}).get("counters", {})
-        waited += sum(n for name, n in counters.items() if "waited" in name)
-    return waited
+        status = await cluster.get_status(vm, "entry")
+        total.update((status or {}).get("counters", {}))
+    return total
 
 
-def print_table(tally, stats, waited):
+def print_table(tally, stats, counters):
     """Print what callers and upstreams counted."""
     columns = "{:<10} {:>6} {:>9} {:>8} {:>8} {:>8} {:>8} {:>8}"
     heads = ("service", "sent", "complete", "refused", "unknown")
@@ -94,7 +96,9 @@
             print(f"  {service}: {count} {final.outcome}: {final.reason}")
     for (service, reason), count in sorted(tally.retries.items()):
         print(f"  {service}: callers sent again {count} times: {reason}")
-    print(f"  zone daemons let {waited} requests wait for a slot")
+    for name, count in sorted(counters.items()):
+        if name.startswith(("requests_waited", "requests_retried", "requests_passed")):
+            print(f"  entry daemons: {name} {count}")
     busiest = max(stats, key=lambda id: stats[id]["most_busy"])
     most = stats[busiest]
     print(f"  most slots ever busy: {most['most_busy']} of {most['slots']} ({busiest})")
