--- a/godwitlanding/decision.py
+++ b/godwitlanding/decision.py
@@ -32,11 +32,10 @@
 
 
 class Spill(NamedTuple):
-    """Leave to hand the request to another zone, once, until ``until``."""
+    """Leave to hand the request to another zone, once."""
 
     availability_zone: str
     waited_s: float
-    until: float
 
 
 class Decision(NamedTuple):
--- a/godwitlanding/intake.py
+++ b/godwitlanding/intake.py
@@ -170,5 +170,5 @@
             zone = self._spill.take(ask.request_id, now)
             if zone:
                 self._timers.set(("spill", ask.request_id), ask.deadline)
-                return Decision(ask.request_id, Spill(zone, waited_s, ask.deadline))
+                return Decision(ask.request_id, Spill(zone, waited_s))
         return Decision(ask.request_id, Refusal(code, self.get_return(now)))
