--- a/godwitlanding/desk.py
+++ b/godwitlanding/desk.py
@@ -7,8 +7,8 @@
 
 from typing import NamedTuple
 
-from godwitlanding.arbiter import Ask, Grant, Spill
-from godwitlanding.borrower import Borrower
+from godwitlanding.arbiter import Arbiter, Ask, Grant, Spill
+from godwitlanding.loan import Borrower
 from godwitlanding.messages import OUTCOME_UNUSED, Granted, PassOn, Refused
 
 # Each incarnation of an arbiter numbers its permits in a range of its own,
@@ -31,11 +31,11 @@
 class Desk:
     """Answers requests for the permits of one service."""
 
-    def __init__(self, incarnation, arbiter, first_permit_id):
-        self.service = arbiter.service
+    def __init__(self, incarnation, service, first_permit_id, make_arbiter=Arbiter):
+        self.service = service
         self.active = False
-        self.borrower = Borrower(incarnation, arbiter.service)
-        self.arbiter = arbiter
+        self.borrower = Borrower(incarnation, service)
+        self.arbiter = make_arbiter(service, first_permit_id)
         self.collecting_by_upstream = {}
         self.counts = {"arrivals": 0, "served": 0, "refused": 0, "passed_on": 0}
         self._incarnation = incarnation
