--- a/godwitlanding/tests/test_processes.py
+++ b/godwitlanding/tests/test_processes.py
@@ -142,6 +142,34 @@
     assert verdict.faults == ()
 
 
+async def test_zone_cut_off_from_the_platform_goes_on(run, tmp_path):
+    """One zone loses its way to the platform; a change is applied meanwhile.
+
+    Its callers are served by its own upstreams, payments included, and the
+    change comes in force there once it is connected again.
+    """
+    cluster = run.cluster
+    await cluster.cut_from_platform("north-a")
+
+    async def is_noticed():
+        status = await cluster.get_status(VM, "zone")
+        return not status["services"]["members"]["platform_reachable"]
+
+    await wait_until(is_noticed, LIMIT_S, "the zone to notice that it is cut off")
+    path = tmp_path / "newer.json5"
+    path.write_text(cluster.text.replace("work_s: 0.04", "work_s: 0.041"))
+    await cluster.run_ctl("apply", str(path), "--yes")
+    await run.serve(3.0)
+    await cluster.cut_from_platform()
+
+    async def is_everywhere():
+        return len(set(await run.get_config_versions())) == 1
+
+    await wait_until(is_everywhere, LIMIT_S, "the change to be in force everywhere")
+    verdict = await run.finish()
+    assert verdict.faults == ()
+
+
 async def test_lost_answers_of_the_journal(run):
     """The platform does writes of the journal and loses the answers.
 
@@ -212,6 +240,24 @@
     assert lost == []
 
 
+async def test_zone_is_replaced_vm_by_vm(run):
+    """Every entry VM of a zone is replaced by a new one, one after another.
+
+    A wave of replacements cuts off nobody, and its upstreams pass from
+    the old VMs to the new ones.
+    """
+    cluster = run.cluster
+    for number in (1, 2):
+        new = f"north-a-new-{number}"
+        cluster.add_vm(new, "north-a")
+        await cluster.start_vm(new)
+        await wait_until(lambda: cluster.are_ready(new), LIMIT_S, f"{new} to be ready")
+        assert await cluster.stop_vm(f"north-a-{number}") == [0, 0, 0]
+    await run.serve(3.0)
+    verdict = await run.finish()
+    assert verdict.faults == ()
+
+
 async def test_two_operators_at_once(run, tmp_path):
     """Two operators apply different texts that were based on one version.
 
--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -76,6 +76,10 @@
         self._temporary = None if log_directory else tempfile.TemporaryDirectory()
         self.directory = Path(log_directory or self._temporary.name)
         self._processes = Processes(self.directory)
+        self.platform_host_by_zone = {
+            zone: network.get_platform_host(number)
+            for number, zone in enumerate(self.config.region_by_zone)
+        }
         for zone in self.config.region_by_zone:
             for number in range(1, vms_per_zone + 1):
                 self.add_vm(f"{zone}-{number}", zone)
@@ -115,6 +119,7 @@
 
     async def start_vm(self, vm):
         """Start the three daemons of a VM."""
+        await self._list_vms()
         path = self.directory / f"{vm}.json5"
         path.write_text(json.dumps(self._make_settings(vm)))
         for role in ROLES:
@@ -150,11 +155,20 @@
         await self._list_vms()
         return codes
 
+    async def cut_from_platform(self, *zones):
+        """Cut these zones off from the platform, and no others."""
+        hosts = [self.platform_host_by_zone[zone] for zone in zones]
+        await self.standins.set_faults(cut_hosts=hosts)
+
     async def is_ready(self):
         """Tell whether every daemon that was started says it is ready."""
         checks = [self._is_role_ready(*key) for key in self._get_daemon_keys()]
         return all(await asyncio.gather(*checks))
 
+    async def are_ready(self, vm):
+        """Tell whether a VM's three daemons say that they are ready."""
+        return all([await self._is_role_ready(vm, role) for role in ROLES])
+
     def is_killed(self, url):
         """Tell whether the VM at a URL was killed."""
         return any(self.get_url(vm, "entry") in url for vm in self.killed)
@@ -192,12 +206,15 @@
                 lines += [f"{' '.join(key)}: {line}" for line in last or ["no log"]]
         return "\n".join(["", *lines[:20]])
 
+    def _find_platform(self, vm):
+        return self.platform_host_by_zone[self.vm_by_name[vm].availability_zone]
+
     def _make_settings(self, vm):
         return {
             "vm": vm,
             "address": self.vm_by_name[vm].address,
             "availability_zone": self.vm_by_name[vm].availability_zone,
-            "platform_url": self.standins.platform_url,
+            "platform_url": f"http://{self._find_platform(vm)}:{PLATFORM_PORT}",
             "trust_caller_header": True,
             **self._settings,
         }
@@ -208,6 +225,7 @@
             PLATFORM,
             f"{_TOOLS}.standin_platform",
             *("--host", control, "--port", PLATFORM_PORT),
+            *("--also", *self.platform_host_by_zone.values()),
         )
         await self._processes.spawn(
             UPSTREAMS,
--- a/godwitlanding/tests/tools/network.py
+++ b/godwitlanding/tests/tools/network.py
@@ -11,6 +11,8 @@
 from typing import NamedTuple
 
 GUARD_PORT = 7900
+# VMs are numbered below, at most eight of them.
+FIRST_PLATFORM_NUMBER = 9
 TEST_SLOTS = 16
 TEST_SLOT_ADDRESSES = 16
 _SAMPLE_ADDRESS = re.compile(r"127\.0\.[23]\.(\d+)")
@@ -29,6 +31,10 @@
         """Return the address of a cluster's VM, counted from 1."""
         return f"{self.vms}{self.offset + number}"
 
+    def get_platform_host(self, zone_number):
+        """Return where a zone finds the platform; it can be cut off there."""
+        return f"{self.vms}{self.offset + FIRST_PLATFORM_NUMBER + zone_number}"
+
     def move_upstreams(self, text):
         """Return a sample's text with its upstreams in this network."""
 
--- a/godwitlanding/tests/tools/standin_platform.py
+++ b/godwitlanding/tests/tools/standin_platform.py
@@ -38,6 +38,7 @@
         self.list_lag_s = 0.0
         self.reads_per_s = 2000.0
         self.writes_per_s = 500.0
+        self.cut_hosts = []
 
     def change(self, values):
         """Set the switches named; ``ValueError`` for one there is not."""
@@ -166,11 +167,11 @@
                 request.path_params["kind"],
                 after,
                 min(timeout_s, MAX_WATCH_S),
-                lambda: self.faults.outage == "none",
+                lambda: self._is_open(request),
             )
         finally:
             self._waiting -= 1
-        if self.faults.outage != "none":
+        if not self._is_open(request):
             return await self._fail(request)
         if read.is_err():
             return _make_failure(read)
@@ -224,7 +225,7 @@
 
     async def _begin(self, request, count, limit):
         self.counts[count] += 1
-        if self.faults.outage != "none":
+        if not self._is_open(request):
             self.counts["failed"] += 1
             return await self._fail(request)
         is_read = limit is self._reads
@@ -236,6 +237,10 @@
             await asyncio.sleep(self.faults.delay_s)
         return None
 
+    def _is_open(self, request):
+        is_cut = request.scope["server"][0] in self.faults.cut_hosts
+        return self.faults.outage == "none" and not is_cut
+
     async def _fail(self, request):
         if self.faults.outage == "refuse":
             return Response(status_code=503)
@@ -278,6 +283,9 @@
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--host", default="127.0.0.9", help="IP number to listen on")
     parser.add_argument("--port", type=int, default=8000, help="Port to listen on")
+    parser.add_argument(
+        "--also", nargs="*", default=[], help="More IP numbers, which may be cut off"
+    )
     parser.add_argument(
         "--faults", type=json.loads, default={}, help="Faults to begin with, JSON"
     )
@@ -288,8 +296,8 @@
     """Serve until the process is ended."""
     platform = Platform()
     platform.faults.change(arguments.faults)
-    listener = Listener(platform.make_app(), arguments.host, arguments.port)
-    await listener.start()
+    for host in (arguments.host, *arguments.also):
+        await Listener(platform.make_app(), host, arguments.port).start()
     print("ready", flush=True)
     await asyncio.Event().wait()
 
