--- a/godwitlanding/tests/test_processes.py
+++ b/godwitlanding/tests/test_processes.py
@@ -225,6 +225,22 @@
     assert verdict.faults == ()
 
 
+async def test_request_that_crashes_upstreams_is_stopped(run):
+    """A request crashes each upstream that runs it; its caller sends it again.
+
+    Sent on, it would take down one licensed copy after the other, and with
+    them the requests of everyone else that run there.
+    """
+    caller = run.load.callers[0]
+    for _ in range(5):
+        await caller.get("status", "poison-1", "&poison=1")
+    await run.serve(3.0)
+    stats = await run.cluster.standins.get_upstream_stats()
+    assert sum(upstream["poisoned"] for upstream in stats.values()) == 2
+    verdict = await run.finish()
+    assert verdict.faults == ()
+
+
 async def test_planned_stop_cuts_nothing(run):
     """An entry VM is stopped as planned under load, downloads included.
 
--- a/godwitlanding/tests/tools/load.py
+++ b/godwitlanding/tests/tools/load.py
@@ -28,7 +28,7 @@
         self._cluster = cluster
         self._random = random.Random(seed)
         self._caller_count = callers
-        self._callers = []
+        self.callers = []
         self._name = name
         self._next_id = 0
         self._session = None
@@ -39,7 +39,7 @@
         """Begin to send each service's rate."""
         self._session = make_caller_session()
         urls = [self._cluster.get_url(vm, "steer") for vm in self._cluster.vm_by_name]
-        self._callers = [
+        self.callers = [
             Caller(
                 f"caller-{number}",
                 urls,
@@ -75,7 +75,7 @@
         """Let some caller make one request; return its id."""
         self._next_id += 1
         request_id = f"{self._name}{self._next_id}"
-        caller = self._random.choice(self._callers)
+        caller = self._random.choice(self.callers)
         kind = self._cluster.config.service_by_name[service].kind
         if kind == KIND_TRANSACTION:
             work = caller.pay(service, request_id, query)
