--- a/godwitlanding/desk.py
+++ b/godwitlanding/desk.py
@@ -42,6 +42,7 @@
         self._first_permit_id = first_permit_id
         self._answer_by_request = {}
         self._arrived_by_request = {}
+        self._valid_s_by_request = {}
         self._holder_by_request = {}
         self._open_by_permit = {}
         self._spilled = set()
@@ -56,6 +57,7 @@
         remaining_s = min(message.remaining_s, deadline_s)
         self._answer_by_request[key] = answer
         self._arrived_by_request[key] = now
+        self._valid_s_by_request[key] = remaining_s
         self._holder_by_request[key] = holder
         self.counts["arrivals"] += 1
         ask = Ask(
@@ -206,7 +208,8 @@
         if isinstance(outcome, Spill):
             self._spilled.add(key)
             self.counts["passed_on"] += 1
-            return PassOn(outcome.availability_zone, 0.0, outcome.waited_s)
+            valid_s = self._valid_s_by_request[key]
+            return PassOn(outcome.availability_zone, valid_s, outcome.waited_s)
         self.counts["refused"] += 1
         return Refused(
             outcome.code.value, outcome.retry_after_s, now - arrived, outcome.detail
@@ -218,6 +221,7 @@
     def _forget(self, key):
         self._answer_by_request.pop(key, None)
         self._arrived_by_request.pop(key, None)
+        self._valid_s_by_request.pop(key, None)
         self._holder_by_request.pop(key, None)
 
     def _unblock(self, upstream, now):
