--- a/godwitlanding/tests/test_decisions.py
+++ b/godwitlanding/tests/test_decisions.py
@@ -10,11 +10,11 @@
     Fifo,
     HashByKey,
     LeastLoaded,
-    Pooled,
     RoundRobin,
     StaticShares,
 )
 from godwitlanding.tests.tools.load_patterns import ARMOR, LEGITKA, make_patterns
+from godwitlanding.tests.tools.load_pooled import Pooled
 from godwitlanding.tests.tools.load_report import summarise
 
 both = pytest.mark.parametrize("workload", [LEGITKA, ARMOR], ids=lambda w: w.name)
--- a/godwitlanding/tests/tools/bench_decisions.py
+++ b/godwitlanding/tests/tools/bench_decisions.py
@@ -15,13 +15,12 @@
 from godwitlanding.tests.tools.load_designs import (
     DESIGNS,
     HashByKey,
-    Hedged,
     LeastLoadedOld,
-    Pooled,
 )
 from godwitlanding.tests.tools.load_driver import Run
 from godwitlanding.tests.tools.load_patterns import WORKLOADS, make_patterns
 from godwitlanding.tests.tools.load_plot import plot_pattern
+from godwitlanding.tests.tools.load_pooled import Hedged, Pooled
 from godwitlanding.tests.tools.load_report import summarise
 
 EXTRA_DESIGNS_BY_PATTERN = {
--- a/godwitlanding/tests/tools/bench_ways.py
+++ b/godwitlanding/tests/tools/bench_ways.py
@@ -10,6 +10,7 @@
 import sys
 from contextlib import ExitStack
 from functools import partial
+from itertools import product
 from math import isinf
 from statistics import fmean
 from typing import NamedTuple
@@ -17,8 +18,9 @@
 
 from godwitlanding import admission, fairness, intake, outlier, pool, reserve, warmup
 from godwitlanding.tests.tools.bench_decisions import run_design
-from godwitlanding.tests.tools.load_designs import Hedged, Pooled, StaticShares
+from godwitlanding.tests.tools.load_designs import StaticShares
 from godwitlanding.tests.tools.load_patterns import WORKLOADS, make_patterns
+from godwitlanding.tests.tools.load_pooled import Hedged, Pooled
 from godwitlanding.tests.tools.load_report import summarise
 
 ROW = "{:16}{:<12}{:22}" + "{:>10}" * 9
@@ -186,6 +188,15 @@
                     measure(workload, value, pattern_by_name[name], Pooled, seeds)
 
 
+def run_designs(way, seeds):
+    """Print the rows of a way that compares whole designs."""
+    _, patterns, designs = way
+    for workload, name, design in product(WORKLOADS, patterns, designs):
+        pattern = make_patterns(workload)[name]
+        label = design.name.removeprefix("pooled, ")[:11]
+        measure(workload, label, pattern, design, seeds)
+
+
 def measure(workload, value, pattern, design, seeds):
     """Run a design with each seed and print the means."""
     run = partial(run_design, design, workload, pattern)
@@ -200,21 +211,10 @@
         if arguments.way in way.name:
             print(f"\n{way.name}\n{ROW.format(*HEADINGS)}")
             run_way(way, arguments.seeds)
-    for name, patterns, designs in DESIGN_WAYS:
-        if arguments.way in name:
-            print(f"\n{name}\n{ROW.format(*HEADINGS)}")
-            for workload in WORKLOADS:
-                pattern_by_name = make_patterns(workload)
-                for pattern in patterns:
-                    for design in designs:
-                        label = design.name.removeprefix("pooled, ")
-                        measure(
-                            workload,
-                            label[:11],
-                            pattern_by_name[pattern],
-                            design,
-                            arguments.seeds,
-                        )
+    for way in DESIGN_WAYS:
+        if arguments.way in way[0]:
+            print(f"\n{way[0]}\n{ROW.format(*HEADINGS)}")
+            run_designs(way, arguments.seeds)
     return 0
 
 
--- a/godwitlanding/tests/tools/load_driver.py
+++ b/godwitlanding/tests/tools/load_driver.py
@@ -9,6 +9,7 @@
 from heapq import heappop, heappush
 from random import Random
 from typing import NamedTuple
+from zlib import crc32
 
 OK = "ok"
 REFUSED = "refused"
@@ -276,7 +277,7 @@
         )
 
     def _pick_key(self, stream):
-        base = hash_name(stream.group) * 1_000_000
+        base = crc32(stream.group.encode()) * 1_000_000
         if self.random.random() < stream.hot_key_share:
             return base + 1
         if stream.keys:
@@ -296,8 +297,3 @@
         if not job.answered:
             self.answer(job, LATE)
             self.design.cancel(job)
-
-
-def hash_name(name):
-    """Return a number for a name, the same in every run."""
-    return sum((index + 1) * ord(letter) for index, letter in enumerate(name))
