--- a/godwitlanding/tests/tools/bench_ways.py
+++ b/godwitlanding/tests/tools/bench_ways.py
@@ -120,7 +120,7 @@
     Way(
         "slow and cold slots",
         ("reluctant", "like others"),
-        ("slow upstream 10x", "cold zone, all at once"),
+        ("slow upstream 10x", "cold zone, all at once", "restarted upstream"),
         _change_reluctance,
     ),
     Way(
--- a/godwitlanding/tests/tools/load_patterns.py
+++ b/godwitlanding/tests/tools/load_patterns.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from godwitlanding.tests.tools.load_driver import Stream
+from godwitlanding.tests.tools.load_driver import COLD_REQUESTS, Stream
 
 SLOTS = 3
 
@@ -70,6 +70,7 @@
             callers, full, "cold zone, all at once", _step(0, 0.7 * full, 5, 99)
         ),
         _make_cold(callers, full, "cold zone, 10% a step", _make_ramp(0.7 * full)),
+        _make_restarted(callers, full),
         _make_stopped(callers),
         _make_retries(callers, full),
         _make_return(callers, full),
@@ -132,7 +133,7 @@
 def _make_cold(callers, full, name, rate):
     def cool(run):
         for upstream in run.upstreams:
-            upstream.cold_left = 60
+            upstream.cold_left = COLD_REQUESTS
             arbiter = getattr(run.design, "arbiter", None)
             if arbiter:
                 arbiter.set_usable(upstream.id, True, 5.0, cold=True)
@@ -141,6 +142,23 @@
     return Pattern(name, streams, 70, 5, 70, 5, events=((5, cool),))
 
 
+def _make_restarted(callers, full):
+    def set_usable(run, usable):
+        arbiter = getattr(run.design, "arbiter", None)
+        if arbiter:
+            now = run.clock.now
+            run.design.take(arbiter.set_usable("u0", usable, now, cold=usable))
+
+    def stop(run):
+        run.upstreams[0].down_until = 12.0
+        run.upstreams[0].cold_left = COLD_REQUESTS
+        set_usable(run, False)
+
+    events = ((10, stop), (12, lambda run: set_usable(run, True)))
+    streams = (callers._replace(rate=_always(0.55 * full)),)
+    return Pattern("restarted upstream", streams, 30, 12, 18, events=events)
+
+
 def _make_stopped(callers):
     def stop_reports(run):
         run.design.reports_stop = True
