--- a/godwitlanding/warmup.py
+++ b/godwitlanding/warmup.py
@@ -14,7 +14,9 @@
 How long a cache takes to fill differs by service and hour, and a zone in
 which all upstreams are cold has only a third of its slots meanwhile. So the
 slow start ends early once 10 requests in a row took, as a geometric mean,
-no more than 1.5 times the usual time.
+no more than 1.5 times the usual time. Where upstreams only are slower while
+cold, the load driver shows no benefit of slow start (``docs/decisions.rst``);
+it is for those that shed or fail.
 """
 
 from math import floor, log
