Stop an entry process without cutting anyone off

On a stop the process tells its zone daemon to name it to nobody, serves on for steer's max-age and the time in which a summary spreads, closing each connection with its answer, then ends what it has within stop_limit_s and logs what it waits for. A zone daemon no longer names an entry process whose connection has ended: it stayed the home of new tickets until another started. Seen failing: without the wait, without the limit.

--- a/godwitlanding/entry.py
+++ b/godwitlanding/entry.py
@@ -16,6 +16,7 @@
 from godwitlanding.services.holder import HolderServer
 from godwitlanding.services.journal import JournalWriter
 from godwitlanding.services.keys import KeyService
+from godwitlanding.services.linger import Linger
 from godwitlanding.services.once import OnceRunner
 from godwitlanding.services.passer import Passer
 from godwitlanding.services.permits import PermitClient
@@ -59,6 +60,7 @@
         HolderServer(context),
         requests,
         server,
+        Linger(context),
     ]
 
 
--- /dev/null
+++ b/godwitlanding/services/linger.py
@@ -0,0 +1,74 @@
+"""How an entry process leaves: named to nobody first, ended last."""
+
+import asyncio
+
+from eliot import log_message
+
+from godwitlanding.kernel import Service
+from godwitlanding.log import log_warning
+from godwitlanding.messages import Heartbeat
+
+REPORT_S = 5.0
+# The stop ends itself before whoever asked for it loses patience.
+MARGIN_S = 0.5
+
+
+class Linger(Service):
+    """Serves on until no caller can be sent here, then ends what it has.
+
+    Callers may use an answer of ``steer`` for its max-age, and a ``steer``
+    of another zone learns from a summary that this VM leaves. An entry
+    process that closed its port earlier would turn away callers who did as
+    they were told.
+    """
+
+    name = "linger"
+    needs = ("server", "requests", "feed")
+
+    def __init__(self, context):
+        settings = context.settings
+        news_s = settings["summary_s"] + 2 * settings["heartbeat_s"]
+        self._context = context
+        self._limit_s = settings["stop_limit_s"]
+        self._linger_s = min(settings["steer_max_age_s"] + news_s, self._limit_s)
+
+    async def start(self, kernel):
+        """Find the services that serve on."""
+        self._server = kernel.get("server")
+        self._requests = kernel.get("requests")
+        self._feed = kernel.get("feed")
+
+    async def stop(self):
+        """Leave within ``stop_limit_s``, and log what it waits for."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self._requests.begin_leaving()
+        await self._announce()
+        log_message("linger:serving_on", for_s=self._linger_s)
+        await asyncio.sleep(self._linger_s)
+        report = asyncio.ensure_future(self._report())
+        ending = asyncio.ensure_future(self._server.stop())
+        left_s = self._limit_s - self._linger_s - MARGIN_S
+        await asyncio.wait((ending,), timeout=max(MARGIN_S, left_s))
+        report.cancel()
+        if not ending.done():
+            log_warning("linger:limit_reached", cut=self._requests.get_status())
+            self._server.force()
+            await ending
+        log_message("linger:ended", after_s=round(loop.time() - began, 3))
+
+    async def _announce(self):
+        """Tell the zone daemon of this VM to name it to callers no more."""
+        context = self._context
+        message = Heartbeat(
+            context.vm,
+            context.incarnation,
+            leaving=True,
+            entry_incarnation=context.incarnation,
+        )
+        await self._feed.pool.send(self._feed.get_own_address(), message)
+
+    async def _report(self):
+        while True:
+            log_message("linger:waiting", **self._requests.get_status())
+            await asyncio.sleep(REPORT_S)
--- a/godwitlanding/services/members.py
+++ b/godwitlanding/services/members.py
@@ -12,6 +12,7 @@
 
 VMS_KIND = "vms"
 MEMBERS_KIND = "members"
+ENTRY_ROLE = "entry"
 # A zone's summary comes again by itself every few seconds, so its version
 # is not worth its bytes in every heartbeat.
 KINDS_IN_HEARTBEATS = ("config", "plan", "secret", "roster", "vms", "blocks")
@@ -113,6 +114,12 @@
         self.membership.leaving = True
         self.refresh()
 
+    def end_entry(self, incarnation):
+        """Name an entry process that leaves, or has died, to nobody."""
+        if self.entry_incarnation == incarnation:
+            self.entry_incarnation = ""
+            self.refresh()
+
     def refresh(self):
         """Work out the view again and publish it if it has changed."""
         now = self._now()
@@ -208,6 +215,9 @@
     async def _take_heartbeat(self, channel, heartbeat):
         if channel.peer.availability_zone != self._context.availability_zone:
             return
+        if channel.peer.role == ENTRY_ROLE:
+            self.end_entry(heartbeat.entry_incarnation)
+            return
         is_news = self.membership.take_heartbeat(heartbeat, self._now())
         if is_news:
             self.refresh()
--- a/godwitlanding/services/replication.py
+++ b/godwitlanding/services/replication.py
@@ -14,7 +14,7 @@
 from godwitlanding.log import log_warning
 from godwitlanding.membership import choose_reachable
 from godwitlanding.messages import Failure, Fetch, State, Subscribe
-from godwitlanding.services.members import VMS_KIND, format_vm_list
+from godwitlanding.services.members import ENTRY_ROLE, VMS_KIND, format_vm_list
 from godwitlanding.tasks import Tasks
 
 WATCHED_KINDS = ("config", "plan", "secret", "roster", "summary", "blocks")
@@ -213,7 +213,7 @@
 
     async def _subscribe(self, channel, message):
         self._kinds_by_channel[channel] = frozenset(message.kinds)
-        if channel.peer.role == "entry" and channel.peer.vm == self._context.vm:
+        if channel.peer.role == ENTRY_ROLE and channel.peer.vm == self._context.vm:
             self._members.entry_incarnation = channel.peer.incarnation
             self._members.refresh()
         for state in list(self._context.replica.state_by_key.values()):
@@ -224,6 +224,10 @@
     async def _forget_when_closed(self, channel):
         await channel.closed.wait()
         self._kinds_by_channel.pop(channel, None)
+        # One that has died must not stay named as the home of tickets and
+        # to callers, who would find nobody there until another starts.
+        if channel.peer.role == ENTRY_ROLE and channel.peer.vm == self._context.vm:
+            self._members.end_entry(channel.peer.incarnation)
 
     def _push(self, state):
         for channel, kinds in self._kinds_by_channel.items():
--- a/godwitlanding/services/requests.py
+++ b/godwitlanding/services/requests.py
@@ -29,7 +29,8 @@
     needs = ("feed", "carrier", "claims")
 
     def __init__(self, context):
-        self.in_progress = 0
+        self.is_leaving = False
+        self._began_at_by_id = {}
         self._context = context
         self._counters = context.counters
         self._settings = context.settings
@@ -40,16 +41,27 @@
         self._carrier = kernel.get("carrier")
         self._claims = kernel.get("claims")
 
+    def begin_leaving(self):
+        """Close each caller's connection with its next answer."""
+        self.is_leaving = True
+
     def get_status(self):
-        """Return the number of requests in progress."""
-        return {"in_progress": self.in_progress}
+        """Return how many requests are in progress and for how long."""
+        now = asyncio.get_running_loop().time()
+        began_at = min(self._began_at_by_id.values(), default=now)
+        return {
+            "in_progress": len(self._began_at_by_id),
+            "oldest_s": round(now - began_at, 3),
+            "leaving": self.is_leaving,
+        }
 
     async def __call__(self, scope, receive, send):
-        self.in_progress += 1
+        key = id(scope)
+        self._began_at_by_id[key] = asyncio.get_running_loop().time()
         try:
             await self._handle(scope, receive, send)
         finally:
-            self.in_progress -= 1
+            del self._began_at_by_id[key]
 
     async def _handle(self, scope, receive, send):
         request_id = uuid.uuid4().hex
@@ -68,7 +80,7 @@
             caller=request.caller,
             from_zone=request.from_zone,
         )
-        sink = Sink(send, request_id)
+        sink = Sink(send, request_id, lambda: self.is_leaving)
         try:
             refusal = await self._run(request, sink)
         except asyncio.CancelledError:
@@ -112,6 +124,8 @@
         response.headers[REQUEST_ID] = request_id
         response.headers[REFUSED] = str(refusal.code.value)
         response.headers[RUN] = refusal.run
+        if self.is_leaving:
+            response.headers["Connection"] = "close"
         await response(scope, receive, send)
 
     async def _read(self, scope, upload, request_id):
--- a/godwitlanding/sink.py
+++ b/godwitlanding/sink.py
@@ -7,15 +7,21 @@
 _BODILESS_STATUSES = (204, 304)
 
 
+CLOSE = (b"connection", b"close")
+
+
 class Sink:
     """Sends an answer by ASGI and knows how much of it has gone.
 
-    ``resume`` is what a download that breaks off is continued by. An
-    answer that is begun and never finished closes the connection, so that
-    it cannot look complete.
+    ``closes`` tells whether the process leaves: a caller who goes on to
+    use its connection might find it closed under a request. ``resume`` is
+    what a download that breaks off is continued by. An answer that is begun
+    and never finished closes the connection, so that it cannot look
+    complete.
     """
 
-    def __init__(self, send, request_id):
+    def __init__(self, send, request_id, closes=lambda: False):
+        self._closes = closes
         self.started = False
         self.finished = False
         self.sent_bytes = 0
@@ -34,6 +40,8 @@
             if status not in _BODILESS_STATUSES or name != "content-length"
         ]
         pairs.append((REQUEST_ID.lower().encode(), self._request_id.encode()))
+        if self._closes():
+            pairs.append(CLOSE)
         await self._send(
             {"type": "http.response.start", "status": status, "headers": pairs}
         )
--- a/godwitlanding/tests/support_entry.py
+++ b/godwitlanding/tests/support_entry.py
@@ -12,6 +12,7 @@
     Acquire,
     Fetch,
     Granted,
+    Heartbeat,
     Hello,
     Refused,
     Release,
@@ -80,6 +81,7 @@
         self.released = []
         self.withdrawn = []
         self.signals = []
+        self.heartbeats = []
         self.states = {}
         self.channels = []
         self.valid_s = 5.0
@@ -92,6 +94,7 @@
             Release: self._note(self.released),
             Withdraw: self._note(self.withdrawn),
             Signal: self._note(self.signals),
+            Heartbeat: self._note(self.heartbeats),
         }
         self._server = Server(hello, handlers, Counters())
 
@@ -244,7 +247,9 @@
         "address": address,
         "availability_zone": zone,
         "platform_url": "http://127.0.30.250:1",
-        "steer_max_age_s": 0.05,
+        "steer_max_age_s": 0.01,
+        "summary_s": 0.01,
+        "heartbeat_s": 0.01,
         "member_timeout_s": 0.5,
         **fields,
     }
--- /dev/null
+++ b/godwitlanding/tests/test_linger.py
@@ -0,0 +1,56 @@
+"""The planned stop of an entry process."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from godwitlanding.tests.support_entry import Bench, make_answer, wait_until
+from godwitlanding.tests.test_entry import ADDRESS, fetch
+
+
+async def test_stop_cuts_off_nobody():
+    """An entry process is stopped under load, as in a planned replacement.
+
+    A download that runs goes on to its end, and a caller with a cached
+    answer, who knows nothing of the stop, is served as before.
+    """
+    may_end = asyncio.Event()
+
+    async def serve(writer, head, body):
+        answer = make_answer(head, b"x" * 200_000)
+        writer.write(answer[:-5])
+        if "bundle" in head:
+            await may_end.wait()
+        writer.write(answer[-5:])
+
+    async with Bench(ADDRESS, [serve], steer_max_age_s=0.5) as bench:
+        download = asyncio.ensure_future(fetch(bench, "/s/passes/bundle"))
+        await wait_until(lambda: bench.upstreams[0].heads)
+        stop = asyncio.ensure_future(bench.kernel.stop())
+        await wait_until(lambda: bench.zone.heartbeats)
+        assert bench.zone.heartbeats[0].leaving
+        status, headers, body = await fetch(bench)
+        assert (status, headers["Connection"]) == (200, "close")
+        server = bench.kernel.get("server")
+        await wait_until(lambda: server._server.should_exit)
+        assert not stop.done()
+        may_end.set()
+        assert len((await download)[2]) == 200_000
+        await stop
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await fetch(bench)
+
+
+async def test_stop_ends_at_its_limit():
+    """A request never ends; whoever stops the process waits in vain."""
+
+    async def hang(writer, head, body):
+        await asyncio.sleep(60)
+
+    async with Bench(ADDRESS, [hang], stop_limit_s=0.5) as bench:
+        request = asyncio.ensure_future(fetch(bench, "/s/passes/x"))
+        await wait_until(lambda: bench.upstreams[0].heads)
+        await asyncio.wait_for(bench.kernel.stop(), 10)
+        assert not request.done()
+        request.cancel()
--- a/godwitlanding/web.py
+++ b/godwitlanding/web.py
@@ -67,6 +67,10 @@
         if self._task:
             await self._task
 
+    def force(self):
+        """Wait for requests no longer: the limit of a stop is reached."""
+        self._server.force_exit = True
+
     async def _serve(self):
         # uvicorn ends the process by SystemExit when it cannot bind.
         try:
