--- a/godwitlanding/services/linger.py
+++ b/godwitlanding/services/linger.py
@@ -30,6 +30,7 @@
         news_s = settings["summary_s"] + 2 * settings["heartbeat_s"]
         self._context = context
         self._limit_s = settings["stop_limit_s"]
+        self._sleep = asyncio.sleep
         self._linger_s = min(settings["steer_max_age_s"] + news_s, self._limit_s)
 
     async def start(self, kernel):
@@ -45,7 +46,7 @@
         self._requests.begin_leaving()
         await self._announce()
         log_message("linger:serving_on", for_s=self._linger_s)
-        await asyncio.sleep(self._linger_s)
+        await self._sleep(self._linger_s)
         report = asyncio.ensure_future(self._report())
         ending = asyncio.ensure_future(self._server.stop())
         left_s = self._limit_s - self._linger_s - MARGIN_S
--- a/godwitlanding/tests/test_linger.py
+++ b/godwitlanding/tests/test_linger.py
@@ -24,14 +24,24 @@
             await may_end.wait()
         writer.write(answer[-5:])
 
-    async with Bench(ADDRESS, [serve], steer_max_age_s=0.5) as bench:
+    slept = asyncio.Queue()
+    answers_ran_out = asyncio.Event()
+
+    async def sleep(duration_s):
+        await slept.put(duration_s)
+        await answers_ran_out.wait()
+
+    async with Bench(ADDRESS, [serve], steer_max_age_s=5.0, summary_s=2.0) as bench:
+        bench.kernel.get("linger")._sleep = sleep
         download = asyncio.ensure_future(fetch(bench, "/s/passes/bundle"))
         await wait_until(lambda: bench.upstreams[0].heads)
         stop = asyncio.ensure_future(bench.kernel.stop())
+        assert await slept.get() >= 7.0
         await wait_until(lambda: bench.zone.heartbeats)
         assert bench.zone.heartbeats[0].leaving
         status, headers, body = await fetch(bench)
         assert (status, headers["Connection"]) == (200, "close")
+        answers_ran_out.set()
         server = bench.kernel.get("server")
         await wait_until(lambda: server._server.should_exit)
         assert not stop.done()
