--- a/godwitlanding/services/members.py
+++ b/godwitlanding/services/members.py
@@ -6,16 +6,14 @@
 from godwitlanding.kernel import Service
 from godwitlanding.log import log_warning
 from godwitlanding.membership import Membership, choose_arbiters, get_active
-from godwitlanding.messages import Fetch, Heartbeat, State, VersionOf
+from godwitlanding.messages import Fetch, Heartbeat, State
 from godwitlanding.store import VmEntry, VmList
 from godwitlanding.tasks import Tasks
+from godwitlanding.versions import choose_versions
 
 VMS_KIND = "vms"
 MEMBERS_KIND = "members"
 ENTRY_ROLE = "entry"
-# A zone's summary comes again by itself every few seconds, so its version
-# is not worth its bytes in every heartbeat.
-KINDS_IN_HEARTBEATS = ("config", "plan", "secret", "roster", "vms", "blocks")
 
 
 def parse_vm_list(state):
@@ -49,6 +47,7 @@
         self._listeners = []
         self._alive_since_by_vm = {}
         self._push_count = 0
+        self._beat_count = 0
 
     async def start(self, kernel):
         """Begin the heartbeats."""
@@ -105,6 +104,16 @@
             if vm != self._context.vm and member.address
         }
 
+    def get_lowest_version(self, kind, name):
+        """Return the version that every listed member has shown it has.
+
+        A member that is listed and has not been heard counts as having
+        none: it may be paused and still answer callers by an old version.
+        """
+        return self.membership.get_lowest_version(
+            kind, name, self._context.replica.get_version(kind, name)
+        )
+
     async def announce(self):
         """Send a heartbeat now, as when this VM begins to leave."""
         await self._beat()
@@ -192,13 +201,11 @@
         )
 
     def _get_versions(self):
-        return tuple(
-            VersionOf(state.kind, state.name, state.version)
-            for kind in KINDS_IN_HEARTBEATS
-            for state in self._context.replica.get_kind(kind)
-        )
+        states = self._context.replica.state_by_key.values()
+        return choose_versions(states, self._beat_count)
 
     async def _beat(self):
+        self._beat_count += 1
         self.refresh()
         heartbeat = self._make_heartbeat()
         for vm, address in self.get_peer_addresses().items():
