Leave no task behind when an entry process stops

Releases that were still to be sent, and dials of a stopped pool, outlived the loop; garbage collection of such tasks inside ast.parse made another test fail (SystemError, seen once a full run). PermitClient now lets the last releases go out and Pool.stop ends its dials.

--- a/godwitlanding/services/permits.py
+++ b/godwitlanding/services/permits.py
@@ -16,10 +16,12 @@
     Release,
     Withdraw,
 )
+from godwitlanding.tasks import Tasks
 from godwitlanding.view import MEMBERS_KIND
 
 # An arbiter that is replaced takes a moment to collect the open permits.
 NO_ARBITER_WAIT_S = 0.1
+LAST_RELEASES_S = 1.0
 _MOVED = (
     Code.PEER_UNREACHABLE,
     Code.CALL_TIMEOUT,
@@ -44,13 +46,20 @@
         self._counters = context.counters
         self._port = context.settings["zone_port"]
         self._asks_by_vm = {}
-        self._tasks = set()
+        self._is_stopped = False
+        self._tasks = Tasks()
 
     async def start(self, kernel):
         """Find the feed, whose connections are shared."""
         self._feed = kernel.get("feed")
         self._context.replica.listen(self._note_state)
 
+    async def stop(self):
+        """Let the last releases go out."""
+        self._is_stopped = True
+        await self._tasks.wait(LAST_RELEASES_S)
+        await self._tasks.stop()
+
     def get_status(self):
         """Return the number of open permits."""
         return {"open": len(self.book)}
@@ -196,9 +205,10 @@
             self._release_unused(answer, address)
 
     def _send(self, address, message):
-        task = asyncio.ensure_future(self._feed.pool.send(address, message))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        # A request that is cut by the end of the process has no loop left
+        # to send its release; the arbiter frees the slot at its deadline.
+        if not self._is_stopped:
+            self._tasks.run(self._feed.pool.send(address, message))
 
     def _note_state(self, state):
         """Ask anew where the arbiter that a request waits for was replaced.
--- a/godwitlanding/tasks.py
+++ b/godwitlanding/tasks.py
@@ -23,6 +23,11 @@
         """Call a coroutine function again and again, ``interval_s`` apart."""
         return self.run(_repeat(interval_s, function))
 
+    async def wait(self, limit_s):
+        """Wait for what runs to end by itself, ``limit_s`` at most."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=limit_s)
+
     async def stop(self):
         """Cancel what still runs and wait for its end."""
         tasks = list(self._tasks)
--- a/godwitlanding/tests/support_entry.py
+++ b/godwitlanding/tests/support_entry.py
@@ -24,12 +24,26 @@
 from godwitlanding.metrics import Counters
 from godwitlanding.settings import check_settings
 from godwitlanding.tests.support import FakeStore
+from godwitlanding.tests.tools.network import Network, claim
 from godwitlanding.wire import Server
 
+
+def _claim_addresses():
+    """Return three addresses that no other run of the tests has."""
+    for offset in range(4, 240, 4):
+        control = f"127.0.30.{offset}"
+        network = Network("127.0.30.", "127.0.30.", control, offset)
+        if claim(network):
+            return [network.get_vm_address(number) for number in (1, 2, 3)]
+    raise OSError("every address of the entry tests is taken")
+
+
+ADDRESS, SECOND_ADDRESS, OTHER_ADDRESS = _claim_addresses()
 ZONE = "za"
 KEY = b"k" * 32
 ZONE_PORT = 7101
 ENTRY_PORT = 7002
+UPSTREAM_PORT = 8000
 
 
 def make_config(upstreams, zone=ZONE, other=()):
@@ -246,7 +260,7 @@
         "vm": vm,
         "address": address,
         "availability_zone": zone,
-        "platform_url": "http://127.0.30.250:1",
+        "platform_url": f"http://{address}:1",
         "steer_max_age_s": 0.01,
         "summary_s": 0.01,
         "heartbeat_s": 0.01,
@@ -260,12 +274,11 @@
     """An entry process, its zone daemon and its upstreams, started."""
 
     def __init__(self, address, scripts, store=None, **settings):
-        host = address.rsplit(".", 1)[0]
         self.address = address
         self.url = f"http://{address}:{ENTRY_PORT}"
         self.zone = FakeZone(address)
         self.upstreams = [
-            RawUpstream(f"{host}.{100 + number}:8000", script)
+            RawUpstream(f"{address}:{UPSTREAM_PORT + number}", script)
             for number, script in enumerate(scripts)
         ]
         self.zone.upstreams = [upstream.address for upstream in self.upstreams]
--- a/godwitlanding/tests/test_carry.py
+++ b/godwitlanding/tests/test_carry.py
@@ -8,16 +8,17 @@
 
 from godwitlanding.messages import PassOn, Refused
 from godwitlanding.tests.support_entry import (
+    ADDRESS,
     KEY,
+    OTHER_ADDRESS,
     Bench,
     answer_hello,
     get_header,
     make_answer,
     wait_until,
 )
-from godwitlanding.tests.test_entry import ADDRESS, fetch
+from godwitlanding.tests.test_entry import fetch
 
-OTHER_ADDRESS = "127.0.31.1"
 WHOLE = bytes(range(256)) * 1000
 
 
--- a/godwitlanding/tests/test_claims.py
+++ b/godwitlanding/tests/test_claims.py
@@ -12,19 +12,19 @@
 from godwitlanding.services.keys import CLAIM_KIND
 from godwitlanding.tests.support import FakeStore
 from godwitlanding.tests.support_entry import (
+    ADDRESS,
     KEY,
+    SECOND_ADDRESS,
     Bench,
     make_answer,
     make_members,
     wait_until,
 )
 from godwitlanding.tests.test_carry import crash, refuse_with
-from godwitlanding.tests.test_entry import ADDRESS, fetch
+from godwitlanding.tests.test_entry import fetch
 from godwitlanding.tests.test_journal import run_to
 from godwitlanding.ticket import JOURNALED, MEMORY_ONLY, Ticket, issue_ticket
 
-SECOND_ADDRESS = "127.0.30.2"
-
 
 async def pay(writer, head, body):
     """Run a payment."""
--- a/godwitlanding/tests/test_entry.py
+++ b/godwitlanding/tests/test_entry.py
@@ -7,6 +7,7 @@
 
 from godwitlanding.messages import Refused
 from godwitlanding.tests.support_entry import (
+    ADDRESS,
     Bench,
     answer_hello,
     get_header,
@@ -14,8 +15,6 @@
     wait_until,
 )
 
-ADDRESS = "127.0.30.1"
-
 
 async def fetch(bench, path="/s/status/x", method="GET", **keywords):
     """Return status, headers and body of one request."""
--- a/godwitlanding/tests/test_holdings.py
+++ b/godwitlanding/tests/test_holdings.py
@@ -6,8 +6,8 @@
 
 from godwitlanding.holdings import EXPIRED, STALE, PermitBook
 from godwitlanding.messages import Granted, HeldPermit, Holdings
-from godwitlanding.tests.support_entry import Bench, answer_hello, wait_until
-from godwitlanding.tests.test_entry import ADDRESS, fetch
+from godwitlanding.tests.support_entry import ADDRESS, Bench, answer_hello, wait_until
+from godwitlanding.tests.test_entry import fetch
 
 GRANT = Granted(7, "u1", "127.0.30.9:80", 5.0, "old", 0.1)
 
--- a/godwitlanding/wire.py
+++ b/godwitlanding/wire.py
@@ -284,6 +284,10 @@
         """Close every connection."""
         for address in list(self._channel_by_address):
             self.drop(address)
+        dials = list(self._dial_by_address.values())
+        for dial in dials:
+            dial.cancel()
+        await asyncio.gather(*dials, return_exceptions=True)
 
     async def _dial(self, address):
         host, _, port = address.rpartition(":")
