--- a/godwitlanding/tests/tools/licensed.py
+++ b/godwitlanding/tests/tools/licensed.py
@@ -188,6 +188,7 @@
     async def _send_answer(self, work, send, gone):
         status, headers, body = self._make_answer(work)
         headers.append((b"content-length", str(len(body)).encode()))
+        headers.append((b"request-id", work.request_id.encode()))
         await send(
             {"type": "http.response.start", "status": status, "headers": headers}
         )
--- a/godwitlanding/tests/tools/work.py
+++ b/godwitlanding/tests/tools/work.py
@@ -24,6 +24,7 @@
         self._query = {name: values[0] for name, values in query.items()}
         self.id = self._query.get("id", "")
         self.key = self._header_by_name.get("idempotency-key", "")
+        self.request_id = self._header_by_name.get("request-id", "")
         self.is_poison = "poison" in self._query
         self.bundle = self._query.get("bundle", "")
         self.size_bytes = int(self._query.get("bytes", 200_000))
