Show that each mechanism of the loans is needed

Random schedules alone do not show it: two mechanisms often cover one fault. So each has a test of its own. The holder's own fence is the entry process's and is tested there.

--- /dev/null
+++ b/godwitlanding/tests/test_desk.py
@@ -0,0 +1,140 @@
+"""A take-over of an arbiter, without the network and with a whole zone."""
+
+import pytest
+
+from godwitlanding.desk import PERMIT_ID_BITS, Desk
+from godwitlanding.loan import Gain
+from godwitlanding.messages import Acquire, Granted, Held, HeldPermit, Holder
+from godwitlanding.tests.zone_world import World
+
+HOLDER = Holder("vm1", "vm1-entry-1")
+OTHER = Holder("vm2", "vm2-entry-1")
+BLOCK_S = 2.0
+
+
+def make_desk(asks, blocked_s=BLOCK_S):
+    desk = Desk("b", "status", 7 << PERMIT_ID_BITS)
+    desk.set_addresses({"u1": "10.0.0.1:1"})
+    desk.active = True
+    desk.take_gain(Gain("u1", 99.0, True, blocked_s, asks), 1, 0.0)
+    return desk
+
+
+def is_granted(desk, now):
+    """Tell whether a request at ``now`` gets the one slot at once."""
+    answers = []
+    message = Acquire("status", str(now), "caller", 1, 10.0)
+    desk.tick(now)
+    desk.acquire(str(now), HOLDER, message, 10.0, answers.append, now)
+    return bool(answers) and isinstance(answers[0], Granted)
+
+
+@pytest.mark.parametrize(
+    ("asks", "answered", "now", "granted"),
+    [
+        ((HOLDER, OTHER), (HOLDER,), 1.0, False),
+        ((HOLDER, OTHER), (HOLDER, OTHER), 1.0, True),
+        ((HOLDER, OTHER), (), 2.1, True),
+        (None, (HOLDER, OTHER), 1.9, False),
+        (None, (), 2.1, True),
+        ((), (), 0.1, True),
+    ],
+)
+def test_new_arbiter_waits_for_the_open_permits(asks, answered, now, granted):
+    """An arbiter dies with permits open and another takes its place.
+
+    Granting before it knows them would run two requests on one slot.
+    """
+    desk = make_desk(asks)
+    for holder in answered:
+        desk.take_held(holder, ("u1",), Held(), 0.1)
+    assert is_granted(desk, now) is granted
+
+
+def test_permit_of_the_former_arbiter_fills_its_slot():
+    """A holder reports a permit that is open for another second."""
+    held = Held((HeldPermit(5, "u1", 1.0),))
+    for now, granted in ((1.4, False), (1.6, True)):
+        desk = make_desk((HOLDER,))
+        desk.take_held(HOLDER, ("u1",), held, 0.5)
+        assert is_granted(desk, now) is granted
+
+
+def test_block_outlasts_a_second_gain():
+    """The loan lapses and comes again while holders have still to answer.
+
+    A second gain that counted as known would end the wait too early.
+    """
+    desk = make_desk((HOLDER, OTHER))
+    desk.lose(["u1"])
+    desk.take_gain(Gain("u1", 99.0, True), 1, 1.0)
+    assert not is_granted(desk, 1.9)
+
+
+def kill_arbiter(world):
+    world.restart("vm0", "zone")
+
+
+def pause_arbiter(world):
+    world.node_by_vm["vm0"].zone.paused = True
+    world.run(6)
+    world.node_by_vm["vm0"].zone.paused = False
+
+
+def pause_holder(world):
+    world.node_by_vm["vm1"].entry.paused = True
+    world.run(6)
+    world.node_by_vm["vm1"].entry.paused = False
+
+
+def cut_zone(world):
+    world.cuts = {frozenset(("vm0", "vm1")), frozenset(("vm0", "vm2"))}
+    world.run(6)
+    world.cuts = set()
+
+
+def lose_vm(world):
+    world.remove_vm("vm0")
+
+
+def replace_all(world):
+    for vm in sorted(world.node_by_vm):
+        world.remove_vm(vm)
+        world.add_vm(f"{vm}x")
+
+
+def lose_answers_and_replace(world):
+    world.platform.lose_answers = True
+    replace_all(world)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    "fault",
+    [
+        kill_arbiter,
+        pause_arbiter,
+        pause_holder,
+        cut_zone,
+        lose_vm,
+        replace_all,
+        lose_answers_and_replace,
+    ],
+)
+def test_zone_survives(fault, seed):
+    """A zone in full use loses an arbiter, a holder, a link or every VM.
+
+    Its upstreams never run more than their slots, and its callers are
+    served by every upstream again.
+    """
+    world = World(seed=seed)
+    world.finish_share = 0.02
+    world.run(5)
+    fault(world)
+    world.run(12)
+    before = world.started
+    busy = {key[1]: r.upstream for key, r in world.running_by_permit.items()}
+    world.run(5)
+    assert world.over_slots == []
+    assert world.started > before
+    assert set(busy.values()) == set(world.slots_by_upstream)
--- /dev/null
+++ b/godwitlanding/tests/test_loan.py
@@ -0,0 +1,227 @@
+"""Loans and the roster: an upstream has one user at a time."""
+
+import pytest
+
+from godwitlanding.loan import Borrower, Handover, Lender
+from godwitlanding.messages import FORMER_NONE, GiveBack, Holder, Loan
+from godwitlanding.roster import EMPTY_ROSTER, Candidate, Roster
+from godwitlanding.steward import Steward, Surroundings
+
+LOAN_S = 1.5
+PERMIT_S = 2.0
+HOLDER = Holder("vm1", "vm1-entry-1")
+CLEAN = Handover("me", FORMER_NONE)
+
+
+def make_lender(handover=CLEAN, started_at=0.0):
+    lender = Lender("me", LOAN_S, started_at)
+    lender.set_owned({"u1": handover}, started_at)
+    return lender
+
+
+def ask(lender, arbiter, now, number=1, holding=(), holders=()):
+    loan = Loan(arbiter, "status", holders, holding, number)
+    return lender.lend(loan, ["u1"], PERMIT_S, now)
+
+
+@pytest.mark.parametrize(
+    ("now", "lent"), [(0.1, ()), (1.4, ()), (1.51, ()), (1.6, ("u1",))]
+)
+def test_second_arbiter_gets_nothing_before_the_loan_has_ended(now, lent):
+    """Two members take themselves for the arbiter while the zone is cut.
+
+    An upstream lent to both would run twice its slots.
+    """
+    lender = make_lender()
+    assert ask(lender, "a", 0.0).upstreams == ("u1",)
+    assert ask(lender, "b", now).upstreams == lent
+
+
+def test_arbiter_stops_before_the_owner_lends_again():
+    """The owner's answer is slow, so both count the loan from other times.
+
+    Counting from the answer the arbiter would grant beyond the owner's end.
+    """
+    lender = make_lender()
+    borrower = Borrower("a", "status")
+    loan = borrower.make_loan("me", 10.0)
+    lent = lender.lend(loan, ["u1"], PERMIT_S, 10.4)
+    gains, _ = borrower.take_lent("me", loan, lent, 10.0, PERMIT_S, 10.9)
+    assert gains[0].until == pytest.approx(11.5)
+    assert not lender.is_free("u1", 11.9)
+
+
+@pytest.mark.parametrize(
+    ("handover", "now", "lent", "former"),
+    [
+        (None, 1.4, (), ()),
+        (Handover("former", "a"), 1.4, (), ()),
+        (Handover("former", "a"), 1.6, ("u1",), ("",)),
+        (None, 4.0, ("u1",), (FORMER_NONE,)),
+        (CLEAN, 0.0, ("u1",), (FORMER_NONE,)),
+        (Handover("me", "a"), 0.0, ("u1",), ("a",)),
+    ],
+)
+def test_new_incarnation_waits_for_what_the_former_one_lent(
+    handover, now, lent, former
+):
+    """A zone daemon is killed and starts again within the loan.
+
+    It knows nothing of its own loans; lending at once would give the slots
+    to a second arbiter while the first still grants.
+    """
+    answer = ask(make_lender(handover), "b", now)
+    assert (answer.upstreams, answer.former_arbiters) == (lent, former)
+
+
+def test_borrower_whose_loan_was_lost_still_has_to_ask_holders():
+    """An owner's answer to a new arbiter is lost and the arbiter asks again.
+
+    Told that it had the upstream before, it would not ask for the permits
+    of the arbiter before it and grant their slots again.
+    """
+    lender = make_lender(Handover("me", "a", (HOLDER,)))
+    assert ask(lender, "b", 1.0, number=1).former_arbiters == ("a",)
+    assert ask(lender, "b", 1.3, number=2).former_arbiters == ("a",)
+    confirmed = ask(lender, "b", 1.6, number=3, holding=("u1",))
+    assert confirmed.former_arbiters == ("b",)
+    assert HOLDER in confirmed.holders
+
+
+@pytest.mark.parametrize(
+    "late",
+    [Loan("a", "status", (), (), 1), GiveBack("a", "status", 1)],
+    ids=["question", "give-back"],
+)
+def test_late_message_does_not_end_a_loan(late):
+    """A connection breaks; what it still held is read after the next one's.
+
+    It lists nothing as in use. Believed, the loan in use would pass to
+    another arbiter.
+    """
+    lender = make_lender()
+    assert ask(lender, "a", 0.0, number=2).upstreams
+    assert ask(lender, "a", 0.3, number=3, holding=("u1",)).upstreams
+    if isinstance(late, Loan):
+        lender.lend(late, ["u1"], PERMIT_S, 0.4)
+    else:
+        lender.give_back(late, ["u1"])
+    assert ask(lender, "b", 0.5).upstreams == ()
+
+
+def test_late_answer_is_not_taken():
+    """An answer comes after its question was given up and asked anew.
+
+    By the second question the owner has learnt that nothing is in use and
+    may have lent the upstream to another.
+    """
+    borrower = Borrower("a", "status")
+    lender = make_lender()
+    first = borrower.make_loan("me", 0.0)
+    lent = lender.lend(first, ["u1"], PERMIT_S, 0.1)
+    borrower.make_loan("me", 0.5)
+    assert borrower.take_lent("me", first, lent, 0.0, PERMIT_S, 0.6) == ([], [])
+
+
+def test_upstream_that_came_back_is_taken_as_new():
+    """A member gives an upstream up and gets it back without seeing between.
+
+    Its memory of the borrower is out of date: another arbiter has had the
+    upstream since.
+    """
+    lender = make_lender(CLEAN._replace(turn=1))
+    ask(lender, "a", 0.0, 1)
+    ask(lender, "a", 0.3, 2, holding=("u1",))
+    lender.set_owned({"u1": Handover("me", "b", (HOLDER,), turn=3)}, 3.0)
+    assert ask(lender, "a", 3.1, 3).former_arbiters == ("b",)
+
+
+def test_holder_unknown_to_a_lender_gets_no_grant():
+    """An entry process asks for its first permit just before a take-over.
+
+    The next arbiter asks the holders that the lenders name; a permit of one
+    that no lender knows would be granted a second time.
+    """
+    borrower = Borrower("a", "status")
+    lender = make_lender()
+    loan = borrower.make_loan("me", 0.0)
+    lent = lender.lend(loan, ["u1"], PERMIT_S, 0.0)
+    borrower.take_lent("me", loan, lent, 0.0, PERMIT_S, 0.1)
+    borrower.add_holder(HOLDER)
+    assert not borrower.may_grant_to(HOLDER, 0.2)
+    loan = borrower.make_loan("me", 0.3)
+    lent = lender.lend(loan, ["u1"], PERMIT_S, 0.3)
+    borrower.take_lent("me", loan, lent, 0.3, PERMIT_S, 0.4)
+    assert borrower.may_grant_to(HOLDER, 0.5)
+    assert HOLDER in ask(lender, "b", 2.0).holders
+
+
+def make_steward():
+    steward = Steward("vm1", "me", LOAN_S, 0.0)
+    steward.take_roster(Roster({"u1": "vm1"}, {"u1": CLEAN}), 5, 0.0)
+    return steward
+
+
+def look(vms, gone=(), leaving=False, is_writer=False):
+    candidates = tuple(Candidate(vm, f"{vm}-zone", 0.0) for vm in vms)
+    return Surroundings(candidates, gone, is_writer, True, leaving)
+
+
+def test_upstream_given_up_by_a_lost_write_is_not_lent():
+    """The write that gives an upstream away takes effect, its answer is lost.
+
+    Lending on, because the write seemed to fail, gives it two owners.
+    """
+    steward = make_steward()
+    permits = {"u1": PERMIT_S}
+    assert steward.find_change(look(["vm2"], leaving=True), permits, 5.0)
+    steward.find_change(look(["vm1"]), permits, 6.0)
+    assert ask(steward.lender, "a", 6.1).upstreams == ()
+    steward.take_roster(Roster({"u1": "vm2"}, {}), 6, 7.0)
+    assert ask(steward.lender, "a", 7.1, 2).upstreams == ()
+
+
+def test_upstream_is_given_up_only_when_its_loan_has_ended():
+    """A VM is stopped while the arbiter still grants on its upstreams."""
+    steward = make_steward()
+    ask(steward.lender, "a", 5.0)
+    around = look(["vm2"], leaving=True)
+    assert steward.find_change(around, {"u1": PERMIT_S}, 5.5) is None
+    assert ask(steward.lender, "a", 5.6, 2, holding=("u1",)).upstreams == ()
+    given = steward.find_change(around, {"u1": PERMIT_S}, 7.2)
+    assert given.owner_by_upstream == {"u1": "vm2"}
+    assert given.handover_by_upstream["u1"].former_arbiter == "a"
+
+
+@pytest.mark.parametrize(
+    ("gone", "after_s", "owner"),
+    [
+        (("vm2",), 3.4, "vm2"),
+        (("vm2",), 3.6, "vm1"),
+        ((), 60.0, "vm2"),
+    ],
+)
+def test_upstreams_of_a_lost_vm_wait_for_loan_and_permit(gone, after_s, owner):
+    """A VM is gone; its last loan and its arbiter's last permit still run.
+
+    Taken over at once, the upstreams would get a second user. A VM that is
+    silent but listed keeps them.
+    """
+    steward = Steward("vm1", "me", LOAN_S, 0.0)
+    steward.take_roster(Roster({"u1": "vm2"}, {}), 5, 0.0)
+    around = look(["vm1"], gone, is_writer=True)
+    steward.find_change(around, {"u1": PERMIT_S}, 10.0)
+    changed = steward.find_change(around, {"u1": PERMIT_S}, 10.0 + after_s)
+    owners = (changed or steward.roster).owner_by_upstream
+    assert owners == {"u1": owner}
+
+
+def test_new_upstreams_are_shared_out_by_one_write():
+    steward = Steward("vm1", "me", LOAN_S, 0.0)
+    permits = {f"u{i}": PERMIT_S for i in range(40)}
+    around = look(["vm1", "vm2", "vm3", "vm4"], is_writer=True)
+    roster = steward.find_change(around, permits, 1.0)
+    owners = list(roster.owner_by_upstream.values())
+    assert len(owners) == 40
+    assert min(owners.count(vm) for vm in set(owners)) >= 4
+    assert steward.roster == EMPTY_ROSTER
