Show that the planner keeps caps, waits and headroom

Each mechanism was taken out in turn and test_planner.py run: wait of a fresh planner, stop on missing summaries, cap, headroom, warm target, confirmation by every zone, reserved allowances of a zone that is cut off, the cap kept for the way back, the holder's look at its own clock.

--- /dev/null
+++ b/godwitlanding/tests/test_planner.py
@@ -0,0 +1,370 @@
+"""The planner moves callers by small steps into room that is there."""
+
+import json
+
+import pytest
+from hypothesis import HealthCheck, given, settings, strategies as st
+
+from godwitlanding.allowances import share_out
+from godwitlanding.config import parse_config
+from godwitlanding.demand import Demand
+from godwitlanding.lease import Lease, LeaseKeeper
+from godwitlanding.plan import format_plan, parse_plan
+from godwitlanding.planner import Planner
+
+MAX_AGE_S = 5.0
+STEP_S = 10.0
+CAP = 0.2
+ZONES = ("a", "b", "c")
+
+
+def make_config(shift="", drains="", zones=ZONES, slots=10):
+    upstreams = ",".join(
+        f'{{id:"s-{z}",address:"127.0.2.{n}:1",availability_zone:"{z}",slots:{slots}}}'
+        for n, z in enumerate(zones)
+    )
+    text = f"""{{format:1,name:"t",regions:[
+      {{name:"n",availability_zones:["a","b"],load_limit:0.8}},
+      {{name:"s",availability_zones:["c"],load_limit:0.8}}],
+      services:[{{name:"status",kind:"lookup",deadline_s:2,upstreams:[{upstreams}]}}],
+      shifts:[{shift}],drains:[{drains}]}}"""
+    return parse_config(text).unwrap()
+
+
+def make_shift(share=0.6, **more):
+    extra = "".join(f",{key}:{json.dumps(value)}" for key, value in more.items())
+    return (
+        f'{{name:"move",service:"status",from:"a",to:"c",share:{share},'
+        f"cap_share:{CAP},step_s:{STEP_S}{extra}}}"
+    )
+
+
+class Rig:
+    """A planner, the platform's plan and three zones that report."""
+
+    def __init__(self, config):
+        self.config = config
+        self.now = 0.0
+        self.version = 0
+        self.plan = None
+        self.sequence = 0
+        self.demand_by_zone = dict.fromkeys(ZONES, 2.0)
+        self.silent = set()
+        self.behind = set()
+        self.warm = 1.0
+        self.held_by_zone = dict.fromkeys(ZONES, 0)
+        self.moves = []
+        self.overgranted = []
+        self.reported_by_zone = {}
+        self.start_planner()
+
+    def start_planner(self):
+        """Start a planner that knows nothing."""
+        self.demand = Demand(8.0)
+        self.planner = Planner(self.demand, MAX_AGE_S, self.now)
+        if self.plan:
+            self.planner.take_plan(self.plan, self.version, self.now)
+
+    def report(self):
+        for zone in ZONES:
+            if zone in self.silent:
+                continue
+            if zone not in self.behind:
+                self.held_by_zone[zone] = self.version
+            self.sequence += 1
+            self.reported_by_zone[zone] = self.demand_by_zone[zone]
+            row = {
+                "slots": 10,
+                "usable_slots": 10,
+                "busy": self.demand_by_zone[zone],
+                "queued": 0,
+                "warm_share": self.warm,
+            }
+            body = {
+                "sequence": self.sequence,
+                "plan_version": self.held_by_zone[zone],
+                "services": {"status": row},
+            }
+            self.demand.take(
+                zone, self.sequence, json.dumps(body), {"status": 0.05}, self.now
+            )
+
+    def get_moved(self):
+        return self.plan.get_weights("status", "a").get("c", 0.0) if self.plan else 0
+
+    def run(self, duration_s):
+        end = self.now + duration_s
+        while self.now < end:
+            self.now += 1.0
+            self.report()
+            plan = self.planner.make_plan(self.config, self.now)
+            if plan:
+                before = self.get_moved()
+                self.version += 1
+                self.plan = parse_plan(format_plan(plan))
+                self.planner.take_plan(self.plan, self.version, self.now)
+                self.check_allowances()
+                if abs(self.get_moved() - before) > 1e-9:
+                    self.moves.append((self.now, self.get_moved() - before))
+
+    def check_allowances(self):
+        """Note a target that was granted more than its headroom."""
+        granted = self.plan.allowance_by_zones_by_service["status"]
+        for zone in ZONES:
+            into = sum(n for pair, n in granted.items() if pair.endswith(f">{zone}"))
+            if into > max(0.0, 8.0 - self.reported_by_zone.get(zone, 0.0)):
+                self.overgranted.append((self.now, zone, into))
+
+    def get_most_moved(self, window_s):
+        """Return the most that moved within any window, late answers too.
+
+        A caller may act on a step up to ``MAX_AGE_S`` after it was made.
+        """
+        most = 0.0
+        for at, _ in self.moves:
+            inside = [
+                abs(moved)
+                for other, moved in self.moves
+                if at <= other < at + MAX_AGE_S + window_s
+            ]
+            most = max(most, sum(inside))
+        return most
+
+
+def test_shift_arrives_by_capped_steps():
+    rig = Rig(make_config(make_shift()))
+    rig.run(100)
+    assert rig.get_moved() == pytest.approx(0.6)
+    assert [round(moved, 6) for _, moved in rig.moves] == [CAP, CAP, CAP]
+    waits = [b[0] - a[0] for a, b in zip(rig.moves, rig.moves[1:])]
+    assert min(waits) >= STEP_S + MAX_AGE_S
+
+
+@pytest.mark.parametrize("restart_s", [0.5, 4, 9, 14])
+def test_planner_that_starts_afresh_waits_in_full(restart_s):
+    """The planner dies right after a step and another takes over.
+
+    Counting from its own start it would step at once, and callers of both
+    steps would arrive within one step time.
+    """
+    rig = Rig(make_config(make_shift()))
+    while not rig.moves:
+        rig.run(1)
+    stepped_at = rig.now
+    for _ in range(3):
+        rig.run(restart_s)
+        rig.start_planner()
+    rig.run(60)
+    assert rig.moves[1][0] - stepped_at >= STEP_S + MAX_AGE_S
+    assert rig.get_most_moved(STEP_S) <= CAP + 1e-9
+
+
+def go_silent(rig):
+    rig.silent = {"b"}
+
+
+def fall_behind(rig):
+    rig.behind = {"b"}
+
+
+def get_cold(rig):
+    rig.warm = 0.5
+
+
+def get_full(rig):
+    rig.demand_by_zone["c"] = 8.0
+
+
+def be_paused(rig):
+    rig.config = make_config(make_shift(paused=True))
+
+
+@pytest.mark.parametrize(
+    ("fault", "after_s"),
+    [(go_silent, 6), (fall_behind, 0), (get_cold, 6), (get_full, 6), (be_paused, 6)],
+)
+def test_shift_stops(fault, after_s):
+    """Measurements stop, a zone is cut off with an old plan, caches are cold.
+
+    Stepping on would send callers where nobody knows what they meet.
+    """
+    rig = Rig(make_config(make_shift()))
+    while not rig.moves:
+        rig.run(1)
+    rig.run(after_s)
+    fault(rig)
+    before = len(rig.moves)
+    rig.run(60)
+    assert len(rig.moves) == before
+    assert rig.planner.get_status(rig.now)["why"].startswith("status from a")
+
+
+@pytest.mark.parametrize("config", [make_config(), make_config(make_shift(0.0))])
+def test_way_back_is_capped_too(config):
+    """The operators take a shift out of the text when it has arrived."""
+    rig = Rig(make_config(make_shift()))
+    rig.run(100)
+    rig.moves.clear()
+    rig.config = config
+    rig.run(100)
+    assert rig.get_moved() == 0
+    assert rig.get_most_moved(STEP_S) <= CAP + 1e-9
+
+
+def test_step_is_no_larger_than_the_room():
+    """The target's region has little headroom left."""
+    rig = Rig(make_config(make_shift(1.0)))
+    rig.demand_by_zone = {"a": 8.0, "b": 2.0, "c": 7.2}
+    rig.run(200)
+    granted = sum(
+        amount
+        for pair, amount in rig.plan.allowance_by_zones_by_service["status"].items()
+        if pair.endswith(">c")
+    )
+    # Nothing in the rig follows the callers, so each step sees 0.8 free.
+    assert all(moved * 8.0 <= 0.8 + 1e-6 for _, moved in rig.moves)
+    assert granted <= 0.8
+
+
+def test_drained_zone_is_emptied_by_capped_steps():
+    rig = Rig(make_config(drains='{what:"availability_zone",name:"a"}'))
+    rig.run(5)
+    assert rig.plan.get_weights("status", "a") == {"a": 1.0}
+    rig.run(100)
+    assert rig.plan.get_weights("status", "a") == {"b": 1.0}
+
+
+@pytest.mark.parametrize(
+    ("headroom", "in_use", "expected"),
+    [
+        (12.0, {"a": 0, "b": 0}, {"a": 3, "b": 3}),
+        (12.0, {"a": 6, "b": 0}, {"a": 3, "b": 0}),
+        (12.0, {"a": 2, "b": 4}, {"a": 2, "b": 3}),
+        (0.0, {"a": 2, "b": 0}, {"a": 0, "b": 0}),
+        (-3.0, {"a": 2}, {"a": 0}),
+        (7.0, {"a": 0, "b": 0, "c": 0}, {"a": 1, "b": 1, "c": 1}),
+    ],
+)
+def test_allowances_leave_room_for_those_still_in_use(headroom, in_use, expected):
+    assert share_out(headroom, in_use) == expected
+
+
+@given(
+    headroom=st.floats(-5, 100),
+    in_use=st.dictionaries(st.sampled_from("abcdef"), st.integers(0, 30), min_size=1),
+)
+@settings(derandomize=True, max_examples=200, deadline=None)
+def test_allowances_never_sum_past_headroom(headroom, in_use):
+    new = share_out(headroom, in_use)
+    in_force = sum(max(new[zone], in_use[zone]) for zone in in_use)
+    assert in_force <= max(headroom, sum(in_use.values()), 0)
+    assert sum(new.values()) <= max(0.0, headroom) or new == in_use
+
+
+def test_allowance_of_a_zone_that_is_cut_off_stays_reserved():
+    """A zone is cut off with an allowance, and the target fills up.
+
+    Granting its part to another zone would let both send at once.
+    """
+    rig = Rig(make_config())
+    rig.run(20)
+    before = rig.plan.allowance_by_zones_by_service["status"]["a>c"]
+    rig.silent = {"a"}
+    rig.demand_by_zone["c"] = 6.0
+    rig.run(30)
+    reserved = rig.plan.outstanding_by_zones_by_service["status"]
+    assert reserved["a>c"] == before
+    assert rig.plan.allowance_by_zones_by_service["status"].get("b>c", 0) == 0
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["run", "restart", "silent", "heard", "load", "share", "drain", "plain"]
+        ),
+        st.floats(0, 1),
+    ),
+    min_size=5,
+    max_size=25,
+)
+
+
+@given(events=EVENTS)
+@settings(
+    derandomize=True,
+    max_examples=60,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+def test_no_schedule_passes_cap_or_headroom(events):
+    """Planners come and go, measurements stop, operators change their mind."""
+    rig = Rig(make_config(make_shift()))
+    for event, size in events:
+        if event == "restart":
+            rig.start_planner()
+        elif event == "silent":
+            rig.silent = {ZONES[int(size * 2.99)]}
+        elif event == "heard":
+            rig.silent = set()
+        elif event == "load":
+            rig.demand_by_zone["c"] = round(size * 10, 1)
+        elif event == "share":
+            rig.config = make_config(make_shift(round(size, 2)))
+        elif event == "plain":
+            rig.config = make_config()
+        rig.run(1 + 20 * size)
+        assert rig.get_most_moved(STEP_S) <= CAP + 1e-6
+        assert rig.overgranted == []
+
+
+@pytest.mark.parametrize(
+    ("seen_at", "now", "attempts"), [(0.0, 5.9, False), (0.0, 6.1, True)]
+)
+def test_lease_is_taken_when_no_renewal_was_seen(seen_at, now, attempts):
+    """The holder dies; only the observer's own clock says how long ago."""
+    keeper = LeaseKeeper("b", 6.0)
+    keeper.observe(Lease("a", 4), 10, seen_at)
+    keeper.observe(Lease("a", 4), 10, now)
+    assert (keeper.get_attempt(now) is not None) is attempts
+
+
+def test_renewal_keeps_others_away():
+    keeper = LeaseKeeper("b", 6.0)
+    for second in range(30):
+        keeper.observe(Lease("a", second // 2), 10 + second // 2, float(second))
+        assert keeper.get_attempt(float(second)) is None
+
+
+@pytest.mark.parametrize(("paused_until", "holds"), [(5.0, True), (6.5, False)])
+def test_paused_holder_knows_that_its_lease_lapsed(paused_until, holds):
+    """The holder is paused past the lease and goes on believing.
+
+    It must look at the time again before it plans.
+    """
+    keeper = LeaseKeeper("a", 6.0)
+    keeper.observe(None, 0, 0.0)
+    attempt = keeper.get_attempt(0.0)
+    keeper.note_written(attempt, 1, 0.5)
+    assert keeper.holds(paused_until) is holds
+
+
+def test_lost_answer_to_a_renewal_is_read_back():
+    """The write took effect, its answer was lost; it counts from the write."""
+    keeper = LeaseKeeper("a", 6.0)
+    keeper.observe(None, 0, 0.0)
+    attempt = keeper.get_attempt(0.0)
+    keeper.observe(attempt, 1, 3.0)
+    assert keeper.holds(5.9)
+    assert not keeper.holds(6.1)
+
+
+def test_two_candidates_do_not_both_hold():
+    """Two observers see the same lapse and write at once; one is refused."""
+    keepers = [LeaseKeeper(name, 6.0) for name in "bc"]
+    for keeper in keepers:
+        keeper.observe(Lease("a", 4), 10, 0.0)
+    attempts = [keeper.get_attempt(7.0) for keeper in keepers]
+    keepers[0].note_written(attempts[0], 11, 7.1)
+    keepers[1].observe(attempts[0], 11, 7.1)
+    assert [keeper.holds(7.2) for keeper in keepers] == [True, False]
+    assert keepers[1].get_attempt(7.2) is None
