--- a/godwitlanding/desk.py
+++ b/godwitlanding/desk.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from godwitlanding.arbiter import Arbiter, Ask, Grant, Spill
-from godwitlanding.loan import Borrower
+from godwitlanding.borrower import Borrower
 from godwitlanding.messages import OUTCOME_UNUSED, Granted, PassOn, Refused
 
 # Each incarnation of an arbiter numbers its permits in a range of its own,
--- a/godwitlanding/planner.py
+++ b/godwitlanding/planner.py
@@ -20,6 +20,7 @@
 
 from godwitlanding.allowances import get_sources, share_out
 from godwitlanding.plan import EMPTY_PLAN, Plan
+from godwitlanding.room import Room
 from godwitlanding.targets import make_base, make_targets
 
 # Below this a zone's upstreams are not warm enough to be given more.
@@ -30,67 +31,6 @@
 ALLOWANCE_S = 5.0
 
 
-class Room:
-    """Headroom by zone and service, spent as steps are planned."""
-
-    def __init__(self, config, demand, now):
-        self._config = config
-        self._demand = demand
-        self._now = now
-        self._spent = {}
-
-    def get_load(self, zone, service):
-        """Return the zone's ``ServiceLoad`` or ``None``."""
-        return self._demand.get_load(zone, service, self._now)
-
-    def get_headroom(self, zone, service):
-        """Return the free slots; 0 where unknown, less where overspent."""
-        load = self.get_load(zone, service)
-        if load is None:
-            return 0.0
-        region = self._config.region_by_name[self._config.region_by_zone[zone]]
-        free = load.usable_slots * region.load_limit - load.demand
-        return free - self._spent.get((zone, service), 0.0)
-
-    def spend(self, zone, service, slots):
-        """Count slots as taken by a step of this plan."""
-        key = (zone, service)
-        self._spent[key] = self._spent.get(key, 0.0) + slots
-
-    def estimate_origin(self, service, origin, row):
-        """Return the most that an origin's callers can ask for, in slots.
-
-        A zone's demand is the sum over the origins of their weight there,
-        so an origin's demand is at most the zone's divided by its weight.
-        ``None`` where a zone that it uses has no fresh summary.
-        """
-        bounds = []
-        for zone, weight in row.items():
-            if weight <= 0:
-                continue
-            load = self.get_load(zone, service)
-            if load is None:
-                return None
-            bounds.append(load.demand / weight)
-        return min(bounds, default=None)
-
-    def get_dependencies(self, service):
-        """Return what one slot of ``service`` calls for, by service."""
-        own = self._sum_demand(service)
-        factor_by_name = {}
-        todo = list(self._config.service_by_name[service].depends_on)
-        while todo:
-            name = todo.pop()
-            if name not in factor_by_name:
-                factor_by_name[name] = self._sum_demand(name) / own if own else 0.0
-                todo.extend(self._config.service_by_name[name].depends_on)
-        return factor_by_name
-
-    def _sum_demand(self, service):
-        loads = (self.get_load(z, service) for z in self._config.region_by_zone)
-        return sum(load.demand for load in loads if load)
-
-
 class Step(NamedTuple):
     """A row's next weights, or why it stays."""
 
--- a/godwitlanding/tests/test_desk.py
+++ b/godwitlanding/tests/test_desk.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from godwitlanding.borrower import Gain
 from godwitlanding.desk import PERMIT_ID_BITS, Desk
-from godwitlanding.loan import Gain
 from godwitlanding.messages import Acquire, Granted, Held, HeldPermit, Holder
 from godwitlanding.tests.zone_world import World
 
--- a/godwitlanding/tests/test_loan.py
+++ b/godwitlanding/tests/test_loan.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from godwitlanding.loan import Borrower, Handover, Lender
+from godwitlanding.borrower import Borrower
+from godwitlanding.loan import Handover, Lender
 from godwitlanding.messages import FORMER_NONE, GiveBack, Holder, Loan
 from godwitlanding.roster import EMPTY_ROSTER, Candidate, Roster
 from godwitlanding.steward import Steward, Surroundings
