Keep loans and holders in a service of their own; wire poison and links

An owner's answer to a question that did not name a holder yet is not taken: a request that waits could be granted on its upstreams while the owner could not name the holder to the next arbiter. Crashes are told to the zone's other members and to other zones. Link limits reach the arbiters. A VM drained by the text counts as leaving. A late event of a watch is no longer logged as an older platform.

--- a/godwitlanding/borrower.py
+++ b/godwitlanding/borrower.py
@@ -91,6 +91,10 @@
         """
         if self._question_by_owner.get(owner) != loan.number:
             return [], []
+        # A holder that came while the question was under way: this lender
+        # does not know it, and could not name it to the next arbiter.
+        if self._holders - set(loan.holders):
+            return [], []
         before = self._until_by_upstream_by_owner.get(owner, {})
         until = asked_at + lent.valid_s
         gains = []
--- a/godwitlanding/desk.py
+++ b/godwitlanding/desk.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from godwitlanding.arbiter import Arbiter, Ask, Grant, Spill
+from godwitlanding.arbiter import Ask, Grant, Spill
 from godwitlanding.borrower import Borrower
 from godwitlanding.messages import OUTCOME_UNUSED, Granted, PassOn, Refused
 
@@ -31,17 +31,18 @@
 class Desk:
     """Answers requests for the permits of one service."""
 
-    def __init__(self, incarnation, service, first_permit_id, make_arbiter=Arbiter):
-        self.service = service
+    def __init__(self, incarnation, arbiter, first_permit_id):
+        self.service = arbiter.service
         self.active = False
-        self.borrower = Borrower(incarnation, service)
-        self.arbiter = make_arbiter(service, first_permit_id)
+        self.borrower = Borrower(incarnation, arbiter.service)
+        self.arbiter = arbiter
         self.collecting_by_upstream = {}
         self.counts = {"arrivals": 0, "served": 0, "refused": 0, "passed_on": 0}
         self._incarnation = incarnation
         self._first_permit_id = first_permit_id
         self._answer_by_request = {}
         self._arrived_by_request = {}
+        self._valid_s_by_request = {}
         self._holder_by_request = {}
         self._open_by_permit = {}
         self._spilled = set()
@@ -56,6 +57,7 @@
         remaining_s = min(message.remaining_s, deadline_s)
         self._answer_by_request[key] = answer
         self._arrived_by_request[key] = now
+        self._valid_s_by_request[key] = remaining_s
         self._holder_by_request[key] = holder
         self.counts["arrivals"] += 1
         ask = Ask(
@@ -206,7 +208,8 @@
         if isinstance(outcome, Spill):
             self._spilled.add(key)
             self.counts["passed_on"] += 1
-            return PassOn(outcome.availability_zone, 0.0, outcome.waited_s)
+            valid_s = self._valid_s_by_request[key]
+            return PassOn(outcome.availability_zone, valid_s, outcome.waited_s)
         self.counts["refused"] += 1
         return Refused(
             outcome.code.value, outcome.retry_after_s, now - arrived, outcome.detail
@@ -218,6 +221,7 @@
     def _forget(self, key):
         self._answer_by_request.pop(key, None)
         self._arrived_by_request.pop(key, None)
+        self._valid_s_by_request.pop(key, None)
         self._holder_by_request.pop(key, None)
 
     def _unblock(self, upstream, now):
--- a/godwitlanding/membership.py
+++ b/godwitlanding/membership.py
@@ -19,6 +19,8 @@
 STATE_LEAVING = "leaving"
 # The arbiter and two that are tried after it; more only cost bytes.
 ARBITERS_PER_SERVICE = 3
+# Names of VMs that are gone would gather over days of replacements.
+FORGET_AFTER_S = 600.0
 
 
 class Member(NamedTuple):
@@ -51,7 +53,6 @@
         self._timeout_s = timeout_s
         self._started_at = started_at
         self._heard_by_vm = {}
-        self._missing_since_by_vm = {}
 
     def take_list(self, vm_list, now):
         """Take a list of VMs; an older one than the last is passed over."""
@@ -59,10 +60,9 @@
             return False
         self.vm_list = vm_list
         listed = {entry.vm for entry in vm_list.vms}
-        for vm in listed:
-            self._missing_since_by_vm.pop(vm, None)
-        for vm in set(self._heard_by_vm) - listed:
-            self._missing_since_by_vm.setdefault(vm, now)
+        for vm, heard in list(self._heard_by_vm.items()):
+            if vm not in listed and now - heard.at > FORGET_AFTER_S:
+                del self._heard_by_vm[vm]
         return True
 
     def take_heartbeat(self, heartbeat, now):
@@ -90,7 +90,7 @@
         member_by_vm[self.vm] = own
         return member_by_vm
 
-    def get_lowest_version(self, kind, name, own_version):
+    def get_lowest_version(self, kind, name, own_version, now):
         """Return the lowest version that a member has, 0 if one is unheard."""
         lowest = own_version
         vms = {
@@ -98,7 +98,12 @@
             for entry in self.vm_list.vms
             if entry.availability_zone == self._availability_zone
         }
-        for vm in (vms | set(self._heard_by_vm)) - {self.vm}:
+        vms |= {
+            vm
+            for vm, heard in self._heard_by_vm.items()
+            if now - heard.at <= self._timeout_s
+        }
+        for vm in vms - {self.vm}:
             heard = self._heard_by_vm.get(vm)
             held = 0
             for row in heard.heartbeat.versions if heard else ():
--- a/godwitlanding/services/arbitration.py
+++ b/godwitlanding/services/arbitration.py
@@ -3,26 +3,29 @@
 import asyncio
 import secrets
 
+from godwitlanding.arbiter import Arbiter
 from godwitlanding.codes import Code
 from godwitlanding.desk import PERMIT_ID_BITS, Desk
-from godwitlanding.health import UpstreamHealth
+from godwitlanding.health import DRAINING, UpstreamHealth
 from godwitlanding.kernel import Service
 from godwitlanding.messages import (
+    OUTCOME_CRASHED,
+    OUTCOME_LEAVING,
+    OUTCOME_OK,
     Acquire,
     Failure,
-    Held,
     Holder,
-    Holdings,
-    Lent,
+    Poison,
     Release,
     Signal,
     Withdraw,
 )
+from godwitlanding.poison import PoisonLedger
+from godwitlanding.spill import LinkMeter
 from godwitlanding.tasks import Tasks
 
-# An owner that takes longer is counted as silent for this round.
-LOAN_TIMEOUT_S = 0.5
-HOLDINGS_TIMEOUT_S = 0.5
+# A crash is told to the zone's members and to this many VMs elsewhere.
+MAX_TOLD_ELSEWHERE = 64
 _PERMIT_RANGE_BITS = 31
 
 
@@ -30,16 +33,15 @@
     """Runs a ``Desk`` for each service and keeps its loans."""
 
     name = "arbitration"
-    needs = ("peers", "members", "configuration", "lending")
+    needs = ("peers", "members", "configuration", "borrowing")
 
     def __init__(self, context):
         self.desk_by_service = {}
         self.health_by_service = {}
         self._context = context
         self._tasks = Tasks()
-        self._asking = set()
-        self._holder_tasks = {}
-        self._channel_by_holder = {}
+        self._poison = PoisonLedger()
+        self._meter_by_zone = {}
         self._timer = None
         self._stopping = False
 
@@ -47,13 +49,14 @@
         """Begin to renew loans."""
         self._members = kernel.get("members")
         self._configuration = kernel.get("configuration")
-        self._lending = kernel.get("lending")
+        self._borrowing = kernel.get("borrowing")
         peers = kernel.get("peers")
         self._pool = peers.pool
         peers.handle(Acquire, self._acquire)
         peers.handle(Release, self._release)
         peers.handle(Withdraw, self._withdraw)
         peers.handle(Signal, self._take_signal)
+        peers.handle(Poison, self._take_poison)
         self._members.listen(self._choose_services)
         self._tasks.repeat(self._context.settings["heartbeat_s"], self._renew)
 
@@ -130,7 +133,14 @@
         desk = self.desk_by_service.get(service.name)
         if desk is None:
             first = secrets.randbits(_PERMIT_RANGE_BITS) + 1 << PERMIT_ID_BITS
-            desk = Desk(self._context.incarnation, service.name, first)
+            arbiter = Arbiter(
+                service.name,
+                first,
+                service.work_s,
+                service.slow_start_s,
+                self._poison,
+            )
+            desk = Desk(self._context.incarnation, arbiter, first)
             self.desk_by_service[service.name] = desk
             self.health_by_service[service.name] = UpstreamHealth()
         desk.active = True
@@ -141,20 +151,10 @@
     def _close(self, desk):
         now = self._now()
         desk.close(Failure(Code.NO_ARBITER.value))
-        for owner in desk.borrower.get_owners():
-            desk.lose(desk.borrower.drop_owner(owner))
-            self._give_back(owner, desk.borrower.make_give_back())
+        self._borrowing.give_back(desk)
         desk.tick(now)
         self._context.counters.add("arbiter_closed", service=desk.service)
 
-    def _give_back(self, owner, message):
-        if owner == self._context.vm:
-            self._lending.take_give_back(message)
-            return
-        address = self._members.get_peer_addresses().get(owner)
-        if address:
-            self._tasks.run(self._pool.send(address, message))
-
     def _apply_config(self, desk, service):
         upstreams = service.get_upstreams(self._context.availability_zone)
         desk.set_addresses({u.id: u.address for u in upstreams})
@@ -163,9 +163,23 @@
             service.name, self._context.availability_zone
         )
         now = self._now()
+        for zone, meter in self._get_meters().items():
+            desk.arbiter.spill.set_meter(zone, meter)
         desk.take(desk.arbiter.set_allowances(allowances, now), now)
         self.refresh_usable(service.name)
 
+    def _get_meters(self):
+        """Return a meter a link; the services of a zone share it."""
+        own = self._context.availability_zone
+        for (source, target), link in self._configuration.config.link_by_zones.items():
+            if source != own:
+                continue
+            meter = self._meter_by_zone.get(target)
+            limits = (link.requests_per_s, link.bytes_per_s)
+            if meter is None or (meter.requests_per_s, meter.bytes_per_s) != limits:
+                self._meter_by_zone[target] = LinkMeter(*limits)
+        return self._meter_by_zone
+
     def _note_drains(self, config, service, health, now):
         zone = self._context.availability_zone
         for upstream in config.service_by_name[service].get_upstreams(zone):
@@ -181,94 +195,12 @@
             desk = self.desk_by_service.get(name)
             if desk and desk.active:
                 self._apply_config(desk, service)
-                self._forget_holders(desk)
                 self._tasks.run(self._renew_desk(desk))
 
-    def _forget_holders(self, desk):
-        holders_open = desk.list_holders(self._now())
-        for holder, channel in list(self._channel_by_holder.items()):
-            if channel.closed.is_set() and holder not in holders_open:
-                desk.borrower.remove_holder(holder)
-
     async def _renew_desk(self, desk):
-        owners = self._lending.get_owners()
-        addresses = self._members.get_peer_addresses()
-        members = self._members.member_by_vm
-        await asyncio.gather(
-            *(
-                self._ask_owner(desk, owner, addresses.get(owner))
-                for owner in owners
-                if owner == self._context.vm
-                or (owner in members and members[owner].alive)
-            )
-        )
-        await self._collect(desk)
+        await self._borrowing.renew(desk)
         self._schedule()
 
-    async def _ask_owner(self, desk, owner, address):
-        # One question at a time: the owner takes what a question does not
-        # list as given back, which a second one under way would upset.
-        key = (desk.service, owner)
-        if key in self._asking:
-            return
-        self._asking.add(key)
-        try:
-            asked_at = self._now()
-            loan = desk.borrower.make_loan(owner, asked_at)
-            if owner == self._context.vm:
-                lent = self._lending.lend(owner, loan)
-            else:
-                answer = await self._pool.call(address, loan, LOAN_TIMEOUT_S)
-                lent = answer.unwrap_or(None)
-            if isinstance(lent, Lent) and desk.active:
-                self._take_lent(desk, owner, loan, lent, asked_at)
-            elif not isinstance(lent, Lent):
-                self._context.counters.add("loans_unanswered", service=desk.service)
-        finally:
-            self._asking.discard(key)
-
-    def _take_lent(self, desk, owner, loan, lent, asked_at):
-        now = self._now()
-        permit_s = self._lending.get_longest_permit_s(desk.service)
-        gains, lost = desk.borrower.take_lent(
-            owner, loan, lent, asked_at, permit_s, now
-        )
-        desk.lose(lost)
-        config = self._configuration.config
-        known = config.service_by_name[desk.service].upstream_by_id
-        for gain in gains:
-            if gain.upstream in known:
-                desk.take_gain(gain, known[gain.upstream].slots, now)
-
-    async def _collect(self, desk):
-        await asyncio.gather(
-            *(
-                self._ask_holder(desk, holder, tuple(upstreams))
-                for holder, upstreams in desk.get_unanswered().items()
-            )
-        )
-
-    async def _ask_holder(self, desk, holder, upstreams):
-        """Ask for open permits; ``False`` where the holder did not answer."""
-        member = self._members.member_by_vm.get(holder.vm)
-        if member is None or not member.address:
-            return False
-        address = f"{member.address}:{self._context.settings['entry_peer_port']}"
-        dialled = await self._pool.get_channel(address)
-        if dialled.is_err():
-            return False
-        channel = dialled.unwrap()
-        # A new incarnation knows nothing of the permits of the former one,
-        # whose work the upstream may still be running: let them end.
-        if channel.peer.incarnation != holder.incarnation:
-            return False
-        question = Holdings(self._context.incarnation, desk.service, upstreams)
-        answer = await channel.call(question, HOLDINGS_TIMEOUT_S)
-        if answer.is_err() or not isinstance(answer.unwrap(), Held):
-            return False
-        desk.take_held(holder, upstreams, answer.unwrap(), self._now())
-        return True
-
     async def _acquire(self, channel, message):
         config = self._configuration.config
         if config is None or message.service not in config.service_by_name:
@@ -277,8 +209,9 @@
         if desk is None or not desk.active:
             return Failure(Code.NO_ARBITER.value)
         holder = Holder(channel.peer.vm, channel.peer.incarnation)
-        if not await self._introduce(desk, holder, channel):
-            return Failure(Code.NO_ARBITER.value, "the lenders do not answer")
+        await self._borrowing.introduce(desk, holder, channel)
+        if not desk.active:
+            return Failure(Code.NO_ARBITER.value)
         return await self._decide(desk, holder, message, config)
 
     async def _decide(self, desk, holder, message, config):
@@ -298,37 +231,6 @@
             desk.withdraw(key, self._now())
             raise
 
-    async def _introduce(self, desk, holder, channel):
-        """Let lenders know a holder before it is granted its first permit."""
-        if desk.borrower.may_grant_to(holder, self._now()):
-            return True
-        key = (desk.service, holder)
-        task = self._holder_tasks.get(key)
-        if task is None:
-            self._channel_by_holder[holder] = channel
-            task = self._tasks.run(self._tell_lenders(desk, holder))
-            self._holder_tasks[key] = task
-            task.add_done_callback(lambda _: self._holder_tasks.pop(key, None))
-        return await asyncio.shield(task)
-
-    async def _tell_lenders(self, desk, holder):
-        desk.borrower.add_holder(holder)
-        await self._ask_holder(desk, holder, self._get_local_ids(desk.service))
-        await self._renew_desk(desk)
-        if not desk.borrower.may_grant_to(holder, self._now()):
-            # A renewal that was under way did not name the holder yet.
-            await asyncio.sleep(LOAN_TIMEOUT_S / 10)
-            await self._renew_desk(desk)
-        for owner in desk.borrower.get_untold(holder, self._now()):
-            desk.lose(desk.borrower.drop_owner(owner))
-        return True
-
-    def _get_local_ids(self, service):
-        config = self._configuration.config
-        zone = self._context.availability_zone
-        upstreams = config.service_by_name[service].get_upstreams(zone)
-        return tuple(upstream.id for upstream in upstreams)
-
     async def _release(self, channel, message):
         now = self._now()
         for desk in self.desk_by_service.values():
@@ -337,14 +239,35 @@
             if service and message.upstream in service.upstream_by_id:
                 desk.release(message, now)
                 self._note_outcome(desk.service, message, now)
+        if message.outcome == OUTCOME_CRASHED and message.fingerprint:
+            self._tell_poison(Poison(message.fingerprint, message.upstream, 1))
         self._schedule()
 
+    def _tell_poison(self, poison):
+        """Warn the arbiters after this one, and those of other zones.
+
+        The caller sends a request again that crashed its upstream, here or
+        where it tries next; each arbiter alone would lose two upstreams.
+        """
+        addresses = set(self._members.get_peer_addresses().values())
+        addresses |= set(self._members.get_addresses_elsewhere()[:MAX_TOLD_ELSEWHERE])
+        for address in addresses:
+            self._tasks.run(self._pool.send(address, poison))
+
+    async def _take_poison(self, channel, message):
+        now = self._now()
+        self._poison.note_report(
+            message.fingerprint, message.upstream, message.crashes, now
+        )
+        self._context.counters.add("poison_noted", upstream=message.upstream)
+        self._tick()
+
     def _note_outcome(self, service, message, now):
         health = self.health_by_service[service]
-        if message.outcome == "leaving":
-            health.note_word(message.upstream, "draining", now)
+        if message.outcome == OUTCOME_LEAVING:
+            health.note_word(message.upstream, DRAINING, now)
             self.refresh_usable(service)
-        elif message.outcome == "ok":
+        elif message.outcome == OUTCOME_OK:
             health.note_success(message.upstream, now)
 
     async def _withdraw(self, channel, message):
--- a/godwitlanding/services/members.py
+++ b/godwitlanding/services/members.py
@@ -103,6 +103,16 @@
             if vm != self._context.vm and member.address
         }
 
+    def get_addresses_elsewhere(self):
+        """Return ``ip:port`` of zone daemons in other zones."""
+        port = self._context.settings["zone_port"]
+        zone = self._context.availability_zone
+        return [
+            f"{entry.address}:{port}"
+            for entry in self.membership.vm_list.vms
+            if entry.availability_zone != zone
+        ]
+
     def get_lowest_version(self, kind, name):
         """Return the version that every listed member has shown it has.
 
@@ -110,7 +120,7 @@
         none: it may be paused and still answer callers by an old version.
         """
         return self.membership.get_lowest_version(
-            kind, name, self._context.replica.get_version(kind, name)
+            kind, name, self._context.replica.get_version(kind, name), self._now()
         )
 
     async def announce(self):
@@ -125,7 +135,8 @@
     def refresh(self):
         """Work out the view again and publish it if it has changed."""
         now = self._now()
-        self.member_by_vm = self.membership.get_members(now, self._make_heartbeat())
+        members = self.membership.get_members(now, self._make_heartbeat())
+        self.member_by_vm = self._mark_drained(members)
         self._note_alive(now)
         if self.is_settled():
             self._publish()
@@ -147,6 +158,15 @@
     def _now(self):
         return asyncio.get_running_loop().time()
 
+    def _mark_drained(self, member_by_vm):
+        config = self._configuration.config
+        if config is None:
+            return member_by_vm
+        return {
+            vm: member._replace(leaving=member.leaving or config.is_drained("vm", vm))
+            for vm, member in member_by_vm.items()
+        }
+
     def _note_alive(self, now):
         for vm, member in self.member_by_vm.items():
             if member.alive:
--- a/godwitlanding/services/replication.py
+++ b/godwitlanding/services/replication.py
@@ -139,7 +139,7 @@
             self._after_by_kind[kind] = batch.version
             for event in batch.events:
                 if not event.deleted:
-                    self._take_from_platform(event.stored)
+                    self._take_from_platform(event.stored, batch.version)
             if kind == "secret":
                 await self._create_secret()
             if kind == "summary":
@@ -157,13 +157,18 @@
             self._members.platform_reachable = False
         await asyncio.sleep(max(RETRY_S, refusal.retry_after_s))
 
-    def _take_from_platform(self, stored):
+    def _take_from_platform(self, stored, platform_version):
         state = State(stored.kind, stored.name, stored.version, stored.value)
         key = f"{state.kind}/{state.name}"
-        if state.version < self._context.replica.get_version(state.kind, state.name):
-            self._stored_older_by_key[key] = state.version
-        else:
+        held = self._context.replica.get_version(state.kind, state.name)
+        if held <= platform_version:
             self._stored_older_by_key.pop(key, None)
+        if state.version < held <= platform_version:
+            # Only late: what is held came by a peer or by an own write, and
+            # the watch will bring it too.
+            return
+        if state.version < held:
+            self._stored_older_by_key[key] = state.version
         if self._context.replica.offer(state):
             self._pass_on(state)
 
--- a/godwitlanding/tests/test_desk.py
+++ b/godwitlanding/tests/test_desk.py
@@ -3,9 +3,8 @@
 import pytest
 
 from godwitlanding.borrower import Gain
-from godwitlanding.desk import PERMIT_ID_BITS, Desk
 from godwitlanding.messages import Acquire, Granted, Held, HeldPermit, Holder
-from godwitlanding.tests.zone_world import World
+from godwitlanding.tests.zone_world import World, make_desk as make_zone_desk
 
 HOLDER = Holder("vm1", "vm1-entry-1")
 OTHER = Holder("vm2", "vm2-entry-1")
@@ -13,7 +12,7 @@
 
 
 def make_desk(asks, blocked_s=BLOCK_S):
-    desk = Desk("b", "status", 7 << PERMIT_ID_BITS)
+    desk = make_zone_desk("b", 7)
     desk.set_addresses({"u1": "10.0.0.1:1"})
     desk.active = True
     desk.take_gain(Gain("u1", 99.0, True, blocked_s, asks), 1, 0.0)
--- a/godwitlanding/tests/zone_world.py
+++ b/godwitlanding/tests/zone_world.py
@@ -9,6 +9,7 @@
 import random
 from typing import NamedTuple
 
+from godwitlanding.arbiter import Arbiter
 from godwitlanding.desk import PERMIT_ID_BITS, Desk
 from godwitlanding.messages import (
     Acquire,
@@ -31,6 +32,12 @@
 LIST_LAG_S = 1.0
 
 
+def make_desk(incarnation, number):
+    """Return a desk that numbers its permits in a range of its own."""
+    first = number << PERMIT_ID_BITS
+    return Desk(incarnation, Arbiter(SERVICE, first), first)
+
+
 class Running(NamedTuple):
     """A request on an upstream, which itself ends it at its deadline."""
 
@@ -66,7 +73,7 @@
         self.incarnation = f"{vm}-zone-{number}"
         self.paused = False
         self.steward = Steward(vm, self.incarnation, LOAN_S, world.now)
-        self.desk = Desk(self.incarnation, SERVICE, number << PERMIT_ID_BITS)
+        self.desk = make_desk(self.incarnation, number)
         self.desk.set_addresses({u: u for u in world.slots_by_upstream})
         self.heard_at_by_vm = {}
         self.since_by_vm = {}
--- a/godwitlanding/zone.py
+++ b/godwitlanding/zone.py
@@ -6,6 +6,7 @@
 
 from godwitlanding.daemon import run_daemon
 from godwitlanding.services.arbitration import Arbitration
+from godwitlanding.services.borrowing import Borrowing
 from godwitlanding.services.configuration import Configuration
 from godwitlanding.services.departure import Departure
 from godwitlanding.services.lending import Lending
@@ -43,6 +44,7 @@
         Members(context),
         replication,
         Lending(context),
+        Borrowing(context),
         Arbitration(context),
         Probes(context),
         Summary(context),
