--- /dev/null
+++ b/godwitlanding/tests/test_zone.py
@@ -0,0 +1,227 @@
+"""Zone daemons together: members, replicas, permits, drains, the planner."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from godwitlanding.messages import Acquire, Granted, Signal
+from godwitlanding.tests.memory_wire import Daemon, MemoryZone
+
+pytestmark = pytest.mark.looptime
+
+VMS = ("vm1", "vm2", "vm3", "vm4")
+UPSTREAMS = ("s-1", "s-2", "s-3", "s-4", "s-5", "s-6")
+
+
+def make_text(drains="", comment=""):
+    upstreams = ",".join(
+        f'{{id:"{name}",address:"10.0.1.{n}:1",availability_zone:"a",slots:1}}'
+        for n, name in enumerate(UPSTREAMS)
+    )
+    return f"""// {comment}
+    {{format:1,name:"t",
+      regions:[{{name:"n",availability_zones:["a","b"]}}],
+      services:[{{name:"status",kind:"lookup",deadline_s:2,upstreams:[{upstreams}]}}],
+      drains:[{drains}]}}""".encode()
+
+
+@asynccontextmanager
+async def run_zone(vms=VMS, **keywords):
+    zone = MemoryZone(vms, **keywords)
+    (await zone.store.put("config", "main", make_text(), 0)).unwrap()
+    await zone.start()
+    await asyncio.sleep(5)
+    try:
+        yield zone
+    finally:
+        await zone.stop()
+
+
+async def change_text(zone, text):
+    held = (await zone.store.get("config", "main")).unwrap()
+    return (await zone.store.put("config", "main", text, held.version)).unwrap()
+
+
+def get_arbiter(zone, asked_by=None):
+    daemon = asked_by or next(iter(zone.daemon_by_vm.values()))
+    vm = daemon.get("members").get_arbiters()["status"][0]
+    return zone.daemon_by_vm[vm]
+
+
+async def acquire(daemon, arbiter, number, excluded=()):
+    message = Acquire(
+        "status", f"r{number}", "c", 1, 1.0, excluded_upstreams=tuple(excluded)
+    )
+    answer = await daemon.entry_pool.call(arbiter.own_address, message, 2.0)
+    return answer.unwrap_or(None)
+
+
+async def test_every_slot_is_granted_once():
+    async with run_zone() as zone:
+        arbiter = get_arbiter(zone)
+        holders = list(zone.daemon_by_vm.values())
+        calls = (acquire(holders[n % 4], arbiter, n) for n in range(len(UPSTREAMS)))
+        answers = await asyncio.gather(*calls)
+        assert sorted(a.upstream for a in answers) == sorted(UPSTREAMS)
+        more = await acquire(holders[0], arbiter, 99)
+        assert not isinstance(more, Granted)
+
+
+async def test_change_reaches_every_process_by_two_watchers():
+    """A change is accepted; only two members read the platform for it."""
+    async with run_zone() as zone:
+        version = await change_text(zone, make_text(comment="new"))
+        await asyncio.sleep(0.1)
+        for daemon in zone.daemon_by_vm.values():
+            for replica in (daemon.context.replica, daemon.entry_context.replica):
+                assert replica.get_version("config", "main") == version
+        watchers = [
+            vm
+            for vm, daemon in zone.daemon_by_vm.items()
+            if daemon.get("replication").get_status()["is_watcher"]
+        ]
+        assert len(watchers) == 2
+
+
+@pytest.mark.parametrize("seeds", [(), ("10.0.0.1",)])
+async def test_vm_started_while_the_platform_is_away(seeds):
+    """A VM is replaced during an outage of the platform.
+
+    It serves by what its peers hold; with nobody to ask it stays unready.
+    """
+    async with run_zone(("vm1", "vm2")) as zone:
+        zone.store.set_available(False)
+        await asyncio.sleep(3)
+        daemon = Daemon(zone.network, zone.store, "vm9", "a", seeds)
+        zone.daemon_by_vm["vm9"] = daemon
+        await daemon.start()
+        await asyncio.sleep(5)
+        assert daemon.get("replication").is_ready() is bool(seeds)
+        if seeds:
+            assert get_arbiter(zone, daemon) is get_arbiter(zone)
+            assert isinstance(await acquire(daemon, get_arbiter(zone), 1), Granted)
+
+
+async def test_older_platform_is_refused_and_shown():
+    """The platform is restored from a backup and offers an older text."""
+    async with run_zone(("vm1", "vm2")) as zone:
+        backup = zone.store.objects.take_snapshot()
+        version = await change_text(zone, make_text(comment="new"))
+        await asyncio.sleep(1)
+        zone.store.objects.restore(backup)
+        await asyncio.sleep(3)
+        for daemon in zone.daemon_by_vm.values():
+            assert daemon.context.replica.get_version("config", "main") == version
+            status = daemon.get("replication").get_status()
+            assert "config/main" in status["older_on_platform"]
+
+
+def drain_by_text(zone, arbiter):
+    text = make_text('{what:"upstream",name:"s-1"}')
+    return change_text(zone, text)
+
+
+async def drain_by_word(zone, arbiter):
+    message = Signal("s-1", "draining")
+    await arbiter.entry_pool.send(arbiter.own_address, message)
+
+
+async def drain_by_probe(zone, arbiter):
+    health = arbiter.get("arbitration").health_by_service["status"]
+    health.note_probe("s-1", "draining", asyncio.get_running_loop().time())
+
+
+@pytest.mark.parametrize("drain", [drain_by_text, drain_by_word, drain_by_probe])
+async def test_leaving_upstream_gets_nothing_new(drain):
+    """An upstream leaves; the first of three sources that says so counts."""
+    async with run_zone() as zone:
+        arbiter = get_arbiter(zone)
+        others = set(UPSTREAMS) - {"s-1"}
+        assert isinstance(await acquire(arbiter, arbiter, 1, others), Granted)
+        await asyncio.sleep(3)
+        await drain(zone, arbiter)
+        await asyncio.sleep(2)
+        assert not isinstance(await acquire(arbiter, arbiter, 2, others), Granted)
+        assert isinstance(await acquire(arbiter, arbiter, 3), Granted)
+
+
+async def test_killed_arbiter_is_replaced():
+    """An arbiter dies; its service is granted again by another member."""
+    async with run_zone() as zone:
+        arbiter = get_arbiter(zone)
+        del zone.daemon_by_vm[arbiter.vm]
+        await arbiter.kill()
+        await asyncio.sleep(6)
+        heir = get_arbiter(zone)
+        assert heir is not arbiter
+        granted = await acquire(heir, heir, 1)
+        assert isinstance(granted, Granted)
+
+
+async def test_stopped_daemon_gives_everything_away_first():
+    """A VM is stopped as planned: its slots stay in use without a pause."""
+    async with run_zone() as zone:
+        arbiter = get_arbiter(zone)
+        del zone.daemon_by_vm[arbiter.vm]
+        await arbiter.kernel.stop()
+        await asyncio.sleep(1)
+        roster = next(iter(zone.daemon_by_vm.values())).get("lending").get_owners()
+        assert arbiter.vm not in roster
+        heir = get_arbiter(zone)
+        calls = (acquire(heir, heir, n) for n in range(len(UPSTREAMS)))
+        answers = await asyncio.gather(*calls)
+        assert sorted(a.upstream for a in answers) == sorted(UPSTREAMS)
+
+
+async def test_member_without_peers_keeps_its_own_upstreams():
+    """A member is cut off from its zone: nobody else uses its upstreams."""
+    async with run_zone() as zone:
+        daemons = list(zone.daemon_by_vm.values())
+        alone = daemons[0]
+        own = set(alone.get("lending").get_status()["loan_by_upstream"])
+        for other in daemons[1:]:
+            zone.network.cuts.add(frozenset((alone.vm, other.vm)))
+        await asyncio.sleep(8)
+        answers = await asyncio.gather(
+            *(acquire(alone, alone, n) for n in range(len(own)))
+        )
+        assert {a.upstream for a in answers if isinstance(a, Granted)} == own
+        heir = get_arbiter(zone, daemons[1])
+        answers = await asyncio.gather(
+            *(acquire(daemons[1], heir, n) for n in range(len(UPSTREAMS)))
+        )
+        granted = {a.upstream for a in answers if isinstance(a, Granted)}
+        assert granted == set(UPSTREAMS) - own
+
+
+async def test_planner_is_replaced():
+    """The planner's VM dies; another zone's candidate takes the lease."""
+    zones = {"vm1": "a", "vm2": "a", "vm3": "b", "vm4": "b"}
+    async with run_zone(zone_by_vm=zones) as zone:
+
+        def list_planners():
+            return [
+                daemon.vm
+                for daemon in zone.daemon_by_vm.values()
+                if daemon.get("planner").get_status()["holds_lease"]
+            ]
+
+        (planner,) = list_planners()
+        await zone.daemon_by_vm.pop(planner).kill()
+        zone.list_vms()
+        await asyncio.sleep(9)
+        assert len(list_planners()) == 1
+        plan = next(iter(zone.daemon_by_vm.values())).context.replica.get(
+            "plan", "main"
+        )
+        assert plan is not None
+
+
+async def test_secret_is_made_once():
+    async with run_zone(("vm1", "vm2")) as zone:
+        keys = {
+            daemon.context.replica.get("secret", "ticket").body
+            for daemon in zone.daemon_by_vm.values()
+        }
+        assert len(keys) == 1
