--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -115,13 +115,21 @@
 
     async def start_vm(self, vm):
         """Start the three daemons of a VM."""
-        path = self.directory / f"{vm}.json5"
-        path.write_text(json.dumps(self._make_settings(vm)))
         for role in ROLES:
-            module = f"godwitlanding.{role}"
-            await self._processes.spawn((vm, role), module, "--settings", path)
+            await self.start_role(vm, role)
         self.killed.discard(vm)
 
+    async def start_role(self, vm, role):
+        """Start one daemon of a VM, for the first time or again."""
+        path = self.directory / f"{vm}.json5"
+        path.write_text(json.dumps(self._make_settings(vm)))
+        module = f"godwitlanding.{role}"
+        await self._processes.spawn((vm, role), module, "--settings", path)
+
+    def get_pid(self, vm, role):
+        """Return the process id of a daemon."""
+        return self._processes.get_pid((vm, role))
+
     async def kill_vm(self, vm):
         """Kill the three daemons of a VM; its row leaves the list of VMs."""
         self.killed.add(vm)
--- a/godwitlanding/tests/tools/processes.py
+++ b/godwitlanding/tests/tools/processes.py
@@ -20,6 +20,10 @@
         """Return the keys of all processes, those that have ended too."""
         return list(self._process_by_key)
 
+    def get_pid(self, key):
+        """Return the process id of a key."""
+        return self._process_by_key[key].pid
+
     async def spawn(self, key, module, *arguments):
         """Run a module; what it writes goes to a log named by its key."""
         with self._get_log_path(key).open("ab") as log:
