--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -126,6 +126,10 @@
         module = f"godwitlanding.{role}"
         await self._processes.spawn((vm, role), module, "--settings", path)
 
+    async def wait_for_end(self, vm, role):
+        """Return the exit code of a daemon once it has ended."""
+        return await self._processes.wait((vm, role))
+
     def get_pid(self, vm, role):
         """Return the process id of a daemon."""
         return self._processes.get_pid((vm, role))
