--- a/godwitlanding/services/feed.py
+++ b/godwitlanding/services/feed.py
@@ -16,6 +16,7 @@
 from godwitlanding.codes import Code
 from godwitlanding.kernel import Service
 from godwitlanding.messages import Fetch, State, Subscribe
+from godwitlanding.tasks import end_tasks
 from godwitlanding.view import MEMBERS_KIND, View
 from godwitlanding.wire import Pool
 
@@ -50,9 +51,7 @@
     async def stop(self):
         """Stop following and close all connections."""
         if self._task:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+            await end_tasks([self._task])
         await self.pool.stop()
 
     def is_ready(self):
--- a/godwitlanding/services/replication.py
+++ b/godwitlanding/services/replication.py
@@ -15,7 +15,7 @@
 from godwitlanding.membership import choose_reachable
 from godwitlanding.messages import Failure, Fetch, State, Subscribe
 from godwitlanding.services.members import VMS_KIND, format_vm_list
-from godwitlanding.tasks import Tasks
+from godwitlanding.tasks import Tasks, end_tasks
 
 WATCHED_KINDS = ("config", "plan", "secret", "roster", "summary", "blocks")
 WATCHERS = 2
@@ -63,8 +63,6 @@
 
     async def stop(self):
         """End the watches."""
-        for task in self._watch_task_by_kind.values():
-            task.cancel()
         await self._tasks.stop()
 
     def is_ready(self):
@@ -120,8 +118,8 @@
             if wanted and (task is None or task.done()):
                 self._watch_task_by_kind[kind] = self._tasks.run(self._watch(kind))
             elif task and not wanted:
-                task.cancel()
                 del self._watch_task_by_kind[kind]
+                await end_tasks([task])
 
     async def _watch(self, kind):
         while True:
--- a/godwitlanding/tasks.py
+++ b/godwitlanding/tasks.py
@@ -5,6 +5,24 @@
 
 from godwitlanding.log import log_error
 
+# Between two cancellations a task may tidy up.
+_CANCEL_AGAIN_S = 0.2
+
+
+async def end_tasks(tasks):
+    """Cancel tasks and wait until all have ended.
+
+    asyncio.wait_for of Python 3.11 returns its answer and forgets the
+    cancellation when both come together. A loop around it then goes on,
+    and a stop that cancelled it once would wait for it for ever; so those
+    that are left are cancelled again.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=_CANCEL_AGAIN_S)
+
 
 class Tasks:
     """Background coroutines of a service, ended together."""
@@ -25,10 +43,7 @@
 
     async def stop(self):
         """Cancel what still runs and wait for its end."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(self._tasks)
 
     def _end(self, task):
         self._tasks.discard(task)
--- /dev/null
+++ b/godwitlanding/tests/test_tasks.py
@@ -0,0 +1,58 @@
+"""Background tasks end when they are told to."""
+
+import asyncio
+
+import pytest
+
+from godwitlanding.tasks import Tasks, end_tasks
+
+
+async def wait_in_turns(answered, rounds):
+    """Wait for answers as the loops of services do."""
+    while True:
+        await asyncio.wait_for(answered.wait(), 1000)
+        answered.clear()
+        rounds.append(1)
+
+
+async def run_and_answer(tasks):
+    """Run a loop whose answer comes just before it is cancelled."""
+    answered = asyncio.Event()
+    rounds = []
+    task = tasks.run(wait_in_turns(answered, rounds))
+    await asyncio.sleep(1)
+    answered.set()
+    # The inner wait ends here, the loop itself has not run on yet.
+    await asyncio.sleep(0)
+    return task, rounds
+
+
+@pytest.mark.looptime
+async def test_answer_and_cancellation_come_together():
+    """A loop is told to stop in the moment in which its answer arrives.
+
+    asyncio.wait_for then returns the answer and the cancellation is lost:
+    the loop would go on, and a planned stop would never come to its end.
+    """
+    tasks = Tasks()
+    task, rounds = await run_and_answer(tasks)
+    await asyncio.wait_for(tasks.stop(), 60)
+    assert task.done()
+    assert rounds == [1]
+
+
+@pytest.mark.looptime
+async def test_one_task_is_ended_among_others():
+    """A member that watches no longer must not go on watching unseen."""
+    tasks = Tasks()
+    other = tasks.run(asyncio.sleep(10_000))
+    task, _ = await run_and_answer(tasks)
+    await asyncio.wait_for(end_tasks([task]), 60)
+    assert task.done() and not other.done()
+    await tasks.stop()
+
+
+@pytest.mark.looptime
+async def test_ending_nothing_ends_at_once():
+    await end_tasks([])
+    await Tasks().stop()
--- a/godwitlanding/tests/tools/bench_zone.py
+++ b/godwitlanding/tests/tools/bench_zone.py
@@ -140,9 +140,7 @@
         return (await self.store.put(kind, name, body, expected)).unwrap()
 
     async def wait_for(self, wanted):
-        """Return the seconds until all hold ``{(kind, name): version}``."""
-        loop = asyncio.get_running_loop()
-        began = loop.time()
+        """Wait until all hold the versions ``{(kind, name): version}``."""
         waiting = set()
         done = asyncio.Event()
 
@@ -165,13 +163,13 @@
                 follow(context, number)
         if waiting:
             await asyncio.wait_for(done.wait(), _LIMIT_S)
-        return loop.time() - began
 
 
 async def measure_change(fleet, traffic, kind, changes):
-    """Return messages, bytes and seconds until the last has the changes."""
+    """Return messages, bytes, seconds from first write to last, and calls."""
     traffic.clear()
     calls = sum(fleet.store.calls.values())
+    began = asyncio.get_running_loop().time()
     wanted = {}
     for number in range(1, changes + 1):
         if kind == "config":
@@ -182,7 +180,8 @@
             key = ("blocks", f"delta-{number:08}")
             body = format_delta(number, [change])
         wanted[key] = await fleet.put(*key, body)
-    took_s = await fleet.wait_for(wanted)
+    await fleet.wait_for(wanted)
+    took_s = asyncio.get_running_loop().time() - began
     reads = sum(fleet.store.calls.values()) - calls - changes
     return traffic.messages["State"], traffic.bytes["State"], took_s, reads
 
