--- a/godwitlanding/tests/tools/bench_capacity.py
+++ b/godwitlanding/tests/tools/bench_capacity.py
@@ -22,6 +22,7 @@
     ("bench_steer", "--profile"),
     ("bench_zone",),
     ("bench_control",),
+    ("bench_journal",),
 )
 
 
--- /dev/null
+++ b/godwitlanding/tests/tools/bench_journal.py
@@ -0,0 +1,125 @@
+"""Measures what non-idempotent work costs the platform and its home.
+
+    python -m godwitlanding.tests.tools.bench_journal
+
+The real journal of one entry process against the platform in memory:
+writes a second by payments a second, and the size and processor time of
+one write by the number of records that it carries.
+"""
+
+import argparse
+import asyncio
+import sys
+import time
+import uuid
+
+from godwitlanding.daemon import make_context
+from godwitlanding.journal import Journal
+from godwitlanding.journaltext import Outcome
+from godwitlanding.services.journal import JournalWriter
+from godwitlanding.settings import check_settings
+from godwitlanding.tests.support import FakeStore
+from godwitlanding.tests.tools.measure import format_table, plot
+from godwitlanding.ticket import JOURNALED, Ticket
+
+RATES = (1, 5, 20, 100)
+SECONDS = 6.0
+WORK_S = 0.3
+RECORDS = (10, 100, 1000)
+BODY = b"x" * 300
+SETTINGS = """{vm: "v", address: "127.0.50.1", availability_zone: "z",
+    platform_url: "http://127.0.50.1:1"}"""
+
+
+def make_ticket():
+    """Return a ticket that nobody used yet."""
+    return Ticket("pay", JOURNALED, "v", "v-1", int(time.time()), uuid.uuid4().hex)
+
+
+def make_outcome(body=BODY):
+    """Return the outcome of a payment."""
+    return Outcome(200, (("content-type", "application/json"),), body)
+
+
+async def measure_rate(rate):
+    """Return writes, bytes and waiting at so many payments a second."""
+    store = FakeStore()
+    written = []
+
+    async def note(operation, kind, name):
+        written.append(operation)
+
+    store.before_call = note
+    store.delay_s = 0.003
+    context = make_context("entry", check_settings(SETTINGS).unwrap())
+    writer = JournalWriter(context, store)
+    await writer.start(None)
+    waits = []
+
+    async def pay():
+        began = time.perf_counter()
+        claim = writer.press(make_ticket(), 1).unwrap()
+        assert await writer.wait_recorded(claim) is None
+        waits.append(time.perf_counter() - began)
+        await asyncio.sleep(WORK_S)
+        writer.finish(claim, make_outcome())
+
+    tasks = []
+    for _ in range(int(rate * SECONDS)):
+        tasks.append(asyncio.ensure_future(pay()))
+        await asyncio.sleep(1 / rate)
+    writes = written.count("put")
+    await asyncio.gather(*tasks)
+    await writer.stop()
+    waits.sort()
+    return [
+        rate,
+        writes / SECONDS,
+        writes / SECONDS / rate,
+        waits[len(waits) // 2] * 1000,
+        waits[-1] * 1000,
+    ]
+
+
+def measure_size(records):
+    """Return bytes and milliseconds of a write of so many records."""
+    row = [records]
+    for body in (None, BODY):
+        journal = Journal("v-entry-1")
+        for _ in range(records):
+            claim = journal.press(make_ticket(), 1).unwrap()
+            journal.finish(claim, make_outcome(body))
+        began = time.perf_counter()
+        write = journal.begin_write()
+        took_s = time.perf_counter() - began
+        row += [len(write.value), len(write.value) / records, took_s * 1000]
+    return row
+
+
+async def run():
+    """Print both tables and write the plot."""
+    rows = [await measure_rate(rate) for rate in RATES]
+    head = ["payments/s", "writes/s", "writes a payment", "p50 wait ms", "most ms"]
+    print(format_table(head, rows))
+    print("\nOne write, without and with bodies of answers")
+    rows = [measure_size(records) for records in RECORDS]
+    head = ["records", "bytes", "a record", "ms", "with bodies", "a record", "ms"]
+    print(format_table(head, rows))
+    series = {
+        "without bodies": [(row[0], row[1] / 1000) for row in rows],
+        "with bodies": [(row[0], row[4] / 1000) for row in rows],
+    }
+    plot("journal", "A write of a journal", "records", "KB", series)
+
+
+def main(argv=None):
+    """Run the benchmark."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.parse_args(argv)
+    asyncio.run(run())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
