--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -151,10 +151,6 @@
         """Kill one daemon."""
         await self._processes.kill((vm, role))
 
-    def get_pid(self, vm, role):
-        """Return the process id of one daemon."""
-        return self._processes.get_pid((vm, role))
-
     def send_signal(self, vm, role, number):
         """Send a signal to one daemon, such as SIGSTOP and SIGCONT."""
         self._processes.send_signal((vm, role), number)
--- a/godwitlanding/tests/tools/processes.py
+++ b/godwitlanding/tests/tools/processes.py
@@ -44,10 +44,6 @@
             process.kill()
             await process.wait()
 
-    def get_pid(self, key):
-        """Return a process's id."""
-        return self._process_by_key[key].pid
-
     def send_signal(self, key, number):
         """Send a signal, such as SIGSTOP and SIGCONT."""
         os.kill(self._process_by_key[key].pid, number)
