Show shares and allowances; say that the configuration drains an upstream

Cause: trying the quickstart by hand showed a redirect without a body, a drained upstream explained by the platform's list, and no allowances.

--- a/godwitlanding/ctl.py
+++ b/godwitlanding/ctl.py
@@ -179,6 +179,9 @@
     parser.add_argument(
         "--service", default="", help="Show the zones of this service only"
     )
+    parser.add_argument(
+        "--plan", action="store_true", help="Show shares and spill allowances too"
+    )
     _add_ports(parser)
 
 
--- a/godwitlanding/edit.py
+++ b/godwitlanding/edit.py
@@ -7,7 +7,7 @@
 it says, however unusual the text looks.
 
 >>> add_item('{drains: []}', "drains", {"what": "vm", "name": "a1"}).unwrap()
-'{drains: [\\n    {what: "vm", name: "a1"},]}'
+'{drains: [\\n    {what: "vm", name: "a1"},\\n  ]}'
 """
 
 import json
@@ -67,7 +67,9 @@
 
 def _list_candidates(text, key, line):
     for match in re.finditer(rf"\b{key}\b[\"']?\s*:\s*\[", text):
-        yield text[: match.end()] + line + text[match.end() :]
+        rest = text[match.end() :]
+        end = "\n  " if rest.startswith("]") else ""
+        yield text[: match.end()] + line + end + rest
     # The key is missing: a new list goes before the closing brace.
     end = text.rfind("}")
     head = text[:end].rstrip()
--- a/godwitlanding/health.py
+++ b/godwitlanding/health.py
@@ -137,7 +137,7 @@
 
 def _why_leaving(record):
     if record.list_leaving:
-        return "the platform's list"
+        return "the configuration drains it"
     if record.word_at is not None:
         return "its own word"
     if record.probe_leaving:
--- a/godwitlanding/operations.py
+++ b/godwitlanding/operations.py
@@ -27,7 +27,13 @@
 from godwitlanding.fields import read_text
 from godwitlanding.inventory import Ports, find_request, read_fleet
 from godwitlanding.store import HttpStore
-from godwitlanding.survey import summarise_leases, summarise_services, summarise_vms
+from godwitlanding.survey import (
+    read_plan,
+    summarise_leases,
+    summarise_plan,
+    summarise_services,
+    summarise_vms,
+)
 from godwitlanding.table import format_table
 
 EXIT_OK = 0
@@ -149,7 +155,8 @@
     version = current.unwrap().version if current.is_ok() else 0
     vms = summarise_vms(fleet, version)
     services = summarise_services(fleet, arguments.service)
-    leases = summarise_leases(fleet, lease, plan)
+    leases = summarise_leases(lease, plan)
+    shares = summarise_plan(read_plan(plan), arguments.service)
     if arguments.json:
         print(
             json.dumps(
@@ -158,12 +165,13 @@
                     "vms": [row._asdict() for row in vms],
                     "services": [row._asdict() for row in services],
                     "leases": leases,
+                    "plan": [row._asdict() for row in shares],
                 }
             )
         )
         return EXIT_OK
     print(f"configuration {version}")
-    for rows in (vms, services):
+    for rows in (vms, services, shares if arguments.plan else ()):
         if rows:
             print()
             print(format_table(rows[0]._fields, rows))
--- a/godwitlanding/survey.py
+++ b/godwitlanding/survey.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from godwitlanding.config import CONFIG_KIND
+from godwitlanding.plan import EMPTY_PLAN, parse_plan
 
 
 class VmRow(NamedTuple):
@@ -34,6 +35,33 @@
     out: str
 
 
+class PlanRow(NamedTuple):
+    """Where a zone's callers go and what may spill, in requests in flight."""
+
+    service: str
+    from_zone: str
+    to_zone: str
+    share: float
+    allowance: int
+
+
+def summarise_plan(plan, only=""):
+    """Return a ``PlanRow`` for each pair of zones that the plan names."""
+    rows = []
+    weights = plan.weight_by_zone_by_origin_by_service
+    for service in sorted({*weights, *plan.allowance_by_zones_by_service}):
+        if only and service != only:
+            continue
+        by_origin = weights.get(service, {})
+        for origin in sorted(by_origin):
+            allowances = plan.get_allowances(service, origin)
+            for zone in sorted({*by_origin[origin], *allowances}):
+                share = float(by_origin[origin].get(zone, 0.0))
+                allowance = allowances.get(zone, 0)
+                rows.append(PlanRow(service, origin, zone, share, allowance))
+    return rows
+
+
 def summarise_vms(fleet, config_version):
     """Return a ``VmRow`` a VM."""
     state_by_role_by_vm = {}
@@ -90,17 +118,25 @@
     return ", ".join(f"{name} ({why})" for name, why in pairs)
 
 
-def summarise_leases(fleet, lease, plan):
+def summarise_leases(lease, plan):
     """Return the planner's lease and the plan's state by name."""
     result = {}
     if lease.is_ok():
         value = json.loads(lease.unwrap().value)
         result["planner"] = value.get("holder", "")
     if plan.is_ok():
-        value = json.loads(plan.unwrap().value)
+        value = read_plan(plan)
         result["plan version"] = plan.unwrap().version
-        result["plan step"] = value.get("step", 0)
-        result["plan why"] = value.get("why", "")
-        for name, share in value.get("moved_by_shift", {}).items():
+        result["plan step"] = value.step
+        result["plan why"] = value.why
+        for name, share in value.moved_by_shift.items():
             result[f"shift {name}"] = f"{share:.1%} moved"
     return result
+
+
+def read_plan(plan):
+    """Return the plan of a store's answer, the empty one where it is none."""
+    try:
+        return parse_plan(plan.unwrap().value) if plan.is_ok() else EMPTY_PLAN
+    except ValueError:
+        return EMPTY_PLAN
--- a/godwitlanding/tests/test_survey.py
+++ b/godwitlanding/tests/test_survey.py
@@ -4,8 +4,15 @@
 
 from godwitlanding.codes import Code, make_refusal
 from godwitlanding.inventory import DaemonStatus
+from godwitlanding.plan import EMPTY_PLAN, format_plan
 from godwitlanding.store import StoredObject
-from godwitlanding.survey import summarise_leases, summarise_services, summarise_vms
+from godwitlanding.survey import (
+    read_plan,
+    summarise_leases,
+    summarise_plan,
+    summarise_services,
+    summarise_vms,
+)
 
 ARBITER = {
     "slots": 9,
@@ -24,6 +31,13 @@
     DaemonStatus("a1", "n-a", "entry", "no answer", None),
 ]
 
+PLAN_VALUE = EMPTY_PLAN._replace(
+    weight_by_zone_by_origin_by_service={"status": {"n-a": {"n-a": 0.8, "n-b": 0.2}}},
+    allowance_by_zones_by_service={"status": {"n-a>n-b": 3}},
+    moved_by_shift={"go": 0.2},
+)
+PLAN = Ok(StoredObject("plan", "main", 5, format_plan(PLAN_VALUE)))
+
 
 def test_daemon_with_an_older_text_is_named():
     (row,) = summarise_vms(FLEET, 7)
@@ -38,6 +52,18 @@
 
 def test_leases_without_a_planner_are_empty():
     missing = Err(make_refusal(Code.NOT_FOUND))
-    assert summarise_leases(FLEET, missing, missing) == {}
-    plan = Ok(StoredObject("plan", "main", 5, b'{"moved_by_shift": {"go": 0.2}}'))
-    assert summarise_leases(FLEET, missing, plan)["shift go"] == "20.0% moved"
+    assert summarise_leases(missing, missing) == {}
+    assert summarise_leases(missing, PLAN)["shift go"] == "20.0% moved"
+
+
+def test_plan_shows_shares_and_allowances():
+    rows = summarise_plan(read_plan(PLAN))
+    assert [tuple(row) for row in rows] == [
+        ("status", "n-a", "n-a", 0.8, 0),
+        ("status", "n-a", "n-b", 0.2, 3),
+    ]
+
+
+def test_unreadable_plan_shows_nothing():
+    broken = Ok(StoredObject("plan", "main", 5, b'{"of a newer version": 1}'))
+    assert summarise_plan(read_plan(broken)) == []
--- a/godwitlanding/tests/tools/play.py
+++ b/godwitlanding/tests/tools/play.py
@@ -9,6 +9,7 @@
 import sys
 from pathlib import Path
 
+from godwitlanding.kernel import STOP_SIGNALS
 from godwitlanding.tests.tools.cluster import Cluster
 from godwitlanding.tests.tools.network import DEMO_NETWORK
 from godwitlanding.tests.tools.processes import ROOT
@@ -19,13 +20,13 @@
     godwitctl status
     curl -s {steer}/v1/steer/status
     curl -si {entry}/s/status/one
-    curl -s -X POST {steer}/v1/tickets/renewal
+    curl -sL -X POST {steer}/v1/tickets/renewal
 logs and settings: {directory}
 Ctrl-C ends it all."""
 
 
-async def play(sample, network=DEMO_NETWORK, end=None):
-    """Start it all and wait until ``end`` is set or forever."""
+async def play(sample, network, end):
+    """Start it all, wait until the event ``end`` is set, and end it all."""
     cluster = Cluster(sample.read_text(), network)
     try:
         print(f"starting {len(cluster.vm_by_name)} entry VMs and the stand-ins")
@@ -40,11 +41,19 @@
                 directory=cluster.directory,
             )
         )
-        await (end or asyncio.Event()).wait()
+        await end.wait()
     finally:
         await cluster.stop()
 
 
+async def play_until_stopped(sample):
+    """Run until SIGTERM or SIGINT; a shell's background job has no SIGINT."""
+    end = asyncio.Event()
+    for number in STOP_SIGNALS:
+        asyncio.get_running_loop().add_signal_handler(number, end.set)
+    await play(sample, DEMO_NETWORK, end)
+
+
 def parse_arguments(argv=None):
     """Return the arguments."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
@@ -57,8 +66,7 @@
 def main(argv=None):
     """Run until interrupted; return the exit code."""
     try:
-        asyncio.run(play(parse_arguments(argv).sample))
-    except KeyboardInterrupt:
+        asyncio.run(play_until_stopped(parse_arguments(argv).sample))
         print("ended")
     except (TimeoutError, RuntimeError) as error:
         print(f"cannot start: {error}", file=sys.stderr)
