--- a/godwitlanding/entry.py
+++ b/godwitlanding/entry.py
@@ -27,6 +27,7 @@
 
 ROLE = "entry"
 DESCRIPTION = "Carries requests: permit, dispatch, bounded retry, answer."
+REQUEST_PREFIX = "/s/"
 FEED_KINDS = ("config", "plan", "secret", "vms", "summary", "members")
 
 
@@ -75,15 +76,21 @@
 
     routes = [
         Route("/-/requests/{id}", get_request),
-        Route("/s/{service}", requests),
-        Route("/s/{service}/{path:path}", requests),
         *make_status_routes(
             lambda: kernel[0], context.counters, feed.is_ready, context.replica
         ),
     ]
+    status = Starlette(routes=routes)
+
+    # Routing and middleware cost as much as all else that is done here to
+    # a request, and there is but one prefix to tell.
+    async def app(scope, receive, send):
+        is_request = scope["path"].startswith(REQUEST_PREFIX)
+        await (requests if is_request else status)(scope, receive, send)
+
     server = _EntryServer(
         "server",
-        Starlette(routes=routes),
+        app,
         settings["address"],
         settings["entry_port"],
         ("requests", "holder"),
--- a/godwitlanding/messages.py
+++ b/godwitlanding/messages.py
@@ -297,21 +297,27 @@
 
 
 _CLASS_BY_UNION_NAME = {_union_name(cls): cls for cls in _CLASSES}
+_UNION_NAME_BY_CLASS = {cls: name for name, cls in _CLASS_BY_UNION_NAME.items()}
 _ROWS_BY_CLASS = {
     cls: _field_rows(cls) for cls in (*_CLASSES, VersionOf, HeldPermit, Holder)
 }
 
 
-def _to_dict(message):
-    result = {}
+def _fill(builder, message):
+    """Set the fields one by one; from a dict it takes eight times as long.
+
+    A field of value zero is left out: that is what the schema's default
+    reads as.
+    """
     for name, camel, is_list, nested in _ROWS_BY_CLASS[type(message)]:
         value = getattr(message, name)
+        if not value:
+            continue
         if nested:
-            value = [_to_dict(item) for item in value]
-        elif is_list:
-            value = list(value)
-        result[camel] = value
-    return result
+            for row, item in zip(builder.init(camel, len(value)), value):
+                _fill(row, item)
+        else:
+            setattr(builder, camel, list(value) if is_list else value)
 
 
 def _from_reader(cls, reader):
@@ -328,8 +334,11 @@
 
 def encode(envelope):
     """Return the bytes of an envelope, without the length prefix."""
-    body = {_union_name(type(envelope.message)): _to_dict(envelope.message)}
-    built = _SCHEMA.Message.new_message(id=envelope.id, answer=envelope.answer, **body)
+    built = _SCHEMA.Message.new_message()
+    built.id = envelope.id
+    built.answer = envelope.answer
+    message = envelope.message
+    _fill(built.init(_UNION_NAME_BY_CLASS[type(message)]), message)
     return built.to_bytes()
 
 
--- a/godwitlanding/services/permits.py
+++ b/godwitlanding/services/permits.py
@@ -135,15 +135,14 @@
 
     async def _ask(self, vm, message, timeout_s):
         address = self._get_address(vm)
-        call = asyncio.ensure_future(self._feed.pool.call(address, message, timeout_s))
+        dialled = await self._feed.pool.get_channel(address)
+        if dialled.is_err():
+            return dialled
+        call = dialled.unwrap().start_call(message, timeout_s)
         asks = self._asks_by_vm.setdefault(vm, {})
         asks[call] = (message, self._is_first(vm, message.service))
         try:
-            await asyncio.wait((call,))
-            if call.cancelled():
-                self._send(address, Withdraw(message.service, message.request_id))
-                return Err(make_refusal(Code.STALE_ARBITER))
-            return call.result()
+            return await asyncio.shield(call)
         except asyncio.CancelledError:
             # The caller has gone. A grant that is already under way has to
             # go back, or its slot would stand idle until it expires.
@@ -197,9 +196,7 @@
         )
 
     def _give_back(self, call, address):
-        if call.cancelled() or call.exception() or call.result().is_err():
-            return
-        answer = call.result().unwrap()
+        answer = call.result().ok()
         if isinstance(answer, Granted):
             self._counters.add("permits_returned", reason="caller_gone")
             self._release_unused(answer, address)
@@ -207,7 +204,12 @@
     def _send(self, address, message):
         # A request that is cut by the end of the process has no loop left
         # to send its release; the arbiter frees the slot at its deadline.
-        if not self._is_stopped:
+        if self._is_stopped:
+            return
+        channel = self._feed.pool.find_open(address)
+        if channel:
+            channel.send(message)
+        else:
             self._tasks.run(self._feed.pool.send(address, message))
 
     def _note_state(self, state):
@@ -222,7 +224,13 @@
         for vm, asks in self._asks_by_vm.items():
             for call, (message, was_first) in list(asks.items()):
                 if was_first and not self._is_first(vm, message.service):
-                    call.cancel()
+                    self._move_on(vm, call, message)
+
+    def _move_on(self, vm, call, message):
+        if not call.done():
+            call.set_result(Err(make_refusal(Code.STALE_ARBITER)))
+        withdraw = Withdraw(message.service, message.request_id)
+        self._send(self._get_address(vm), withdraw)
 
     def _is_first(self, vm, service):
         return vm in self._get_arbiters(service)[:1]
--- a/godwitlanding/services/requests.py
+++ b/godwitlanding/services/requests.py
@@ -132,7 +132,7 @@
         config = self._feed.view.get_config()
         if config is None:
             return Err(make_refusal(Code.NOT_READY, 1.0))
-        service = config.service_by_name.get(scope["path_params"]["service"])
+        service = config.service_by_name.get(scope["path"].split("/", 3)[2])
         if service is None:
             return Err(make_refusal(Code.UNKNOWN_SERVICE))
         headers = _decode_headers(scope["headers"])
--- a/godwitlanding/wire.py
+++ b/godwitlanding/wire.py
@@ -45,7 +45,7 @@
         self._hello = hello
         self._handler_by_type = handler_by_type
         self._counters = counters
-        self._future_by_id = {}
+        self._call_by_id = {}
         self._tasks = set()
         self._next_id = 0
 
@@ -90,24 +90,24 @@
 
     async def call(self, message, timeout_s):
         """Return ``Ok(answer)`` or ``Err(refusal)``; a peer raises nothing."""
+        return await self.start_call(message, timeout_s)
+
+    def start_call(self, message, timeout_s):
+        """Return a future of what ``call`` returns.
+
+        Whoever waits may leave and learn by a callback what came after all.
+        """
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
         if self.closed.is_set():
-            return Err(make_refusal(Code.PEER_UNREACHABLE))
+            future.set_result(Err(make_refusal(Code.PEER_UNREACHABLE)))
+            return future
         self._next_id += 1
         call_id = self._next_id
-        future = asyncio.get_running_loop().create_future()
-        self._future_by_id[call_id] = future
+        timer = loop.call_later(timeout_s, self._expire, call_id)
+        self._call_by_id[call_id] = (future, timer)
         self._write(Envelope(call_id, False, message))
-        try:
-            answer = await asyncio.wait_for(future, timeout_s)
-        except TimeoutError:
-            return Err(make_refusal(Code.CALL_TIMEOUT))
-        except ConnectionError:
-            return Err(make_refusal(Code.PEER_UNREACHABLE))
-        finally:
-            self._future_by_id.pop(call_id, None)
-        if isinstance(answer, Failure):
-            return Err(make_refusal(_known_code(answer.code), detail=answer.detail))
-        return Ok(answer)
+        return future
 
     def close(self):
         """End the connection and everything that waits on it."""
@@ -115,9 +115,8 @@
             return
         self.closed.set()
         self._writer.close()
-        for future in self._future_by_id.values():
-            if not future.done():
-                future.set_exception(ConnectionError("connection closed"))
+        for call_id in list(self._call_by_id):
+            self._end_call(call_id, Err(make_refusal(Code.PEER_UNREACHABLE)))
         for task in self._tasks:
             task.cancel()
 
@@ -141,17 +140,28 @@
 
     def _take(self, envelope):
         if envelope.answer:
-            future = self._future_by_id.get(envelope.id)
-            # An answer after its timeout has no future any more: drop it.
-            if future is None or future.done():
+            # An answer after its timeout has no call any more: drop it.
+            if not self._end_call(envelope.id, _make_result(envelope.message)):
                 self._counters.add("wire_dropped", reason="late_answer")
-                return
-            future.set_result(envelope.message)
             return
         task = asyncio.ensure_future(self._answer(envelope))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _expire(self, call_id):
+        self._end_call(call_id, Err(make_refusal(Code.CALL_TIMEOUT)))
+
+    def _end_call(self, call_id, result):
+        """Give a call its result; tell whether anybody still waits."""
+        future, timer = self._call_by_id.pop(call_id, (None, None))
+        if future is None:
+            return False
+        timer.cancel()
+        if future.done():
+            return False
+        future.set_result(result)
+        return True
+
     async def _answer(self, envelope):
         handler = self._handler_by_type.get(type(envelope.message))
         if handler is None:
@@ -177,6 +187,12 @@
             return Failure(Code.HANDLER_FAILED.value, repr(error))
 
 
+def _make_result(answer):
+    if isinstance(answer, Failure):
+        return Err(make_refusal(_known_code(answer.code), detail=answer.detail))
+    return Ok(answer)
+
+
 def _known_code(number):
     try:
         return Code(number)
@@ -242,10 +258,15 @@
         self._dial_by_address = {}
         self._tasks = set()
 
+    def find_open(self, address):
+        """Return the open channel to ``address``, or ``None``."""
+        channel = self._channel_by_address.get(address)
+        return channel if channel and not channel.closed.is_set() else None
+
     async def get_channel(self, address):
         """Return ``Ok(channel)`` to ``address``, dialling where needed."""
-        channel = self._channel_by_address.get(address)
-        if channel and not channel.closed.is_set():
+        channel = self.find_open(address)
+        if channel:
             return Ok(channel)
         dial = self._dial_by_address.get(address)
         if dial is None:
@@ -257,6 +278,9 @@
 
     async def call(self, address, message, timeout_s):
         """Call the peer at ``address``; ``Ok(answer)`` or ``Err(refusal)``."""
+        channel = self.find_open(address)
+        if channel:
+            return await channel.call(message, timeout_s)
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_s
         try:
