--- a/godwitlanding/tests/test_desk.py
+++ b/godwitlanding/tests/test_desk.py
@@ -3,7 +3,7 @@
 import pytest
 
 from godwitlanding.borrower import Gain
-from godwitlanding.messages import Acquire, Granted, Held, HeldPermit, Holder
+from godwitlanding.messages import Acquire, Granted, Held, HeldPermit, Holder, PassOn
 from godwitlanding.tests.zone_world import World, make_desk as make_zone_desk
 
 HOLDER = Holder("vm1", "vm1-entry-1")
@@ -137,3 +137,20 @@
     assert world.over_slots == []
     assert world.started > before
     assert set(busy.values()) == set(world.slots_by_upstream)
+
+
+def test_leave_to_pass_on_lasts_as_long_as_the_request():
+    """A zone without usable upstreams passes a request on.
+
+    With no time given, the other zone's answer was never waited for: the
+    request ran there and its caller was told that it had timed out.
+    """
+    desk = make_zone_desk("a", 7)
+    desk.arbiter.set_allowances({"b": 1}, 10.0)
+    answers = []
+    message = Acquire("status", "r1", "caller", 1, remaining_s=2.5)
+    desk.acquire("r1", HOLDER, message, 3.0, answers.append, 10.0)
+    desk.tick(11.6)
+    (answer,) = answers
+    assert isinstance(answer, PassOn)
+    assert (answer.availability_zone, answer.valid_s) == ("b", 2.5)
