Wait for an arbiter that takes over; keep a drained zone's refusals cheap

Cause: a look-up that reached a new arbiter before its loans waited for its turn's share only (0.6 s of 2 s), less than a take-over may take; and a refusal in a drained zone of 1,000 upstreams cost 54 us, since all were looked at.

--- a/godwitlanding/admission.py
+++ b/godwitlanding/admission.py
@@ -75,6 +75,16 @@
         work_s = min(self.work_time.get_reserve_s(), MAX_WORK_SHARE * remaining_s)
         return now + min(share * remaining_s, remaining_s - work_s)
 
+    def get_recovery_start_by(self, now, deadline):
+        """Return the same for a request that finds no usable slot.
+
+        Its wait is not for a turn but for loans and permits to be known
+        again, which takes no longer for a longer queue.
+        """
+        remaining_s = deadline - now
+        work_s = min(self.work_time.get_reserve_s(), MAX_WORK_SHARE * remaining_s)
+        return now + min(RECOVERY_WAIT_S, remaining_s - work_s)
+
     def get_wait_s(self, ahead, slots, mean_s=0.0):
         """Return how long a request with ``ahead`` before it will wait."""
         if slots <= 0:
--- a/godwitlanding/intake.py
+++ b/godwitlanding/intake.py
@@ -7,7 +7,7 @@
 what it does next comes too late.
 """
 
-from godwitlanding.admission import PATIENCE, RECOVERY_WAIT_S
+from godwitlanding.admission import PATIENCE
 from godwitlanding.codes import Code, Refusal
 from godwitlanding.decision import Decision, Spill
 from godwitlanding.fairness import bound_cost
@@ -39,7 +39,7 @@
     def add(self, ask, now):
         """Queue a request; return its ``Waiting``."""
         expected_s = ask.expected_s or self._long_jobs.get_expected_s(ask.fingerprint)
-        start_by = self._admission.get_start_by(now, ask.deadline, ask.priority)
+        start_by = self._get_start_by(ask, now)
         waiting = self.queue.add(
             ask,
             now,
@@ -87,11 +87,10 @@
     def bound(self, waiting, excluded, now):
         """Give up the newcomer or those it displaces, where all are late."""
         if self._pool.usable_slots == 0:
-            if not self._pool.may_recover(now):
-                return [self._give_up(waiting, Code.NO_UPSTREAM, now)]
-            end = min(waiting.start_by, now + RECOVERY_WAIT_S)
-            self._timers.set(("ask", waiting.ask.request_id), end)
-        elif self._pool.is_all_excluded(excluded):
+            is_hopeless = not self._pool.may_recover()
+        else:
+            is_hopeless = self._pool.is_all_excluded(excluded)
+        if is_hopeless:
             return [self._give_up(waiting, Code.NO_UPSTREAM, now)]
         admit_by = now + (waiting.start_by - now) / PATIENCE
         if now + self._estimate_wait_s(waiting) > admit_by:
@@ -136,6 +135,11 @@
         queued = len(self.queue)
         return self._admission.get_retry_after_s(now, queued, self._last_slots)
 
+    def _get_start_by(self, ask, now):
+        if self._pool.usable_slots == 0:
+            return self._admission.get_recovery_start_by(now, ask.deadline)
+        return self._admission.get_start_by(now, ask.deadline, ask.priority)
+
     def _displace(self, newcomer, now):
         decisions = []
         for _ in range(MAX_DISPLACED):
--- a/godwitlanding/pool.py
+++ b/godwitlanding/pool.py
@@ -66,6 +66,8 @@
         self.usable_count = 0
         self.eager_slots = 0
         self._free = SortedList()
+        self._ejected = set()
+        self._out = set()
         self._timers = Timers()
         self._uses = 0
 
@@ -83,6 +85,8 @@
         if upstream and upstream.open_count == 0:
             self._set_place(upstream, 0, 0, None)
             self._timers.cancel(upstream_id)
+            self._ejected.discard(upstream_id)
+            self._out.discard(upstream_id)
             del self.upstream_by_id[upstream_id]
 
     def refresh(self, upstream, now):
@@ -96,6 +100,14 @@
             key = (is_reluctant, share, upstream.used_at, upstream.id)
         self._set_place(upstream, capacity, eager, key)
         self._set_timer(upstream, now)
+        if upstream.ejected_until > now:
+            self._ejected.add(upstream.id)
+        else:
+            self._ejected.discard(upstream.id)
+        if upstream.usable:
+            self._out.discard(upstream.id)
+        else:
+            self._out.add(upstream.id)
 
     def run_timers(self, now):
         """Bring up to date the upstreams whose loan, block or rest ended."""
@@ -145,22 +157,19 @@
 
     def lift_ejections(self, now):
         """Use ejected upstreams again: nothing else is left."""
-        for upstream in self.upstream_by_id.values():
-            if upstream.ejected_until > now:
-                upstream.ejected_until = 0.0
-                self.refresh(upstream, now)
+        for upstream_id in list(self._ejected):
+            upstream = self.upstream_by_id[upstream_id]
+            upstream.ejected_until = 0.0
+            self.refresh(upstream, now)
 
-    def may_recover(self, now):
+    def may_recover(self):
         """Tell whether slots may become usable soon.
 
         So it is while no loan has come in yet, while a loan has lapsed or
         while the permits of a former arbiter are being counted; not where
         every upstream is out by its own health.
         """
-        usable = [u for u in self.upstream_by_id.values() if u.usable]
-        if not self.upstream_by_id:
-            return True
-        return any(u.paused_until <= now for u in usable)
+        return not self._out or len(self._out) < len(self.upstream_by_id)
 
     def _get_capacity(self, upstream, now):
         if not upstream.may_serve(now) or upstream.ejected_until > now:
--- a/godwitlanding/tests/test_policies.py
+++ b/godwitlanding/tests/test_policies.py
@@ -219,6 +219,19 @@
     assert refusal.retry_after_s > 0
 
 
+@pytest.mark.parametrize("lasts_s", [2.0, 4.0])
+def test_request_waits_for_an_arbiter_that_takes_over(lasts_s):
+    """The arbiter was replaced and the new one has no loans yet.
+
+    Refused in that second, callers would see an outage at each replacement.
+    """
+    arbiter = Arbiter("status")
+    assert ask(arbiter, "r1", lasts_s=lasts_s) is None
+    assert arbiter.tick(1.0) == []
+    [decision] = arbiter.set_loan("s1", 3, FAR_S, 1.2)
+    assert isinstance(decision.outcome, Grant)
+
+
 def test_spill_stays_inside_its_allowance():
     """A full zone's surplus goes to one neighbour.
 
--- a/godwitlanding/tests/tools/bench_cost.py
+++ b/godwitlanding/tests/tools/bench_cost.py
@@ -95,6 +95,14 @@
     return bench.time(lambda: bench.ask(1.0), 1)
 
 
+def measure_drained(upstreams):
+    """Return the cost of a refusal where every upstream is out."""
+    bench = _Bench(upstreams)
+    for index in range(upstreams):
+        bench.arbiter.set_usable(f"u{index}", False, 0.0)
+    return bench.time(lambda: bench.ask(1.0), 1)
+
+
 def print_costs(stream):
     """Print the tables of costs."""
     print("\nMicroseconds of a decision, queue by upstreams", file=stream)
@@ -103,7 +111,11 @@
         costs = [measure_queued(upstreams, queue) for upstreams in UPSTREAMS]
         row = "".join(f"{cost:>9.1f}" for cost in costs)
         print(f"{queue:>8}{row}", file=stream)
-    for name, measure in (("none", measure_idle), ("refused", measure_refused)):
+    for name, measure in (
+        ("none", measure_idle),
+        ("refused", measure_refused),
+        ("drained", measure_drained),
+    ):
         row = "".join(f"{measure(upstreams):>9.1f}" for upstreams in UPSTREAMS)
         print(f"{name:>8}{row}", file=stream)
 
