--- a/godwitlanding/services/replication.py
+++ b/godwitlanding/services/replication.py
@@ -14,8 +14,8 @@
 from godwitlanding.log import log_warning
 from godwitlanding.membership import choose_reachable
 from godwitlanding.messages import Failure, Fetch, State, Subscribe
-from godwitlanding.services.members import VMS_KIND, format_vm_list
-from godwitlanding.tasks import Tasks
+from godwitlanding.services.members import ENTRY_ROLE, VMS_KIND, format_vm_list
+from godwitlanding.tasks import Tasks, end_tasks
 
 WATCHED_KINDS = ("config", "plan", "secret", "roster", "summary", "blocks")
 WATCHERS = 2
@@ -63,8 +63,6 @@
 
     async def stop(self):
         """End the watches."""
-        for task in self._watch_task_by_kind.values():
-            task.cancel()
         await self._tasks.stop()
 
     def is_ready(self):
@@ -120,8 +118,8 @@
             if wanted and (task is None or task.done()):
                 self._watch_task_by_kind[kind] = self._tasks.run(self._watch(kind))
             elif task and not wanted:
-                task.cancel()
                 del self._watch_task_by_kind[kind]
+                await end_tasks([task])
 
     async def _watch(self, kind):
         while True:
@@ -139,7 +137,7 @@
             self._after_by_kind[kind] = batch.version
             for event in batch.events:
                 if not event.deleted:
-                    self._take_from_platform(event.stored)
+                    self._take_from_platform(event.stored, batch.version)
             if kind == "secret":
                 await self._create_secret()
             if kind == "summary":
@@ -157,13 +155,18 @@
             self._members.platform_reachable = False
         await asyncio.sleep(max(RETRY_S, refusal.retry_after_s))
 
-    def _take_from_platform(self, stored):
+    def _take_from_platform(self, stored, platform_version):
         state = State(stored.kind, stored.name, stored.version, stored.value)
         key = f"{state.kind}/{state.name}"
-        if state.version < self._context.replica.get_version(state.kind, state.name):
-            self._stored_older_by_key[key] = state.version
-        else:
+        held = self._context.replica.get_version(state.kind, state.name)
+        if held <= platform_version:
             self._stored_older_by_key.pop(key, None)
+        if state.version < held <= platform_version:
+            # Only late: what is held came by a peer or by an own write, and
+            # the watch will bring it too.
+            return
+        if state.version < held:
+            self._stored_older_by_key[key] = state.version
         if self._context.replica.offer(state):
             self._pass_on(state)
 
@@ -222,7 +225,7 @@
 
     async def _subscribe(self, channel, message):
         self._kinds_by_channel[channel] = frozenset(message.kinds)
-        if channel.peer.role == "entry" and channel.peer.vm == self._context.vm:
+        if channel.peer.role == ENTRY_ROLE and channel.peer.vm == self._context.vm:
             self._members.entry_incarnation = channel.peer.incarnation
             self._members.refresh()
         for state in list(self._context.replica.state_by_key.values()):
@@ -233,6 +236,10 @@
     async def _forget_when_closed(self, channel):
         await channel.closed.wait()
         self._kinds_by_channel.pop(channel, None)
+        # One that has died must not stay named as the home of tickets and
+        # to callers, who would find nobody there until another starts.
+        if channel.peer.role == ENTRY_ROLE and channel.peer.vm == self._context.vm:
+            self._members.end_entry(channel.peer.incarnation)
 
     def _push(self, state):
         for channel, kinds in self._kinds_by_channel.items():
