--- a/godwitlanding/services/members.py
+++ b/godwitlanding/services/members.py
@@ -13,6 +13,7 @@
 
 VMS_KIND = "vms"
 MEMBERS_KIND = "members"
+ENTRY_ROLE = "entry"
 
 
 def parse_vm_list(state):
@@ -132,6 +133,12 @@
         self.membership.leaving = True
         self.refresh()
 
+    def end_entry(self, incarnation):
+        """Name an entry process that leaves, or has died, to nobody."""
+        if self.entry_incarnation == incarnation:
+            self.entry_incarnation = ""
+            self.refresh()
+
     def refresh(self):
         """Work out the view again and publish it if it has changed."""
         now = self._now()
@@ -235,6 +242,9 @@
     async def _take_heartbeat(self, channel, heartbeat):
         if channel.peer.availability_zone != self._context.availability_zone:
             return
+        if channel.peer.role == ENTRY_ROLE:
+            self.end_entry(heartbeat.entry_incarnation)
+            return
         is_news = self.membership.take_heartbeat(heartbeat, self._now())
         if is_news:
             self.refresh()
