--- a/godwitlanding/services/arbitration.py
+++ b/godwitlanding/services/arbitration.py
@@ -208,6 +208,9 @@
         desk = self.desk_by_service.get(message.service)
         if desk is None or not desk.active:
             return Failure(Code.NO_ARBITER.value)
+        if channel.peer.availability_zone != self._context.availability_zone:
+            self._context.counters.add("acquires_refused", reason="other_zone")
+            return Failure(Code.UNEXPECTED_MESSAGE.value)
         holder = Holder(channel.peer.vm, channel.peer.incarnation)
         await self._borrowing.introduce(desk, holder, channel)
         if not desk.active:
--- a/godwitlanding/services/borrowing.py
+++ b/godwitlanding/services/borrowing.py
@@ -23,7 +23,7 @@
         self._tasks = Tasks()
         self._asking = set()
         self._introduction_by_key = {}
-        self._channel_by_holder = {}
+        self._channel_by_key = {}
 
     async def start(self, kernel):
         """Find the services that it asks."""
@@ -38,8 +38,8 @@
 
     def get_status(self):
         """Return which entry processes may have permits."""
-        holders = sorted(holder.incarnation for holder in self._channel_by_holder)
-        return {"holders": holders}
+        holders = {holder.incarnation for _, holder in self._channel_by_key}
+        return {"holders": sorted(holders)}
 
     async def renew(self, desk):
         """Ask every owner for its loan, then holders for open permits."""
@@ -59,12 +59,12 @@
 
     async def introduce(self, desk, holder, channel):
         """Let lenders know a holder before it is granted its first permit."""
+        key = (desk.service, holder)
+        self._channel_by_key[key] = channel
         if desk.borrower.may_grant_to(holder, self._now()):
             return
-        key = (desk.service, holder)
         task = self._introduction_by_key.get(key)
         if task is None:
-            self._channel_by_holder[holder] = channel
             task = self._tasks.run(self._tell_lenders(desk, holder))
             self._introduction_by_key[key] = task
             task.add_done_callback(lambda _: self._introduction_by_key.pop(key))
@@ -90,10 +90,11 @@
 
     def _forget_holders(self, desk):
         holders_open = desk.list_holders(self._now())
-        for holder, channel in list(self._channel_by_holder.items()):
-            if channel.closed.is_set() and holder not in holders_open:
+        for (service, holder), channel in list(self._channel_by_key.items()):
+            is_idle = channel.closed.is_set() and holder not in holders_open
+            if service == desk.service and is_idle:
                 desk.borrower.remove_holder(holder)
-                del self._channel_by_holder[holder]
+                del self._channel_by_key[service, holder]
 
     async def _ask_owner(self, desk, owner, address):
         # One question at a time: the owner takes what a question does not
--- a/godwitlanding/tests/test_zone.py
+++ b/godwitlanding/tests/test_zone.py
@@ -19,10 +19,12 @@
         f'{{id:"{name}",address:"10.0.1.{n}:1",availability_zone:"a",slots:1}}'
         for n, name in enumerate(UPSTREAMS)
     )
+    other = '{id:"o-1",address:"10.0.2.1:1",availability_zone:"a"}'
     return f"""// {comment}
     {{format:1,name:"t",
       regions:[{{name:"n",availability_zones:["a","b"]}}],
-      services:[{{name:"status",kind:"lookup",deadline_s:2,upstreams:[{upstreams}]}}],
+      services:[{{name:"status",kind:"lookup",deadline_s:2,upstreams:[{upstreams}]}},
+        {{name:"other",kind:"lookup",deadline_s:2,upstreams:[{other}]}}],
       drains:[{drains}]}}""".encode()
 
 
@@ -49,9 +51,9 @@
     return zone.daemon_by_vm[vm]
 
 
-async def acquire(daemon, arbiter, number, excluded=()):
+async def acquire(daemon, arbiter, number, excluded=(), service="status"):
     message = Acquire(
-        "status", f"r{number}", "c", 1, 1.0, excluded_upstreams=tuple(excluded)
+        service, f"r{number}", "c", 1, 1.0, excluded_upstreams=tuple(excluded)
     )
     answer = await daemon.entry_pool.call(arbiter.own_address, message, 2.0)
     return answer.unwrap_or(None)
@@ -225,3 +227,34 @@
             for daemon in zone.daemon_by_vm.values()
         }
         assert len(keys) == 1
+
+
+async def test_holder_of_another_zone_gets_no_permit():
+    """A process with a wrong view asks an arbiter of another zone.
+
+    That zone's next arbiter would not know whom to ask for the permit.
+    """
+    async with run_zone(zone_by_vm={"vm3": "b", "vm4": "b"}) as zone:
+        stranger = zone.daemon_by_vm["vm3"]
+        answer = await acquire(stranger, get_arbiter(zone), 1)
+        assert not isinstance(answer, Granted)
+
+
+async def test_holder_that_has_ended_is_forgotten_by_every_service():
+    """An entry process that used two services ends.
+
+    Still named to owners, it would be asked at each take-over and hold the
+    slots back until the longest permit has ended.
+    """
+    async with run_zone(("vm1",)) as zone:
+        daemon = zone.daemon_by_vm["vm1"]
+        for service in ("status", "other"):
+            answer = await acquire(daemon, daemon, service, service=service)
+            assert isinstance(answer, Granted)
+        await daemon.entry_pool.stop()
+        await daemon._entry.stop()
+        for channel in daemon.listener.channels:
+            channel.close()
+        await asyncio.sleep(5)
+        for desk in daemon.get("arbitration").desk_by_service.values():
+            assert desk.borrower.make_loan("vm9", 0.0).holders == ()
