--- a/godwitlanding/tests/test_docs.py
+++ b/godwitlanding/tests/test_docs.py
@@ -1,5 +1,6 @@
 """The pages say what the tables in the code say."""
 
+import ast
 import re
 from pathlib import Path
 
@@ -68,6 +69,19 @@
     assert rows == wanted
 
 
+def test_modules_page_tells_each_module_in_its_own_words():
+    told = _read_entries("modules.rst")
+    package = ROOT / "godwitlanding"
+    paths = [*package.glob("*.py"), *package.glob("services/*.py")]
+    wanted = {}
+    for path in paths:
+        if path.stem != "__init__":
+            parts = path.relative_to(package).with_suffix("").parts
+            docstring = ast.get_docstring(ast.parse(path.read_text()))
+            wanted[".".join(parts)] = " ".join(docstring.split("\n\n")[0].split())
+    assert told == wanted
+
+
 def _find_commands():
     for path in sorted([*DOCS.glob("*.rst"), ROOT / "README.md"]):
         for line in re.findall(r"^ {4}\$? ?(godwitctl .+)$", path.read_text(), re.M):
