Let small zones spill: share out what the fair shares round away

At the sizes of today payments have two upstreams a zone and five zones that might spill there, so each fair share of the allowances rounded down to none and nobody could pass a payment on. Where all shares are 0, some sources that were heard now get one request each, within the same bound; the planner's random schedules check it.

--- a/godwitlanding/allowances.py
+++ b/godwitlanding/allowances.py
@@ -63,3 +63,28 @@
         free -= raised
         allowance_by_source[source] = min(in_use, fair) + raised
     return allowance_by_source
+
+
+def share_out_rest(headroom, in_use_by_source, allowance_by_source, heard):
+    """Return the allowances with one request for some, where all are 0.
+
+    In a zone of two upstreams the pool is two or three requests for as
+    many sources: each fair share rounds to nothing, and nobody could spill
+    though half of its slots are idle. Only sources in ``heard`` are given
+    one, since what a silent zone has cannot be taken back. The bound is
+    that of ``share_out``.
+
+    >>> nothing = {"a": 0, "b": 0, "c": 0}
+    >>> share_out_rest(4.7, nothing, nothing, {"a", "b", "c"})
+    {'a': 1, 'b': 1, 'c': 0}
+    """
+    if any(allowance_by_source.values()):
+        return allowance_by_source
+    pool = max(0.0, headroom) * SPILL_SHARE
+    result = dict(allowance_by_source)
+    for source in sorted(heard & set(result)):
+        raised = {**result, source: 1}
+        in_force = sum(max(raised[name], in_use_by_source[name]) for name in raised)
+        if in_use_by_source[source] <= 1 and in_force <= pool:
+            result = raised
+    return result
--- a/godwitlanding/planner.py
+++ b/godwitlanding/planner.py
@@ -18,7 +18,7 @@
 
 from typing import NamedTuple
 
-from godwitlanding.allowances import get_sources, share_out
+from godwitlanding.allowances import get_sources, share_out, share_out_rest
 from godwitlanding.plan import EMPTY_PLAN, Plan
 from godwitlanding.room import Room
 from godwitlanding.targets import make_base, make_targets
@@ -210,7 +210,9 @@
                     for source in self._list_pairs(config, service, target)
                 }
                 headroom = room.get_headroom(target, service) + sum(in_use.values())
+                heard = {s for s in in_use if room.get_load(s, service) is not None}
                 new = share_out(headroom, in_use)
+                new = share_out_rest(headroom, in_use, new, heard)
                 if room.get_load(target, service) is None:
                     new = {source: 0 for source in in_use}
                 for source, amount in new.items():
