--- a/godwitlanding/tests/test_planner.py
+++ b/godwitlanding/tests/test_planner.py
@@ -18,7 +18,7 @@
 ZONES = ("a", "b", "c")
 
 
-def make_config(shift="", drains="", zones=ZONES, slots=10):
+def make_config(shift="", drains="", zones=ZONES, slots=10, depends_on="[]"):
     upstreams = ",".join(
         f'{{id:"s-{z}",address:"127.0.2.{n}:1",availability_zone:"{z}",slots:{slots}}}'
         for n, z in enumerate(zones)
@@ -26,7 +26,9 @@
     text = f"""{{format:1,name:"t",regions:[
       {{name:"n",availability_zones:["a","b"],load_limit:0.8}},
       {{name:"s",availability_zones:["c"],load_limit:0.8}}],
-      services:[{{name:"status",kind:"lookup",deadline_s:2,upstreams:[{upstreams}]}}],
+      services:[{{name:"status",kind:"lookup",deadline_s:2,depends_on:{depends_on},
+                 upstreams:[{upstreams}]}},
+        {{name:"store",kind:"lookup",deadline_s:2,upstreams:[]}}],
       shifts:[{shift}],drains:[{drains}]}}"""
     return parse_config(text).unwrap()
 
@@ -49,6 +51,7 @@
         self.plan = None
         self.sequence = 0
         self.demand_by_zone = dict.fromkeys(ZONES, 2.0)
+        self.store_row = {}
         self.silent = set()
         self.behind = set()
         self.warm = 1.0
@@ -83,7 +86,7 @@
             body = {
                 "sequence": self.sequence,
                 "plan_version": self.held_by_zone[zone],
-                "services": {"status": row},
+                "services": {"status": row, "store": {**row, **self.store_row}},
             }
             self.demand.take(
                 zone, self.sequence, json.dumps(body), {"status": 0.05}, self.now
@@ -226,6 +229,15 @@
     assert granted <= 0.8
 
 
+@pytest.mark.parametrize(("busy", "moves"), [(2, True), (8, False)])
+def test_shift_needs_room_in_what_the_service_calls(busy, moves):
+    """Callers of a service move, and the service it calls there is full."""
+    rig = Rig(make_config(make_shift(), depends_on='["store"]'))
+    rig.store_row = {"busy": busy}
+    rig.run(40)
+    assert bool(rig.moves) is moves
+
+
 def test_drained_zone_is_emptied_by_capped_steps():
     rig = Rig(make_config(drains='{what:"availability_zone",name:"a"}'))
     rig.run(5)
