--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -84,6 +84,15 @@
             for number in range(1, vms_per_zone + 1):
                 self.add_vm(f"{zone}-{number}", zone)
 
+    def end_on_sigterm(self):
+        """Let SIGTERM cancel the calling task, so that it reaches ``stop``.
+
+        A script that is killed outright leaves its processes running, and
+        the next one finds their addresses taken.
+        """
+        cancel = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, cancel)
+
     async def start(self):
         """Start everything, apply the text and wait until all is ready."""
         text_path = self.directory / "config.json5"
--- a/godwitlanding/tests/tools/demo.py
+++ b/godwitlanding/tests/tools/demo.py
@@ -35,6 +35,7 @@
     began = loop.time()
     try:
         print(f"starting {len(cluster.vm_by_name)} entry VMs and the stand-ins")
+        cluster.end_on_sigterm()
         await cluster.start()
         await cluster.standins.set_faults(list_lag_s=LIST_LAG_S)
         print(f"ready after {loop.time() - began:.1f} s; driving {drive_s:.0f} s")
@@ -140,6 +141,9 @@
     except (TimeoutError, RuntimeError) as error:
         print(f"demo: failed {error or 'it took too long'}")
         return 1
+    except asyncio.CancelledError:
+        print("demo: failed it was ended from outside")
+        return 1
     for fault in verdict.faults:
         print(f"  FAULT {fault}")
     print(verdict.format("demo"))
