Keep a cold upstream out while it leaves

Cause: set_usable(cold=True), as the zone daemon called it when a probe said cold, made an upstream usable that its list or its own word had taken out, until the next probe. Change: Arbiter.note_cold says nothing of use; the daemon's one call is changed with it.

--- a/godwitlanding/arbiter.py
+++ b/godwitlanding/arbiter.py
@@ -110,19 +110,24 @@
         permit = Permit(upstream_id, None, 0, False)
         self._permits.open(permit_id, permit, until, self._now)
 
-    def set_usable(self, upstream_id, usable, now, cold=False):
-        """Take the word of drains, probes and the platform on an upstream.
-
-        ``cold`` tells that it has just started, so that slow start applies.
-        """
+    def set_usable(self, upstream_id, usable, now):
+        """Take the word of drains, probes and the platform on an upstream."""
         upstream = self.pool.get(upstream_id)
-        if usable and cold:
-            self.warmup.note_cold(upstream_id, now)
-        if cold or usable != upstream.usable:
+        if usable != upstream.usable:
             upstream.usable = usable
             self.pool.refresh(upstream, now)
         return self.tick(now)
 
+    def note_cold(self, upstream_id, now):
+        """Give an upstream that has just started its work slowly.
+
+        Whether it may be used at all is for ``set_usable`` to say: an
+        upstream may restart while it leaves.
+        """
+        self.warmup.note_cold(upstream_id, now)
+        self.pool.refresh(self.pool.get(upstream_id), now)
+        return self.tick(now)
+
     def set_allowances(self, allowance_by_zone, now):
         """Take the plan's spill allowances: requests in flight by zone."""
         self.spill.set_allowances(allowance_by_zone)
--- a/godwitlanding/services/arbitration.py
+++ b/godwitlanding/services/arbitration.py
@@ -91,7 +91,7 @@
         """An upstream has started again: give it work slowly."""
         desk = self.desk_by_service[service]
         now = self._now()
-        desk.take(desk.arbiter.set_usable(upstream, True, now, cold=True), now)
+        desk.take(desk.arbiter.note_cold(upstream, now), now)
 
     def get_status(self):
         """Return the desks, with why upstreams are out."""
--- a/godwitlanding/tests/test_arbiter_states.py
+++ b/godwitlanding/tests/test_arbiter_states.py
@@ -56,10 +56,14 @@
         self.blocked_until[upstream] = 0.0
         self.check(self.arbiter.unblock(upstream, self.now))
 
-    @rule(upstream=upstreams, usable=st.booleans(), cold=st.booleans())
-    def set_usable(self, upstream, usable, cold):
+    @rule(upstream=upstreams, usable=st.booleans())
+    def set_usable(self, upstream, usable):
         self.usable[upstream] = usable
-        self.check(self.arbiter.set_usable(upstream, usable, self.now, cold=cold))
+        self.check(self.arbiter.set_usable(upstream, usable, self.now))
+
+    @rule(upstream=upstreams)
+    def note_cold(self, upstream):
+        self.check(self.arbiter.note_cold(upstream, self.now))
 
     @rule(upstream=upstreams, lasts_s=st.floats(0.1, 3.0))
     def recover_permit(self, upstream, lasts_s):
--- a/godwitlanding/tests/test_policies.py
+++ b/godwitlanding/tests/test_policies.py
@@ -210,6 +210,17 @@
     assert ask(arbiter, "r2", 0.2).upstream == first.upstream
 
 
+def test_cold_upstream_that_leaves_stays_out():
+    """An upstream that drains is restarted, and its probe says cold.
+
+    Taken for ready it would be sent work and cut it off when it stops.
+    """
+    arbiter = make_arbiter(upstreams=1)
+    arbiter.set_usable("s1", False, 0.0)
+    arbiter.note_cold("s1", 0.1)
+    assert ask(arbiter, "r1", 0.1).code is Code.NO_UPSTREAM
+
+
 def test_drained_zone_refuses_at_once():
     """Every upstream leaves; waiting for one would waste the caller's time."""
     arbiter = make_arbiter(upstreams=1)
--- a/godwitlanding/tests/tools/load_patterns.py
+++ b/godwitlanding/tests/tools/load_patterns.py
@@ -136,7 +136,7 @@
             upstream.cold_left = COLD_REQUESTS
             arbiter = getattr(run.design, "arbiter", None)
             if arbiter:
-                arbiter.set_usable(upstream.id, True, 5.0, cold=True)
+                arbiter.note_cold(upstream.id, 5.0)
 
     streams = (callers._replace(rate=rate),)
     return Pattern(name, streams, 70, 5, 70, 5, events=((5, cool),))
@@ -147,7 +147,9 @@
         arbiter = getattr(run.design, "arbiter", None)
         if arbiter:
             now = run.clock.now
-            run.design.take(arbiter.set_usable("u0", usable, now, cold=usable))
+            run.design.take(arbiter.set_usable("u0", usable, now))
+            if usable:
+                run.design.take(arbiter.note_cold("u0", now))
 
     def stop(run):
         run.upstreams[0].down_until = 12.0
