--- a/godwitlanding/tests/test_carry.py
+++ b/godwitlanding/tests/test_carry.py
@@ -15,6 +15,7 @@
     answer_hello,
     get_header,
     make_answer,
+    make_config,
     wait_until,
 )
 from godwitlanding.tests.test_entry import fetch
@@ -230,6 +231,28 @@
         assert [asked.may_pass_on for asked in a.zone.asked] == [True, False]
 
 
+async def test_spill_keeps_to_the_limit_of_its_link():
+    """More is to be passed on than the link between the zones may carry.
+
+    What is over the limit is served here, so that the link stays usable.
+    """
+    async with open_two_zones([answer_hello], [answer_hello]) as (a, b):
+        config = make_config([], other=("zb",))
+        config["links"][0]["requests_per_s"] = 0.001
+        a.zone.push("config", "main", config)
+        view = a.kernel.get("feed").view
+        await wait_until(lambda: view.get_config().link_by_zones)
+        a.zone.answer = lambda asked: PassOn("zb", 3.0) if asked.may_pass_on else None
+        for _ in range(3):
+            assert (await fetch(a))[::2] == (200, b"hello")
+        assert [asked.may_pass_on for asked in a.zone.asked][1:] == [True, False] * 2
+        assert len(b.zone.asked) == 1
+        counted = a.counters.get(
+            "requests_retried", reason="LINK_LIMIT", service="status"
+        )
+        assert counted == 2
+
+
 async def test_forged_spill_is_refused():
     """A caller marks its own request as spill to get around the tickets."""
     async with Bench(ADDRESS, [answer_hello]) as bench:
