--- a/godwitlanding/intake.py
+++ b/godwitlanding/intake.py
@@ -7,7 +7,7 @@
 what it does next comes too late.
 """
 
-from godwitlanding.admission import RECOVERY_WAIT_S
+from godwitlanding.admission import PATIENCE
 from godwitlanding.codes import Code, Refusal
 from godwitlanding.decision import Decision, Spill
 from godwitlanding.fairness import bound_cost
@@ -21,7 +21,7 @@
 MAX_DISPLACED = 4
 # Reluctant slots are used once waiting for others would take this share of
 # the time that the next request may wait.
-PRESSED_SHARE = 0.5
+PRESSED_SHARE = 0.25
 
 
 class Intake:
@@ -39,7 +39,7 @@
     def add(self, ask, now):
         """Queue a request; return its ``Waiting``."""
         expected_s = ask.expected_s or self._long_jobs.get_expected_s(ask.fingerprint)
-        start_by = self._admission.get_start_by(now, ask.deadline, ask.priority)
+        start_by = self._get_start_by(ask, now)
         waiting = self.queue.add(
             ask,
             now,
@@ -87,13 +87,13 @@
     def bound(self, waiting, excluded, now):
         """Give up the newcomer or those it displaces, where all are late."""
         if self._pool.usable_slots == 0:
-            if not self._pool.may_recover(now):
-                return [self._give_up(waiting, Code.NO_UPSTREAM, now)]
-            end = min(waiting.start_by, now + RECOVERY_WAIT_S)
-            self._timers.set(("ask", waiting.ask.request_id), end)
-        elif self._pool.is_all_excluded(excluded):
+            is_hopeless = not self._pool.may_recover()
+        else:
+            is_hopeless = self._pool.is_all_excluded(excluded)
+        if is_hopeless:
             return [self._give_up(waiting, Code.NO_UPSTREAM, now)]
-        if self._is_late(waiting, now):
+        admit_by = now + (waiting.start_by - now) / PATIENCE
+        if now + self._estimate_wait_s(waiting) > admit_by:
             return [self._give_up(waiting, self._get_full_code(waiting), now)]
         return self._displace(waiting, now)
 
@@ -135,16 +135,21 @@
         queued = len(self.queue)
         return self._admission.get_retry_after_s(now, queued, self._last_slots)
 
+    def _get_start_by(self, ask, now):
+        if self._pool.usable_slots == 0:
+            return self._admission.get_recovery_start_by(now, ask.deadline)
+        return self._admission.get_start_by(now, ask.deadline, ask.priority)
+
     def _displace(self, newcomer, now):
         decisions = []
         for _ in range(MAX_DISPLACED):
             last = self.queue.get_last()
-            if last is newcomer or not self._is_late(last, now):
+            if last is newcomer or now + self._estimate_wait_s(last) <= last.start_by:
                 break
             decisions.append(self._give_up(last, Code.DISPLACED, now))
         return decisions
 
-    def _is_late(self, waiting, now):
+    def _estimate_wait_s(self, waiting):
         slots = self._last_slots
         ahead = self.queue.count_ahead(waiting)
         wait_s = self._admission.get_wait_s(ahead, slots)
@@ -153,7 +158,7 @@
             limit = self._long_jobs.get_limit(slots)
             long_s = self._long_jobs.mean_long_s
             wait_s = max(wait_s, self._admission.get_wait_s(ahead, limit, long_s))
-        return now + wait_s > waiting.start_by
+        return wait_s
 
     def _get_full_code(self, waiting):
         if self.queue.is_over_share(waiting.ask.caller):
--- a/godwitlanding/services/replication.py
+++ b/godwitlanding/services/replication.py
@@ -15,7 +15,7 @@
 from godwitlanding.membership import choose_reachable
 from godwitlanding.messages import Failure, Fetch, State, Subscribe
 from godwitlanding.services.members import ENTRY_ROLE, VMS_KIND, format_vm_list
-from godwitlanding.tasks import Tasks
+from godwitlanding.tasks import Tasks, end_tasks
 
 WATCHED_KINDS = ("config", "plan", "secret", "roster", "summary", "blocks")
 WATCHERS = 2
@@ -63,8 +63,6 @@
 
     async def stop(self):
         """End the watches."""
-        for task in self._watch_task_by_kind.values():
-            task.cancel()
         await self._tasks.stop()
 
     def is_ready(self):
@@ -120,8 +118,8 @@
             if wanted and (task is None or task.done()):
                 self._watch_task_by_kind[kind] = self._tasks.run(self._watch(kind))
             elif task and not wanted:
-                task.cancel()
                 del self._watch_task_by_kind[kind]
+                await end_tasks([task])
 
     async def _watch(self, kind):
         while True:
@@ -139,7 +137,7 @@
             self._after_by_kind[kind] = batch.version
             for event in batch.events:
                 if not event.deleted:
-                    self._take_from_platform(event.stored)
+                    self._take_from_platform(event.stored, batch.version)
             if kind == "secret":
                 await self._create_secret()
             if kind == "summary":
@@ -157,13 +155,18 @@
             self._members.platform_reachable = False
         await asyncio.sleep(max(RETRY_S, refusal.retry_after_s))
 
-    def _take_from_platform(self, stored):
+    def _take_from_platform(self, stored, platform_version):
         state = State(stored.kind, stored.name, stored.version, stored.value)
         key = f"{state.kind}/{state.name}"
-        if state.version < self._context.replica.get_version(state.kind, state.name):
-            self._stored_older_by_key[key] = state.version
-        else:
+        held = self._context.replica.get_version(state.kind, state.name)
+        if held <= platform_version:
             self._stored_older_by_key.pop(key, None)
+        if state.version < held <= platform_version:
+            # Only late: what is held came by a peer or by an own write, and
+            # the watch will bring it too.
+            return
+        if state.version < held:
+            self._stored_older_by_key[key] = state.version
         if self._context.replica.offer(state):
             self._pass_on(state)
 
--- a/godwitlanding/tests/tools/bench_journal.py
+++ b/godwitlanding/tests/tools/bench_journal.py
@@ -1,99 +1,124 @@
-"""Measures what claims cost: the journal against one create a request.
+"""Measures what non-idempotent work costs the platform and its home.
 
     python -m godwitlanding.tests.tools.bench_journal
 
-A home writes its journal to a store in memory whose calls take 5 ms, as
-the platform's do, while presses come at random and work takes 0.3 s. Shown
-for each rate: writes a second, the wait of a press for its claim, and bytes
-written a second. A caller's own key takes two writes each by construction:
-the create and the outcome.
+The real journal of one entry process against the platform in memory:
+writes a second by payments a second, and the size and processor time of
+one write by the number of records that it carries.
 """
 
 import argparse
 import asyncio
-import random
 import sys
 import time
-
-from result import Ok
+import uuid
 
 from godwitlanding.daemon import make_context
+from godwitlanding.journal import Journal
 from godwitlanding.journaltext import Outcome
 from godwitlanding.services.journal import JournalWriter
-from godwitlanding.tests.support_entry import make_settings
-from godwitlanding.tests.tools.measure import format_table
+from godwitlanding.settings import check_settings
+from godwitlanding.tests.support import FakeStore
+from godwitlanding.tests.tools.measure import format_table, plot
 from godwitlanding.ticket import JOURNALED, Ticket
 
-RATES_PER_S = (0.5, 5, 20, 100)
-STORE_DELAY_S = 0.005
+RATES = (1, 5, 20, 100)
+SECONDS = 6.0
 WORK_S = 0.3
-ANSWER = Outcome(201, (("content-type", "application/json"),), b"x" * 300)
+RECORDS = (10, 100, 1000)
+BODY = b"x" * 300
+SETTINGS = """{vm: "v", address: "127.0.50.1", availability_zone: "z",
+    platform_url: "http://127.0.50.1:1"}"""
+
 
+def make_ticket():
+    """Return a ticket that nobody used yet."""
+    return Ticket("pay", JOURNALED, "v", "v-1", int(time.time()), uuid.uuid4().hex)
 
-class CountingStore:
-    """Takes every write after the usual delay and keeps only its size."""
 
-    def __init__(self):
-        self.sizes = []
+def make_outcome(body=BODY):
+    """Return the outcome of a payment."""
+    return Outcome(200, (("content-type", "application/json"),), body)
 
-    async def put(self, kind, name, value, expected_version):
-        """Return ``Ok(new version)``."""
-        await asyncio.sleep(STORE_DELAY_S)
-        self.sizes.append(len(value))
-        return Ok(expected_version + 1)
 
+async def measure_rate(rate):
+    """Return writes, bytes and waiting at so many payments a second."""
+    store = FakeStore()
+    written = []
 
-async def measure(rate_per_s, seconds):
-    """Return a row for presses at ``rate_per_s`` to one home."""
-    store = CountingStore()
-    sizes = store.sizes
-    writer = JournalWriter(make_context("entry", make_settings("127.0.0.1")), store)
+    async def note(operation, kind, name):
+        written.append(operation)
+
+    store.before_call = note
+    store.delay_s = 0.003
+    context = make_context("entry", check_settings(SETTINGS).unwrap())
+    writer = JournalWriter(context, store)
     await writer.start(None)
     waits = []
+
+    async def pay():
+        began = time.perf_counter()
+        claim = writer.press(make_ticket(), 1).unwrap()
+        assert await writer.wait_recorded(claim) is None
+        waits.append(time.perf_counter() - began)
+        await asyncio.sleep(WORK_S)
+        writer.finish(claim, make_outcome())
+
     tasks = []
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        tasks.append(asyncio.ensure_future(press(writer, len(tasks), waits)))
-        await asyncio.sleep(random.expovariate(rate_per_s))
+    for _ in range(int(rate * SECONDS)):
+        tasks.append(asyncio.ensure_future(pay()))
+        await asyncio.sleep(1 / rate)
+    writes = written.count("put")
     await asyncio.gather(*tasks)
     await writer.stop()
-    ordered = sorted(waits)
+    waits.sort()
     return [
-        rate_per_s,
-        len(waits),
-        len(sizes) / seconds,
-        2 * len(waits) / seconds,
-        ordered[len(ordered) // 2] * 1000,
-        ordered[len(ordered) * 99 // 100] * 1000,
-        sum(sizes) / seconds / 1000,
+        rate,
+        writes / SECONDS,
+        writes / SECONDS / rate,
+        waits[len(waits) // 2] * 1000,
+        waits[-1] * 1000,
     ]
 
 
-async def press(writer, number, waits):
-    """Press once and run the work."""
-    ticket = Ticket("pay", JOURNALED, "za1", "h", int(time.time()), f"{number:032x}")
-    began = time.perf_counter()
-    claim = writer.press(ticket, number).unwrap()
-    await writer.wait_recorded(claim)
-    waits.append(time.perf_counter() - began)
-    await asyncio.sleep(WORK_S)
-    writer.finish(claim, ANSWER)
-
-
-async def run(seconds):
-    """Print the table."""
-    rows = await asyncio.gather(*(measure(rate, seconds) for rate in RATES_PER_S))
-    head = ["presses/s", "presses", "writes/s", "by create/s", "p50 ms", "p99 ms"]
-    print(format_table([*head, "KB/s"], rows))
+def measure_size(records):
+    """Return bytes and milliseconds of a write of so many records."""
+    row = [records]
+    for body in (None, BODY):
+        journal = Journal("v-entry-1")
+        for _ in range(records):
+            claim = journal.press(make_ticket(), 1).unwrap()
+            journal.finish(claim, make_outcome(body))
+        began = time.perf_counter()
+        write = journal.begin_write()
+        took_s = time.perf_counter() - began
+        row += [len(write.value), len(write.value) / records, took_s * 1000]
+    return row
+
+
+async def run():
+    """Print both tables and write the plot."""
+    rows = [await measure_rate(rate) for rate in RATES]
+    head = ["payments/s", "writes/s", "writes a payment", "p50 wait ms", "most ms"]
+    print(format_table(head, rows))
+    print("\nOne write, without and with bodies of answers")
+    rows = [measure_size(records) for records in RECORDS]
+    head = ["records", "bytes", "a record", "ms", "with bodies", "a record", "ms"]
+    print(format_table(head, rows))
+    series = {
+        "without bodies": [(row[0], row[1] / 1000) for row in rows],
+        "with bodies": [(row[0], row[4] / 1000) for row in rows],
+    }
+    plot("journal", "A write of a journal", "records", "KB", series)
 
 
 def main(argv=None):
-    """Print the table."""
+    """Run the benchmark."""
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
-    parser.add_argument("--seconds", type=float, default=20.0)
-    asyncio.run(run(parser.parse_args(argv).seconds))
+    parser.parse_args(argv)
+    asyncio.run(run())
 
 
 if __name__ == "__main__":
