--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -127,7 +127,8 @@
         self._listed_by_vm[vm] = self.vm_by_name[vm]
 
     async def start_vm(self, vm):
-        """Start the three daemons of a VM."""
+        """Start the three daemons of a VM, for the first time or again."""
+        self._listed_by_vm[vm] = self.vm_by_name[vm]
         await self._list_vms()
         for role in ROLES:
             await self.start_role(vm, role)
