Warn other zones of a request that crashes upstreams

Its caller tries another zone next, which lost two upstreams of its own before it knew. The process that sees the second crash sends Poison to the other entry processes (32 at most, picked at random).

--- a/godwitlanding/retry.py
+++ b/godwitlanding/retry.py
@@ -83,9 +83,13 @@
         self.ledger.note_success(request.fingerprint, now)
 
     def note_failure(self, request, failure, upstream, now):
-        """Count a crash of one of this zone's upstreams."""
-        if failure.outcome == OUTCOME_CRASHED and upstream:
-            self.ledger.note_crash(request.fingerprint, upstream, now)
+        """Count a crash of one of this zone's upstreams.
+
+        Returns how many the request has crashed; 0 where it crashed none.
+        """
+        if failure.outcome != OUTCOME_CRASHED or not upstream:
+            return 0
+        return self.ledger.note_crash(request.fingerprint, upstream, now)
 
     def decide(self, request, failure, tries, now):
         """Return ``Ok(reason)`` to try again, else ``Err(refusal)``."""
--- a/godwitlanding/services/carrier.py
+++ b/godwitlanding/services/carrier.py
@@ -7,8 +7,8 @@
 from godwitlanding.codes import RUN_NO, Code, Refusal, make_refusal
 from godwitlanding.holdings import Permit, Spill
 from godwitlanding.kernel import Service
-from godwitlanding.messages import OUTCOME_CANCELLED, OUTCOME_UNUSED
-from godwitlanding.poison import PoisonLedger
+from godwitlanding.messages import OUTCOME_CANCELLED, OUTCOME_UNUSED, Poison
+from godwitlanding.poison import CRASHES_TO_STOP, PoisonLedger
 from godwitlanding.retry import Failure, RetryPolicy, Tries
 from godwitlanding.trace import Trace
 
@@ -167,7 +167,10 @@
         )
         job.tries.note(upstream, attempt.run)
         failure = Failure(attempt.outcome, attempt.run, attempt.code, attempt.detail)
-        self.policy.note_failure(job.request, failure, upstream, now)
+        crashes = self.policy.note_failure(job.request, failure, upstream, now)
+        if crashes >= CRASHES_TO_STOP:
+            fingerprint = job.request.fingerprint
+            self._passer.warn(Poison(fingerprint, upstream, crashes))
         if job.sink.started and not job.sink.resume:
             return Final(make_refusal(attempt.code, 1.0, attempt.detail))
         decided = self.policy.decide(job.request, failure, job.tries, now)
--- a/godwitlanding/services/passer.py
+++ b/godwitlanding/services/passer.py
@@ -10,10 +10,14 @@
 from godwitlanding.kernel import Service
 from godwitlanding.messages import OUTCOME_FAILED, OUTCOME_UNUSED
 from godwitlanding.spill import LinkMeter
+from godwitlanding.tasks import Tasks
 
 # One VM that has just died must not fail the spill; with more, the caller
 # waits through a zone that is gone.
 MAX_TARGETS = 2
+# All of today's VMs; in a larger fleet a sample, so that one bad request
+# costs no more than a few messages.
+MAX_WARNED = 32
 STATE_LIVE = "live"
 
 
@@ -28,6 +32,7 @@
         self._counters = context.counters
         self._port = context.settings["entry_port"]
         self._meter_by_zone = {}
+        self._tasks = Tasks()
         self._bad_until_by_vm = {}
 
     async def start(self, kernel):
@@ -35,6 +40,10 @@
         self._feed = kernel.get("feed")
         self._upstreams = kernel.get("upstreams")
 
+    async def stop(self):
+        """Drop warnings that are still under way."""
+        await self._tasks.stop()
+
     async def pass_on(self, request, spill, sink):
         """Send to an entry VM of the spill's zone; return an ``Attempt``."""
         zone = spill.availability_zone
@@ -73,6 +82,18 @@
             return _refuse(Code.PEER_UNREACHABLE, detail=attempt.detail)
         return attempt
 
+    def warn(self, message):
+        """Tell other entry processes of a request that crashes upstreams.
+
+        Its caller tries another VM or zone next, which would lose two
+        upstreams of its own before it knows.
+        """
+        port = self._context.settings["entry_peer_port"]
+        rows = [row for row in self._feed.view.get_vms() if row.state == STATE_LIVE]
+        others = [row for row in rows if row.vm != self._context.vm]
+        for row in random.sample(others, min(len(others), MAX_WARNED)):
+            self._tasks.run(self._feed.pool.send(f"{row.address}:{port}", message))
+
     def _list_targets(self, zone):
         rows = [
             row
--- a/godwitlanding/tests/test_carry.py
+++ b/godwitlanding/tests/test_carry.py
@@ -231,6 +231,19 @@
         assert [asked.may_pass_on for asked in a.zone.asked] == [True, False]
 
 
+async def test_crashing_request_is_stopped_in_the_other_zone_too():
+    """A request crashes two upstreams and its caller tries the next zone.
+
+    That zone would lose two of its own before it knew.
+    """
+    async with open_two_zones([crash] * 3, [answer_hello]) as (a, b):
+        assert (await fetch(a, "/s/status/poison"))[0] == 422
+        noted = {"name": "poison_noted", "upstream": "u1"}
+        await wait_until(lambda: b.counters.get(**noted))
+        assert (await fetch(b, "/s/status/poison"))[0] == 422
+        assert not b.upstreams[0].heads
+
+
 async def test_spill_keeps_to_the_limit_of_its_link():
     """More is to be passed on than the link between the zones may carry.
 
