Say 'unknown' of a key that this process knows nothing of

An entry daemon that had just started refused a press NOT_READY with run: no, although its predecessor on that VM had run the payment; other VMs passed that word on. Change: a refusal given before any record is looked at says 'unknown' where the request carries a key. Conclusion: 'not run' is said of the work, not of one press.

--- a/godwitlanding/services/requests.py
+++ b/godwitlanding/services/requests.py
@@ -70,7 +70,8 @@
         if upload.is_gone:
             return
         if read.is_err():
-            await self._refuse(read.unwrap_err(), request_id, scope, receive, send)
+            refusal = _qualify(read.unwrap_err(), scope)
+            await self._refuse(refusal, request_id, scope, receive, send)
             return
         request = read.unwrap()
         self._carrier.trace.add(
@@ -191,6 +192,19 @@
         return await self._carrier.carry(request, sink)
 
 
+def _qualify(refusal, scope):
+    """Return what a refusal before any record was looked at may say.
+
+    An earlier press of the same key may have run, here or elsewhere. A
+    process that has just started in place of the one that ran it would
+    else tell its caller "not run", and the work would be paid for twice.
+    """
+    name = IDEMPOTENCY_KEY.lower().encode()
+    if any(key.lower() == name for key, _ in scope["headers"]):
+        return refusal._replace(run=RUN_UNKNOWN)
+    return refusal
+
+
 def _read_deadline(value_by_name, service):
     text = value_by_name.get(DEADLINE.lower())
     if text is None:
