--- a/godwitlanding/tests/tools/bench_blocks.py
+++ b/godwitlanding/tests/tools/bench_blocks.py
@@ -30,11 +30,11 @@
 )
 from godwitlanding.messages import Envelope, State, encode
 from godwitlanding.tests.tools.measure import (
-    ZoneStandIn,
     format_table,
     plot,
     read_cost,
 )
+from godwitlanding.tests.tools.peers import ZoneStandIn
 from godwitlanding.tests.tools.sizes import LETTER, make_block_objects, make_piece
 
 ADDRESS = "127.0.50.1"
--- a/godwitlanding/tests/tools/bench_control.py
+++ b/godwitlanding/tests/tools/bench_control.py
@@ -15,11 +15,9 @@
 
 from godwitlanding.blocks import BlockChange
 from godwitlanding.blockstore import format_delta
-from godwitlanding.messages import PROTOCOL_VERSION, Heartbeat, Hello, State, VersionOf
-from godwitlanding.metrics import Counters
+from godwitlanding.messages import State, VersionOf
 from godwitlanding.store import HttpStore
 from godwitlanding.tests.tools.measure import (
-    ZoneStandIn,
     format_table,
     plot,
     read_cost,
@@ -27,6 +25,7 @@
     wait_for_health,
     write_settings,
 )
+from godwitlanding.tests.tools.peers import Peer, ZoneStandIn
 from godwitlanding.tests.tools.sizes import (
     LETTER,
     TODAY,
@@ -38,7 +37,6 @@
     make_summary,
     make_vms,
 )
-from godwitlanding.wire import Pool, Server
 
 ADDRESS = "127.0.50.1"
 PLATFORM = "127.0.51.250"
@@ -47,7 +45,6 @@
 ZONE_PORT = 17407
 REST_S = 6.0
 SUMMARY_S = 2.0
-HEARTBEAT_S = 0.3
 _QUIET_S = 0.5
 
 
@@ -192,53 +189,13 @@
     return [what, count, cost_ms, after.resident_mb]
 
 
-class Peer:
-    """Another member of the zone that only sends and takes heartbeats."""
-
-    def __init__(self, vm, address, zone):
-        self.versions = ()
-        self._vm = vm
-        self._address = address
-        hello = Hello(PROTOCOL_VERSION, "zone", vm, zone, f"{vm}-1")
-        handlers = {Heartbeat: self._take, State: self._take}
-        self._server = Server(hello, handlers, Counters())
-        self._pool = Pool(hello, handlers, Counters())
-
-    async def start(self):
-        """Listen and begin the heartbeats."""
-        await self._server.start(self._address, ZONE_PORT)
-        self._task = asyncio.ensure_future(self._beat())
-
-    async def stop(self):
-        """End the heartbeats."""
-        self._task.cancel()
-        await self._pool.stop()
-        await self._server.stop()
-
-    async def _take(self, channel, message):
-        return None
-
-    async def _beat(self):
-        while True:
-            heartbeat = Heartbeat(
-                self._vm,
-                f"{self._vm}-1",
-                False,
-                self.versions,
-                f"{self._vm}-entry-1",
-                False,
-                self._address,
-            )
-            await self._pool.send(f"{ADDRESS}:{ZONE_PORT}", heartbeat)
-            await asyncio.sleep(HEARTBEAT_S)
-
-
 async def measure_zone(size, with_blocks):
     """Return rows for the zone daemon, at rest and with summaries."""
     zone = size.get_zones()[0]
     names = [vm for vm, _ in size.get_vms(zone)]
     rows = [(vm, f"127.0.50.{n}", zone) for n, vm in enumerate(names, 1)]
-    peers = [Peer(*row) for row in rows[1:]]
+    dials = f"{ADDRESS}:{ZONE_PORT}"
+    peers = [Peer(*row, ZONE_PORT, dials) for row in rows[1:]]
     url = f"http://{PLATFORM}:{PLATFORM_PORT}"
     arguments = ("--host", PLATFORM, "--port", str(PLATFORM_PORT))
     with run_process("godwitlanding.tests.tools.standin_platform", *arguments):
--- a/godwitlanding/tests/tools/bench_steer.py
+++ b/godwitlanding/tests/tools/bench_steer.py
@@ -28,13 +28,13 @@
 from godwitlanding.settings import check_settings
 from godwitlanding.steer import make_services
 from godwitlanding.tests.tools.measure import (
-    ZoneStandIn,
     format_table,
     read_cost,
     run_process,
     wait_for_health,
     write_settings,
 )
+from godwitlanding.tests.tools.peers import ZoneStandIn
 from godwitlanding.tests.tools.sizes import LETTER, TODAY, make_states
 from godwitlanding.web import HttpServer
 
--- a/godwitlanding/tests/tools/measure.py
+++ b/godwitlanding/tests/tools/measure.py
@@ -10,10 +10,6 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from godwitlanding.messages import PROTOCOL_VERSION, Fetch, Hello, Subscribe
-from godwitlanding.metrics import Counters
-from godwitlanding.wire import Server
-
 OUT = Path("out")
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _START_LIMIT_S = 120
@@ -38,37 +34,6 @@
     return Cost(cpu_s, kb_by_name["VmRSS"] / 1000, kb_by_name["VmHWM"] / 1000)
 
 
-class ZoneStandIn:
-    """A zone daemon that only pushes states to whoever subscribes."""
-
-    def __init__(self, states, vm="vm", zone="zone"):
-        self.states = list(states)
-        hello = Hello(PROTOCOL_VERSION, "zone", vm, zone, "stand-in")
-        handlers = {Subscribe: self._subscribe, Fetch: self._fetch}
-        self.server = Server(hello, handlers, Counters())
-
-    async def push(self, state):
-        """Send a changed state to every subscriber."""
-        self.states.append(state)
-        for channel in self.server.channels:
-            channel.send(state)
-
-    async def _subscribe(self, channel, message):
-        asyncio.ensure_future(self._push_all(channel, message.kinds))
-
-    async def _push_all(self, channel, kinds):
-        for state in list(self.states):
-            if state.kind in kinds:
-                channel.send(state)
-                # The real daemon lets others in between two pieces as well.
-                await asyncio.sleep(0.001)
-
-    async def _fetch(self, channel, message):
-        wanted = (message.kind, message.name)
-        found = [s for s in self.states if (s.kind, s.name) == wanted]
-        return found[-1] if found else None
-
-
 @contextlib.contextmanager
 def run_process(module, *arguments):
     """Run ``python -m module`` until the block ends; yield the process."""
--- /dev/null
+++ b/godwitlanding/tests/tools/zones.py
@@ -0,0 +1,141 @@
+"""Zone daemons of some zones in one process, and a count of what they send.
+
+For benchmarks: the real services of members, replication, peers and
+listener over loopback, around a platform in memory.
+"""
+
+import asyncio
+import json
+from collections import Counter
+
+from godwitlanding import wire
+from godwitlanding.daemon import make_context
+from godwitlanding.kernel import Kernel, Service
+from godwitlanding.services.configuration import Configuration
+from godwitlanding.services.links import Listener, Peers
+from godwitlanding.services.members import Members
+from godwitlanding.services.platform import Platform
+from godwitlanding.services.replication import Replication
+from godwitlanding.settings import check_settings
+from godwitlanding.tests.support import FakeStore
+
+PORT = 17301
+SETTLE_S = 4.0
+_LIMIT_S = 60
+
+
+class Traffic:
+    """Counts messages and bytes by type as they are encoded."""
+
+    def __init__(self):
+        self.messages = Counter()
+        self.bytes = Counter()
+        self._encode = wire.encode
+
+    def __enter__(self):
+        wire.encode = self._count
+        return self
+
+    def __exit__(self, *error):
+        wire.encode = self._encode
+
+    def clear(self):
+        """Start counting afresh."""
+        self.messages.clear()
+        self.bytes.clear()
+
+    def _count(self, envelope):
+        data = self._encode(envelope)
+        name = type(envelope.message).__name__
+        self.messages[name] += 1
+        self.bytes[name] += len(data) + wire._LENGTH.size
+        return data
+
+
+class Absent(Service):
+    """Stands where a service is needed by name only."""
+
+    def __init__(self, name):
+        self.name = name
+
+
+class Fleet:
+    """Zone daemons of some zones in this process, around one platform."""
+
+    def __init__(self, zones, members):
+        self.store = FakeStore()
+        self.contexts = []
+        self._kernels = []
+        rows = []
+        for zone in range(zones):
+            for member in range(members):
+                number = len(rows)
+                address = f"127.0.{50 + number // 250}.{1 + number % 250}"
+                rows.append((f"z{zone:02}-v{member:02}", address, f"z{zone:02}"))
+        self.store.set_vms(*rows)
+        for vm, address, zone in rows:
+            self._add(vm, address, zone)
+
+    def _add(self, vm, address, zone):
+        text = json.dumps(
+            {
+                "vm": vm,
+                "address": address,
+                "availability_zone": zone,
+                "platform_url": "http://127.0.50.1:1",
+                "zone_port": PORT,
+            }
+        )
+        context = make_context("zone", check_settings(text).unwrap())
+        services = [
+            Peers(context),
+            Platform(self.store),
+            Configuration(context),
+            Members(context),
+            Replication(context),
+            Absent("lending"),
+            Absent("arbitration"),
+            Listener(context),
+        ]
+        self.contexts.append(context)
+        self._kernels.append(Kernel(services))
+
+    async def __aenter__(self):
+        for kernel in self._kernels:
+            await kernel.start()
+        await asyncio.sleep(SETTLE_S)
+        return self
+
+    async def __aexit__(self, *error):
+        await asyncio.gather(*(kernel.stop() for kernel in self._kernels))
+
+    async def put(self, kind, name, body):
+        """Write an object whatever its version; return the new version."""
+        held = self.store.objects.get(kind, name)
+        expected = held.unwrap().version if held.is_ok() else 0
+        return (await self.store.put(kind, name, body, expected)).unwrap()
+
+    async def wait_for(self, wanted):
+        """Wait until all hold the versions ``{(kind, name): version}``."""
+        waiting = set()
+        done = asyncio.Event()
+
+        def check(context):
+            get = context.replica.get_version
+            return all(get(*key) >= version for key, version in wanted.items())
+
+        def follow(context, number):
+            def listen(state):
+                if number in waiting and check(context):
+                    waiting.discard(number)
+                    if not waiting:
+                        done.set()
+
+            context.replica.listen(listen)
+
+        for number, context in enumerate(self.contexts):
+            if not check(context):
+                waiting.add(number)
+                follow(context, number)
+        if waiting:
+            await asyncio.wait_for(done.wait(), _LIMIT_S)
