--- a/godwitlanding/tests/test_planner.py
+++ b/godwitlanding/tests/test_planner.py
@@ -58,6 +58,8 @@
         self.held_by_zone = dict.fromkeys(ZONES, 0)
         self.moves = []
         self.overgranted = []
+        self.platform_down = False
+        self.answers_lost = False
         self.reported_by_zone = {}
         self.start_planner()
 
@@ -99,13 +101,16 @@
         end = self.now + duration_s
         while self.now < end:
             self.now += 1.0
-            self.report()
+            if not self.platform_down:
+                self.report()
             plan = self.planner.make_plan(self.config, self.now)
-            if plan:
+            is_current = self.planner.version == self.version
+            if plan and is_current and not self.platform_down:
                 before = self.get_moved()
                 self.version += 1
                 self.plan = parse_plan(format_plan(plan))
-                self.planner.take_plan(self.plan, self.version, self.now)
+                if not self.answers_lost:
+                    self.planner.take_plan(self.plan, self.version, self.now)
                 self.check_allowances()
                 if abs(self.get_moved() - before) > 1e-9:
                     self.moves.append((self.now, self.get_moved() - before))
@@ -202,6 +207,29 @@
     assert rig.planner.get_status(rig.now)["why"].startswith("status from a")
 
 
+@pytest.mark.parametrize("outage_s", [1, 5, 20, 90])
+@pytest.mark.parametrize("answers_lost", [False, True])
+def test_outage_in_the_middle_of_a_shift(outage_s, answers_lost):
+    """The platform goes away during a shift, or takes a step unanswered.
+
+    The shift goes on afterwards as if the step had been made just then;
+    it makes nothing up for the time lost.
+    """
+    rig = Rig(make_config(make_shift()))
+    while not rig.moves:
+        rig.run(1)
+    rig.run(10)
+    rig.answers_lost = answers_lost
+    rig.run(8)
+    rig.platform_down = True
+    rig.run(outage_s)
+    rig.platform_down = rig.answers_lost = False
+    rig.planner.take_plan(rig.plan, rig.version, rig.now)
+    rig.run(100)
+    assert rig.get_moved() == pytest.approx(0.6)
+    assert rig.get_most_moved(STEP_S) <= CAP + 1e-9
+
+
 @pytest.mark.parametrize("config", [make_config(), make_config(make_shift(0.0))])
 def test_way_back_is_capped_too(config):
     """The operators take a shift out of the text when it has arrived."""
