--- a/godwitlanding/tests/test_policies.py
+++ b/godwitlanding/tests/test_policies.py
@@ -210,6 +210,17 @@
     assert ask(arbiter, "r2", 0.2).upstream == first.upstream
 
 
+def test_cold_upstream_that_leaves_stays_out():
+    """An upstream that drains is restarted, and its probe says cold.
+
+    Taken for ready it would be sent work and cut it off when it stops.
+    """
+    arbiter = make_arbiter(upstreams=1)
+    arbiter.set_usable("s1", False, 0.0)
+    arbiter.note_cold("s1", 0.1)
+    assert ask(arbiter, "r1", 0.1).code is Code.NO_UPSTREAM
+
+
 def test_drained_zone_refuses_at_once():
     """Every upstream leaves; waiting for one would waste the caller's time."""
     arbiter = make_arbiter(upstreams=1)
@@ -219,6 +230,19 @@
     assert refusal.retry_after_s > 0
 
 
+@pytest.mark.parametrize("lasts_s", [2.0, 4.0])
+def test_request_waits_for_an_arbiter_that_takes_over(lasts_s):
+    """The arbiter was replaced and the new one has no loans yet.
+
+    Refused in that second, callers would see an outage at each replacement.
+    """
+    arbiter = Arbiter("status")
+    assert ask(arbiter, "r1", lasts_s=lasts_s) is None
+    assert arbiter.tick(1.0) == []
+    [decision] = arbiter.set_loan("s1", 3, FAR_S, 1.2)
+    assert isinstance(decision.outcome, Grant)
+
+
 def test_spill_stays_inside_its_allowance():
     """A full zone's surplus goes to one neighbour.
 
