--- a/godwitlanding/tests/test_trace.py
+++ b/godwitlanding/tests/test_trace.py
@@ -2,11 +2,9 @@
 
 import aiohttp
 
-from godwitlanding.tests.support_entry import Bench, answer_hello
+from godwitlanding.tests.support_entry import ADDRESS, Bench, answer_hello
 from godwitlanding.trace import KEPT_EVENTS, Trace
 
-ADDRESS = "127.0.71.1"
-
 
 def test_oldest_requests_are_forgotten():
     trace = Trace(kept_requests=2)
