--- a/godwitlanding/journal.py
+++ b/godwitlanding/journal.py
@@ -39,6 +39,9 @@
 STILL_RUNNING_RETRY_S = 1.0
 # Rarely enough that making room costs nothing a press.
 ROOMY_BYTES = MAX_JOURNAL_BYTES * 3 // 4
+# A full journal keeps outcomes for a shorter time, but for this long: a
+# caller that got no answer presses again within seconds.
+LEAST_KEPT_S = 120
 
 
 class Claim:
@@ -105,7 +108,7 @@
         if ticket.kind == JOURNALED and self.closed_by:
             return Err(make_refusal(Code.JOURNAL_UNAVAILABLE, 1.0, "journal closed"))
         if self._size > MAX_JOURNAL_BYTES:
-            self._make_room()
+            self._make_room(ticket.issued_s)
         if self._size > MAX_JOURNAL_BYTES:
             return Err(make_refusal(Code.JOURNAL_UNAVAILABLE, 60.0, "journal full"))
         return Ok(self._add(ticket, fingerprint))
@@ -247,12 +250,27 @@
             "closed_by": self.closed_by.incarnation if self.closed_by else "",
         }
 
-    def _make_room(self):
-        """Drop the oldest bodies until a good part of the journal is free."""
+    def _make_room(self, now_s):
+        """Drop the oldest bodies, then the oldest records, for some room.
+
+        Work that comes faster than its records may be forgotten would
+        else be refused for minutes while slots stand idle.
+        """
         for claim in self._claim_by_nonce.values():
             if self._size <= ROOMY_BYTES:
                 return
             self._drop_body(claim)
+        mark_s = self._find_mark(self._size - ROOMY_BYTES)
+        self.forget(min(mark_s, now_s - LEAST_KEPT_S))
+
+    def _find_mark(self, excess_bytes):
+        """Return the second up to which records hold ``excess_bytes``."""
+        claims = sorted(self._claim_by_nonce.values(), key=_get_issued_s)
+        for claim in claims:
+            excess_bytes -= len(claim.text)
+            if excess_bytes <= 0:
+                return claim.entry.issued_s
+        return 0
 
     def _drop_body(self, claim):
         if claim.has_body:
@@ -300,6 +318,10 @@
     return text._replace(closed_by=closer), value
 
 
+def _get_issued_s(claim):
+    return claim.entry.issued_s
+
+
 def _judge(entry, fingerprint, is_ours):
     if entry.fingerprint != fingerprint:
         return Err(make_refusal(Code.TICKET_MISMATCH))
--- a/godwitlanding/tests/test_journal.py
+++ b/godwitlanding/tests/test_journal.py
@@ -214,6 +214,26 @@
     assert len(parse_journal(value).entry_by_nonce) == count
 
 
+def test_full_journal_keeps_outcomes_for_a_shorter_time():
+    """Payments come at 20 a second for ten minutes to one entry VM.
+
+    A journal that kept every outcome for its full time would refuse new
+    payments for minutes, while the upstreams' slots stand idle.
+    """
+    journal = Journal("h0")
+    first = make_ticket("first", issued_s=1000)
+    journal.finish(journal.press(first, 7).unwrap(), PAID)
+    for number in range(12_000):
+        ticket = make_ticket(f"{number:032}", issued_s=1000 + number // 20)
+        pressed = journal.press(ticket, 7)
+        assert pressed.is_ok(), number
+        journal.finish(pressed.unwrap(), PAID)
+    assert len(journal.begin_write().value) < 1_000_000
+    assert journal.press(first, 7).unwrap_err().run == "unknown"
+    two_minutes_ago = make_ticket(f"{12_000 - 2400:032}", issued_s=1480)
+    assert journal.press(two_minutes_ago, 7).unwrap().status == PAID.status
+
+
 @pytest.mark.parametrize(
     "value", [b"", b"{}", b"[]", b'{"format": 2}', b'{"format": 1, "entries": 3}']
 )
