Let runs of the steer tests stand side by side

Two worktrees that ran test_steer.py at once met on one fixed port, and one of them failed with 'cannot listen'. Each run takes a free port now; two at once pass.

--- a/godwitlanding/tests/test_steer.py
+++ b/godwitlanding/tests/test_steer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import aiohttp
 import pytest
@@ -18,7 +19,16 @@
 
 KEY = b"k" * 32
 ADDRESS = "127.0.50.1"
-PORT = 17001
+
+
+def find_port(address):
+    """Return a free port, so that runs of the tests do not meet."""
+    with socket.socket() as probe:
+        probe.bind((address, 0))
+        return probe.getsockname()[1]
+
+
+PORT = find_port(ADDRESS)
 
 SETTINGS = f"""{{
     vm: "a1", address: "{ADDRESS}", availability_zone: "za",
@@ -93,11 +103,12 @@
         await send({"type": "http.response.start", "status": 204, "headers": []})
         await send({"type": "http.response.body", "body": b""})
 
-    server = HttpServer("http", app, "127.0.0.1", PORT + 1)
+    port = find_port("127.0.0.1")
+    server = HttpServer("http", app, "127.0.0.1", port)
     await server.start(None)
     headers = {"X-Forwarded-For": "10.1.2.3"}
     async with aiohttp.ClientSession(headers=headers) as session:
-        async with session.get(f"http://127.0.0.1:{PORT + 1}/") as response:
+        async with session.get(f"http://127.0.0.1:{port}/") as response:
             assert response.status == 204
     await server.stop()
     assert clients == ["127.0.0.1"]
