Refuse by number what one entry process has no room for

Cause: past max_connections uvicorn answers a plain 503, which says neither that nothing was run nor when to come back. Change: the entry process counts its requests in progress and refuses the surplus QUEUE_FULL at once; uvicorn's own limit stays as a last guard.

--- a/godwitlanding/services/requests.py
+++ b/godwitlanding/services/requests.py
@@ -19,6 +19,7 @@
 # slow upload holds no slot and the request can be sent again.
 WHOLE_BODY_BYTES = 262_144
 MAX_ID_CHARS = 64
+BUSY_RETRY_S = 1.0
 _SERVICE_PREFIX = re.compile(r"/s/[^/?]*")
 
 
@@ -56,6 +57,12 @@
         }
 
     async def __call__(self, scope, receive, send):
+        if len(self._began_at_by_id) >= self._settings["max_connections"]:
+            detail = "this process has too many requests"
+            refusal = make_refusal(Code.QUEUE_FULL, BUSY_RETRY_S, detail)
+            refusal = _qualify(refusal, scope)
+            await self._refuse(refusal, uuid.uuid4().hex, scope, receive, send)
+            return
         key = id(scope)
         self._began_at_by_id[key] = asyncio.get_running_loop().time()
         try:
--- a/godwitlanding/tests/test_entry.py
+++ b/godwitlanding/tests/test_entry.py
@@ -53,6 +53,29 @@
         assert not bench.upstreams[0].heads
 
 
+async def test_more_requests_than_a_process_takes_are_refused_by_number():
+    """Callers send more at once than the settings allow one process.
+
+    The surplus is told at once to come back; a plain 503 would not say
+    that nothing was run.
+    """
+    reached, release = asyncio.Event(), asyncio.Event()
+
+    async def wait(writer, head, body):
+        reached.set()
+        await release.wait()
+        writer.write(make_answer(head, b"hello"))
+
+    async with Bench(ADDRESS, [wait], max_connections=1) as bench:
+        first = asyncio.ensure_future(fetch(bench))
+        await reached.wait()
+        status, headers, body = await fetch(bench)
+        release.set()
+        assert (status, headers["Retry-After"]) == (503, "1")
+        assert b'"code":2001' in body and b'"run":"no"' in body
+        assert (await first)[0] == 200
+
+
 @pytest.mark.parametrize("chunked", [False, True])
 async def test_too_large_body_is_refused(chunked):
     async with Bench(ADDRESS, [answer_hello], max_body_bytes=1000) as bench:
--- a/godwitlanding/web.py
+++ b/godwitlanding/web.py
@@ -14,6 +14,8 @@
 PROBLEM_TYPE = "application/problem+json"
 KEEP_ALIVE_S = 30
 BACKLOG = 512
+# Connections that are idle, or are being told that there are too many.
+SPARE_CONNECTIONS = 500
 
 
 class _Server(uvicorn.Server):
@@ -50,7 +52,8 @@
             date_header=False,
             timeout_keep_alive=KEEP_ALIVE_S,
             backlog=BACKLOG,
-            limit_concurrency=max_connections,
+            # The last guard, past which refusals have no number.
+            limit_concurrency=max_connections + SPARE_CONNECTIONS,
         )
         self._server = _Server(config)
         self._task = None
