Let a zone whose VMs are all drained hear of the end of its drain

Ruled out: the watch itself, which goes on where another member is active. Change: where no member is active, those that are alive and leaving watch and grant.

--- a/godwitlanding/membership.py
+++ b/godwitlanding/membership.py
@@ -144,11 +144,23 @@
     )
 
 
+def get_serving(member_by_vm):
+    """Return the active VMs or, where there are none, all that are alive.
+
+    Where every VM of a zone is drained or stops, callers with an answer
+    that they have cached still come, and the end of the drain still has to
+    be heard of: without anybody to grant and to watch, the callers would be
+    refused, and the zone would stay drained for good.
+    """
+    alive = sorted(vm for vm, member in member_by_vm.items() if member.alive)
+    return get_active(member_by_vm) or alive
+
+
 def choose_arbiters(services, member_by_vm):
     """Return the VMs to ask for permits, best first, by service."""
-    active = get_active(member_by_vm)
+    serving = get_serving(member_by_vm)
     return {
-        service: rank(f"arbiter/{service}", active)[:ARBITERS_PER_SERVICE]
+        service: rank(f"arbiter/{service}", serving)[:ARBITERS_PER_SERVICE]
         for service in services
     }
 
@@ -159,7 +171,7 @@
     Members that reach the platform go first, so that one which is cut off
     from it does not keep the zone from learning of a change.
     """
-    ranked = rank(key, get_active(member_by_vm))
+    ranked = rank(key, get_serving(member_by_vm))
     reachable = [vm for vm in ranked if member_by_vm[vm].platform_reachable]
     return (reachable + [vm for vm in ranked if vm not in reachable])[:count]
 
--- /dev/null
+++ b/godwitlanding/tests/test_membership.py
@@ -0,0 +1,36 @@
+"""Whom a zone's members ask for permits and for the platform's changes."""
+
+import pytest
+
+from godwitlanding.membership import Member, choose_arbiters, choose_reachable
+
+
+def make_member(vm, alive=True, leaving=False, reachable=True):
+    return Member(vm, "127.0.0.1", f"i-{vm}", "e", alive, leaving, reachable, True)
+
+
+@pytest.mark.parametrize(
+    ("members", "serving"),
+    [
+        ([make_member("a"), make_member("b")], {"a", "b"}),
+        ([make_member("a"), make_member("b", leaving=True)], {"a"}),
+        ([make_member("a"), make_member("b", alive=False)], {"a"}),
+        ([make_member("a", leaving=True), make_member("b", leaving=True)], {"a", "b"}),
+        ([make_member("a", leaving=True), make_member("b", alive=False)], {"a"}),
+    ],
+)
+def test_zone_is_never_without_somebody_to_ask(members, serving):
+    """Operators drain every VM of a zone, or its only one.
+
+    With nobody to watch the platform the zone would not hear of the end of
+    the drain; with nobody to grant, callers that still come are refused.
+    """
+    member_by_vm = {member.vm: member for member in members}
+    assert set(choose_arbiters(["status"], member_by_vm)["status"]) == serving
+    assert set(choose_reachable("watch/n-a", member_by_vm, 2)) == serving
+
+
+def test_member_that_reaches_the_platform_watches_first():
+    members = [make_member("a", reachable=False), make_member("b")]
+    member_by_vm = {member.vm: member for member in members}
+    assert choose_reachable("watch/n-a", member_by_vm, 1) == ["b"]
