Wait for service and judge a run in one place

Cause: the same twenty lines stood in four tools and tests. Change: Load.serve and Load.judge; run_benchmark for benchmarks without arguments. Behaviour as before.

--- a/godwitlanding/tests/tools/load.py
+++ b/godwitlanding/tests/tools/load.py
@@ -6,10 +6,13 @@
 
 from godwitlanding.config import KIND_BULK, KIND_TRANSACTION
 from godwitlanding.tests.tools.callers import Caller, make_caller_session
+from godwitlanding.tests.tools.cluster import wait_until
 from godwitlanding.tests.tools.tally import Tally
+from godwitlanding.tests.tools.verdict import judge
 
 CALLERS = 60
 FINISH_LIMIT_S = 120.0
+SERVE_LIMIT_S = 90.0
 BUNDLE_CHUNK_MS = 10
 
 
@@ -33,10 +36,12 @@
         self._next_id = 0
         self._session = None
         self._tasks = set()
+        self._rates = ()
         self._generators = []
 
     async def start(self, *rates):
         """Begin to send each service's rate."""
+        self._rates = rates
         self._session = make_caller_session()
         urls = [self._cluster.get_url(vm, "steer") for vm in self._cluster.vm_by_name]
         self.callers = [
@@ -63,6 +68,36 @@
         await self._session.close()
         return self.tally
 
+    async def serve(self, seconds, services=()):
+        """Wait until as many requests are complete as come in so long.
+
+        ``services`` narrows the kinds that are waited for.
+        """
+        tally = self.tally
+        goals = {
+            rate.service: tally.count("complete", rate.service)
+            + rate.requests_per_s * seconds
+            for rate in self._rates
+            if not services or rate.service in services
+        }
+
+        async def is_reached():
+            return all(tally.count("complete", name) >= goals[name] for name in goals)
+
+        await wait_until(is_reached, SERVE_LIMIT_S, f"{goals} complete")
+
+    async def judge(self, drained=(), may_cut=False):
+        """End the load; return the verdict on what it has shown."""
+        standins = self._cluster.standins
+        return judge(
+            await self.end(),
+            await standins.get_executions(),
+            await standins.get_upstream_stats(),
+            drained,
+            least_complete=0.0,
+            may_cut=may_cut,
+        )
+
     async def _generate(self, rate):
         loop = asyncio.get_running_loop()
         due = loop.time()
--- a/godwitlanding/tests/tools/measure.py
+++ b/godwitlanding/tests/tools/measure.py
@@ -1,5 +1,6 @@
 """What benchmarks share: processes, their cost, tables and plots."""
 
+import argparse
 import asyncio
 import contextlib
 import json
@@ -121,3 +122,12 @@
     figure.tight_layout()
     figure.savefig(OUT / f"{name}.png", dpi=110)
     pyplot.close(figure)
+
+
+def run_benchmark(run, description, argv=None):
+    """Run a benchmark that takes no arguments but ``--help``."""
+    parser = argparse.ArgumentParser(
+        description=description, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.parse_args(argv)
+    asyncio.run(run())
