Give operators a way out after the platform has gone back

Cause: a platform restored from a backup has lost the newest texts, and the daemons rightly refuse its older versions; operators could neither read what was in force nor see why a change did not come in force.

--- a/godwitlanding/changes.py
+++ b/godwitlanding/changes.py
@@ -174,6 +174,9 @@
         if listed.is_ok():
             vms = listed.unwrap().vms
             fleet = await read_fleet(vms, get_ports(arguments))
+            newest = max((d.get_version(CONFIG_KIND) for d in fleet), default=0)
+            if newest > version and await _has_gone_back(store, newest):
+                return _tell_of_restored_platform(version, newest)
             behind = {
                 (d.vm, d.role) for d in fleet if d.get_version(CONFIG_KIND) < version
             }
@@ -191,6 +194,21 @@
     return EXIT_TIMEOUT
 
 
+async def _has_gone_back(store, newest):
+    current = await read_current(store)
+    return current.is_ok() and current.unwrap().version < newest
+
+
+def _tell_of_restored_platform(version, newest):
+    print(
+        f"the daemons hold version {newest}, newer than {version}: the platform "
+        "has gone back; save what 'godwitctl get --in-force' prints, and apply "
+        "again until the version is higher",
+        file=sys.stderr,
+    )
+    return EXIT_TIMEOUT
+
+
 def _get_items(text, key):
     return read_text(text).unwrap().get(key, [])
 
--- a/godwitlanding/ctl.py
+++ b/godwitlanding/ctl.py
@@ -151,10 +151,17 @@
 
 
 def _add_get(commands):
-    parser = _add_command(commands, "get", run_get, "Print the text in force.")
-    parser.add_argument(
+    parser = _add_command(commands, "get", run_get, "Print the accepted text.")
+    which = parser.add_mutually_exclusive_group()
+    which.add_argument(
         "--at", type=int, metavar="VERSION", help="An earlier version instead"
     )
+    which.add_argument(
+        "--in-force",
+        action="store_true",
+        help="What the daemons hold, if the platform has lost it",
+    )
+    _add_ports(parser)
 
 
 def _add_history(commands):
--- a/godwitlanding/inventory.py
+++ b/godwitlanding/inventory.py
@@ -5,6 +5,8 @@
 
 import aiohttp
 
+from godwitlanding.web import VERSION_HEADER
+
 ROLES = ("zone", "entry", "steer")
 TIMEOUT_S = 2.0
 MOST_AT_ONCE = 50
@@ -46,6 +48,29 @@
         return await asyncio.gather(*asks)
 
 
+async def read_in_force(vms, ports):
+    """Return ``(version, text)``, the newest that a zone daemon holds.
+
+    Version 0 and no text where none answers.
+    """
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        asks = [
+            _read_text(session, f"http://{vm.address}:{ports.zone}/-/config")
+            for vm in vms
+        ]
+        return max(await asyncio.gather(*asks), default=(0, ""))
+
+
+async def _read_text(session, url):
+    try:
+        async with session.get(url) as answer:
+            version = int(answer.headers.get(VERSION_HEADER, "0"))
+            return version, await answer.text() if version else ""
+    except (aiohttp.ClientError, TimeoutError, ValueError):
+        return 0, ""
+
+
 async def find_request(vms, ports, request_id):
     """Return what entry processes remember of a request, oldest first."""
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
--- a/godwitlanding/operations.py
+++ b/godwitlanding/operations.py
@@ -3,8 +3,13 @@
 import json
 import sys
 
-from godwitlanding.apply import read_current, read_history
-from godwitlanding.inventory import find_request, read_fleet
+from result import Err, Ok
+
+from godwitlanding.apply import read_applied, read_current, read_history
+from godwitlanding.codes import Code, make_refusal
+from godwitlanding.config import CONFIG_KIND, CONFIG_NAME
+from godwitlanding.inventory import find_request, read_fleet, read_in_force
+from godwitlanding.store import StoredObject
 from godwitlanding.survey import (
     read_plan,
     summarise_leases,
@@ -54,9 +59,12 @@
 
 
 async def run_get(arguments):
-    """Print the text in force, or an earlier one."""
+    """Print the accepted text, an earlier one, or what the daemons hold."""
     async with open_store(arguments) as store:
-        found = await find_version(store, arguments.at)
+        if arguments.in_force:
+            found = await _find_in_force(store, arguments)
+        else:
+            found = await find_version(store, arguments.at)
     if found.is_err():
         return fail_platform(found.unwrap_err())
     applied = found.unwrap()
@@ -67,6 +75,23 @@
     return EXIT_OK
 
 
+async def _find_in_force(store, arguments):
+    """Return the newest text that a daemon holds.
+
+    A platform that was restored from a backup has lost the newest texts;
+    the daemons hold them until their last process ends.
+    """
+    listed = await store.list_vms()
+    if listed.is_err():
+        return listed
+    version, text = await read_in_force(listed.unwrap().vms, get_ports(arguments))
+    if not version:
+        return Err(make_refusal(Code.NOT_FOUND, detail="no daemon answers"))
+    return Ok(
+        read_applied(StoredObject(CONFIG_KIND, CONFIG_NAME, version, text.encode()))
+    )
+
+
 async def run_history(arguments):
     """List the texts, newest first."""
     async with open_store(arguments) as store:
--- a/godwitlanding/tests/test_ctl.py
+++ b/godwitlanding/tests/test_ctl.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from godwitlanding import terminal
+from godwitlanding import changes, terminal
 from godwitlanding.ctl import main
+from godwitlanding.inventory import DaemonStatus
 from godwitlanding.tests.support import FakeStore
 from godwitlanding.tests.test_config import TEXT
 
@@ -129,6 +130,32 @@
     assert status["vms"][0]["zone"] == "no answer"
 
 
+@pytest.mark.parametrize(
+    ("held", "code", "words"),
+    [
+        (0, terminal.EXIT_TIMEOUT, "not yet in force"),
+        (1, terminal.EXIT_OK, "in force everywhere"),
+        (99, terminal.EXIT_TIMEOUT, "has gone back"),
+    ],
+)
+def test_wait_tells_whether_the_change_is_in_force(
+    store, text_file, capsys, monkeypatch, held, code, words
+):
+    """The platform was restored from a backup, or a VM lags behind.
+
+    An operator who is told "in force" while the daemons keep another text
+    would look for the fault elsewhere.
+    """
+    status = {"versions": {"config/main": held}}
+
+    async def read_fleet(vms, ports):
+        return [DaemonStatus("a1", "n-a", "zone", "ready", status)]
+
+    monkeypatch.setattr(changes, "read_fleet", read_fleet)
+    assert _apply(text_file, "--wait", "--timeout", "0.01") == code
+    assert words in capsys.readouterr().err
+
+
 def _run(capsys, *arguments):
     capsys.readouterr()
     assert main(list(arguments)) == terminal.EXIT_OK
--- a/godwitlanding/tests/test_processes.py
+++ b/godwitlanding/tests/test_processes.py
@@ -293,3 +293,6 @@
     await cluster.standins.restore()
     await run.serve(3.0)
     assert await run.get_config_versions() == newest
+    _, accepted = await cluster.run_ctl("get")
+    _, held = await cluster.run_ctl("get", "--in-force")
+    assert ("0.041" in accepted, "0.041" in held) == (False, True)
--- a/godwitlanding/web.py
+++ b/godwitlanding/web.py
@@ -7,10 +7,12 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from godwitlanding.codes import ROW_BY_CODE
+from godwitlanding.codes import ROW_BY_CODE, Code, make_refusal
+from godwitlanding.config import CONFIG_KIND, CONFIG_NAME
 from godwitlanding.kernel import Service
 from godwitlanding.metrics import render_metrics
 
+VERSION_HEADER = "Godwit-Version"
 PROBLEM_TYPE = "application/problem+json"
 KEEP_ALIVE_S = 30
 BACKLOG = 512
@@ -133,7 +135,15 @@
         state = "ready" if ready else "not ready"
         return JSONResponse({"state": state}, status_code=200 if ready else 503)
 
+    async def get_config(request):
+        state = replica and replica.get(CONFIG_KIND, CONFIG_NAME)
+        if not state:
+            return make_problem(make_refusal(Code.NOT_READY, 1.0))
+        headers = {VERSION_HEADER: str(state.version)}
+        return Response(state.body, media_type="text/plain", headers=headers)
+
     return [
+        Route("/-/config", get_config),
         Route("/-/metrics", get_metrics),
         Route("/-/status", get_status),
         Route("/-/health", get_health),
