Split the planner's tests and the zone in memory by what they show

Change: lease and allowances have files of their own, the processes of the zone in memory too; no test or check is changed.

--- a/godwitlanding/loan.py
+++ b/godwitlanding/loan.py
@@ -1,4 +1,4 @@
-"""Loans of upstreams: the owner's side and the arbiter's side.
+"""Loans of upstreams: the owner's side, which says who may use them.
 
 Answers the pattern of a full service whose slots are spread over many
 upstreams: one arbiter has to grant all of them for the pooled queue to
--- /dev/null
+++ b/godwitlanding/tests/test_allowances.py
@@ -0,0 +1,56 @@
+"""How the room in a zone is shared out for spill."""
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from godwitlanding.allowances import share_out, share_out_rest
+
+
+@pytest.mark.parametrize(
+    ("headroom", "in_use", "expected"),
+    [
+        (12.0, {"a": 0, "b": 0}, {"a": 3, "b": 3}),
+        (12.0, {"a": 6, "b": 0}, {"a": 3, "b": 0}),
+        (12.0, {"a": 2, "b": 4}, {"a": 2, "b": 3}),
+        (0.0, {"a": 2, "b": 0}, {"a": 0, "b": 0}),
+        (-3.0, {"a": 2}, {"a": 0}),
+        (7.0, {"a": 0, "b": 0, "c": 0}, {"a": 1, "b": 1, "c": 1}),
+    ],
+)
+def test_allowances_leave_room_for_those_still_in_use(headroom, in_use, expected):
+    assert share_out(headroom, in_use) == expected
+
+
+@pytest.mark.parametrize(
+    ("headroom", "in_use", "expected"),
+    [
+        (4.7, {"a": 0, "b": 0, "c": 0}, {"a": 1, "b": 1, "c": 0}),
+        (4.7, {"a": 1, "b": 1, "c": 0}, {"a": 1, "b": 1, "c": 0}),
+        (2.0, {"a": 0, "b": 0, "c": 0}, {"a": 1, "b": 0, "c": 0}),
+        (2.0, {"a": 0, "b": 0, "silent": 1}, {"a": 0, "b": 0, "silent": 0}),
+        (1.9, {"a": 0, "b": 0}, {"a": 0, "b": 0}),
+        (0.5, {"a": 2}, {"a": 0}),
+    ],
+)
+def test_small_headroom_is_not_rounded_away(headroom, in_use, expected):
+    """Payments have two upstreams a zone, and five zones might spill there.
+
+    With every share rounded down nobody could pass anything on: callers
+    were refused while slots next door stood idle.
+    """
+    shared = share_out(headroom, in_use)
+    heard = set(in_use) - {"silent"}
+    assert share_out_rest(headroom, in_use, shared, heard) == expected
+
+
+@given(
+    headroom=st.floats(-5, 100),
+    in_use=st.dictionaries(st.sampled_from("abcdef"), st.integers(0, 30), min_size=1),
+)
+@settings(derandomize=True, max_examples=200, deadline=None)
+def test_allowances_never_sum_past_headroom(headroom, in_use):
+    new = share_out(headroom, in_use)
+    new = share_out_rest(headroom, in_use, new, set(in_use))
+    in_force = sum(max(new[zone], in_use[zone]) for zone in in_use)
+    assert in_force <= max(headroom, sum(in_use.values()), 0)
+    assert sum(new.values()) <= max(0.0, headroom) or new == in_use
--- a/godwitlanding/tests/test_desk.py
+++ b/godwitlanding/tests/test_desk.py
@@ -4,7 +4,8 @@
 
 from godwitlanding.borrower import Gain
 from godwitlanding.messages import Acquire, Granted, Held, HeldPermit, Holder, PassOn
-from godwitlanding.tests.zone_world import World, make_desk as make_zone_desk
+from godwitlanding.tests.zone_processes import make_desk as make_zone_desk
+from godwitlanding.tests.zone_world import World
 
 HOLDER = Holder("vm1", "vm1-entry-1")
 OTHER = Holder("vm2", "vm2-entry-1")
