Refuse at once when waiting for an arbiter has become vain

Change: it waits for member_timeout_s and loan_s, in which another member takes over, and is then refused with Retry-After. Seen failing first: the test's last ask came at the end of the deadline (21 s in all); now within a take-over. Conclusion: callers are told while another zone can still serve them.

--- a/godwitlanding/services/permits.py
+++ b/godwitlanding/services/permits.py
@@ -46,6 +46,11 @@
         self._counters = context.counters
         self._port = context.settings["zone_port"]
         self._asks_by_vm = {}
+        # In this time another member takes the place of an arbiter that has
+        # died. A request that waited longer would be held back in vain.
+        self._take_over_s = (
+            context.settings["member_timeout_s"] + context.settings["loan_s"]
+        )
         self._is_stopped = False
         self._tasks = Tasks()
 
@@ -71,6 +76,7 @@
         """
         loop = asyncio.get_running_loop()
         tried = set()
+        give_up_at = loop.time() + self._take_over_s
         while True:
             asked_at = loop.time()
             remaining_s = request.deadline - asked_at
@@ -78,7 +84,8 @@
                 return make_refusal(Code.DEADLINE_UNREACHABLE, 1.0)
             vm = self._choose(request.service.name, tried)
             if vm is None:
-                if remaining_s <= request.service.work_s + NO_ARBITER_WAIT_S:
+                is_late = remaining_s <= request.service.work_s + NO_ARBITER_WAIT_S
+                if is_late or asked_at >= give_up_at:
                     return make_refusal(Code.NO_ARBITER, 1.0)
                 tried.clear()
                 await asyncio.sleep(NO_ARBITER_WAIT_S)
--- a/godwitlanding/tests/test_entry.py
+++ b/godwitlanding/tests/test_entry.py
@@ -5,7 +5,8 @@
 import aiohttp
 import pytest
 
-from godwitlanding.messages import Refused
+from godwitlanding.codes import Code
+from godwitlanding.messages import Failure, Refused
 from godwitlanding.tests.support_entry import (
     ADDRESS,
     Bench,
@@ -76,6 +77,20 @@
         assert (await first)[0] == 200
 
 
+async def test_request_is_not_held_back_while_no_arbiter_answers():
+    """A zone has lost its arbiters for longer than a take-over lasts.
+
+    Callers that were held until their deadline could not go to another zone
+    any more; they are told to as soon as the wait has become vain.
+    """
+    async with Bench(ADDRESS, [answer_hello], loan_s=0.1) as bench:
+        bench.zone.answer = lambda message: Failure(Code.NO_ARBITER.value)
+        status, headers, body = await fetch(bench, "/s/passes/x")
+        assert b'"code":5003' in body and headers["Retry-After"] == "1"
+        first, last = bench.zone.asked[0], bench.zone.asked[-1]
+        assert last.remaining_s > first.remaining_s / 2
+
+
 @pytest.mark.parametrize("chunked", [False, True])
 async def test_too_large_body_is_refused(chunked):
     async with Bench(ADDRESS, [answer_hello], max_body_bytes=1000) as bench:
