Let operators watch a drain until nothing is in progress

Change: it goes on until the drained upstream, VM or zone has nothing in progress, tells the count as it changes, and does not take a daemon that is silent for an empty one. The arbiter's status names busy upstreams.

--- a/godwitlanding/arbiter.py
+++ b/godwitlanding/arbiter.py
@@ -199,6 +199,7 @@
         return {
             "queued": len(self._intake.queue),
             "busy": len(self._permits),
+            "busy_by_upstream": {u.id: u.open_count for u in upstreams if u.open_count},
             "slots": sum(u.slots for u in upstreams if u.is_on_loan(now)),
             "usable_slots": self.pool.usable_slots,
             "usable_upstreams": sorted(u.id for u in upstreams if u.capacity),
--- a/godwitlanding/changes.py
+++ b/godwitlanding/changes.py
@@ -15,6 +15,7 @@
 from godwitlanding.edit import add_item, remove_item, replace_item
 from godwitlanding.fields import read_text
 from godwitlanding.inventory import read_fleet
+from godwitlanding.survey import count_in_progress
 from godwitlanding.terminal import (
     EXIT_CONFLICT,
     EXIT_FAILED,
@@ -81,7 +82,10 @@
 
     words = "end drain of" if arguments.end else "drain"
     note = arguments.note or f"{words} {arguments.what} {arguments.name}"
-    return await _edit(arguments, edit, note)
+    code = await _edit(arguments, edit, note)
+    if code == EXIT_OK and arguments.wait and not arguments.end:
+        return await _watch_drain(arguments, item)
+    return code
 
 
 async def run_shift(arguments):
@@ -165,10 +169,37 @@
     return EXIT_OK
 
 
+async def _watch_drain(arguments, item):
+    """Wait until what is drained has nothing in progress."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + arguments.timeout
+    shown = None
+    silent = []
+    async with open_store(arguments) as store:
+        while loop.time() < end:
+            listed = await store.list_vms()
+            if listed.is_ok():
+                fleet = await read_fleet(listed.unwrap().vms, get_ports(arguments))
+                count = count_in_progress(fleet, item)
+                if count != shown:
+                    print(f"in progress: {count}", file=sys.stderr)
+                shown = count
+                # A daemon that does not answer may still have requests.
+                silent = [f"{d.vm} {d.role}" for d in fleet if d.status is None]
+                if not count and not silent:
+                    return EXIT_OK
+            await asyncio.sleep(WAIT_POLL_S)
+    print(f"{item['name']} has not run empty yet", file=sys.stderr)
+    if silent:
+        print(f"no answer from {', '.join(silent)}", file=sys.stderr)
+    return EXIT_TIMEOUT
+
+
 async def _wait(store, version, arguments):
     loop = asyncio.get_running_loop()
     end = loop.time() + arguments.timeout
     shown = set()
+    behind = {("the platform", "does not answer")}
     while loop.time() < end:
         listed = await store.list_vms()
         if listed.is_ok():
--- a/godwitlanding/survey.py
+++ b/godwitlanding/survey.py
@@ -90,8 +90,7 @@
     """Return a ``ServiceRow`` for each service that an arbiter serves."""
     rows = []
     for daemon in fleet:
-        services = (daemon.status or {}).get("services", {})
-        arbiters = services.get("arbitration", {}).get("services", {})
+        arbiters = _get_service(daemon, "arbitration").get("services", {})
         for name, status in sorted(arbiters.items()):
             if only and name != only:
                 continue
@@ -110,6 +109,33 @@
     return sorted(rows)
 
 
+def count_in_progress(fleet, item):
+    """Return how many requests a drained thing still has in progress.
+
+    ``item`` is the drain as it stands in the text.
+    """
+    if item["what"] == "vm":
+        return sum(
+            _get_service(daemon, "requests").get("in_progress", 0)
+            for daemon in fleet
+            if daemon.vm == item["name"] and daemon.role == "entry"
+        )
+    count = 0
+    for daemon in fleet:
+        arbiters = _get_service(daemon, "arbitration").get("services", {})
+        for service, status in arbiters.items():
+            if item["what"] == "upstream":
+                count += status.get("busy_by_upstream", {}).get(item["name"], 0)
+            elif daemon.availability_zone == item["name"]:
+                wanted = item.get("service", service) == service
+                count += status.get("busy", 0) if wanted else 0
+    return count
+
+
+def _get_service(daemon, name):
+    return (daemon.status or {}).get("services", {}).get(name, {})
+
+
 def _format_out(status):
     """Return which upstreams get nothing new, each with the reason."""
     why_by_upstream = {name: "ejected" for name in status.get("ejected", ())}
--- a/godwitlanding/tests/test_ctl.py
+++ b/godwitlanding/tests/test_ctl.py
@@ -156,6 +156,41 @@
     assert words in capsys.readouterr().err
 
 
+@pytest.mark.parametrize(
+    ("in_progress", "answers", "code", "words"),
+    [
+        (0, True, terminal.EXIT_OK, "in progress: 0"),
+        (3, True, terminal.EXIT_TIMEOUT, "has not run empty"),
+        (0, False, terminal.EXIT_TIMEOUT, "no answer from a1 zone"),
+    ],
+)
+def test_drain_is_over_only_when_every_daemon_says_so(
+    store, text_file, capsys, monkeypatch, in_progress, answers, code, words
+):
+    """A daemon that counts the requests of a drained upstream is silent.
+
+    An operator told "empty" would stop the upstream under its requests.
+    """
+    busy = {"services": {"status": {"busy_by_upstream": {"status-1": in_progress}}}}
+    full = {"services": {"arbitration": busy}, "versions": {"config/main": 99}}
+
+    async def read_fleet(vms, ports):
+        rows = [("a1", full if answers or not drained else None), ("b1", full)]
+        return [DaemonStatus(vm, "n-a", "zone", "ready", s) for vm, s in rows]
+
+    async def watch_version(*arguments):
+        drained.append(arguments)
+        return terminal.EXIT_OK
+
+    drained = []
+    _apply(text_file)
+    monkeypatch.setattr(changes, "read_fleet", read_fleet)
+    monkeypatch.setattr(changes, "_wait", watch_version)
+    options = ("--yes", "--wait", "--timeout", "0.01")
+    assert main(["drain", "upstream", "status-1", *options]) == code
+    assert words in capsys.readouterr().err
+
+
 def _run(capsys, *arguments):
     capsys.readouterr()
     assert main(list(arguments)) == terminal.EXIT_OK
--- a/godwitlanding/tests/test_survey.py
+++ b/godwitlanding/tests/test_survey.py
@@ -1,5 +1,6 @@
 """What operators see is what the daemons said."""
 
+import pytest
 from result import Err, Ok
 
 from godwitlanding.codes import Code, make_refusal
@@ -7,6 +8,7 @@
 from godwitlanding.plan import EMPTY_PLAN, format_plan
 from godwitlanding.store import StoredObject
 from godwitlanding.survey import (
+    count_in_progress,
     read_plan,
     summarise_leases,
     summarise_plan,
@@ -21,11 +23,13 @@
     "queued": 2,
     "ejected": ["u1"],
     "out": {"u2": "draining"},
+    "busy_by_upstream": {"u1": 3, "u2": 1},
 }
 STATUS = {
     "services": {"arbitration": {"services": {"status": ARBITER}}},
     "versions": {"config/main": 6},
 }
+ENTRY = {"services": {"requests": {"in_progress": 5}}}
 FLEET = [
     DaemonStatus("a1", "n-a", "zone", "ready", STATUS),
     DaemonStatus("a1", "n-a", "entry", "no answer", None),
@@ -50,6 +54,22 @@
     assert summarise_services(FLEET, "other") == []
 
 
+@pytest.mark.parametrize(
+    ("item", "count"),
+    [
+        ({"what": "upstream", "name": "u1"}, 3),
+        ({"what": "upstream", "name": "u9"}, 0),
+        ({"what": "availability_zone", "name": "n-a"}, 4),
+        ({"what": "availability_zone", "name": "n-a", "service": "other"}, 0),
+        ({"what": "vm", "name": "a2"}, 5),
+    ],
+)
+def test_drain_is_watched_until_nothing_is_in_progress(item, count):
+    """An operator who stopped an upstream too early would cut requests off."""
+    fleet = [*FLEET, DaemonStatus("a2", "n-a", "entry", "ready", ENTRY)]
+    assert count_in_progress(fleet, item) == count
+
+
 def test_leases_without_a_planner_are_empty():
     missing = Err(make_refusal(Code.NOT_FOUND))
     assert summarise_leases(missing, missing) == {}
