Drop what nothing calls, and ask once where it was asked twice

Cause: a read through the whole change. drain and shift parsed the text once more for an argument that no edit used; the ports of the daemons stood in two tables; find_version could hand back a stored object where its callers expect an Applied, which one of them guarded against. Change: the argument and the parse are gone, godwitctl takes the ports from inventory.Ports, find_version says NOT_FOUND itself; four functions without a caller (find_upstream, log_debug, has_loan, get_tokens) go. Left: the code ZONE_DRAINED has a number but no use yet.

--- a/godwitlanding/arbiter.py
+++ b/godwitlanding/arbiter.py
@@ -87,11 +87,6 @@
         self.outliers.remove(upstream_id)
         self.pool.refresh(upstream, self._now)
 
-    def has_loan(self, upstream_id, now):
-        """Tell whether the upstream is on loan at ``now``."""
-        upstream = self.pool.upstream_by_id.get(upstream_id)
-        return upstream is not None and upstream.is_on_loan(now)
-
     def block(self, upstream_id, until):
         """Grant nothing on an upstream before ``until``: permits unknown."""
         upstream = self.pool.get(upstream_id)
--- a/godwitlanding/budget.py
+++ b/godwitlanding/budget.py
@@ -46,11 +46,6 @@
         self._tokens -= 1.0
         return True
 
-    def get_tokens(self, now):
-        """Return how many retries are left at ``now``."""
-        self._fill(now, 0.0)
-        return self._tokens
-
     def _fill(self, now, tokens):
         if self._filled_at is not None:
             tokens += max(0.0, now - self._filled_at) * self._floor_per_s
--- a/godwitlanding/changes.py
+++ b/godwitlanding/changes.py
@@ -71,7 +71,7 @@
     if arguments.service:
         item["service"] = arguments.service
 
-    def edit(text, config):
+    def edit(text):
         drained = item in _get_items(text, "drains")
         if arguments.end and not drained:
             return Err(f"{arguments.name} is not drained")
@@ -91,7 +91,7 @@
 async def run_shift(arguments):
     """Edit the text so that callers move, stop or go back."""
 
-    def edit(text, config):
+    def edit(text):
         items = _get_items(text, "shifts")
         old = next((i for i in items if i.get("name") == arguments.name), None)
         if arguments.end:
@@ -137,7 +137,7 @@
         if not base.version:
             print("there is no configuration to edit yet", file=sys.stderr)
             return EXIT_FAILED
-        edited = edit(base.text, parse_config(base.text))
+        edited = edit(base.text)
         if edited.is_err():
             return fail_problems(edited.unwrap_err(), arguments)
         return await _send(store, base, edited.unwrap(), arguments, note)
@@ -260,7 +260,7 @@
         winner = current.unwrap()
         words = f"version {winner.version} came first"
         print(f"{words}: {winner.note or 'no note'}", file=sys.stderr)
-        if found.is_ok() and hasattr(found.unwrap(), "text"):
+        if found.is_ok():
             print_text_diff(found.unwrap(), winner.text)
     print("nothing was sent; base your change on it and try again", file=sys.stderr)
     return EXIT_CONFLICT
--- a/godwitlanding/config.py
+++ b/godwitlanding/config.py
@@ -116,13 +116,6 @@
         for_all = Drain(what, name, "") in self.drains
         return for_all or Drain(what, name, service) in self.drains
 
-    def find_upstream(self, upstream_id):
-        """Return the upstream of that id, or ``None``."""
-        for service in self.service_by_name.values():
-            if upstream_id in service.upstream_by_id:
-                return service.upstream_by_id[upstream_id]
-        return None
-
 
 def parse_config(text):
     """Return ``Ok(configuration)`` or ``Err`` with every problem."""
--- a/godwitlanding/ctl.py
+++ b/godwitlanding/ctl.py
@@ -12,6 +12,7 @@
 
 from godwitlanding import __version__
 from godwitlanding.changes import run_apply, run_drain, run_rollback, run_shift
+from godwitlanding.inventory import Ports
 from godwitlanding.operations import (
     run_diff,
     run_explain,
@@ -112,7 +113,7 @@
 
 
 def _add_ports(parser):
-    for role, port in (("steer", 7001), ("entry", 7002), ("zone", 7003)):
+    for role, port in Ports()._asdict().items():
         parser.add_argument(
             f"--{role}-port",
             type=int,
--- a/godwitlanding/log.py
+++ b/godwitlanding/log.py
@@ -33,8 +33,3 @@
 def log_warning(message_type, **fields):
     """Log a message that may need an operator."""
     log_message(message_type, level="warning", **fields)
-
-
-def log_debug(message_type, **fields):
-    """Log a message for someone who is looking for a fault."""
-    log_message(message_type, level="debug", **fields)
--- a/godwitlanding/terminal.py
+++ b/godwitlanding/terminal.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from godwitlanding.apply import read_current, read_history, remove_apply_line
-from godwitlanding.codes import ROW_BY_CODE, Code
+from godwitlanding.codes import ROW_BY_CODE, Code, make_refusal
 from godwitlanding.config import parse_config
 from godwitlanding.diff import describe_shifts, describe_slots, diff_configurations
 from godwitlanding.inventory import Ports
@@ -48,7 +48,7 @@
     for applied in history.unwrap():
         if applied.version == version:
             return Ok(applied)
-    return await store.get("history", f"{version:012d}")
+    return Err(make_refusal(Code.NOT_FOUND, detail=f"version {version}"))
 
 
 def read_file(path):
