--- /dev/null
+++ b/godwitlanding/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the gateway that need no network, only a number for time."""
--- /dev/null
+++ b/godwitlanding/decisions/comeback.py
@@ -0,0 +1,18 @@
+"""When a refused caller is told to come back.
+
+Load pattern: hundreds are refused in the same second. Told the same time
+they all come back together, and most are refused once more. So the time is
+drawn evenly from a range. Callers wait a third of the time they have left
+at the most; the range ends below that, and begins where a slot has turned
+over once, before which nothing can have changed.
+"""
+
+MAX_SHARE_OF_TIME_LEFT = 0.32
+MIN_S = 0.05
+
+
+def get_retry_after_s(time_left_s, work_s, draw):
+    """Return the seconds to wait; ``draw`` is an even draw from 0 to 1."""
+    latest = MAX_SHARE_OF_TIME_LEFT * time_left_s
+    earliest = min(latest, max(MIN_S, work_s))
+    return round(earliest + draw * (latest - earliest), 3)
--- /dev/null
+++ b/godwitlanding/decisions/retrybudget.py
@@ -0,0 +1,61 @@
+"""How many repeats a VM may add to a service's requests.
+
+Load pattern: upstreams shed or fail under load, and each failure is sent
+again by a dozen VMs that do not know of each other. The bound is on the sum
+over all VMs in a sliding window, so each VM keeps to its own share of it:
+the ratio of the requests that it took itself, and an equal part of the
+fixed allowance. Shares of a sum hold while VMs are cut off from each other;
+a count that they would have to agree on does not.
+
+Half of the bound is used: the other half is for VMs that were added without
+this VM's knowing, and for windows that do not begin together.
+"""
+
+from collections import deque
+
+USED_SHARE = 0.5
+# Parts into which the fixed allowance is cut at the least, so that a VM that
+# hears of no other does not take all of it.
+MIN_SHARES = 8
+
+
+class _Window:
+    def __init__(self):
+        self.requests = deque()
+        self.repeats = deque()
+
+    def trim(self, before):
+        for times in (self.requests, self.repeats):
+            while times and times[0] < before:
+                times.popleft()
+
+
+class RetryBudget:
+    """Repeats of one VM by service; ``now`` is seconds of one clock."""
+
+    def __init__(self, ratio, window_s, slack):
+        self._ratio = ratio
+        self._window_s = window_s
+        self._slack = slack
+        self._window_by_service = {}
+
+    def note_request(self, service, now):
+        """Count the first arrival of a caller's request."""
+        self._get(service, now).requests.append(now)
+
+    def take(self, service, vms, now):
+        """Tell whether one more repeat fits, and count it if it does."""
+        window = self._get(service, now)
+        slack = self._slack / max(MIN_SHARES, vms)
+        allowed = USED_SHARE * (self._ratio * len(window.requests) + slack)
+        if len(window.repeats) + 1 > allowed:
+            return False
+        window.repeats.append(now)
+        return True
+
+    def _get(self, service, now):
+        window = self._window_by_service.get(service)
+        if window is None:
+            window = self._window_by_service[service] = _Window()
+        window.trim(now - self._window_s)
+        return window
--- /dev/null
+++ b/godwitlanding/gateway/carrier.py
@@ -0,0 +1,286 @@
+"""The way of one request: route, upstream, attempts, one final answer."""
+
+import asyncio
+import random
+
+from eliot import log_message
+
+from godwitlanding.codes import ROW_BY_CODE, Code
+from godwitlanding.decisions.comeback import get_retry_after_s
+from godwitlanding.decisions.routes import Splitter, find_route
+from godwitlanding.gateway.attempt import Outcome, Work, make_fingerprint
+from godwitlanding.gateway.exchange import select_headers
+from godwitlanding.gateway.stream import StreamSink
+from godwitlanding.kernel import Service
+
+# The way between caller and VM and back, 8 ms each, and our own work.
+CALLER_DISTANCE_S = 0.02
+# Upstreams that refuse or cannot be reached are passed over this often; the
+# promise of at most one run does not hang on it.
+MAX_SENDS = 4
+# A caller that is told nothing better comes back after this time.
+NOT_READY_RETRY_S = 0.5
+_DROPPED = frozenset((b"content-length",))
+
+
+class Carrier(Service):
+    """Takes requests from callers' connections and answers each once."""
+
+    name = "carrier"
+    needs = ("registry", "chooser", "courier", "peers")
+
+    def __init__(self, names, budget, poison, counters, config_fresh):
+        self._names = names
+        self._budget = budget
+        self._poison = poison
+        self._counters = counters
+        self._config_fresh = config_fresh
+        self._splitter = Splitter()
+        self._longest_wait_by_route = {}
+        self._tasks = set()
+        self._registry = None
+        self._chooser = None
+        self._courier = None
+        self._peers = None
+        self.get_vms = lambda: 1
+
+    async def start(self, kernel):
+        """Learn where the other services are."""
+        self._registry = kernel.get("registry")
+        self._chooser = kernel.get("chooser")
+        self._courier = kernel.get("courier")
+        self._peers = kernel.get("peers")
+
+    def get_in_progress(self):
+        """Return the number of requests without an answer."""
+        return len(self._tasks)
+
+    def take(self, exchange):
+        """Begin the work of a request; it is answered in any case."""
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._carry_safely(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _carry_safely(self, exchange):
+        try:
+            await self._carry(exchange)
+        except asyncio.CancelledError:
+            self._note(exchange, "gone", 0)
+        except Exception as error:
+            # An error of ours must not leave the caller without an answer.
+            # Whether it was sent is not known here.
+            log_message("carrier:failed", level="error", error=repr(error))
+            if exchange.answered:
+                exchange.break_off()
+            else:
+                self._refuse(exchange, Code.HANDLER_FAILED, 502)
+
+    async def _carry(self, exchange):
+        work = self._read(exchange)
+        if work is None:
+            return
+        if work.is_idempotent:
+            # Nobody waits for the answer, so the slot is for somebody else.
+            exchange.on_gone = asyncio.current_task().cancel
+        try:
+            async with asyncio.timeout_at(work.answer_by):
+                await self._attempt_until_answered(exchange, work)
+        except TimeoutError:
+            if exchange.answered:
+                exchange.break_off()
+            else:
+                self._refuse(exchange, Code.UPSTREAM_TIMEOUT, 504, work)
+
+    def _read(self, exchange):
+        """Return the ``Work`` of a request, or refuse it."""
+        config = self._registry.config
+        if config is None or not self._registry.has_upstreams:
+            self._refuse_later(exchange, Code.NOT_READY, NOT_READY_RETRY_S)
+            return None
+        names = self._names
+        request_id = exchange.get_header(names.request_id)
+        host = exchange.get_header(b"host")
+        if not request_id or not host:
+            self._refuse(exchange, Code.MALFORMED_REQUEST, 400)
+            return None
+        host_name = host.decode("latin-1").lower().partition(":")[0]
+        target = exchange.target.decode("latin-1")
+        route = find_route(config, host_name, target)
+        if route is None:
+            if self._config_fresh():
+                self._refuse(exchange, Code.UNKNOWN_SERVICE, 404)
+            else:
+                # A newer configuration may have the route.
+                self._refuse_later(exchange, Code.NOT_READY, NOT_READY_RETRY_S)
+            return None
+        return self._make_work(exchange, route, request_id, host)
+
+    def _make_work(self, exchange, route, request_id, host):
+        begun = exchange.begun_at
+        wait_s = route.timeout_s
+        deadline = exchange.get_header(self._names.deadline_ms)
+        if deadline.isdigit():
+            wait_s = int(deadline) / 1000
+        service = self._splitter.pick(route)
+        self._peers.note_arrival(service)
+        self._budget.note_request(service, asyncio.get_running_loop().time())
+        key = exchange.get_header(self._names.affinity_key) if route.sticky else b""
+        waited_s = self._get_waited_s(route, wait_s)
+        return Work(
+            request_id=request_id,
+            route=route,
+            service=service,
+            key=key.decode("latin-1"),
+            fingerprint=make_fingerprint(exchange, host),
+            deadline_at=begun + wait_s,
+            target_at=begun + route.target_latency_s - waited_s - CALLER_DISTANCE_S,
+            answer_by=begun + min(wait_s, route.timeout_s),
+        )
+
+    def _get_waited_s(self, route, wait_s):
+        # Callers of a route begin with the same patience. One that has less
+        # left came back after a refusal, and its target is that much nearer.
+        longest = max(self._longest_wait_by_route.get(route.name, 0.0), wait_s)
+        self._longest_wait_by_route[route.name] = longest
+        return longest - wait_s
+
+    async def _attempt_until_answered(self, exchange, work):
+        loop = asyncio.get_running_loop()
+        tried = set()
+        runs = 0
+        last = None
+        for sends in range(MAX_SENDS):
+            now = loop.time()
+            if self._is_poison(work, now):
+                self._refuse_after(exchange, work, Code.POISON_REQUEST, last)
+                return
+            if runs >= work.route.max_attempts:
+                break
+            choice = self._chooser.choose(
+                work.route,
+                work.service,
+                work.key,
+                tried,
+                work.target_at - now,
+                work.answer_by - now,
+            )
+            if choice is None:
+                break
+            if sends and not self._may_repeat(work, last, now):
+                break
+            tried.add(choice.upstream.id)
+            sink = StreamSink(exchange, self._make_headers)
+            outcome, answer, detail = await self._courier.send(
+                exchange, work, choice, sink
+            )
+            took_s = loop.time() - now
+            self._note_attempt(work, choice, outcome, answer, detail, took_s)
+            last = (outcome, answer)
+            if outcome is Outcome.ANSWERED:
+                self._pass_on(exchange, work, answer, sink)
+                return
+            if outcome in (Outcome.FAILED, Outcome.UNKNOWN):
+                runs += 1
+                if not work.is_idempotent:
+                    break
+        self._give_up(exchange, work, last, runs)
+
+    def _may_repeat(self, work, last, now):
+        if last[0] is Outcome.UNREACHED:
+            # Nothing arrived, so nothing is repeated.
+            return True
+        if self._budget.take(work.service, self.get_vms(), now):
+            self._counters.add("retries", reason=last[0].name)
+            return True
+        self._counters.add("retries_denied", reason=last[0].name)
+        return False
+
+    def _is_poison(self, work, now):
+        return self._poison.is_stopped(work.fingerprint, now)
+
+    def _give_up(self, exchange, work, last, runs):
+        outcome, answer = last or (None, None)
+        if outcome is Outcome.FAILED:
+            self._pass_on(exchange, work, answer, None)
+        elif runs:
+            self._refuse(exchange, Code.UPSTREAM_FAILED, 502, work)
+        else:
+            code = Code.DEADLINE_UNREACHABLE if last is None else Code.UPSTREAM_SHED
+            self._refuse_after(exchange, work, code, last)
+
+    def _refuse_after(self, exchange, work, code, last):
+        if last and last[0] in (Outcome.FAILED, Outcome.UNKNOWN):
+            self._refuse(exchange, code, 502, work)
+            return
+        left_s = work.deadline_at - asyncio.get_running_loop().time()
+        work_s = self._chooser.get_work_s(work.service)
+        retry_after_s = get_retry_after_s(left_s, work_s, random.random())
+        self._refuse_later(exchange, code, retry_after_s, work)
+
+    def _pass_on(self, exchange, work, answer, sink):
+        if answer.is_stream:
+            sink.begin(answer)
+            return
+        headers = self._make_headers(answer)
+        exchange.answer(answer.status, headers, answer.body)
+        self._note(exchange, "answered", answer.status, work)
+
+    def _make_headers(self, answer):
+        return select_headers(answer.headers, _DROPPED)
+
+    def _refuse_later(self, exchange, code, retry_after_s, work=None):
+        """Refuse what has not run, with when to come back."""
+        extra = [(b"retry-after", b"%.3f" % retry_after_s)]
+        self._refuse(exchange, code, 503, work, extra)
+
+    def _refuse(self, exchange, code, status, work=None, extra=()):
+        if exchange.gone:
+            return
+        headers = [
+            (b"content-type", b"text/plain"),
+            (b"cache-control", b"no-store"),
+            *extra,
+        ]
+        request_id = exchange.get_header(self._names.request_id)
+        if request_id:
+            headers.append((self._names.request_id, request_id))
+        body = f"{code.value} {ROW_BY_CODE[code].title}\n".encode()
+        exchange.answer(status, headers, body)
+        self._counters.add("requests_refused", code=code.name)
+        self._note(exchange, code.name, status, work)
+
+    def note_unreadable(self, exchange, status, reason):
+        """A connection could not go on reading."""
+        self._counters.add("requests_refused", code=Code.MALFORMED_REQUEST.name)
+        log_message("carrier:unreadable", status=status, reason=reason)
+
+    def _note_attempt(self, work, choice, outcome, answer, detail, took_s):
+        log_message(
+            "carrier:attempt",
+            request=work.request_id.decode("latin-1"),
+            upstream=choice.upstream.id,
+            service=work.service,
+            expected_s=round(choice.finish_s, 3),
+            wait_s=round(choice.wait_s, 3),
+            occupied=round(choice.occupied, 2),
+            key=work.key,
+            took_s=round(took_s, 4),
+            outcome=outcome.value,
+            status=answer.status if answer else 0,
+            detail=detail,
+        )
+
+    def _note(self, exchange, outcome, status, work=None):
+        now = asyncio.get_running_loop().time()
+        took_s = now - exchange.begun_at
+        self._counters.record("request_seconds", took_s, outcome=outcome)
+        log_message(
+            "carrier:done",
+            request=exchange.get_header(self._names.request_id).decode("latin-1"),
+            route=work.route.name if work else "",
+            outcome=outcome,
+            status=status,
+            took_s=round(took_s, 4),
+            left_s=round(work.deadline_at - now, 3) if work else 0,
+        )
--- /dev/null
+++ b/godwitlanding/gateway/chooser.py
@@ -0,0 +1,302 @@
+"""Joins the decisions about upstreams with what this VM knows of them."""
+
+import asyncio
+from typing import NamedTuple
+
+from eliot import log_message
+
+from godwitlanding.decisions.placing import (
+    Candidate,
+    get_homes,
+    is_worth_taking,
+    place,
+)
+from godwitlanding.decisions.regionshare import (
+    RegionDealer,
+    RegionLoad,
+    get_shares,
+    step,
+)
+from godwitlanding.gateway.registry import Upstream
+from godwitlanding.kernel import Service
+from godwitlanding.rendezvous import choose
+
+PLAN_PAUSE_S = 0.5
+# First word on distance, in seconds there and back, until it is measured.
+ZONE_DISTANCE_S = 0.001
+REGION_DISTANCE_S = 0.004
+FAR_DISTANCE_S = 0.112
+# A region whose capacity changes by more than this share between two looks
+# has lost or gained upstreams, and its share moves at once.
+JUMP_SHARE = 0.34
+# Beside the planned share this part of the requests may go to whichever
+# region has room now; twice that is still below what users allow.
+OVERFLOW_SHARE = 0.05
+_OVERFLOW_WEIGHT = 0.02
+# Homes of keys that are remembered for one set of upstreams.
+MAX_HOMES = 5000
+
+
+class Choice(NamedTuple):
+    """The upstream for an attempt, with what decided it."""
+
+    upstream: Upstream
+    finish_s: float
+    wait_s: float
+    occupied: float
+    distance_s: float
+
+
+class Chooser(Service):
+    """Picks the upstream of each attempt."""
+
+    name = "chooser"
+    needs = ("registry", "peers")
+
+    def __init__(self, identity, occupancy, worktimes, fleet):
+        self._identity = identity
+        self._occupancy = occupancy
+        self._worktimes = worktimes
+        self._fleet = fleet
+        self._registry = None
+        self._peers = None
+        self._task = None
+        self._shares_by_service = {}
+        self._capacity_by_service = {}
+        self._dealer_by_service = {}
+        self._overflow_by_service = {}
+        self._homes = {}
+        self._homes_of = {}
+        self._distance_by_zone = {}
+        self._cold_next_by_upstream = {}
+        self.ejected = set()
+
+    async def start(self, kernel):
+        """Begin to plan the regions' shares."""
+        self._registry = kernel.get("registry")
+        self._peers = kernel.get("peers")
+        self._task = asyncio.create_task(self._plan_often())
+
+    async def stop(self):
+        """Plan no longer."""
+        self._task.cancel()
+
+    def get_status(self):
+        """Return the regions' shares by service."""
+        return {"shares": self._shares_by_service, "ejected": sorted(self.ejected)}
+
+    def note_distance(self, upstream, seconds):
+        """Take the time that a connection took to open, there and back."""
+        zone = upstream.availability_zone
+        held = self._distance_by_zone.get(zone)
+        moved = seconds if held is None else held + 0.2 * (seconds - held)
+        self._distance_by_zone[zone] = moved
+
+    def get_distance_s(self, availability_zone):
+        """Return the time there and back to a zone's upstreams."""
+        measured = self._distance_by_zone.get(availability_zone)
+        if measured is not None:
+            return measured
+        if availability_zone == self._identity.availability_zone:
+            return ZONE_DISTANCE_S
+        region = self._registry.get_region(availability_zone)
+        if region == self._identity.region:
+            return REGION_DISTANCE_S
+        return FAR_DISTANCE_S
+
+    def get_work_s(self, service):
+        """Return the usual work time of a service."""
+        return self._worktimes.get_service_s(service)
+
+    def forget(self, upstream_id):
+        """Drop what is held of an upstream that is gone."""
+        self.ejected.discard(upstream_id)
+        self._cold_next_by_upstream.pop(upstream_id, None)
+        self._worktimes.forget(upstream_id)
+
+    def choose(self, route, service, key, tried, time_to_target_s, time_left_s):
+        """Return the ``Choice`` for an attempt, or ``None`` to refuse.
+
+        ``tried`` are the upstreams that had the request before.
+        """
+        regions = self._get_regions(route, service)
+        if not regions:
+            return None
+        first = self._deal(service, regions)
+        best = self._place(service, first, key, tried)
+        if best and is_worth_taking(best, time_to_target_s, time_left_s):
+            self._note_overflow(service, 0.0)
+            return self._make_choice(best)
+        crowded = best is not None
+        if crowded and self._overflow_by_service.get(service, 0.0) > OVERFLOW_SHARE:
+            self._note_overflow(service, 0.0)
+            return None
+        for region in regions:
+            if region == first:
+                continue
+            best = self._place(service, region, key, tried)
+            if best is None:
+                continue
+            if is_worth_taking(best, time_to_target_s, time_left_s):
+                self._note_overflow(service, 1.0 if crowded else 0.0)
+                return self._make_choice(best)
+        self._note_overflow(service, 0.0)
+        return None
+
+    def _get_regions(self, route, service):
+        regions = []
+        for region in sorted(set(self._identity.region_by_zone.values())):
+            if route.allowed_regions and region not in route.allowed_regions:
+                continue
+            if self._registry.get_usable(service, region):
+                regions.append(region)
+        own = self._identity.region
+        return sorted(regions, key=lambda region: region != own)
+
+    def _deal(self, service, regions):
+        shares = self._shares_by_service.get(service, {})
+        if not any(shares.values()) or len(regions) == 1:
+            return regions[0]
+        dealer = self._dealer_by_service.get(service)
+        if dealer is None:
+            dealer = RegionDealer(self._identity.region)
+            self._dealer_by_service[service] = dealer
+        region = dealer.pick(shares)
+        return region if region in regions else regions[0]
+
+    def _place(self, service, region, key, tried):
+        now = _now()
+        candidates = []
+        upstreams = self._registry.get_usable(service, region)
+        for upstream in upstreams:
+            if upstream.id in tried or upstream.id in self.ejected:
+                continue
+            if not self._may_take_cold(upstream, now):
+                continue
+            candidates.append(self._make_candidate(service, upstream, now))
+        return place(candidates, self._get_homes(service, region, key, upstreams))
+
+    def _make_candidate(self, service, upstream, now):
+        return Candidate(
+            upstream.id,
+            upstream.slots,
+            self._occupancy.get(upstream.id, now),
+            self._worktimes.get_upstream_s(service, upstream.id),
+            self.get_distance_s(upstream.availability_zone),
+            self._worktimes.get_failure_share(upstream.id),
+        )
+
+    def _get_homes(self, service, region, key, upstreams):
+        ids = tuple(upstream.id for upstream in upstreams)
+        if not key:
+            return frozenset(ids)
+        place_ = (service, region)
+        if self._homes_of.get(place_) != ids or len(self._homes) > MAX_HOMES:
+            self._homes_of[place_] = ids
+            self._homes = {
+                held: homes for held, homes in self._homes.items() if held[0] != place_
+            }
+        homes = self._homes.get((place_, key))
+        if homes is None:
+            homes = self._homes[(place_, key)] = get_homes(key, ids)
+        return homes
+
+    def _may_take_cold(self, upstream, now):
+        # A cold upstream crashes when it gets much more than its rate from
+        # all VMs together. So one VM alone sends to it, the same in every
+        # VM's eyes while they hear the same peers, and spaces its requests.
+        if self._registry.get_cold_left_s(upstream.id, now) <= 0:
+            return True
+        region = self._registry.get_region(upstream.availability_zone)
+        vms = [peer.vm for peer in self._fleet.get_usable(region)]
+        if self._identity.region == region:
+            vms.append(self._identity.vm)
+        if choose(upstream.id, vms) != self._identity.vm:
+            return False
+        return now >= self._cold_next_by_upstream.get(upstream.id, 0.0)
+
+    def _make_choice(self, placement):
+        candidate = placement.candidate
+        upstream = self._registry.upstream_by_id[candidate.upstream]
+        now = _now()
+        if self._registry.get_cold_left_s(upstream.id, now) > 0:
+            service = self._registry.config.service_by_name.get(upstream.service)
+            rate = service.cold_per_s if service else 0.0
+            pause_s = 1.0 / rate if rate > 0 else 1.0
+            self._cold_next_by_upstream[upstream.id] = now + pause_s
+        return Choice(
+            upstream,
+            placement.finish_s,
+            placement.wait_s,
+            candidate.occupied,
+            candidate.distance_s,
+        )
+
+    def _note_overflow(self, service, seen):
+        held = self._overflow_by_service.get(service, 0.0)
+        moved = held + _OVERFLOW_WEIGHT * (seen - held)
+        self._overflow_by_service[service] = moved
+
+    async def _plan_often(self):
+        turn = 0
+        while True:
+            self._plan()
+            await asyncio.sleep(PLAN_PAUSE_S)
+            turn += 1
+            if turn % 2 == 0:
+                self._worktimes.recover()
+
+    def _plan(self):
+        config = self._registry.config
+        if config is None:
+            return
+        for service in config.service_by_name:
+            load_by_region = self._get_loads(service)
+            if self._identity.region not in load_by_region:
+                continue
+            wanted = get_shares(self._identity.region, load_by_region)
+            self._move_shares(service, wanted, load_by_region)
+
+    def _get_loads(self, service):
+        work_s = self._worktimes.get_service_s(service)
+        rate_by_region = self._peers.get_rates(service)
+        slots_by_region = {}
+        for region in set(self._identity.region_by_zone.values()):
+            slots_by_region[region] = sum(
+                upstream.slots
+                for upstream in self._registry.get_usable(service, region)
+                if upstream.id not in self.ejected
+            )
+        if not any(rate_by_region.values()):
+            # Nothing was measured yet: as if each region had an equal part
+            # of what all slots can serve.
+            even = sum(slots_by_region.values()) / work_s / len(slots_by_region)
+            rate_by_region = dict.fromkeys(slots_by_region, even)
+        return {
+            region: RegionLoad(rate_by_region.get(region, 0.0), slots / work_s)
+            for region, slots in slots_by_region.items()
+        }
+
+    def _move_shares(self, service, wanted, load_by_region):
+        slots = {
+            region: load.capacity_per_s * self._worktimes.get_service_s(service)
+            for region, load in load_by_region.items()
+        }
+        former = self._capacity_by_service.get(service)
+        self._capacity_by_service[service] = slots
+        jump = former is None or any(
+            abs(count - former.get(region, 0.0))
+            > JUMP_SHARE * max(count, former.get(region, 0.0))
+            for region, count in slots.items()
+        )
+        held = self._shares_by_service.get(service, {})
+        moved = wanted if jump else step(held, wanted, PLAN_PAUSE_S)
+        if jump and moved != held:
+            log_message(
+                "chooser:shares", service=service, shares=moved, slots_by_region=slots
+            )
+        self._shares_by_service[service] = moved
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/godwitlanding/gateway/courier.py
@@ -0,0 +1,200 @@
+"""Sends one request to one upstream and brings its answer, or says why not."""
+
+import asyncio
+
+from eliot import log_message
+
+from godwitlanding.gateway.attempt import Outcome, judge, make_request_bytes
+from godwitlanding.gateway.bulletin import Crash
+from godwitlanding.gateway.upstream import Failure, UpstreamError
+from godwitlanding.kernel import Service
+
+# Opening a connection takes a way there and back and a millisecond; a lost
+# packet costs a second, and another upstream is tried before that.
+CONNECT_TRIPS = 2.0
+CONNECT_SLACK_S = 0.15
+# A reset may be the upstream's own crash: whether a new connection opens
+# tells, a moment later.
+CRASH_CHECK_S = 0.05
+FIRST_EJECT_S = 0.3
+MAX_EJECT_S = 3.0
+
+
+class Courier(Service):
+    """Connections, attempts, and upstreams that cannot be reached."""
+
+    name = "courier"
+    needs = ("registry", "chooser", "peers")
+
+    def __init__(self, names, pool, occupancy, worktimes, counters, poison):
+        self._names = names
+        self._pool = pool
+        self._occupancy = occupancy
+        self._worktimes = worktimes
+        self._counters = counters
+        self._poison = poison
+        self._chooser = None
+        self._registry = None
+        self._peers = None
+        self._tasks = set()
+
+    async def start(self, kernel):
+        """Learn of upstreams that are gone."""
+        self._chooser = kernel.get("chooser")
+        self._registry = kernel.get("registry")
+        self._peers = kernel.get("peers")
+        self._registry.on_upstream_gone.append(self._forget)
+        self._spawn(self._trim_often())
+
+    async def stop(self):
+        """Close idle connections."""
+        for task in self._tasks:
+            task.cancel()
+        self._pool.close()
+
+    async def send(self, exchange, work, choice, sink):
+        """Send and wait; return ``(Outcome, Answer or None, detail)``.
+
+        Raises ``TimeoutError`` when the answer is due and there is none.
+        """
+        upstream = choice.upstream
+        loop = asyncio.get_running_loop()
+        connection = self._pool.take(upstream.id, work.is_idempotent)
+        if connection is None:
+            begun = loop.time()
+            try:
+                connection = await self._connect(upstream, choice, work)
+            except UpstreamError as error:
+                self._worktimes.note_failure(upstream.id)
+                self._eject(upstream)
+                return Outcome.UNREACHED, None, str(error)
+            self._chooser.note_distance(upstream, loop.time() - begun)
+        return await self._send_on(connection, exchange, work, choice, sink)
+
+    async def _connect(self, upstream, choice, work):
+        left_s = work.answer_by - asyncio.get_running_loop().time()
+        timeout_s = CONNECT_SLACK_S + CONNECT_TRIPS * choice.distance_s
+        return await self._pool.connect(
+            upstream.id, upstream.address, min(timeout_s, max(0.001, left_s))
+        )
+
+    async def _send_on(self, connection, exchange, work, choice, sink):
+        upstream = choice.upstream
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        left_s = min(work.deadline_at, work.answer_by) - sent_at
+        data = make_request_bytes(
+            exchange, self._names, upstream.id, left_s - choice.distance_s / 2
+        )
+        self._occupancy.begin(upstream.id)
+        whole = False
+        try:
+            answer = await connection.send(
+                data, work.request_id, exchange.method == b"HEAD", sink
+            )
+            whole = True
+        except UpstreamError as error:
+            self._worktimes.note_failure(upstream.id)
+            if error.failure is Failure.RESET:
+                self._spawn(self._check_crash(upstream, work.fingerprint))
+            return Outcome.UNKNOWN, None, str(error)
+        finally:
+            self._occupancy.end(upstream.id)
+            if not whole:
+                connection.abort()
+        self._learn(upstream, work, choice, answer, loop.time() - sent_at)
+        if not answer.is_stream:
+            self._pool.give_back(upstream.id, connection)
+        return judge(answer, self._names), answer, ""
+
+    def _learn(self, upstream, work, choice, answer, took_s):
+        now = asyncio.get_running_loop().time()
+        self._note_report(upstream, answer, now)
+        outcome = judge(answer, self._names)
+        if outcome is Outcome.ANSWERED:
+            self._worktimes.note_answer(
+                work.service,
+                upstream.id,
+                max(0.001, took_s - choice.distance_s),
+                choice.occupied >= upstream.slots,
+            )
+            self._poison.note_success(work.fingerprint, now)
+        elif outcome is not Outcome.MOVED:
+            self._worktimes.note_failure(upstream.id)
+
+    def _note_report(self, upstream, answer, now):
+        report = answer.get_header(self._names.load_report)
+        if report:
+            parts = report.split(b",")
+            if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+                total = int(parts[0]) + int(parts[1])
+                self._occupancy.note_report(upstream.id, total, now)
+        cold = answer.get_header(self._names.cold_ms)
+        if cold.isdigit():
+            self._registry.note_cold(upstream.id, int(cold) / 1000, now)
+
+    async def _check_crash(self, upstream, fingerprint):
+        await asyncio.sleep(CRASH_CHECK_S)
+        if upstream.id not in self._registry.upstream_by_id:
+            return
+        distance_s = self._chooser.get_distance_s(upstream.availability_zone)
+        try:
+            connection = await self._pool.connect(
+                upstream.id, upstream.address, CONNECT_SLACK_S + 2 * distance_s
+            )
+        except UpstreamError:
+            now = asyncio.get_running_loop().time()
+            crashes = self._poison.note_crash(fingerprint, upstream.id, now)
+            self._peers.note_crash(Crash(fingerprint, upstream.id))
+            log_message(
+                "courier:crash",
+                level="warning",
+                upstream=upstream.id,
+                fingerprint=fingerprint,
+                crashes=crashes,
+            )
+            self._eject(upstream)
+            return
+        self._pool.give_back(upstream.id, connection)
+
+    def _eject(self, upstream):
+        if upstream.id in self._chooser.ejected:
+            return
+        self._chooser.ejected.add(upstream.id)
+        self._counters.add("upstreams_ejected")
+        log_message("courier:ejected", level="warning", upstream=upstream.id)
+        self._spawn(self._try_again(upstream))
+
+    async def _try_again(self, upstream):
+        pause_s = FIRST_EJECT_S
+        distance_s = self._chooser.get_distance_s(upstream.availability_zone)
+        while True:
+            await asyncio.sleep(pause_s)
+            pause_s = min(MAX_EJECT_S, pause_s * 2)
+            if upstream.id not in self._registry.upstream_by_id:
+                return
+            try:
+                connection = await self._pool.connect(
+                    upstream.id, upstream.address, CONNECT_SLACK_S + 2 * distance_s
+                )
+            except UpstreamError:
+                continue
+            self._pool.give_back(upstream.id, connection)
+            self._chooser.ejected.discard(upstream.id)
+            log_message("courier:reachable", upstream=upstream.id)
+            return
+
+    def _forget(self, upstream_id):
+        self._pool.forget(upstream_id)
+        self._chooser.forget(upstream_id)
+        self._occupancy.forget(upstream_id)
+
+    async def _trim_often(self):
+        while True:
+            await asyncio.sleep(1.0)
+            self._pool.trim()
+
+    def _spawn(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/godwitlanding/gateway/registry.py
@@ -0,0 +1,165 @@
+"""What this VM knows of the configuration, the upstreams and evacuations."""
+
+import asyncio
+from typing import NamedTuple
+
+from eliot import log_message
+
+from godwitlanding.kernel import Service
+
+
+class Upstream(NamedTuple):
+    """An upstream as its entry in the store tells it.
+
+    ``cold_s`` is the time for which it stays cold, counted from when the
+    entry was read.
+    """
+
+    id: str
+    service: str
+    address: tuple[str, int]
+    availability_zone: str
+    slots: int
+    leaving: bool
+    cold_s: float
+
+
+class Registry(Service):
+    """Holds the newest known state; others ask it and are told of changes.
+
+    ``on_upstream_gone`` is called with the id of each upstream that leaves
+    or is gone, ``on_config`` with each new configuration.
+    """
+
+    name = "registry"
+
+    def __init__(self, region_by_zone):
+        self._region_by_zone = region_by_zone
+        self._evacuated_until_by_zone = {}
+        self._listed = {}
+        self._usable_by_place = {}
+        self._cold_until_by_upstream = {}
+        self.config = None
+        self.config_seen_at = 0.0
+        self.upstream_by_id = {}
+        self.evacuated_zones = set()
+        self.has_upstreams = False
+        self.on_upstream_gone = []
+        self.on_config = []
+
+    def is_complete(self):
+        """Tell whether enough is known to serve callers."""
+        return self.config is not None and self.has_upstreams
+
+    def get_region(self, availability_zone):
+        """Return a zone's region, empty for an unknown zone."""
+        return self._region_by_zone.get(availability_zone, "")
+
+    def get_usable(self, service, region):
+        """Return the upstreams of a service in a region that take new work."""
+        return self._usable_by_place.get((service, region), ())
+
+    def get_cold_left_s(self, upstream_id, now):
+        """Return the seconds for which an upstream stays cold, 0 if warm."""
+        return max(0.0, self._cold_until_by_upstream.get(upstream_id, 0.0) - now)
+
+    def note_cold(self, upstream_id, cold_s, now):
+        """An upstream says that it is cold for this long."""
+        if cold_s > 0:
+            held = self._cold_until_by_upstream.get(upstream_id, 0.0)
+            self._cold_until_by_upstream[upstream_id] = max(held, now + cold_s)
+
+    def set_config(self, config):
+        """Take a configuration unless it is older than the one in force."""
+        held = self.config
+        if held and config.version < held.version:
+            log_message(
+                "registry:older_config",
+                level="warning",
+                version=config.version,
+                in_force=held.version,
+            )
+            return
+        if held and config.version == held.version:
+            return
+        self.config = config
+        log_message(
+            "registry:config",
+            version=config.version,
+            former=held.version if held else 0,
+            routes=len(config.route_by_prefix),
+        )
+        for tell in self.on_config:
+            tell(config)
+
+    def put_upstream(self, upstream):
+        """Take an upstream's entry."""
+        held = self.upstream_by_id.get(upstream.id)
+        self.upstream_by_id[upstream.id] = upstream
+        self.note_cold(upstream.id, upstream.cold_s, _now())
+        if held and held._replace(cold_s=upstream.cold_s) == upstream:
+            return
+        log_message(
+            "registry:upstream",
+            upstream=upstream.id,
+            service=upstream.service,
+            availability_zone=upstream.availability_zone,
+            leaving=upstream.leaving,
+            cold_s=upstream.cold_s,
+        )
+        self._rebuild()
+        if upstream.leaving:
+            self._tell_gone(upstream.id)
+
+    def remove_upstream(self, upstream_id):
+        """An upstream's entry is gone."""
+        if self.upstream_by_id.pop(upstream_id, None) is None:
+            return
+        log_message("registry:upstream_gone", upstream=upstream_id)
+        self._cold_until_by_upstream.pop(upstream_id, None)
+        self._rebuild()
+        self._tell_gone(upstream_id)
+
+    def set_evacuated(self, availability_zone, evacuated):
+        """A zone's upstreams are to get nothing, or may be used again.
+
+        What was not used for a while comes back cold, and its entries may
+        say so only with the next heartbeat; so it is taken for cold as long
+        as its service needs to warm up.
+        """
+        if evacuated == (availability_zone in self.evacuated_zones):
+            return
+        log_message("registry:evacuation", zone=availability_zone, evacuated=evacuated)
+        if evacuated:
+            self.evacuated_zones.add(availability_zone)
+        else:
+            self.evacuated_zones.discard(availability_zone)
+            self._chill(availability_zone)
+        self._rebuild()
+
+    def _chill(self, availability_zone):
+        for upstream in self.upstream_by_id.values():
+            if upstream.availability_zone != availability_zone:
+                continue
+            service = self.config and self.config.service_by_name.get(upstream.service)
+            if service:
+                self.note_cold(upstream.id, service.warmup_s, _now())
+
+    def _tell_gone(self, upstream_id):
+        for tell in self.on_upstream_gone:
+            tell(upstream_id)
+
+    def _rebuild(self):
+        usable = {}
+        for upstream in self.upstream_by_id.values():
+            if upstream.leaving:
+                continue
+            if upstream.availability_zone in self.evacuated_zones:
+                continue
+            place = (upstream.service, self.get_region(upstream.availability_zone))
+            usable.setdefault(place, []).append(upstream)
+        self._usable_by_place = usable
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/godwitlanding/logstream.py
@@ -0,0 +1,94 @@
+"""JSON lines on standard output that never hold up the loop.
+
+Load pattern: overload, when each request is refused and logged, and a
+reader of the log that is slow or stuck. A write to a full pipe would block
+the one thread, and every caller with it. So lines are kept in memory up to
+``MAX_PENDING_BYTES`` and written only as far as the reader takes them; and
+no more than ``MAX_LINES_PER_S`` are taken each second, the last fifth of
+which only for warnings and errors. What is dropped is counted, and a line
+says how many once there is room again.
+"""
+
+import os
+import sys
+
+import orjson
+from eliot import add_destinations
+
+# Twice the busiest VM's lines today: 60 requests a second, four lines each.
+MAX_LINES_PER_S = 500
+KEPT_FOR_WARNINGS = 100
+MAX_PENDING_BYTES = 256 * 1024
+# A message longer than this is cut by the reader anyway.
+MAX_LINE_BYTES = 4096
+
+
+class LogStream:
+    """A bounded, non-blocking destination of eliot's messages."""
+
+    def __init__(self, vm, role, now, descriptor=None, counters=None):
+        self._vm = vm
+        self._role = role
+        self._now = now
+        self._descriptor = sys.stdout.fileno() if descriptor is None else descriptor
+        self._counters = counters
+        self._pending = bytearray()
+        self._second = 0
+        self._lines = 0
+        self._dropped = 0
+        os.set_blocking(self._descriptor, False)
+
+    def take(self, message):
+        """Write a message, or keep it until the reader takes more."""
+        level = message.get("level", "info")
+        if not self._has_room(level):
+            self._dropped += 1
+            if self._counters:
+                self._counters.add("log_lines_dropped", level=level)
+            return
+        if self._dropped:
+            dropped, self._dropped = self._dropped, 0
+            self._add({"message_type": "log:dropped", "lines": dropped})
+        self._add(message)
+        self.flush()
+
+    def flush(self):
+        """Write what the reader takes; return whether all is written."""
+        while self._pending:
+            try:
+                written = os.write(self._descriptor, self._pending)
+            except BlockingIOError:
+                return False
+            except OSError:
+                # Nobody reads any more, and there is nowhere to say so.
+                self._pending.clear()
+                return True
+            del self._pending[:written]
+        return True
+
+    def _has_room(self, level):
+        second = int(self._now())
+        if second != self._second:
+            self._second = second
+            self._lines = 0
+        limit = MAX_LINES_PER_S
+        if level in ("info", "debug"):
+            limit -= KEPT_FOR_WARNINGS
+        if self._lines >= limit or len(self._pending) > MAX_PENDING_BYTES:
+            return False
+        self._lines += 1
+        return True
+
+    def _add(self, message):
+        line = {"vm": self._vm, "role": self._role, **message}
+        line.pop("task_uuid", None)
+        line.pop("task_level", None)
+        self._pending += orjson.dumps(line, default=str)[:MAX_LINE_BYTES]
+        self._pending += b"\n"
+
+
+def set_up_log_stream(vm, role, now, counters=None):
+    """Send every log message to standard output; return the stream."""
+    stream = LogStream(vm, role, now, counters=counters)
+    add_destinations(stream.take)
+    return stream
--- /dev/null
+++ b/godwitlanding/platform/entries.py
@@ -0,0 +1,103 @@
+"""Decodes what the operator and the upstreams keep in the platform's store."""
+
+from godwitlanding.decisions.routes import (
+    Limits,
+    Route,
+    RouteConfig,
+    RouteKind,
+    Service,
+    SplitPart,
+)
+from godwitlanding.gateway.registry import Upstream
+from godwitlanding.platform.units import read_seconds, read_version
+
+CONFIG_KIND = "config"
+CONFIG_NAME = "main"
+UPSTREAM_KIND = "servers"
+EVACUATION_KIND = "evacuations"
+# A kind of our own: one object for each VM of the system.
+VM_KIND = "godwit-vms"
+
+_DEFAULT_PRIORITY = 1
+
+
+def _read_rows(table):
+    columns = table["columns"]
+    for row in table["rows"]:
+        yield {
+            name: value
+            for name, value in zip(columns, row, strict=True)
+            if value is not None
+        }
+
+
+def _read_parts(row):
+    split = row.get("traffic_split")
+    if split:
+        return tuple(SplitPart(p["service"], float(p["weight"])) for p in split)
+    return (SplitPart(row["service"], 1.0),)
+
+
+def _read_route(row):
+    return Route(
+        name=row["name"],
+        host=row["host"].lower(),
+        path_prefix=row["path_prefix"],
+        kind=RouteKind(row["kind"]),
+        timeout_s=read_seconds(row["timeout"]),
+        target_latency_s=read_seconds(row["target_latency"]),
+        priority=int(row.get("priority", _DEFAULT_PRIORITY)),
+        parts=_read_parts(row),
+        max_attempts=int(row.get("max_attempts", 1)),
+        sticky=bool(row.get("sticky", False)),
+        allowed_regions=frozenset(row.get("allowed_regions") or ()),
+    )
+
+
+def _read_service(row):
+    return Service(
+        name=row["name"],
+        health_path=row.get("health_path", ""),
+        max_connections=int(row.get("max_conns", 0)),
+        warmup_s=read_seconds(row.get("warmup", "0s")),
+        cold_per_s=float(row.get("cold_per_s", 0.0)),
+    )
+
+
+def _read_limits(row):
+    default = Limits()
+    return Limits(
+        max_header_bytes=int(row.get("max_header_bytes", default.max_header_bytes)),
+        max_body_bytes=int(row.get("max_body_bytes", default.max_body_bytes)),
+        header_timeout_s=read_seconds(row.get("header_timeout", "3s")),
+        idle_timeout_s=read_seconds(row.get("idle_timeout", "15s")),
+    )
+
+
+def read_config(spec):
+    """Return the ``RouteConfig`` in ``spec``.
+
+    Raises ``ValueError``, ``KeyError`` or ``TypeError`` where it is not one.
+    """
+    routes = [_read_route(row) for row in _read_rows(spec["routes"])]
+    services = [_read_service(row) for row in _read_rows(spec["services"])]
+    return RouteConfig(
+        version=read_version(spec["version"]),
+        route_by_prefix={(r.host, r.path_prefix): r for r in routes},
+        service_by_name={service.name: service for service in services},
+        limits=_read_limits(spec.get("limits") or {}),
+    )
+
+
+def read_upstream(name, spec):
+    """Return the ``Upstream`` whose entry is called ``name``; raises alike."""
+    host, _, port = spec["address"].rpartition(":")
+    return Upstream(
+        id=name,
+        service=spec["service"],
+        address=(host, int(port)),
+        availability_zone=spec["zone"],
+        slots=int(spec["slots"]),
+        leaving=spec["state"] != "ready",
+        cold_s=read_seconds(spec.get("cold_remaining", "0s")),
+    )
--- /dev/null
+++ b/godwitlanding/platform/settings.py
@@ -0,0 +1,120 @@
+"""Reads the settings file that the platform gives to each process."""
+
+import tomllib
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from godwitlanding.platform.units import read_seconds
+
+SETTINGS_VARIABLE = "GODWITLANDING_SETTINGS"
+
+
+class Bounds(NamedTuple):
+    """The figures that the users promise by; times in seconds."""
+
+    # Time from a change's acknowledgement until it must be in force.
+    config_s: float
+    # From SIGTERM until the process is killed.
+    stop_s: float
+    # Repeats allowed in a window: a share of the requests, and a number.
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+    # Longest time for which callers keep an answer of the directory.
+    directory_ttl_s: float
+
+
+class VmSettings(NamedTuple):
+    """What a process learns of its VM and surroundings.
+
+    Addresses are pairs of IP number and port.
+    """
+
+    vm: str
+    ip: str
+    availability_zone: str
+    region: str
+    region_by_zone: dict[str, str]
+    # Where callers send requests, ask for addresses, and the platform asks
+    # whether the VM is ready.
+    caller_address: tuple[str, int]
+    directory_address: tuple[str, int]
+    ready_address: tuple[str, int]
+    # First of the ports that are free for traffic between VMs.
+    peer_port: int
+    store_address: tuple[str, int]
+    bounds: Bounds
+
+
+_MISSING = object()
+
+
+class _Reader:
+    """Takes values out of the file and gathers every mistake."""
+
+    def __init__(self, document):
+        self._document = document
+        self.problems = []
+
+    def take(self, path, read=str, default=_MISSING):
+        value = self._document
+        for part in path.split("."):
+            value = value.get(part, _MISSING) if isinstance(value, dict) else _MISSING
+        if value is _MISSING:
+            if default is _MISSING:
+                self.problems.append(f"{path}: is missing")
+                return None
+            return default
+        try:
+            return read(value)
+        except (ValueError, TypeError, LookupError) as error:
+            self.problems.append(f"{path}: {error}")
+            return None
+
+
+def _read_address(text):
+    host, _, port = text.rpartition(":")
+    if not host:
+        raise ValueError(f"{text!r} is no address with a port")
+    return host, int(port)
+
+
+def read_settings(path):
+    """Return ``Ok(VmSettings)`` or ``Err`` with a list of all mistakes."""
+    try:
+        with open(path, "rb") as file:
+            document = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return Err([str(error)])
+    reader = _Reader(document)
+    settings = _take_settings(reader)
+    return Err(reader.problems) if reader.problems else Ok(settings)
+
+
+def _take_settings(reader):
+    return VmSettings(
+        vm=reader.take("self.node"),
+        ip=reader.take("self.ip"),
+        availability_zone=reader.take("self.zone"),
+        region=reader.take("self.region"),
+        region_by_zone=reader.take("network.zones", dict),
+        caller_address=reader.take("network.listen.front", _read_address),
+        directory_address=reader.take("network.listen.directory", _read_address),
+        ready_address=reader.take("network.listen.ready", _read_address),
+        peer_port=reader.take("network.internal_port_range", lambda r: int(r[0])),
+        store_address=reader.take("provider.provider.address", _read_address),
+        bounds=_take_bounds(reader),
+    )
+
+
+def _take_bounds(reader):
+    bounds = "terms.bounds."
+    return Bounds(
+        config_s=reader.take(bounds + "config", read_seconds, 2.5),
+        stop_s=reader.take(bounds + "grace", read_seconds, 6.0),
+        retry_ratio=reader.take(bounds + "budget_ratio", float, 0.2),
+        retry_window_s=reader.take(bounds + "budget_window", read_seconds, 10.0),
+        retry_slack=reader.take(bounds + "budget_slack", float, 60.0),
+        directory_ttl_s=reader.take(bounds + "ttl_max", read_seconds, 5.0),
+    )
--- /dev/null
+++ b/godwitlanding/platform/store.py
@@ -0,0 +1,165 @@
+"""The client of the platform's metadata store, behind the product's types."""
+
+import asyncio
+import socket
+
+import aiohttp
+import orjson
+from result import Err, Ok
+from yarl import URL
+
+from godwitlanding.client import make_session
+from godwitlanding.codes import Code, make_refusal
+from godwitlanding.store import Snapshot, StoredObject, WatchBatch, WatchEvent
+
+# The store answers within milliseconds; at 50 to 65 times that, as its slow
+# spells are, an answer still comes within this time.
+CALL_TIMEOUT_S = 1.5
+# A watch may be held back a little past its own time.
+WATCH_GRACE_S = 1.5
+_CODE_BY_STATUS = {
+    404: Code.NOT_FOUND,
+    409: Code.VERSION_CONFLICT,
+    410: Code.WATCH_EXPIRED,
+    413: Code.VALUE_TOO_LARGE,
+    429: Code.RATE_LIMITED,
+}
+
+
+def _make_socket(address_info):
+    # A connection may fall silent without a reset, and a watch on it would
+    # wait in vain for its whole time, with changes unseen; keep-alive probes
+    # end it after three seconds.
+    family, kind, protocol = address_info[:3]
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2000)
+    return sock
+
+
+class ObjectStore:
+    """The store's calls as results; nothing here repeats a call.
+
+    After ``PLATFORM_UNAVAILABLE`` on a write the write may have taken
+    effect.
+    """
+
+    def __init__(self, address, counters):
+        host, port = address
+        self._base = f"http://{host}:{port}/objects/"
+        self._counters = counters
+        self._session = None
+
+    async def snapshot(self, kind):
+        """Return ``Ok(Snapshot)`` of all objects of a kind."""
+        objects = []
+        after = ""
+        while True:
+            query = {"after": after} if after else {}
+            answer = await self._call("list", "GET", kind, query=query)
+            if answer.is_err():
+                return answer
+            page = answer.unwrap()
+            try:
+                objects.extend(_read_object(kind, item) for item in page["items"])
+                version = int(page["store_revision"])
+                more = page.get("more")
+            except (KeyError, TypeError, ValueError) as error:
+                return _make_unavailable(f"list cannot be read: {error!r}")
+            if not more or not objects:
+                return Ok(Snapshot(version, tuple(objects)))
+            after = objects[-1].name
+
+    async def get(self, kind, name):
+        """Return ``Ok(StoredObject)``."""
+        answer = await self._call("get", "GET", f"{kind}/{name}")
+        return answer.map(lambda item: _read_object(kind, item))
+
+    async def put(self, kind, name, value, expected_version):
+        """Write if the version is as expected (0: must not exist).
+
+        Returns ``Ok(new version)``.
+        """
+        metadata = {"name": name}
+        body = {"metadata": metadata, "spec": orjson.loads(value)}
+        if expected_version == 0:
+            answer = await self._call("create", "POST", kind, body=body)
+        else:
+            metadata["rev"] = expected_version
+            answer = await self._call("put", "PUT", f"{kind}/{name}", body=body)
+        return answer.map(lambda item: int(item["metadata"]["rev"]))
+
+    async def delete(self, kind, name, expected_version):
+        """Delete if the version is as expected; ``Ok(version)``."""
+        query = {"rev": str(expected_version)}
+        answer = await self._call("delete", "DELETE", f"{kind}/{name}", query=query)
+        return answer.map(lambda _: expected_version)
+
+    async def watch(self, kind, after, timeout_s):
+        """Wait for changes of a kind; ``Ok(WatchBatch)``, maybe empty."""
+        query = {"watch": str(after), "wait_ms": str(int(timeout_s * 1000))}
+        answer = await self._call("watch", "GET", kind, query, extra_s=timeout_s)
+        if answer.is_err():
+            return answer
+        try:
+            page = answer.unwrap()
+            events = tuple(_read_event(kind, event) for event in page["events"])
+            return Ok(WatchBatch(int(page["store_revision"]), events))
+        except (KeyError, TypeError, ValueError) as error:
+            return _make_unavailable(f"watch cannot be read: {error!r}")
+
+    async def close(self):
+        """Close every connection."""
+        if self._session:
+            await self._session.close()
+
+    async def _call(self, operation, method, path, query=None, body=None, extra_s=0.0):
+        answer = await self._send(method, path, query, body, extra_s)
+        outcome = "OK" if answer.is_ok() else answer.unwrap_err().code.name
+        self._counters.add("platform_calls", operation=operation, outcome=outcome)
+        return answer
+
+    async def _send(self, method, path, query, body, extra_s):
+        grace_s = WATCH_GRACE_S if extra_s else CALL_TIMEOUT_S
+        timeout = aiohttp.ClientTimeout(total=extra_s + grace_s)
+        url = URL(self._base + path).with_query(query or {})
+        data = None if body is None else orjson.dumps(body)
+        headers = {"Content-Type": "application/json"} if data else {}
+        try:
+            async with self._get_session().request(
+                method, url, data=data, headers=headers, timeout=timeout
+            ) as response:
+                text = await response.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            return _make_unavailable(repr(error))
+        if response.status in (200, 201):
+            try:
+                return Ok(orjson.loads(text) if text else {})
+            except ValueError as error:
+                return _make_unavailable(f"answer cannot be read: {error!r}")
+        code = _CODE_BY_STATUS.get(response.status, Code.PLATFORM_UNAVAILABLE)
+        return Err(make_refusal(code, detail=f"answered {response.status}"))
+
+    def _get_session(self):
+        # A session belongs to a running loop, so it cannot be made earlier.
+        if self._session is None:
+            options = {"socket_factory": _make_socket}
+            self._session = make_session(0, options)
+        return self._session
+
+
+def _make_unavailable(detail):
+    return Err(make_refusal(Code.PLATFORM_UNAVAILABLE, detail=detail))
+
+
+def _read_object(kind, item):
+    metadata = item["metadata"]
+    value = orjson.dumps(item.get("spec"))
+    return StoredObject(kind, metadata["name"], int(metadata["rev"]), value)
+
+
+def _read_event(kind, event):
+    return WatchEvent(_read_object(kind, event["object"]), bool(event["removed"]))
--- a/godwitlanding/store.py
+++ b/godwitlanding/store.py
@@ -45,6 +45,13 @@
     vms: tuple[VmEntry, ...]
 
 
+class Snapshot(NamedTuple):
+    """All objects of a kind as they stood at a version of the store."""
+
+    version: int
+    objects: tuple[StoredObject, ...]
+
+
 class WatchEvent(NamedTuple):
     """A change of an object; ``deleted`` tells that it is gone."""
 
--- /dev/null
+++ b/godwitlanding/vm.py
@@ -0,0 +1,270 @@
+"""``godwit-vm``: the one process of an entry VM on the users' platform.
+
+Joins the gateway's services with the platform's names and formats; nothing
+else of the product knows of the platform.
+
+>>> GODWITLANDING_SETTINGS=/etc/node.toml godwit-vm
+"""
+
+import argparse
+import asyncio
+import os
+import sys
+import time
+
+import orjson
+from eliot import log_message
+from starlette.applications import Starlette
+from starlette.responses import Response
+from starlette.routing import Route
+
+from godwitlanding import __version__
+from godwitlanding.decisions.fleet import Fleet, choose_addresses
+from godwitlanding.decisions.lapse import LapseGuard
+from godwitlanding.decisions.occupancy import Occupancy
+from godwitlanding.decisions.retrybudget import RetryBudget
+from godwitlanding.decisions.worktime import WorkTimes
+from godwitlanding.gateway.carrier import Carrier
+from godwitlanding.gateway.chooser import Chooser
+from godwitlanding.gateway.courier import Courier
+from godwitlanding.gateway.front import Front
+from godwitlanding.gateway.mirror import Mirror
+from godwitlanding.gateway.peers import Peers
+from godwitlanding.gateway.presence import Presence
+from godwitlanding.gateway.registry import Registry
+from godwitlanding.gateway.upstream import UpstreamPool
+from godwitlanding.kernel import Kernel
+from godwitlanding.logstream import set_up_log_stream
+from godwitlanding.metrics import Counters, make_meter, render_metrics
+from godwitlanding.platform.doors import make_directory, make_readiness
+from godwitlanding.platform.entries import (
+    CONFIG_KIND,
+    CONFIG_NAME,
+    EVACUATION_KIND,
+    UPSTREAM_KIND,
+    VM_KIND,
+    read_config,
+    read_upstream,
+)
+from godwitlanding.platform.headers import HEADER_NAMES
+from godwitlanding.platform.settings import SETTINGS_VARIABLE, read_settings
+from godwitlanding.platform.store import ObjectStore
+from godwitlanding.poison import PoisonLedger
+from godwitlanding.web import HttpServer
+
+ROLE = "vm"
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+METRICS_PORT = 9464
+_UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
+
+
+def parse_arguments(argv=None):
+    """Return the command line's arguments."""
+    parser = argparse.ArgumentParser(
+        prog="godwit-vm", description="Serve callers on an entry VM."
+    )
+    parser.add_argument(
+        "--settings",
+        default=os.environ.get(SETTINGS_VARIABLE, ""),
+        metavar="FILE",
+        help=f"Settings of the platform; default: {SETTINGS_VARIABLE}",
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="Check the settings and end"
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    return parser.parse_args(argv)
+
+
+class Program:
+    """The services of one process and what they share."""
+
+    def __init__(self, settings, counters):
+        loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._counters = counters
+        self.occupancy = Occupancy()
+        self.worktimes = WorkTimes()
+        self.fleet = Fleet()
+        self.poison = PoisonLedger()
+        bounds = settings.bounds
+        budget = RetryBudget(
+            bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+        )
+        self.store = ObjectStore(settings.store_address, counters)
+        self.registry = Registry(settings.region_by_zone)
+        self.peers = Peers(settings, self.fleet, self.occupancy, self._take_crash)
+        self.peers.is_ready = self.is_ready
+        self.presence = Presence(self.store, VM_KIND, settings)
+        self.chooser = Chooser(settings, self.occupancy, self.worktimes, self.fleet)
+        pool = UpstreamPool(HEADER_NAMES.request_id, counters)
+        self.courier = Courier(
+            HEADER_NAMES, pool, self.occupancy, self.worktimes, counters, self.poison
+        )
+        self.carrier = Carrier(
+            HEADER_NAMES, budget, self.poison, counters, self._is_config_fresh
+        )
+        self.carrier.get_vms = lambda: 1 + len(self.fleet.peer_by_vm)
+        self._now = loop.time
+        self.config_mirror = Mirror(self.store, CONFIG_KIND, self._apply_config)
+        self.front = Front(settings.caller_address, bounds.stop_s)
+        self.front.needs += ("directory", "readiness", "metrics", "presence")
+
+    def make_services(self):
+        """Return every service of the process."""
+        upstream_mirror = Mirror(
+            self.store,
+            UPSTREAM_KIND,
+            self._apply_upstream,
+            LapseGuard(),
+            self._note_upstreams_listed,
+        )
+        return [
+            self.registry,
+            self.peers,
+            self.presence,
+            self.chooser,
+            self.courier,
+            self.carrier,
+            self.config_mirror,
+            upstream_mirror,
+            Mirror(self.store, EVACUATION_KIND, self._apply_evacuation),
+            Mirror(self.store, VM_KIND, self._apply_vm),
+            HttpServer(
+                "directory",
+                make_directory(self._choose_addresses),
+                *self._settings.directory_address,
+            ),
+            HttpServer(
+                "readiness",
+                make_readiness(self.is_ready),
+                *self._settings.ready_address,
+            ),
+            HttpServer("metrics", _make_metrics_app(), self._settings.ip, METRICS_PORT),
+            self.front,
+        ]
+
+    def is_ready(self):
+        """Tell whether callers should be sent here."""
+        return self.registry.is_complete() and not self.peers.leaving
+
+    def _choose_addresses(self, region):
+        host, port = self._settings.caller_address
+        return choose_addresses(
+            f"{host}:{port}",
+            self._settings.region,
+            self.is_ready(),
+            self.fleet,
+            region or self._settings.region,
+        )
+
+    def _is_config_fresh(self):
+        return self.config_mirror.get_age_s() <= 0
+
+    def _take_crash(self, crash):
+        self.poison.note_report(crash.fingerprint, crash.upstream, 1, self._now())
+
+    def _apply_config(self, name, version, value):
+        if name != CONFIG_NAME or value is None:
+            return
+        try:
+            config = read_config(orjson.loads(value))
+        except _UNREADABLE as error:
+            # The last good configuration stays in force.
+            _log_unreadable(CONFIG_KIND, name, version, error)
+            return
+        self.registry.set_config(config)
+
+    def _apply_upstream(self, name, version, value):
+        if value is None:
+            self.registry.remove_upstream(name)
+            return
+        try:
+            upstream = read_upstream(name, orjson.loads(value))
+        except _UNREADABLE as error:
+            _log_unreadable(UPSTREAM_KIND, name, version, error)
+            return
+        self.registry.put_upstream(upstream)
+
+    def _note_upstreams_listed(self):
+        self.registry.has_upstreams = True
+
+    def _apply_evacuation(self, name, version, value):
+        self.registry.set_evacuated(name, value is not None)
+
+    def _apply_vm(self, name, version, value):
+        if value is None:
+            if name == self._settings.vm:
+                self.presence.note_removed()
+            self.peers.note_vm(name, None)
+            return
+        try:
+            host = orjson.loads(value)["host"]
+        except _UNREADABLE as error:
+            _log_unreadable(VM_KIND, name, version, error)
+            return
+        self.peers.note_vm(name, host)
+
+
+def _log_unreadable(kind, name, version, error):
+    log_message(
+        "vm:unreadable_object",
+        level="error",
+        kind=kind,
+        name=name,
+        version=version,
+        error=repr(error),
+    )
+
+
+def _make_metrics_app():
+    async def get_metrics(request):
+        return Response(render_metrics(), media_type="text/plain; version=0.0.4")
+
+    return Starlette(routes=[Route("/metrics", get_metrics)])
+
+
+async def run(settings, stream, counters):
+    """Serve until the process is told to stop."""
+    program = Program(settings, counters)
+    kernel = Kernel(program.make_services())
+    flusher = asyncio.create_task(_flush_often(stream))
+    try:
+        await kernel.run()
+    finally:
+        flusher.cancel()
+        await program.store.close()
+        stream.flush()
+
+
+async def _flush_often(stream):
+    while True:
+        await asyncio.sleep(0.1)
+        stream.flush()
+
+
+def main(argv=None):
+    """Run the program; return its exit code."""
+    arguments = parse_arguments(argv)
+    read = read_settings(arguments.settings)
+    if read.is_err():
+        for problem in read.unwrap_err():
+            print(problem, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    settings = read.unwrap()
+    if arguments.check:
+        return EXIT_OK
+    counters = Counters(make_meter(settings.vm, ROLE))
+    stream = set_up_log_stream(settings.vm, ROLE, time.monotonic, counters)
+    try:
+        asyncio.run(run(settings, stream, counters))
+    except OSError as error:
+        log_message("vm:failed", level="error", error=repr(error))
+        return EXIT_FAILED
+    return EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
