--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -181,7 +181,6 @@
         upstreams = self._registry.get_usable(service, region)
         ids = tuple(upstream.id for upstream in upstreams)
         ranking = self._homes.get_ranking(service, key, ids) if key else {}
-        homes = self._homes.get_count(service, len(ids))
         candidates = []
         for upstream in upstreams:
             if upstream.id in tried or upstream.id in self.ejected:
@@ -189,13 +188,11 @@
             if not self._may_take_cold(upstream, now):
                 continue
             rank = ranking.get(upstream.id, 0)
-            is_home = rank < homes
-            candidates.append(
-                self._make_candidate(service, upstream, rank, is_home, now)
-            )
+            known = rank == 0 or key in self._known_by_upstream.get(upstream.id, ())
+            candidates.append(self._make_candidate(service, upstream, rank, known, now))
         return place(candidates)
 
-    def _make_candidate(self, service, upstream, rank, is_home, now):
+    def _make_candidate(self, service, upstream, rank, known, now):
         factor = self._worktimes.get_factor(upstream.id)
         warm_s = self._worktimes.get_warm_s(service) * factor
         cold_s = self._worktimes.get_cold_s(service) * factor
@@ -203,7 +200,7 @@
             upstream=upstream.id,
             slots=upstream.slots,
             occupied=self._occupancy.get(upstream.id, now),
-            work_s=warm_s if is_home else cold_s,
+            work_s=warm_s if known else cold_s,
             usual_s=warm_s,
             distance_s=self.get_distance_s(upstream.availability_zone),
             failure_share=self._worktimes.get_failure_share(upstream.id),
--- a/godwitlanding/gateway/front.py
+++ b/godwitlanding/gateway/front.py
@@ -20,8 +20,8 @@
 # (their answers' lifetime) that the VM leaves, those that keep answers three
 # times as long within 3 s, which is half of 6 s.
 CLOSE_AT_SHARE = 0.35
-REFUSE_AT_SHARE = 0.72
-END_AT_SHARE = 0.94
+REFUSE_AT_SHARE = 0.52
+END_AT_SHARE = 0.92
 _LOOK_S = 0.02
 
 
--- a/godwitlanding/vm.py
+++ b/godwitlanding/vm.py
@@ -136,13 +136,21 @@
                 "directory",
                 make_directory(self._choose_addresses),
                 *self._settings.directory_address,
+                ends_at_once=True,
             ),
             HttpServer(
                 "readiness",
                 make_readiness(self.is_ready),
                 *self._settings.ready_address,
+                ends_at_once=True,
+            ),
+            HttpServer(
+                "metrics",
+                _make_metrics_app(),
+                self._settings.ip,
+                METRICS_PORT,
+                ends_at_once=True,
             ),
-            HttpServer("metrics", _make_metrics_app(), self._settings.ip, METRICS_PORT),
             self.front,
         ]
 
--- a/godwitlanding/web.py
+++ b/godwitlanding/web.py
@@ -31,11 +31,23 @@
 class HttpServer(Service):
     """Serves an ASGI app at ``host:port`` until it is stopped.
 
-    Stopping lets the requests in progress finish.
+    Stopping lets the requests in progress finish, unless ``ends_at_once``:
+    answers that take no time need no waiting, and a process that is about
+    to be killed has none for them.
     """
 
-    def __init__(self, name, app, host, port, needs=(), max_connections=2000):
+    def __init__(
+        self,
+        name,
+        app,
+        host,
+        port,
+        needs=(),
+        max_connections=2000,
+        ends_at_once=False,
+    ):
         self.name = name
+        self._ends_at_once = ends_at_once
         self.needs = needs
         config = uvicorn.Config(
             app,
@@ -72,7 +84,9 @@
     async def stop(self):
         """Take no new connection and wait for the requests in progress."""
         self._server.should_exit = True
-        if self._task:
+        if self._ends_at_once:
+            self._task.cancel()
+        elif self._task:
             await self._task
 
     def force(self):
