List again after every watch that failed

Ruled out: a store that hangs (it answered others). Change: after a failed watch the list is read again.

--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -2,9 +2,13 @@
 
 Load pattern: the store is away, slow, or turns this VM away, all VMs at
 once; then all of them come back. Each waits a random time that doubles up
-to ``MAX_PAUSE_S``, so that they do not come back together, and goes on
-watching from where it was; the list is read again only where the store has
-forgotten the history in between.
+to ``MAX_PAUSE_S``, so that they do not come back together.
+
+A watch that was cut is not taken up from where it was: a store that has
+dropped its history accepts the old revision, says nothing of the changes in
+between, and tells that they are gone only with the next change. A VM would
+go on sending to an evacuated zone for as long as nothing else happens there.
+So after every failure the list is read again.
 """
 
 import asyncio
@@ -103,7 +107,7 @@
                 self._succeed()
                 return None
             await self._fail(refusal)
-            return revision
+            return None
         self._succeed()
         batch = answer.unwrap()
         for event in batch.events:
