Test the gateway: decisions, connections, store and whole path

Cause: the gateway had no tests. Change: tables for each decision; faulty answers of upstreams; a stand-in of the users' store with its faults, and its contract; real processes against stand-ins. Found so: a header that comes in one piece was not bounded (431), SIGHUP ended the process, an answer too many left its connection in use. Tests run side by side.

--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,11 @@
 play: setup
 	$(BIN)/python -m godwitlanding.tests.tools.play
 
+# Most tests wait for real processes, so more run at once than a core each.
+JOBS ?= 6
+
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(JOBS) --dist loadgroup
 
 lint: setup
 	$(BIN)/black --check --quiet --diff godwitlanding
--- a/godwitlanding/decisions/retrybudget.py
+++ b/godwitlanding/decisions/retrybudget.py
@@ -34,10 +34,14 @@
     """Repeats of one VM by service; ``now`` is seconds of one clock."""
 
     def __init__(self, ratio, window_s, slack):
+        self.set_bounds(ratio, window_s, slack)
+        self._window_by_service = {}
+
+    def set_bounds(self, ratio, window_s, slack):
+        """Take what all VMs together may repeat in a window."""
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
-        self._window_by_service = {}
 
     def note_request(self, service, now):
         """Count the first arrival of a caller's request."""
--- a/godwitlanding/gateway/caller.py
+++ b/godwitlanding/gateway/caller.py
@@ -52,6 +52,10 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
+# The colon, the blank and the end of a header's line.
+_HEADER_LINE_EXTRA_BYTES = 4
+
+
 class CallerConnection(asyncio.Protocol):
     """Reads requests and writes answers in their order.
 
@@ -66,7 +70,9 @@
         self._transport = None
         self._exchanges = []
         self._reading = None
+        self._in_header = False
         self._header_bytes = 0
+        self._unread_header_bytes = 0
         self._closing = False
         self._paused = False
         self._requests = 0
@@ -82,7 +88,7 @@
     def data_received(self, data):
         if self._closing:
             return
-        if self._header_bytes == 0 and self._reading is None:
+        if self._reading is None:
             self._quiet_since = self._loop.time()
         try:
             self._parser.feed_data(data)
@@ -90,10 +96,10 @@
             if not self._closing:
                 self._refuse_rest(400, repr(error))
             return
-        if self._reading is not None:
-            self._header_bytes += len(data)
-            if self._header_bytes > self._front.limits.max_header_bytes:
-                self._refuse_rest(431, "the header is too large")
+        if self._in_header:
+            # A single line may go on for ever without being handed on.
+            self._unread_header_bytes += len(data)
+            self._check_header(self._unread_header_bytes)
 
     def eof_received(self):
         return False
@@ -112,17 +118,31 @@
     # What httptools calls while it reads.
 
     def on_message_begin(self):
+        if self._closing:
+            return
         self._reading = Exchange(self, self._loop.time())
+        self._in_header = True
+        self._header_bytes = 0
+        self._unread_header_bytes = 0
 
     def on_url(self, url):
+        if self._closing:
+            return
         self._reading.target += url
+        self._check_header(len(self._reading.target))
 
     def on_header(self, name, value):
+        if self._closing:
+            return
         self._reading.headers.append((name.lower(), value))
+        self._header_bytes += len(name) + len(value) + _HEADER_LINE_EXTRA_BYTES
+        self._check_header(self._header_bytes)
 
     def on_headers_complete(self):
         exchange = self._reading
-        self._header_bytes = -(1 << 62)
+        self._in_header = False
+        if self._closing:
+            return
         exchange.method = self._parser.get_method()
         exchange.keep_alive = self._parser.should_keep_alive()
         length = exchange.get_header(b"content-length")
@@ -143,7 +163,6 @@
     def on_message_complete(self):
         exchange = self._reading
         self._reading = None
-        self._header_bytes = 0
         if self._closing or exchange is None:
             return
         self._requests += 1
@@ -199,6 +218,10 @@
             self._transport.write_eof()
         self._loop.call_later(LINGER_S, self._transport.close)
 
+    def _check_header(self, size):
+        if size > self._front.limits.max_header_bytes and not self._closing:
+            self._refuse_rest(431, "the header is too large")
+
     def _refuse_rest(self, status, reason):
         # The bytes that follow cannot be told apart from this request's, so
         # the connection ends with this answer.
@@ -230,9 +253,7 @@
         quiet_s = self._loop.time() - self._quiet_since
         if self._reading is not None:
             begun_s = self._loop.time() - self._reading.begun_at
-            if self._header_bytes >= 0 and (
-                begun_s > self._front.limits.header_timeout_s
-            ):
+            if self._in_header and begun_s > self._front.limits.header_timeout_s:
                 self._refuse_rest(408, "the header did not arrive in time")
         elif not self._exchanges and quiet_s > self._front.get_idle_s():
             self._end()
--- a/godwitlanding/gateway/front.py
+++ b/godwitlanding/gateway/front.py
@@ -33,7 +33,7 @@
 
     def __init__(self, address, stop_s):
         self._address = address
-        self._stop_s = stop_s
+        self.stop_s = stop_s
         self._server = None
         self._connections = set()
         self._carrier = None
@@ -59,12 +59,12 @@
         loop = asyncio.get_running_loop()
         begun = loop.time()
         self._peers.leave()
-        await self._wait_until(begun + CLOSE_AT_SHARE * self._stop_s)
+        await self._wait_until(begun + CLOSE_AT_SHARE * self.stop_s)
         self.closes = True
         self._end_idle()
-        await self._wait_until(begun + REFUSE_AT_SHARE * self._stop_s)
+        await self._wait_until(begun + REFUSE_AT_SHARE * self.stop_s)
         self._server.close()
-        while loop.time() < begun + END_AT_SHARE * self._stop_s:
+        while loop.time() < begun + END_AT_SHARE * self.stop_s:
             if not self._carrier.get_in_progress():
                 break
             await asyncio.sleep(_LOOK_S)
--- a/godwitlanding/gateway/registry.py
+++ b/godwitlanding/gateway/registry.py
@@ -47,6 +47,12 @@
         self.on_upstream_gone = []
         self.on_config = []
 
+    def set_regions(self, region_by_zone):
+        """Take the regions of the availability zones."""
+        if region_by_zone != self._region_by_zone:
+            self._region_by_zone = region_by_zone
+            self._rebuild()
+
     def is_complete(self):
         """Tell whether enough is known to serve callers."""
         return self.config is not None and self.has_upstreams
--- a/godwitlanding/gateway/upstream.py
+++ b/godwitlanding/gateway/upstream.py
@@ -153,6 +153,9 @@
     # What httptools calls while it reads.
 
     def on_message_begin(self):
+        if self._waiter is None and self._sink is None:
+            # One more answer than was asked for: more may follow.
+            self.reusable = False
         self._reset_answer()
 
     def on_header(self, name, value):
--- a/godwitlanding/kernel.py
+++ b/godwitlanding/kernel.py
@@ -94,15 +94,24 @@
             except Exception as error:
                 log_message("kernel:stop_failed", service=name, error=repr(error))
 
-    async def run(self):
-        """Start, serve until SIGTERM or SIGINT, then stop gracefully."""
+    async def run(self, reload=None):
+        """Start, serve until SIGTERM or SIGINT, then stop gracefully.
+
+        SIGHUP calls ``reload``; without one the signal is ignored, since by
+        default it would end the process with its requests unanswered.
+        """
         asked = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in STOP_SIGNALS:
             loop.add_signal_handler(number, asked.set)
+        loop.add_signal_handler(signal.SIGHUP, reload or _ignore_hangup)
         await self.start()
         log_message("kernel:started", services=self.get_names())
         await asked.wait()
         log_message("kernel:stopping")
         await self.stop()
         log_message("kernel:stopped")
+
+
+def _ignore_hangup():
+    log_message("kernel:hangup_ignored")
--- /dev/null
+++ b/godwitlanding/tests/decisions/test_placing.py
@@ -0,0 +1,92 @@
+"""Where a request goes, and which are refused at once."""
+
+import pytest
+
+from godwitlanding.decisions.placing import (
+    MAX_WAITING,
+    Candidate,
+    estimate_wait_s,
+    is_worth_taking,
+    place,
+)
+
+USUAL = Candidate(
+    upstream="u",
+    slots=3,
+    occupied=0,
+    work_s=0.1,
+    usual_s=0.1,
+    distance_s=0.0,
+    failure_share=0.0,
+    rank=0,
+)
+
+
+@pytest.mark.parametrize(
+    ("occupied", "expected"),
+    [(0, 0.0), (2.9, 0.0), (3, 0.1), (6, 0.5)],
+)
+def test_wait_grows_with_what_is_in_progress(occupied, expected):
+    assert estimate_wait_s(occupied, 3, 0.4) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "winner"),
+    [
+        pytest.param({}, {"rank": 1}, "first", id="first in order among equals"),
+        pytest.param({"occupied": 3}, {"rank": 1}, "second", id="free slot"),
+        pytest.param(
+            {"occupied": 4},
+            {"rank": 1, "work_s": 0.35},
+            "first",
+            id="a short wait rather than an upstream that does not know the object",
+        ),
+        pytest.param(
+            {"occupied": 6.5, "usual_s": 0.3},
+            {"rank": 1, "work_s": 0.35},
+            "second",
+            id="another upstream rather than a long wait",
+        ),
+        pytest.param(
+            {"failure_share": 0.6}, {"rank": 1}, "second", id="one that fails"
+        ),
+        pytest.param(
+            {"distance_s": 0.11}, {"rank": 1}, "second", id="one that is far away"
+        ),
+        pytest.param(
+            {"occupied": 3 + MAX_WAITING},
+            {"rank": 1, "work_s": 9.0},
+            "second",
+            id="one whose queue is nearly full",
+        ),
+    ],
+)
+def test_place(first, second, winner):
+    chosen = place(
+        [
+            USUAL._replace(upstream="first", **first),
+            USUAL._replace(upstream="second", **second),
+        ]
+    )
+    assert chosen.candidate.upstream == winner
+
+
+def test_no_candidate_is_no_placement():
+    assert place([]) is None
+
+
+@pytest.mark.parametrize(
+    ("occupied", "work_s", "to_target_s", "left_s", "expected"),
+    [
+        pytest.param(0, 0.1, 0.4, 2.0, True, id="in time"),
+        pytest.param(5, 0.1, 0.4, 2.0, True, id="in time after a wait"),
+        pytest.param(0, 0.5, 0.4, 2.0, True, id="late for its length, slot is free"),
+        pytest.param(6, 0.3, 0.4, 2.0, False, id="late for the wait"),
+        pytest.param(0, 0.5, 0.4, 0.3, False, id="caller has left by then"),
+    ],
+)
+def test_is_worth_taking(occupied, work_s, to_target_s, left_s, expected):
+    placement = place(
+        [USUAL._replace(occupied=occupied, work_s=work_s, usual_s=work_s)]
+    )
+    assert is_worth_taking(placement, to_target_s, left_s) is expected
--- /dev/null
+++ b/godwitlanding/tests/decisions/test_retrybudget.py
@@ -0,0 +1,38 @@
+"""Repeats of all VMs together stay within their bound."""
+
+import pytest
+
+from godwitlanding.decisions.retrybudget import RetryBudget
+
+RATIO, WINDOW_S, SLACK = 0.2, 10.0, 60.0
+
+
+@pytest.mark.parametrize("vms", [1, 8, 12, 60])
+@pytest.mark.parametrize("requests", [0, 100, 1000])
+def test_repeats_of_all_vms_stay_within_the_bound(vms, requests):
+    # Every upstream sheds, so that each VM repeats as often as it may. If
+    # the VMs' shares added up to more than the bound, repeats would make
+    # the overload worse that caused them.
+    total = 0
+    for _ in range(vms):
+        budget = RetryBudget(RATIO, WINDOW_S, SLACK)
+        for number in range(requests):
+            now = 10.0 * number / requests
+            budget.note_request("s", now)
+            total += budget.take("s", vms, now)
+    assert total <= RATIO * requests * vms + SLACK
+
+
+def test_window_slides():
+    budget = RetryBudget(RATIO, WINDOW_S, SLACK)
+    while budget.take("s", 12, 0.0):
+        pass
+    assert not budget.take("s", 12, 9.9)
+    assert budget.take("s", 12, 10.1)
+
+
+def test_services_do_not_share_a_budget():
+    budget = RetryBudget(RATIO, WINDOW_S, SLACK)
+    while budget.take("s", 12, 0.0):
+        pass
+    assert budget.take("t", 12, 0.0)
--- /dev/null
+++ b/godwitlanding/tests/decisions/test_worktime.py
@@ -0,0 +1,52 @@
+"""Slow and failing upstreams are known after a few answers."""
+
+import pytest
+
+from godwitlanding.decisions.worktime import Warmth, WorkTimes
+
+
+def make_worktimes():
+    worktimes = WorkTimes()
+    for upstream in ("a", "b", "c"):
+        for _ in range(20):
+            worktimes.note_answer("s", upstream, 0.1, Warmth.WARM, False)
+        worktimes.note_answer("s", upstream, 0.36, Warmth.COLD, False)
+    return worktimes
+
+
+@pytest.mark.parametrize(("times", "answers"), [(4, 4), (12, 2)])
+def test_slow_upstream_is_known(times, answers):
+    # One upstream takes several times as long, and its health endpoint says
+    # that all is well. Its callers would wait as if it were the only one.
+    worktimes = make_worktimes()
+    for _ in range(answers):
+        worktimes.note_answer("s", "a", 0.1 * times, Warmth.WARM, False)
+    assert worktimes.get_factor("a") > 2
+    assert worktimes.get_factor("b") < 1.2
+    assert worktimes.get_warm_s("s") < 0.2
+
+
+def test_first_visits_make_no_upstream_slow():
+    worktimes = make_worktimes()
+    for _ in range(10):
+        worktimes.note_answer("s", "a", 0.36, Warmth.UNSURE, False)
+    assert worktimes.get_factor("a") == pytest.approx(1.0, abs=0.1)
+
+
+def test_waiting_makes_no_upstream_slow():
+    worktimes = make_worktimes()
+    for _ in range(10):
+        worktimes.note_answer("s", "a", 0.5, Warmth.WARM, True)
+    assert worktimes.get_factor("a") == pytest.approx(1.0, abs=0.1)
+
+
+def test_failures_are_known_and_forgiven():
+    # An upstream fails half of its requests at once. It is always the least
+    # busy one, and would draw most of the requests.
+    worktimes = make_worktimes()
+    for _ in range(5):
+        worktimes.note_failure("a")
+    assert worktimes.get_failure_share("a") > 0.5
+    for _ in range(30):
+        worktimes.recover()
+    assert worktimes.get_failure_share("a") < 0.05
--- /dev/null
+++ b/godwitlanding/tests/gateway/test_platform_store.py
@@ -0,0 +1,139 @@
+"""The contract of the platform's store, and each way in which it fails."""
+
+import asyncio
+
+import pytest
+
+from godwitlanding.codes import Code
+from godwitlanding.metrics import Counters
+from godwitlanding.platform import store as platform_store
+from godwitlanding.platform.store import ObjectStore
+from godwitlanding.tests.tools.network import find_free_port
+from godwitlanding.tests.tools.standin_store import StandinStore
+
+HOST = "127.0.10.249"
+KIND = "things"
+
+
+@pytest.fixture
+async def standin():
+    standin = await StandinStore(HOST, find_free_port(HOST)).start()
+    yield standin
+    standin.crash()
+
+
+@pytest.fixture
+async def store(standin):
+    store = ObjectStore(standin.address, Counters())
+    yield store
+    await store.close()
+
+
+async def test_object_is_created_changed_and_deleted(store, standin):
+    version = (await store.put(KIND, "a", b'{"x":1}', 0)).unwrap()
+    assert (await store.get(KIND, "a")).unwrap().value == b'{"x":1}'
+    newer = (await store.put(KIND, "a", b'{"x":2}', version)).unwrap()
+    assert newer > version
+    assert (await store.delete(KIND, "a", newer)).is_ok()
+    assert (await store.get(KIND, "a")).unwrap_err().code is Code.NOT_FOUND
+
+
+async def test_snapshot_joins_its_pages(store, standin):
+    for number in range(8):
+        await standin.put(KIND, f"n{number}", {})
+    snapshot = (await store.snapshot(KIND)).unwrap()
+    assert [stored.name for stored in snapshot.objects] == [f"n{n}" for n in range(8)]
+    assert snapshot.version == standin.revision
+
+
+async def test_watch_returns_with_the_first_change(store, standin):
+    waiting = asyncio.create_task(store.watch(KIND, standin.revision, 5.0))
+    await asyncio.sleep(0.05)
+    await standin.put(KIND, "a", {"x": 1})
+    batch = (await waiting).unwrap()
+    assert [event.stored.name for event in batch.events] == ["a"]
+    assert batch.version == standin.revision
+
+
+@pytest.mark.parametrize(
+    ("expected_version", "code"),
+    [(0, Code.VERSION_CONFLICT), (999, Code.VERSION_CONFLICT)],
+)
+async def test_write_from_another_version_is_refused(
+    store, standin, expected_version, code
+):
+    # Two processes write the same object. The one that does not know of the
+    # other's write would undo it.
+    await standin.put(KIND, "a", {"x": 1})
+    answer = await store.put(KIND, "a", b'{"x":2}', expected_version)
+    assert answer.unwrap_err().code is code
+    assert standin.get_spec(KIND, "a") == {"x": 1}
+
+
+FAULTS = [
+    pytest.param({"status": 503}, Code.PLATFORM_UNAVAILABLE, id="busy"),
+    pytest.param({"status": 429}, Code.RATE_LIMITED, id="many calls"),
+    pytest.param({"status": 500}, Code.PLATFORM_UNAVAILABLE, id="odd status"),
+    pytest.param({"lose_answers": 1}, Code.PLATFORM_UNAVAILABLE, id="answer lost"),
+    pytest.param({"silent": True}, Code.PLATFORM_UNAVAILABLE, id="silent"),
+]
+
+
+@pytest.mark.parametrize(("faults", "code"), FAULTS)
+@pytest.mark.parametrize("call", ["snapshot", "get", "put", "watch"])
+async def test_failed_call_is_an_error_in_time(
+    store, standin, faults, code, call, monkeypatch
+):
+    # The store is away in one of the ways in which it can be. A call that
+    # waited for ever, or raised, would end what keeps this VM in step.
+    monkeypatch.setattr(platform_store, "CALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(platform_store, "WATCH_GRACE_S", 0.2)
+    await standin.put(KIND, "a", {})
+    vars(standin.faults).update(faults)
+    arguments = {
+        "snapshot": (KIND,),
+        "get": (KIND, "a"),
+        "put": (KIND, "b", b"{}", 0),
+        "watch": (KIND, 1, 0.1),
+    }[call]
+    async with asyncio.timeout(2):
+        answer = await getattr(store, call)(*arguments)
+    assert answer.unwrap_err().code is code
+
+
+async def test_lost_answer_of_a_write_that_was_done(store, standin):
+    # The write is done and its answer is lost. The writer cannot know; when
+    # it writes again it is told of its own object.
+    standin.faults.lose_answers = 1
+    answer = await store.put(KIND, "a", b'{"x":1}', 0)
+    assert answer.unwrap_err().code is Code.PLATFORM_UNAVAILABLE
+    answer = await store.put(KIND, "a", b'{"x":1}', 0)
+    assert answer.unwrap_err().code is Code.VERSION_CONFLICT
+    assert (await store.get(KIND, "a")).unwrap().value == b'{"x":1}'
+
+
+@pytest.mark.parametrize(
+    ("forget", "code"),
+    [(True, Code.WATCH_EXPIRED), (False, None)],
+    ids=["history gone", "history kept"],
+)
+async def test_watch_from_an_old_revision(store, standin, forget, code):
+    await standin.put(KIND, "a", {})
+    await standin.put(KIND, "b", {})
+    if forget:
+        await standin.forget_history()
+    answer = await store.watch(KIND, 1, 0.1)
+    assert (answer.unwrap_err().code if answer.is_err() else None) is code
+
+
+async def test_watch_that_is_cut_is_an_error(store, standin):
+    waiting = asyncio.create_task(store.watch(KIND, standin.revision, 5.0))
+    await asyncio.sleep(0.05)
+    await standin.forget_history()
+    assert (await waiting).unwrap_err().code is Code.PLATFORM_UNAVAILABLE
+
+
+async def test_store_that_is_down(store, standin):
+    standin.crash()
+    answer = await store.snapshot(KIND)
+    assert answer.unwrap_err().code is Code.PLATFORM_UNAVAILABLE
--- /dev/null
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -0,0 +1,313 @@
+"""Callers, real processes, upstreams and the store: the whole path."""
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+import pytest
+
+from godwitlanding.tests.gateway.world import GRACE_S, World, make_config
+
+
+async def wait_until(check, seconds=5.0):
+    """Wait until ``check()`` holds; fails after a time."""
+    async with asyncio.timeout(seconds):
+        while not await check():
+            await asyncio.sleep(0.05)
+
+
+@pytest.fixture
+async def world(tmp_path):
+    async with World(tmp_path) as world:
+        await world.start()
+        yield world
+
+
+async def test_request_comes_back_as_the_upstream_answered(world):
+    answer, body = await world.ask(world.vms[0])
+    assert answer.status == 200
+    assert body.startswith(b"done by look-")
+    assert answer.headers["Godwitlanding-Response-Signature"] == "proof"
+    assert answer.headers["Godwitlanding-Request-Id"] == "r1"
+    # Another region has no upstreams of its own.
+    answer, body = await world.ask(world.vms[2])
+    assert answer.status == 200
+
+
+@pytest.mark.parametrize(
+    ("fault", "status", "runs"),
+    [
+        pytest.param("", 200, 1, id="served"),
+        pytest.param("shed", 503, 0, id="shed by all"),
+        pytest.param("fail", 500, 1, id="failed by the upstream"),
+        pytest.param("reset", 502, 1, id="answer lost"),
+        pytest.param("cut", 502, 1, id="answer cut short"),
+    ],
+)
+async def test_payment_runs_at_most_once(world, fault, status, runs):
+    # An upstream fails while it has a payment. Sent once more, a pensioner
+    # would pay twice; told that it has not run, he would pay again himself.
+    for worker_id in ("pay-1", "pay-2"):
+        world.get_worker(worker_id).fault = fault
+    answer, _ = await world.pay(world.vms[0], 1)
+    assert answer.status == status
+    assert world.count_runs("pay-1") == runs
+    assert ("Retry-After" in answer.headers) is (status == 503)
+
+
+@pytest.mark.parametrize("fault", ["reset", "cut", "fail", "shed", "crash"])
+async def test_lookup_is_fetched_elsewhere(world, fault):
+    # One of two upstreams fails whatever it is given. A look-up may run
+    # twice, so its caller need not hear of that.
+    world.get_worker("look-1").fault = fault
+    for number in range(6):
+        answer, body = await world.ask(world.vms[0], f"/look/{number}")
+        assert (answer.status, body) == (200, b"done by look-2")
+
+
+async def test_caller_that_leaves_frees_the_slot(world):
+    # A caller gives up while its look-up runs. Unless its upstream is told,
+    # a slot works for nobody.
+    for worker_id in ("look-1", "look-2"):
+        world.get_worker(worker_id).work_s = 1.0
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.3):
+            await world.ask(world.vms[0])
+    await asyncio.sleep(0.3)
+    workers = [world.get_worker(worker_id) for worker_id in ("look-1", "look-2")]
+    assert sum(worker.dropped for worker in workers) == 1
+
+
+async def test_route_timeout_is_answered_in_time(world):
+    for worker_id in ("look-1", "look-2"):
+        world.get_worker(worker_id).work_s = 5.0
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+    answer, _ = await world.ask(world.vms[0], **{"Godwitlanding-Deadline-Ms": "9000"})
+    assert answer.status == 504
+    assert 1.9 < loop.time() - begun < 2.5
+
+
+async def test_leaving_upstream_gets_no_new_work(world):
+    leaving = world.get_worker("look-1")
+    await world.store.put("servers", "look-1", leaving.make_entry("draining"))
+    await asyncio.sleep(0.5)
+    before = len(leaving.ran)
+    for number in range(10):
+        answer, _ = await world.ask(world.vms[number % 3], f"/look/{number}")
+        assert answer.status == 200
+    assert len(leaving.ran) == before
+
+
+async def test_evacuated_zone_gets_nothing_until_it_is_taken_back(world):
+    await world.store.put("evacuations", "a1", {})
+    await asyncio.sleep(0.5)
+    evacuated = world.get_worker("look-1")
+    for number in range(10):
+        answer, _ = await world.ask(world.vms[0], f"/look/{number}")
+        assert answer.status == 200
+    assert evacuated.ran == []
+    await world.store.remove("evacuations", "a1")
+
+    async def is_used():
+        await world.ask(world.vms[0], f"/look/{len(evacuated.ran)}x")
+        await world.ask(world.vms[0], "/look/7")
+        return evacuated.ran or world.get_worker("look-2").fault
+
+    world.get_worker("look-2").fault = ""
+    await asyncio.sleep(3.2)
+    for number in range(10):
+        await world.ask(world.vms[0], f"/look/{number}")
+    assert evacuated.ran
+
+
+async def test_new_route_is_served_and_unknown_ones_are_told(world):
+    answer, _ = await world.ask(world.vms[0], "/new/1")
+    assert answer.status == 404
+    row = ["new", "h", "/new/", "safe", "2s", "400ms", 2, None, 2, True, [], "looks"]
+    await world.store.put("config", "main", make_config("r9", [row]))
+    await asyncio.sleep(0.5)
+    for vm in world.vms:
+        answer, _ = await world.ask(vm, "/new/1")
+        assert answer.status == 200
+
+
+async def test_older_or_unreadable_configuration_changes_nothing(world):
+    # Operators' tools race, or write something that cannot be read. The
+    # last good configuration stays in force.
+    for spec in (make_config("r3"), {"version": "r9", "routes": 7}, {}):
+        await world.store.put("config", "main", spec)
+    await asyncio.sleep(0.5)
+    answer, _ = await world.ask(world.vms[0])
+    assert answer.status == 200
+    assert "vm:unreadable_object" in world.vms[0].read_log()
+
+
+async def test_killed_vm_is_named_no_longer(world):
+    # A VM loses its power. Callers that are sent there wait in vain.
+    killed = world.vms[1]
+    killed.process.kill()
+
+    async def is_dropped():
+        return killed.address not in await world.resolve(world.vms[0])
+
+    await wait_until(is_dropped, 3.0)
+    assert await world.resolve(world.vms[0]) == [world.vms[0].address]
+
+
+async def test_planned_stop_cuts_off_nobody(world):
+    # A VM is stopped while callers use it and go on using it for as long as
+    # their directory answers last. None of them may notice.
+    stopped = world.vms[0]
+    loop = asyncio.get_running_loop()
+    failures = []
+
+    async def call(number):
+        end = loop.time() + 1.0
+        async with aiohttp.ClientSession() as session:
+            while loop.time() < end:
+                headers = {
+                    "Host": "h",
+                    "Godwitlanding-Request-Id": f"s{number}-{loop.time()}",
+                    "Godwitlanding-Deadline-Ms": "2000",
+                }
+                url = f"{stopped.front}/look/{number}"
+                try:
+                    async with session.get(url, headers=headers) as answer:
+                        if answer.status != 200 or not await answer.read():
+                            failures.append(answer.status)
+                except aiohttp.ClientError as error:
+                    failures.append(repr(error))
+
+    callers = [asyncio.create_task(call(number)) for number in range(5)]
+    await asyncio.sleep(0.2)
+    stopped.signal(signal.SIGTERM)
+    await asyncio.sleep(0.2)
+    assert await world.get_status(stopped.ready) == 503
+    assert stopped.address not in await world.resolve(world.vms[1])
+    await asyncio.gather(*callers)
+    assert failures == []
+    begun = loop.time()
+    assert await stopped.process.wait() == 0
+    assert loop.time() - begun < GRACE_S
+
+
+async def test_hangup_and_changed_file_end_nothing(world):
+    # The platform says that the settings have changed. By default that
+    # signal ends a process, with all its requests unanswered.
+    vm = world.vms[0]
+    vm.signal(signal.SIGHUP)
+    await asyncio.sleep(0.2)
+    answer, _ = await world.ask(vm)
+    assert answer.status == 200
+    vm.path.write_text("self = 7\n")
+    vm.signal(signal.SIGHUP)
+    await asyncio.sleep(0.2)
+    answer, _ = await world.ask(vm)
+    assert answer.status == 200
+    assert "vm:reload_failed" in vm.read_log()
+
+
+async def test_store_that_is_away_stops_nobody(world):
+    # The store goes away for a while. What was known stays in force.
+    world.store.crash()
+    await asyncio.sleep(0.5)
+    answer, _ = await world.ask(world.vms[0])
+    assert answer.status == 200
+    # A route that is not known may be in a newer configuration.
+    answer, _ = await world.ask(world.vms[0], "/new/1")
+    assert answer.status == 503
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        pytest.param(b"nonsense\r\n\r\n", 400, id="no request"),
+        pytest.param(
+            b"GET /look/1 HTTP/1.1\r\nhost: h\r\nx: " + b"x" * 20_000 + b"\r\n\r\n",
+            431,
+            id="long header",
+        ),
+        pytest.param(
+            b"POST /pay/1 HTTP/1.1\r\nhost: h\r\ncontent-length: 200000\r\n\r\n",
+            413,
+            id="long body",
+        ),
+        pytest.param(
+            b"GET /look/1 HTTP/1.1\r\nhost: h\r\n\r\n", 400, id="without an id"
+        ),
+        pytest.param(b"GET /look/1 HTTP/1.1\r\nho", 408, id="header never ends"),
+    ],
+)
+async def test_bad_input_is_told(world, request_bytes, status):
+    host, _, port = world.vms[0].address.partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(request_bytes)
+    line = await asyncio.wait_for(reader.readline(), 6)
+    assert line.split()[1] == str(status).encode()
+    writer.close()
+
+
+async def test_pipelined_requests_are_answered_in_order(world):
+    # A caller sends three requests without waiting. The first takes longest;
+    # were answers sent as they come, each would go to another's request.
+    slow, fast = world.get_worker("look-1"), world.get_worker("look-2")
+    slow.work_s = 0.3
+    host, _, port = world.vms[0].address.partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for number in range(8):
+        writer.write(
+            b"GET /look/%d HTTP/1.1\r\nhost: h\r\nGodwitlanding-Request-Id: p%d\r\n"
+            b"Godwitlanding-Affinity-Key: %d\r\n\r\n" % (number, number, number)
+        )
+    ids = []
+    while len(ids) < 8:
+        line = await asyncio.wait_for(reader.readline(), 5)
+        if line.lower().startswith(b"godwitlanding-request-id"):
+            ids.append(line.split()[1])
+    assert ids == [b"p%d" % number for number in range(8)]
+    assert fast.ran
+    writer.close()
+
+
+async def test_each_request_leaves_a_line_that_tells_its_way(world):
+    answer, _ = await world.pay(world.vms[0], 5)
+    assert answer.status == 200
+    await asyncio.sleep(0.3)
+    lines = [json.loads(line) for line in world.vms[0].read_log().splitlines()]
+    told = {line["message_type"]: line for line in lines if "pay-5" in str(line)}
+    assert told["carrier:attempt"]["outcome"] == "answered"
+    assert told["carrier:done"]["status"] == 200
+    assert "kernel:started" in {line["message_type"] for line in lines}
+
+
+async def test_metrics_are_served(world):
+    await world.ask(world.vms[0])
+    async with world.session.get(world.vms[0].metrics) as answer:
+        text = await answer.text()
+    assert "request_seconds_bucket" in text
+    assert "platform_calls_total" in text
+
+
+async def test_vm_without_a_store_is_not_ready(tmp_path):
+    # A VM starts while the store is away. It knows no route; told 404 its
+    # callers would give up for good.
+    async with World(tmp_path, zones=("a1",)) as world:
+        world.store.faults.status = 503
+        vm = world.vms[0]
+        await vm.start()
+
+        async def answers():
+            return await world.get_status(vm.ready) == 503
+
+        await wait_until(answers, 10)
+        answer, _ = await world.ask(vm)
+        assert answer.status == 503
+        assert float(answer.headers["Retry-After"]) > 0
+        world.store.faults.status = 0
+
+        async def is_ready():
+            return await world.get_status(vm.ready) == 200
+
+        await wait_until(is_ready)
--- /dev/null
+++ b/godwitlanding/tests/gateway/world.py
@@ -0,0 +1,239 @@
+"""Real ``godwit-vm`` processes against stand-ins, and their callers."""
+
+import asyncio
+import itertools
+import signal
+import sys
+
+import aiohttp
+
+from godwitlanding.tests.tools.network import find_free_port
+from godwitlanding.tests.tools.standin_store import StandinStore
+from godwitlanding.tests.tools.standin_worker import StandinWorker
+
+CONTROL = "127.0.10.240"
+WORKERS = "127.0.10.241"
+REGION_BY_ZONE = {"a1": "a", "a2": "a", "b1": "b"}
+GRACE_S = 4.0
+READY_S = 15.0
+_LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 100_000,
+    "header_timeout": "3000ms",
+    "idle_timeout": "15000ms",
+}
+_ROUTE_COLUMNS = [
+    "name",
+    "host",
+    "path_prefix",
+    "kind",
+    "timeout",
+    "target_latency",
+    "priority",
+    "traffic_split",
+    "max_attempts",
+    "sticky",
+    "allowed_regions",
+    "service",
+]
+
+
+def make_config(version="r7", extra=()):
+    """Return a configuration of a safe and an unsafe route."""
+    rows = [
+        ["look", "h", "/look/", "safe", "2s", "400ms", 2, None, 2, True, [], "looks"],
+        ["pay", "h", "/pay/", "unsafe", "2s", "400ms", 1, None, 2, True, [], "pays"],
+        *extra,
+    ]
+    services = [["looks", "/healthz", 390, "h1", False, "3s", 6.4]]
+    services.append(["pays", *services[0][1:]])
+    columns = "name health_path max_conns protocol tls warmup cold_per_s".split()
+    return {
+        "version": version,
+        "routes": {"columns": _ROUTE_COLUMNS, "rows": rows},
+        "services": {"columns": columns, "rows": services},
+        "limits": _LIMITS,
+    }
+
+
+class Vm:
+    """A real process and the addresses at which it serves."""
+
+    def __init__(self, number, zone, store_address, folder):
+        self.name = f"vm-{number}"
+        self.ip = f"127.0.10.{230 + number}"
+        self.zone = zone
+        self.path = folder / f"{self.name}.toml"
+        self.log = folder / f"{self.name}.log"
+        self._store = "%s:%d" % store_address
+        self.process = None
+
+    def write_settings(self, ports, grace_s=GRACE_S):
+        """Write the settings file as the platform does."""
+        front, ready, directory, peer, metrics = ports
+        zones = "\n".join(f'{z} = "{r}"' for z, r in REGION_BY_ZONE.items())
+        self.front = f"http://{self.ip}:{front}"
+        self.ready = f"http://{self.ip}:{ready}/readyz"
+        self.directory = f"http://{self.ip}:{directory}/resolve"
+        self.address = f"{self.ip}:{front}"
+        self.metrics = f"http://{self.ip}:{metrics}/metrics"
+        self.metrics_port = metrics
+        self.path.write_text(f"""
+[self]
+node = "{self.name}"
+ip = "{self.ip}"
+zone = "{self.zone}"
+region = "{REGION_BY_ZONE[self.zone]}"
+[network]
+internal_port_range = [{peer},{peer + 1}]
+[network.listen]
+front = "{self.address}"
+ready = "{self.ip}:{ready}"
+directory = "{self.ip}:{directory}"
+[network.zones]
+{zones}
+[provider.provider]
+address = "{self._store}"
+[terms.bounds]
+config = "2500ms"
+grace = "{grace_s:g}s"
+""")
+
+    async def start(self):
+        """Start the process."""
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "godwitlanding.vm"),
+                *("--settings", str(self.path)),
+                *("--metrics-port", str(self.metrics_port)),
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number):
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    async def end(self):
+        """Kill the process if it still runs."""
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+    def read_log(self):
+        """Return what the process has logged."""
+        return self.log.read_text()
+
+
+class World:
+    """A store, four upstreams and some VMs."""
+
+    def __init__(self, folder, zones=("a1", "a2", "b1")):
+        self._folder = folder
+        self._zones = zones
+        self._ids = itertools.count(1)
+        self._workers_by_id = {}
+
+    async def __aenter__(self):
+        self.store = await StandinStore(CONTROL, find_free_port(CONTROL)).start()
+        self.session = aiohttp.ClientSession()
+        for worker_id, service, zone in (
+            ("look-1", "looks", "a1"),
+            ("look-2", "looks", "a2"),
+            ("pay-1", "pays", "a1"),
+            ("pay-2", "pays", "a2"),
+        ):
+            await self.add_worker(worker_id, service, zone)
+        await self.store.put("config", "main", make_config())
+        # Ports are the same on all VMs of a day.
+        ports = [find_free_port(CONTROL) for _ in range(5)]
+        self.vms = []
+        for number, zone in enumerate(self._zones):
+            vm = Vm(number, zone, self.store.address, self._folder)
+            vm.write_settings(ports)
+            self.vms.append(vm)
+        return self
+
+    async def __aexit__(self, *error):
+        for vm in self.vms:
+            await vm.end()
+        for worker in self._workers_by_id.values():
+            worker.stop()
+        self.store.crash()
+        await self.session.close()
+
+    def get_worker(self, worker_id):
+        """Return a stand-in of an upstream."""
+        return self._workers_by_id[worker_id]
+
+    async def add_worker(self, worker_id, service, zone):
+        """Start an upstream and register it."""
+        port = find_free_port(WORKERS)
+        worker = StandinWorker(worker_id, service, WORKERS, port, zone)
+        await worker.start()
+        self._workers_by_id[worker_id] = worker
+        await self.store.put("servers", worker_id, worker.make_entry())
+        return worker
+
+    async def start(self):
+        """Start every VM and wait until all are ready and know each other."""
+        for vm in self.vms:
+            await vm.start()
+        async with asyncio.timeout(READY_S):
+            for vm in self.vms:
+                await self.wait_until_ready(vm)
+            home = [vm for vm in self.vms if REGION_BY_ZONE[vm.zone] == "a"]
+            while len(await self.resolve(self.vms[0])) < len(home):
+                await asyncio.sleep(0.05)
+
+    async def wait_until_ready(self, vm):
+        """Wait until a VM says that it serves."""
+        while await self.get_status(vm.ready) != 200:
+            await asyncio.sleep(0.05)
+
+    async def get_status(self, url):
+        """Return an answer's status, 0 where there is none."""
+        try:
+            async with self.session.get(url) as answer:
+                return answer.status
+        except aiohttp.ClientError:
+            return 0
+
+    async def resolve(self, vm, region="a"):
+        """Return the addresses that a VM's directory names."""
+        query = {"name": "h", "region": region, "zone": "a1"}
+        async with self.session.get(vm.directory, params=query) as answer:
+            return (await answer.json())["addresses"]
+
+    async def ask(self, vm, path="/look/1", method="GET", body=None, **headers):
+        """Return a caller's answer and its body."""
+        request_id = headers.pop("request_id", f"r{next(self._ids)}")
+        sent = {
+            "Host": "h",
+            "Godwitlanding-Request-Id": request_id,
+            "Godwitlanding-Deadline-Ms": "2000",
+            "Godwitlanding-Affinity-Key": path.rpartition("/")[2],
+            **headers,
+        }
+        async with self.session.request(
+            method, vm.front + path, data=body, headers=sent
+        ) as answer:
+            return answer, await answer.read()
+
+    async def pay(self, vm, number, **headers):
+        """Send a payment whose request id is ``pay-NUMBER``."""
+        request_id = f"pay-{number}"
+        path = f"/pay/{number}"
+        return await self.ask(
+            vm, path, "POST", b"amount=1", request_id=request_id, **headers
+        )
+
+    def count_runs(self, request_id):
+        """Return how often a request was run by all upstreams together."""
+        workers = self._workers_by_id.values()
+        return sum(worker.ran.count(request_id) for worker in workers)
+
+    async def stop(self, vm):
+        """Stop a VM as planned; return its exit code."""
+        vm.signal(signal.SIGTERM)
+        return await vm.process.wait()
--- a/godwitlanding/tests/test_docs.py
+++ b/godwitlanding/tests/test_docs.py
@@ -72,11 +72,10 @@
 def test_modules_page_tells_each_module_in_its_own_words():
     told = _read_entries("modules.rst")
     package = ROOT / "godwitlanding"
-    paths = [*package.glob("*.py"), *package.glob("services/*.py")]
     wanted = {}
-    for path in paths:
-        if path.stem != "__init__":
-            parts = path.relative_to(package).with_suffix("").parts
+    for path in package.rglob("*.py"):
+        parts = path.relative_to(package).with_suffix("").parts
+        if path.stem != "__init__" and parts[0] != "tests":
             docstring = ast.get_docstring(ast.parse(path.read_text()))
             wanted[".".join(parts)] = " ".join(docstring.split("\n\n")[0].split())
     assert told == wanted
--- a/godwitlanding/tests/test_metrics_page.py
+++ b/godwitlanding/tests/test_metrics_page.py
@@ -11,11 +11,16 @@
 ARGUMENTS = {"amount", "read", "value_s"}
 
 
+def get_sources():
+    """Return the files of the package that are no tests."""
+    tests = PACKAGE / "tests"
+    return [path for path in PACKAGE.rglob("*.py") if tests not in path.parents]
+
+
 def find_metrics():
     """Return ``{name: labels}`` of all calls to counters in the package."""
     labels_by_name = {}
-    sources = [*PACKAGE.glob("*.py"), *PACKAGE.glob("services/*.py")]
-    for source in sources:
+    for source in get_sources():
         for node in ast.walk(ast.parse(source.read_text())):
             if is_metric(node):
                 labels = {k.arg for k in node.keywords} - ARGUMENTS
@@ -42,7 +47,7 @@
 
 def test_names_are_literal():
     """A name that is put together at run time could not be found here."""
-    for source in [*PACKAGE.glob("*.py"), *PACKAGE.glob("services/*.py")]:
+    for source in get_sources():
         for node in ast.walk(ast.parse(source.read_text())):
             if is_metric(node):
                 assert isinstance(node.args[0], ast.Constant), ast.unparse(node)
--- /dev/null
+++ b/godwitlanding/tests/tools/standin_store.py
@@ -0,0 +1,193 @@
+"""A small stand-in of the users' metadata store, with faults to turn on.
+
+It keeps objects in memory and speaks the store's protocol as its page has
+it. ``faults`` say how it misbehaves: ``status`` answers every call with that
+status, ``lose_answers`` does what is asked and then resets the connection,
+``silent`` never answers, ``delay_s`` answers late, ``deaf`` lets watches
+hear nothing.
+"""
+
+import asyncio
+from types import SimpleNamespace
+
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from godwitlanding.tests.tools.listener import Listener, reset
+
+PAGE_ITEMS = 3
+
+
+class StandinStore:
+    """The store's objects by kind and name, and who watches them."""
+
+    def __init__(self, host, port):
+        self.address = (host, port)
+        self.revision = 1
+        self.faults = SimpleNamespace(
+            status=0, lose_answers=0, silent=False, delay_s=0.0, deaf=False
+        )
+        self.calls = []
+        self._object_by_name_by_kind = {}
+        self._events = []
+        self._oldest = 0
+        self._changed = asyncio.Condition()
+        self._cut = 0
+        self._listener = Listener(self._make_app(), host, port)
+
+    async def start(self):
+        """Listen."""
+        await self._listener.start()
+        return self
+
+    def crash(self):
+        """Refuse connections and reset those that are open."""
+        self._listener.crash()
+
+    async def put(self, kind, name, spec):
+        """Write as the operator or an upstream does."""
+        held = self._get_kind(kind).get(name)
+        created = held["metadata"]["create_rev"] if held else self.revision + 1
+        await self._write(kind, name, spec, created)
+
+    async def remove(self, kind, name):
+        """Remove an object as the platform does."""
+        item = self._get_kind(kind).pop(name)
+        await self._tell(kind, item, True)
+
+    async def forget_history(self):
+        """Drop the history and cut every watch."""
+        self._oldest = self.revision
+        self._cut += 1
+        async with self._changed:
+            self._changed.notify_all()
+
+    def get_spec(self, kind, name):
+        """Return what an object holds, ``None`` where there is none."""
+        item = self._get_kind(kind).get(name)
+        return item and item["spec"]
+
+    def _get_kind(self, kind):
+        return self._object_by_name_by_kind.setdefault(kind, {})
+
+    async def _write(self, kind, name, spec, created):
+        metadata = {
+            "name": name,
+            "rev": self.revision + 1,
+            "create_rev": created,
+            "finalizers": [],
+            "deleting": False,
+        }
+        item = {"metadata": metadata, "spec": spec, "status": None}
+        self._get_kind(kind)[name] = item
+        await self._tell(kind, item, False)
+        return item
+
+    async def _tell(self, kind, item, removed):
+        self.revision += 1
+        self._events.append((self.revision, kind, {"object": item, "removed": removed}))
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _make_app(self):
+        return Starlette(
+            routes=[
+                Route("/objects/{kind}", self._serve, methods=["GET", "POST"]),
+                Route(
+                    "/objects/{kind}/{name}",
+                    self._serve,
+                    methods=["GET", "PUT", "DELETE"],
+                ),
+            ]
+        )
+
+    async def _serve(self, request):
+        faults = self.faults
+        kind = request.path_params["kind"]
+        self.calls.append(
+            (request.method, request.url.path, dict(request.query_params))
+        )
+        if faults.silent:
+            await asyncio.Event().wait()
+        if faults.status:
+            return JSONResponse({}, status_code=faults.status)
+        await asyncio.sleep(faults.delay_s)
+        answer = await self._answer(request, kind)
+        if faults.lose_answers:
+            faults.lose_answers -= 1
+            reset(request.scope["state"]["transport"])
+        return answer
+
+    async def _answer(self, request, kind):
+        name = request.path_params.get("name")
+        if request.method == "POST":
+            return await self._create(kind, await request.json())
+        if name is None and "watch" in request.query_params:
+            return await self._watch(kind, request)
+        if name is None:
+            return self._list(kind, request.query_params.get("after", ""))
+        held = self._get_kind(kind).get(name)
+        if held is None:
+            return JSONResponse({}, status_code=404)
+        if request.method == "GET":
+            return JSONResponse(held)
+        return await self._change(request, kind, name, held)
+
+    async def _create(self, kind, body):
+        name = body["metadata"]["name"]
+        held = self._get_kind(kind).get(name)
+        if held:
+            return JSONResponse(held, status_code=409)
+        return JSONResponse(
+            await self._write(kind, name, body["spec"], self.revision + 1)
+        )
+
+    async def _change(self, request, kind, name, held):
+        if request.method == "DELETE":
+            wanted = request.query_params.get("rev")
+            if wanted and int(wanted) != held["metadata"]["rev"]:
+                return JSONResponse(held, status_code=409)
+            await self.remove(kind, name)
+            return JSONResponse(held)
+        body = await request.json()
+        wanted = body["metadata"].get("rev")
+        if wanted and wanted != held["metadata"]["rev"]:
+            return JSONResponse(held, status_code=409)
+        if body["spec"] == held["spec"]:
+            return JSONResponse(held)
+        created = held["metadata"]["create_rev"]
+        return JSONResponse(await self._write(kind, name, body["spec"], created))
+
+    def _list(self, kind, after):
+        names = sorted(name for name in self._get_kind(kind) if name > after)
+        page = names[:PAGE_ITEMS]
+        return JSONResponse(
+            {
+                "items": [self._get_kind(kind)[name] for name in page],
+                "more": len(names) > len(page),
+                "store_revision": self.revision,
+            }
+        )
+
+    async def _watch(self, kind, request):
+        after = int(request.query_params["watch"])
+        wait_s = int(request.query_params.get("wait_ms", 0)) / 1000
+        cut = self._cut
+        if after < self._oldest and not self.faults.deaf:
+            return JSONResponse({}, status_code=410)
+
+        def find():
+            if self.faults.deaf:
+                return []
+            return [e for rev, k, e in self._events if rev > after and k == kind]
+
+        async with self._changed:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait_for(lambda: find() or self._cut != cut)
+            except TimeoutError:
+                pass
+        if self._cut != cut:
+            reset(request.scope["state"]["transport"])
+        return JSONResponse({"events": find(), "store_revision": self.revision})
--- a/godwitlanding/vm.py
+++ b/godwitlanding/vm.py
@@ -57,6 +57,8 @@
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 METRICS_PORT = 9464
+# Nothing in the settings has to be in force sooner than a configuration.
+SETTINGS_LOOK_S = 1.0
 _UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
 
 
@@ -71,6 +73,13 @@
         metavar="FILE",
         help=f"Settings of the platform; default: {SETTINGS_VARIABLE}",
     )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        default=METRICS_PORT,
+        metavar="PORT",
+        help=f"Port on which /metrics is served; default: {METRICS_PORT}",
+    )
     parser.add_argument(
         "--check", action="store_true", help="Check the settings and end"
     )
@@ -81,16 +90,17 @@
 class Program:
     """The services of one process and what they share."""
 
-    def __init__(self, settings, counters):
+    def __init__(self, settings, metrics_port, counters):
         loop = asyncio.get_running_loop()
         self._settings = settings
+        self._metrics_port = metrics_port
         self._counters = counters
         self.occupancy = Occupancy()
         self.worktimes = WorkTimes()
         self.fleet = Fleet()
         self.poison = PoisonLedger()
         bounds = settings.bounds
-        budget = RetryBudget(
+        self.budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
         )
         self.store = ObjectStore(settings.store_address, counters)
@@ -104,7 +114,7 @@
             HEADER_NAMES, pool, self.occupancy, self.worktimes, counters, self.poison
         )
         self.carrier = Carrier(
-            HEADER_NAMES, budget, self.poison, counters, self._is_config_fresh
+            HEADER_NAMES, self.budget, self.poison, counters, self._is_config_fresh
         )
         self.carrier.get_vms = lambda: 1 + len(self.fleet.peer_by_vm)
         self._now = loop.time
@@ -148,12 +158,21 @@
                 "metrics",
                 _make_metrics_app(),
                 self._settings.ip,
-                METRICS_PORT,
+                self._metrics_port,
                 ends_at_once=True,
             ),
             self.front,
         ]
 
+    def take_settings(self, settings):
+        """Put changed settings in force; addresses change by a restart."""
+        bounds = settings.bounds
+        self.budget.set_bounds(
+            bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+        )
+        self.registry.set_regions(settings.region_by_zone)
+        self.front.stop_s = bounds.stop_s
+
     def is_ready(self):
         """Tell whether callers should be sent here."""
         return self.registry.is_complete() and not self.peers.leaving
@@ -234,19 +253,58 @@
     return Starlette(routes=[Route("/metrics", get_metrics)])
 
 
-async def run(settings, stream, counters):
+async def run(settings, arguments, stream, counters):
     """Serve until the process is told to stop."""
-    program = Program(settings, counters)
+    path = arguments.settings
+    program = Program(settings, arguments.metrics_port, counters)
     kernel = Kernel(program.make_services())
-    flusher = asyncio.create_task(_flush_often(stream))
+    tasks = [
+        asyncio.create_task(_flush_often(stream)),
+        asyncio.create_task(_reload_when_changed(program, path)),
+    ]
     try:
-        await kernel.run()
+        await kernel.run(lambda: reload(program, path, "hangup"))
     finally:
-        flusher.cancel()
+        for task in tasks:
+            task.cancel()
         await program.store.close()
         stream.flush()
 
 
+def reload(program, path, reason):
+    """Read the settings again; mistakes leave the former ones in force."""
+    read = read_settings(path)
+    if read.is_err():
+        log_message(
+            "vm:reload_failed",
+            level="error",
+            reason=reason,
+            problems=read.unwrap_err(),
+        )
+        return
+    program.take_settings(read.unwrap())
+    log_message("vm:reloaded", reason=reason)
+
+
+async def _reload_when_changed(program, path):
+    # The file may change without a signal.
+    former = _get_change_time(path)
+    while True:
+        await asyncio.sleep(SETTINGS_LOOK_S)
+        changed = _get_change_time(path)
+        if changed != former:
+            former = changed
+            reload(program, path, "file changed")
+
+
+def _get_change_time(path):
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError as error:
+        log_message("vm:no_settings", level="warning", error=str(error))
+        return None
+
+
 async def _flush_often(stream):
     while True:
         await asyncio.sleep(0.1)
@@ -267,7 +325,7 @@
     counters = Counters(make_meter(settings.vm, ROLE))
     stream = set_up_log_stream(settings.vm, ROLE, time.monotonic, counters)
     try:
-        asyncio.run(run(settings, stream, counters))
+        asyncio.run(run(settings, arguments, stream, counters))
     except OSError as error:
         log_message("vm:failed", level="error", error=repr(error))
         return EXIT_FAILED
