Give each test process addresses of its own; ready means listening

Cause: run side by side, a sample's 40 upstreams reached into the next slot's 16 addresses (test_play, 127.0.11.33 in use); a VM could say that it is ready before callers can connect. Both traced, both mended.

--- a/godwitlanding/gateway/front.py
+++ b/godwitlanding/gateway/front.py
@@ -70,6 +70,10 @@
             await asyncio.sleep(_LOOK_S)
         log_message("front:stopped", in_progress=self._carrier.get_in_progress())
 
+    def is_listening(self):
+        """Tell whether callers can connect."""
+        return self._server is not None and self._server.is_serving()
+
     def get_status(self):
         """Return the number of callers' connections."""
         return {"connections": len(self._connections)}
--- a/godwitlanding/tests/gateway/test_platform_store.py
+++ b/godwitlanding/tests/gateway/test_platform_store.py
@@ -8,16 +8,16 @@
 from godwitlanding.metrics import Counters
 from godwitlanding.platform import store as platform_store
 from godwitlanding.platform.store import ObjectStore
-from godwitlanding.tests.tools.network import find_free_port
+from godwitlanding.tests.tools.network import claim_world_prefix
 from godwitlanding.tests.tools.standin_store import StandinStore
 
-HOST = "127.0.10.249"
 KIND = "things"
+STORE_PORT = 8541
 
 
 @pytest.fixture
 async def standin():
-    standin = await StandinStore(HOST, find_free_port(HOST)).start()
+    standin = await StandinStore(f"{claim_world_prefix()}2", STORE_PORT).start()
     yield standin
     standin.crash()
 
--- a/godwitlanding/tests/gateway/test_whole_path.py
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -299,9 +299,10 @@
         await vm.start()
 
         async def answers():
-            return await world.get_status(vm.ready) == 503
+            return await world.get_status(vm.front) == 503
 
         await wait_until(answers, 10)
+        assert await world.get_status(vm.ready) == 503
         answer, _ = await world.ask(vm)
         assert answer.status == 503
         assert float(answer.headers["Retry-After"]) > 0
--- a/godwitlanding/tests/gateway/world.py
+++ b/godwitlanding/tests/gateway/world.py
@@ -7,12 +7,15 @@
 
 import aiohttp
 
-from godwitlanding.tests.tools.network import find_free_port
+from godwitlanding.tests.tools.network import claim_world_prefix
 from godwitlanding.tests.tools.standin_store import StandinStore
 from godwitlanding.tests.tools.standin_worker import StandinWorker
 
-CONTROL = "127.0.10.240"
-WORKERS = "127.0.10.241"
+STORE_PORT = 8541
+WORKER_PORT = 9000
+# Callers' requests, readiness, directory, peers and metrics: the ports are
+# the same on all VMs of a day.
+VM_PORTS = (8548, 8542, 8546, 7540, 9464)
 REGION_BY_ZONE = {"a1": "a", "a2": "a", "b1": "b"}
 GRACE_S = 4.0
 READY_S = 15.0
@@ -59,18 +62,18 @@
 class Vm:
     """A real process and the addresses at which it serves."""
 
-    def __init__(self, number, zone, store_address, folder):
+    def __init__(self, number, zone, prefix, folder):
         self.name = f"vm-{number}"
-        self.ip = f"127.0.10.{230 + number}"
+        self.ip = f"{prefix}{100 + number}"
         self.zone = zone
         self.path = folder / f"{self.name}.toml"
         self.log = folder / f"{self.name}.log"
-        self._store = "%s:%d" % store_address
+        self._store = f"{prefix}1:{STORE_PORT}"
         self.process = None
 
-    def write_settings(self, ports, grace_s=GRACE_S):
+    def write_settings(self, grace_s=GRACE_S):
         """Write the settings file as the platform does."""
-        front, ready, directory, peer, metrics = ports
+        front, ready, directory, peer, metrics = VM_PORTS
         zones = "\n".join(f'{z} = "{r}"' for z, r in REGION_BY_ZONE.items())
         self.front = f"http://{self.ip}:{front}"
         self.ready = f"http://{self.ip}:{ready}/readyz"
@@ -135,7 +138,8 @@
         self._workers_by_id = {}
 
     async def __aenter__(self):
-        self.store = await StandinStore(CONTROL, find_free_port(CONTROL)).start()
+        self._prefix = claim_world_prefix()
+        self.store = await StandinStore(f"{self._prefix}1", STORE_PORT).start()
         self.session = aiohttp.ClientSession()
         for worker_id, service, zone in (
             ("look-1", "looks", "a1"),
@@ -145,12 +149,10 @@
         ):
             await self.add_worker(worker_id, service, zone)
         await self.store.put("config", "main", make_config())
-        # Ports are the same on all VMs of a day.
-        ports = [find_free_port(CONTROL) for _ in range(5)]
         self.vms = []
         for number, zone in enumerate(self._zones):
-            vm = Vm(number, zone, self.store.address, self._folder)
-            vm.write_settings(ports)
+            vm = Vm(number, zone, self._prefix, self._folder)
+            vm.write_settings()
             self.vms.append(vm)
         return self
 
@@ -168,8 +170,8 @@
 
     async def add_worker(self, worker_id, service, zone):
         """Start an upstream and register it."""
-        port = find_free_port(WORKERS)
-        worker = StandinWorker(worker_id, service, WORKERS, port, zone)
+        host = f"{self._prefix}{20 + len(self._workers_by_id)}"
+        worker = StandinWorker(worker_id, service, host, WORKER_PORT, zone)
         await worker.start()
         self._workers_by_id[worker_id] = worker
         await self.store.put("servers", worker_id, worker.make_entry())
--- a/godwitlanding/tests/tools/network.py
+++ b/godwitlanding/tests/tools/network.py
@@ -8,6 +8,7 @@
 import re
 import socket
 from contextlib import closing
+from functools import cache
 from typing import NamedTuple
 
 GUARD_PORT = 7900
@@ -15,6 +16,9 @@
 FIRST_PLATFORM_NUMBER = 9
 TEST_SLOTS = 16
 TEST_SLOT_ADDRESSES = 16
+FIRST_UPSTREAM_NET = 64
+FIRST_WORLD_NET = 96
+WORLD_NETS = 32
 _SAMPLE_ADDRESS = re.compile(r"127\.0\.[23]\.(\d+)")
 _guards = []
 
@@ -72,12 +76,24 @@
     for slot in range(TEST_SLOTS):
         offset = slot * TEST_SLOT_ADDRESSES
         control = f"127.0.10.{offset + TEST_SLOT_ADDRESSES - 1}"
-        network = Network("127.0.10.", "127.0.11.", control, offset)
+        # Samples have up to 40 upstreams, more than a slot has addresses.
+        upstreams = f"127.0.{FIRST_UPSTREAM_NET + slot}."
+        network = Network("127.0.10.", upstreams, control, offset)
         if claim(network):
             return network
     raise OSError("every test network is taken")
 
 
+@cache
+def claim_world_prefix():
+    """Return the prefix of 250 addresses that only this process uses."""
+    for net in range(FIRST_WORLD_NET, FIRST_WORLD_NET + WORLD_NETS):
+        prefix = f"127.0.{net}."
+        if claim(Network(prefix, prefix, f"{prefix}250")):
+            return prefix
+    raise OSError("every network of the whole path's tests is taken")
+
+
 def find_free_port(host):
     """Return a port on which nobody listens just now."""
     with closing(socket.socket()) as probe:
--- a/godwitlanding/vm.py
+++ b/godwitlanding/vm.py
@@ -175,7 +175,9 @@
 
     def is_ready(self):
         """Tell whether callers should be sent here."""
-        return self.registry.is_complete() and not self.peers.leaving
+        if not self.front.is_listening() or self.peers.leaving:
+            return False
+        return self.registry.is_complete()
 
     def _choose_addresses(self, region):
         host, port = self._settings.caller_address
