Serve late work only where it hardly waits; a full home is no empty region

Objects are the regions' own: 35 each, not shared between them. Change: late work is taken where it waits for a quarter of one work at most, a second coming up to three quarters; overflow goes only to regions that remember all objects.

--- a/godwitlanding/decisions/placing.py
+++ b/godwitlanding/decisions/placing.py
@@ -8,10 +8,10 @@
 while there is time.
 
 What would be late anyway, by distance or length, is still served where it
-hardly waits: a slot that would stay free serves nobody. Hardly is less than
-the work of one request, so that those behind it can be in time. A caller
-that was refused before and came back may wait twice as long: told to come
-back a second time, it would have waited for nothing.
+hardly waits: a slot that would stay free serves nobody. Hardly is a quarter
+of one request's work, so that those behind it can be in time. A caller that
+was refused before and came back may wait longer: told to come back a second
+time, it would have waited for nothing.
 
 The wait is that of ``slots`` requests of even length in progress: the first
 of them ends after one part in ``slots + 1`` of the work, and each request
@@ -28,9 +28,11 @@
 MAX_WAITING = 4
 
 # Waits of requests that will be late, in works of one request: at three
-# slots, up to one request may wait before it, or up to three.
-LATE_WAIT = 0.75
-CAME_BACK_WAIT = 1.5
+# slots, nobody may wait before it, or one. Three times as long each served
+# more callers (0.948 in place of 0.906 of a day past full), but 0.12 fewer
+# of them in time.
+LATE_WAIT = 0.3
+CAME_BACK_WAIT = 0.75
 
 
 class Candidate(NamedTuple):
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -145,7 +145,7 @@
         if best and self._is_worth_taking(best, work, now):
             self._note_overflow(service, 0.0)
             return self._make_choice(best, key)
-        crowded = best is not None
+        crowded = self._has_upstream(service, first, tried)
         if crowded and self._overflow_by_service.get(service, 0.0) > OVERFLOW_SHARE:
             self._note_overflow(service, 0.0)
             return None
@@ -167,6 +167,12 @@
             placement, work.target_at - now, work.answer_by - now, work.came_back
         )
 
+    def _has_upstream(self, service, region, tried):
+        return any(
+            upstream.id not in tried and upstream.id not in self.ejected
+            for upstream in self._registry.get_usable(service, region)
+        )
+
     def _remembers_all(self, service, region):
         upstreams = len(self._registry.get_usable(service, region))
         return get_known_share(upstreams, self._homes.get_objects(service)) >= 1.0
