Ask the store less: gather changes, and one mirror for all in an outage

The order of a key's upstreams was sorted for each request. Change: 0.6 s between watches; one mirror probes; orders are remembered.

--- a/godwitlanding/decisions/homes.py
+++ b/godwitlanding/decisions/homes.py
@@ -41,21 +41,31 @@
     return max(1, min(MAX_HOMES, OBJECTS_EACH * upstreams // objects))
 
 
-def pick_homes(ranking, count, is_sound):
-    """Return the homes in their order; ``is_sound(upstream)`` tells which.
+def pick_homes(order, count, is_usable, is_sound):
+    """Return the homes among upstreams in their ``order``.
 
-    Where no upstream is sound, every one is as good as the others.
+    ``is_usable`` and ``is_sound`` tell of an upstream whether it may be used
+    at all and whether it is none of the bad ones. Where no upstream is
+    sound, every one that is usable is as good as the others.
     """
-    ordered = sorted(ranking, key=ranking.get)
-    sound = [upstream for upstream in ordered if is_sound(upstream)]
-    return sound[:count] or ordered
+    usable = []
+    homes = []
+    for upstream in order:
+        if not is_usable(upstream):
+            continue
+        usable.append(upstream)
+        if is_sound(upstream):
+            homes.append(upstream)
+            if len(homes) == count:
+                break
+    return homes or usable
 
 
 class Homes:
     """Ranks upstreams for objects, and remembers the ranking."""
 
     def __init__(self):
-        self._rank_by_key = OrderedDict()
+        self._order_by_key = OrderedDict()
         self._objects_by_service = {}
 
     def note_object(self, service, key):
@@ -72,13 +82,14 @@
         """Return how many homes an object of the service has."""
         return count_homes(upstreams, self.get_objects(service))
 
-    def get_ranking(self, service, key, upstreams):
-        """Return the place in the order for each of the ``upstreams``."""
-        held = self._rank_by_key.get((service, key, upstreams))
-        if held is None:
-            ranked = rank(key, upstreams)
-            held = {upstream: place for place, upstream in enumerate(ranked)}
-            self._rank_by_key[(service, key, upstreams)] = held
-            if len(self._rank_by_key) > _MAX_RANKED:
-                self._rank_by_key.popitem(last=False)
-        return held
+    def get_order(self, service, key, upstreams):
+        """Return the ``upstreams`` (a tuple) in the order for a key."""
+        held = self._order_by_key.get((service, key))
+        # The same tuple stands for the same upstreams while none changes.
+        if held is not None and held[0] is upstreams:
+            return held[1]
+        order = rank(key, upstreams)
+        self._order_by_key[(service, key)] = (upstreams, order)
+        if len(self._order_by_key) > _MAX_RANKED:
+            self._order_by_key.popitem(last=False)
+        return order
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -75,6 +75,11 @@
         self._distance_by_zone = {}
         self._cold_next_by_upstream = {}
         self.ejected = set()
+        # This VM's own region first.
+        self._regions = sorted(
+            set(identity.region_by_zone.values()),
+            key=lambda region: (region != identity.region, region),
+        )
 
     async def start(self, kernel):
         """Begin to plan the regions' shares."""
@@ -179,13 +184,12 @@
 
     def _get_regions(self, route, service):
         regions = []
-        for region in sorted(set(self._identity.region_by_zone.values())):
+        for region in self._regions:
             if route.allowed_regions and region not in route.allowed_regions:
                 continue
-            if self._registry.get_usable(service, region):
+            if self._registry.get_usable_ids(service, region):
                 regions.append(region)
-        own = self._identity.region
-        return sorted(regions, key=lambda region: region != own)
+        return regions
 
     def _deal(self, service, regions, key):
         shares = self._shares_by_service.get(service, {})
@@ -199,24 +203,26 @@
         return region if region in regions else regions[0]
 
     def _place(self, service, region, key, tried):
+        ids = self._registry.get_usable_ids(service, region)
         now = _now()
-        upstreams = self._registry.get_usable(service, region)
-        ids = tuple(upstream.id for upstream in upstreams)
-        ranking = self._homes.get_ranking(service, key, ids) if key else {}
-        places = {}
-        for upstream in upstreams:
-            if upstream.id in tried or upstream.id in self.ejected:
-                continue
-            if self._may_take_cold(upstream, now):
-                places[upstream.id] = ranking.get(upstream.id, 0)
-        homes = places
+
+        def is_usable(upstream_id):
+            if upstream_id in tried or upstream_id in self.ejected:
+                return False
+            return self._may_take_cold(upstream_id, now)
+
         if key:
+            order = self._homes.get_order((service, region), key, ids)
             count = self._homes.get_count(service, len(ids))
-            homes = pick_homes(places, count, self._is_sound)
+            homes = pick_homes(order, count, is_usable, self._is_sound)
+            first = order[0] if order else ""
+        else:
+            homes = [upstream_id for upstream_id in ids if is_usable(upstream_id)]
+            first = ""
         return place(
             [
-                self._make_candidate(service, upstream_id, places[upstream_id], key)
-                for upstream_id in homes
+                self._make_candidate(service, upstream_id, rank, key, first, now)
+                for rank, upstream_id in enumerate(homes)
             ]
         )
 
@@ -225,31 +231,34 @@
             return False
         return self._worktimes.get_failure_share(upstream_id) < FAILING_SHARE
 
-    def _make_candidate(self, service, upstream_id, rank, key):
+    def _make_candidate(self, service, upstream_id, rank, key, first, now):
         upstream = self._registry.upstream_by_id[upstream_id]
         factor = self._worktimes.get_factor(upstream_id)
         warm_s = self._worktimes.get_warm_s(service) * factor
-        known = rank == 0 or key in self._known_by_upstream.get(upstream_id, ())
+        known = upstream_id == first or key in self._known_by_upstream.get(
+            upstream_id, ()
+        )
         work_s = warm_s
         if not known:
             work_s = self._worktimes.get_cold_s(service) * factor
         return Candidate(
             upstream=upstream_id,
             slots=upstream.slots,
-            occupied=self._occupancy.get(upstream_id, _now()),
+            occupied=self._occupancy.get(upstream_id, now),
             work_s=work_s,
             usual_s=warm_s,
             distance_s=self.get_distance_s(upstream.availability_zone),
             failure_share=self._worktimes.get_failure_share(upstream_id),
-            rank=rank,
+            rank=rank if key else 0,
         )
 
-    def _may_take_cold(self, upstream, now):
+    def _may_take_cold(self, upstream_id, now):
         # A cold upstream crashes when it gets much more than its rate from
         # all VMs together. So one VM alone sends to it, the same in every
         # VM's eyes while they hear the same peers, and spaces its requests.
-        if self._registry.get_cold_left_s(upstream.id, now) <= 0:
+        if self._registry.get_cold_left_s(upstream_id, now) <= 0:
             return True
+        upstream = self._registry.upstream_by_id[upstream_id]
         region = self._registry.get_region(upstream.availability_zone)
         vms = [peer.vm for peer in self._fleet.get_usable(region)]
         if self._identity.region == region:
@@ -313,7 +322,7 @@
         slots_by_region = {}
         known_by_region = {}
         objects = self._homes.get_objects(service)
-        for region in set(self._identity.region_by_zone.values()):
+        for region in self._regions:
             upstreams = [
                 upstream
                 for upstream in self._registry.get_usable(service, region)
--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 
 from eliot import log_message
@@ -24,9 +25,42 @@
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.0
 # Changes that come within this time are fetched by one call: a watch that
-# returned is not repeated sooner. A tenth of the 2.5 s in which a change has
-# to be in force.
-GATHER_S = 0.25
+# returned is not repeated sooner. A quarter of the 2.5 s in which a change
+# has to be in force.
+GATHER_S = 0.6
+# While the store is away one mirror asks for all. Should its answers alone
+# be held up, the others ask again after this time.
+OTHERS_PAUSE_S = 4.0
+
+
+class Outage:
+    """What the mirrors of a process share about a store that is away.
+
+    Load pattern: every VM has several mirrors, and while the store is busy
+    all of them ask again and again. One call in each pause tells as much as
+    four, and a store that is short of calls recovers sooner.
+    """
+
+    def __init__(self):
+        self._prober = None
+        self._over = asyncio.Event()
+
+    async def pause(self, mirror, pause_s):
+        """Wait before ``mirror`` asks again."""
+        if self._prober is None:
+            self._prober = mirror
+            self._over.clear()
+        if self._prober is mirror:
+            await asyncio.sleep(pause_s)
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(OTHERS_PAUSE_S):
+                await self._over.wait()
+
+    def end(self):
+        """The store has answered a call."""
+        self._prober = None
+        self._over.set()
 
 
 class Mirror(Service):
@@ -38,13 +72,14 @@
 
     needs = ("registry",)
 
-    def __init__(self, store, kind, apply, guard=None, on_listed=None):
+    def __init__(self, store, kind, apply, guard=None, on_listed=None, outage=None):
         self.name = f"mirror-{kind}"
         self._store = store
         self._kind = kind
         self._apply = apply
         self._guard = guard
         self._on_listed = on_listed
+        self._outage = outage or Outage()
         self._version_by_name = {}
         self._task = None
         self._is_lost = False
@@ -146,6 +181,7 @@
 
     def _succeed(self):
         now = _now()
+        self._outage.end()
         if self._guard:
             self._guard.note_answer(now)
         if self._is_lost:
@@ -168,7 +204,8 @@
                 code=refusal.code.name,
                 detail=refusal.detail,
             )
-        await asyncio.sleep(self._pause_s * random.uniform(0.5, 1.5))
+        pause_s = self._pause_s * random.uniform(0.5, 1.5)
+        await self._outage.pause(self, pause_s)
         self._pause_s = min(MAX_PAUSE_S, self._pause_s * 2)
 
 
--- a/godwitlanding/gateway/registry.py
+++ b/godwitlanding/gateway/registry.py
@@ -38,6 +38,7 @@
         self._evacuated_until_by_zone = {}
         self._listed = {}
         self._usable_by_place = {}
+        self._usable_ids_by_place = {}
         self._cold_until_by_upstream = {}
         self.config = None
         self.config_seen_at = 0.0
@@ -65,6 +66,10 @@
         """Return the upstreams of a service in a region that take new work."""
         return self._usable_by_place.get((service, region), ())
 
+    def get_usable_ids(self, service, region):
+        """Return the ids of ``get_usable``, the same tuple while it stands."""
+        return self._usable_ids_by_place.get((service, region), ())
+
     def get_cold_left_s(self, upstream_id, now):
         """Return the seconds for which an upstream stays cold, 0 if warm."""
         return max(0.0, self._cold_until_by_upstream.get(upstream_id, 0.0) - now)
@@ -165,6 +170,10 @@
             place = (upstream.service, self.get_region(upstream.availability_zone))
             usable.setdefault(place, []).append(upstream)
         self._usable_by_place = usable
+        self._usable_ids_by_place = {
+            place: tuple(sorted(upstream.id for upstream in upstreams))
+            for place, upstreams in usable.items()
+        }
 
 
 def _now():
--- a/godwitlanding/tests/decisions/test_homes.py
+++ b/godwitlanding/tests/decisions/test_homes.py
@@ -16,15 +16,14 @@
 
 
 def get_first(homes, key, upstreams=UPSTREAMS):
-    ranking = homes.get_ranking("s", key, upstreams)
-    return min(ranking, key=ranking.get)
+    return homes.get_order("s", key, upstreams)[0]
 
 
 def test_every_vm_gives_an_object_the_same_order():
     for key in ("17", "2f", "a"):
-        ranking = Homes().get_ranking("s", key, UPSTREAMS)
-        assert ranking == Homes().get_ranking("s", key, UPSTREAMS)
-        assert sorted(ranking.values()) == list(range(12))
+        order = Homes().get_order("s", key, UPSTREAMS)
+        assert order == Homes().get_order("s", key, UPSTREAMS)
+        assert sorted(order) == sorted(UPSTREAMS)
 
 
 def test_each_upstream_is_home_to_no_more_objects_than_it_remembers():
@@ -58,16 +57,23 @@
 
 
 @pytest.mark.parametrize(
-    ("unsound", "expected"),
+    ("unusable", "unsound", "expected"),
     [
-        pytest.param("", ["a", "b"], id="all sound"),
-        pytest.param("a", ["b", "c"], id="the next takes its place"),
-        pytest.param("abc", ["a", "b", "c"], id="none sound"),
+        pytest.param("", "", ["a", "b"], id="all sound"),
+        pytest.param("", "a", ["b", "c"], id="the next takes its place"),
+        pytest.param("b", "", ["a", "c"], id="one may not be used"),
+        pytest.param("", "abc", ["a", "b", "c"], id="none sound"),
+        pytest.param("b", "ac", ["a", "c"], id="none sound, one not to be used"),
+        pytest.param("abc", "", [], id="none may be used"),
     ],
 )
-def test_pick_homes(unsound, expected):
-    ranking = {"c": 2, "a": 0, "b": 1}
-    homes = pick_homes(ranking, 2, lambda upstream: upstream not in unsound)
+def test_pick_homes(unusable, unsound, expected):
+    homes = pick_homes(
+        ["a", "b", "c"],
+        2,
+        lambda upstream: upstream not in unusable,
+        lambda upstream: upstream not in unsound,
+    )
     assert homes == expected
 
 
@@ -98,9 +104,9 @@
     known = 0
     for turn in range(40):
         for key in keys:
-            ranking = homes.get_ranking("s", key, UPSTREAMS)
+            order = homes.get_order("s", key, UPSTREAMS)
             count = homes.get_count("s", len(UPSTREAMS))
-            picked = pick_homes(ranking, count, lambda _: True)
+            picked = pick_homes(order, count, lambda _: True, lambda _: True)
             known += memory_by_upstream[picked[turn % count]].handle(key)
     assert REMEMBERED_OBJECTS < 16
     assert known / (40 * 62) > 0.85
--- a/godwitlanding/vm.py
+++ b/godwitlanding/vm.py
@@ -28,7 +28,7 @@
 from godwitlanding.gateway.chooser import Chooser
 from godwitlanding.gateway.courier import Courier
 from godwitlanding.gateway.front import Front
-from godwitlanding.gateway.mirror import Mirror
+from godwitlanding.gateway.mirror import Mirror, Outage
 from godwitlanding.gateway.peers import Peers
 from godwitlanding.gateway.presence import Presence
 from godwitlanding.gateway.registry import Registry
@@ -118,18 +118,18 @@
         )
         self.carrier.get_vms = lambda: 1 + len(self.fleet.peer_by_vm)
         self._now = loop.time
-        self.config_mirror = Mirror(self.store, CONFIG_KIND, self._apply_config)
+        self.outage = Outage()
+        self.config_mirror = self._make_mirror(CONFIG_KIND, self._apply_config)
         self.front = Front(settings.caller_address, bounds.stop_s)
         self.front.needs += ("directory", "readiness", "metrics", "presence")
 
     def make_services(self):
         """Return every service of the process."""
-        upstream_mirror = Mirror(
-            self.store,
+        upstream_mirror = self._make_mirror(
             UPSTREAM_KIND,
             self._apply_upstream,
-            LapseGuard(),
-            self._note_upstreams_listed,
+            guard=LapseGuard(),
+            on_listed=self._note_upstreams_listed,
         )
         return [
             self.registry,
@@ -140,8 +140,8 @@
             self.carrier,
             self.config_mirror,
             upstream_mirror,
-            Mirror(self.store, EVACUATION_KIND, self._apply_evacuation),
-            Mirror(self.store, VM_KIND, self._apply_vm),
+            self._make_mirror(EVACUATION_KIND, self._apply_evacuation),
+            self._make_mirror(VM_KIND, self._apply_vm),
             HttpServer(
                 "directory",
                 make_directory(self._choose_addresses),
@@ -164,6 +164,9 @@
             self.front,
         ]
 
+    def _make_mirror(self, kind, apply, **keywords):
+        return Mirror(self.store, kind, apply, outage=self.outage, **keywords)
+
     def take_settings(self, settings):
         """Put changed settings in force; addresses change by a restart."""
         bounds = settings.bounds
