Log what decided each refusal, and changes of shares and readiness

Cause: a refused request left a line with its code only; the best upstream, its load, the time to the target and the configuration's version were lost.

--- a/godwitlanding/decisions/occupancy.py
+++ b/godwitlanding/decisions/occupancy.py
@@ -76,6 +76,14 @@
         left = 1.0 - (now - load.unseen_at) / REPORT_FADES_S
         return load.own + total + load.unseen * max(0.0, left)
 
+    def get_report_age_s(self, upstream, now):
+        """Return the seconds since the upstream's last own report.
+
+        ``None`` where it has made none.
+        """
+        load = self._load_by_upstream.get(upstream)
+        return now - load.unseen_at if load and load.unseen_at else None
+
     def get_own(self):
         """Return this process's counts by upstream, without the zeros."""
         return {
--- a/godwitlanding/gateway/carrier.py
+++ b/godwitlanding/gateway/carrier.py
@@ -9,6 +9,7 @@
 from godwitlanding.decisions.comeback import get_retry_after_s
 from godwitlanding.decisions.routes import Splitter, find_route
 from godwitlanding.gateway.attempt import Outcome, Work, make_fingerprint
+from godwitlanding.gateway.chooser import Rejection
 from godwitlanding.gateway.exchange import select_headers
 from godwitlanding.gateway.stream import StreamSink
 from godwitlanding.kernel import Service
@@ -161,7 +162,8 @@
             if runs >= work.route.max_attempts:
                 break
             choice = self._chooser.choose(work, tried, now)
-            if choice is None:
+            if isinstance(choice, Rejection):
+                self._note_rejection(work, choice)
                 break
             if sends and not self._may_repeat(work, last, now):
                 break
@@ -190,6 +192,13 @@
             self._counters.add("retries", reason=last[0].name)
             return True
         self._counters.add("retries_denied", reason=last[0].name)
+        log_message(
+            "carrier:retry_denied",
+            request=work.request_id.decode("latin-1"),
+            service=work.service,
+            reason=last[0].name,
+            vms=self.get_vms(),
+        )
         return False
 
     def _is_poison(self, work, now):
@@ -251,6 +260,31 @@
         self._counters.add("requests_refused", code=Code.MALFORMED_REQUEST.name)
         log_message("carrier:unreadable", status=status, reason=reason)
 
+    def _note_rejection(self, work, rejection):
+        fields = {}
+        if rejection.placement:
+            candidate = rejection.placement.candidate
+            fields = {
+                "best": candidate.upstream,
+                "expected_s": round(rejection.placement.finish_s, 3),
+                "wait_s": round(rejection.placement.wait_s, 3),
+                "occupied": round(candidate.occupied, 2),
+                "slots": candidate.slots,
+                "failure_share": round(candidate.failure_share, 2),
+            }
+        log_message(
+            "carrier:rejected",
+            request=work.request_id.decode("latin-1"),
+            service=work.service,
+            key=work.key,
+            reason=rejection.reason,
+            to_target_s=round(rejection.to_target_s, 3),
+            came_back=work.came_back,
+            config=self._registry.config.version,
+            vms=self.get_vms(),
+            **fields,
+        )
+
     def _note_attempt(self, work, choice, outcome, answer, detail, took_s):
         log_message(
             "carrier:attempt",
@@ -260,6 +294,9 @@
             expected_s=round(choice.finish_s, 3),
             wait_s=round(choice.wait_s, 3),
             occupied=round(choice.occupied, 2),
+            report_age_s=_round(choice.report_age_s),
+            warmth=choice.warmth.value,
+            config=self._registry.config.version,
             key=work.key,
             took_s=round(took_s, 4),
             outcome=outcome.value,
@@ -280,3 +317,7 @@
             took_s=round(took_s, 4),
             left_s=round(work.deadline_at - now, 3) if work else 0,
         )
+
+
+def _round(seconds):
+    return None if seconds is None else round(seconds, 3)
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -7,7 +7,12 @@
 from eliot import log_message
 
 from godwitlanding.decisions.homes import Homes, pick_homes
-from godwitlanding.decisions.placing import Candidate, is_worth_taking, place
+from godwitlanding.decisions.placing import (
+    Candidate,
+    Placement,
+    is_worth_taking,
+    place,
+)
 from godwitlanding.decisions.regionshare import (
     FULL,
     RegionDealer,
@@ -37,6 +42,8 @@
 # that it knows than others for one that they do not (3.3 times).
 SLOW_FACTOR = 2.5
 FAILING_SHARE = 0.5
+# Shares are logged when they have moved this far since the last line.
+TOLD_CHANGE = 0.05
 # Objects remembered for each upstream as sent there; more than it knows.
 _MAX_KNOWN = 64
 
@@ -50,6 +57,20 @@
     occupied: float
     distance_s: float
     warmth: Warmth
+    # Age of the upstream's own word on its load, None where there is none.
+    report_age_s: float | None
+
+
+class Rejection(NamedTuple):
+    """Why an attempt has no upstream, with what decided it.
+
+    ``placement`` is the best that there was, ``None`` where no upstream may
+    be used at all.
+    """
+
+    reason: str
+    placement: Placement | None
+    to_target_s: float
 
 
 class Chooser(Service):
@@ -67,6 +88,7 @@
         self._peers = None
         self._task = None
         self._shares_by_service = {}
+        self._told_shares_by_service = {}
         self._capacity_by_service = {}
         self._dealer_by_service = {}
         self._overflow_by_service = {}
@@ -134,38 +156,40 @@
         self._worktimes.forget(upstream_id)
 
     def choose(self, work, tried, now):
-        """Return the ``Choice`` for an attempt, or ``None`` to refuse.
+        """Return the ``Choice`` for an attempt, or why there is none.
 
         ``tried`` are the upstreams that had the request before.
         """
         service = work.service
         key = work.key
+        to_target_s = work.target_at - now
         regions = self._get_regions(work.route, service)
         if not regions:
-            return None
+            return Rejection("no upstream", None, to_target_s)
         if key:
             self._homes.note_object(service, key)
         first = self._deal(service, regions, key)
-        best = self._place(service, first, key, tried)
-        if best and self._is_worth_taking(best, work, now):
+        wanted = self._place(service, first, key, tried)
+        if wanted and self._is_worth_taking(wanted, work, now):
             self._note_overflow(service, 0.0)
-            return self._make_choice(best, key)
+            return self._make_choice(wanted, key)
         crowded = self._has_upstream(service, first, tried)
-        if crowded and self._overflow_by_service.get(service, 0.0) > OVERFLOW_SHARE:
+        overflow = self._overflow_by_service.get(service, 0.0)
+        if crowded and overflow > OVERFLOW_SHARE:
             self._note_overflow(service, 0.0)
-            return None
+            return Rejection("full, overflow spent", wanted, to_target_s)
         for region in regions:
             if region == first:
                 continue
             if crowded and not self._remembers_all(service, region):
                 # What overflows would push out what is known there.
                 continue
-            best = self._place(service, region, key, tried)
-            if best and self._is_worth_taking(best, work, now):
+            other = self._place(service, region, key, tried)
+            if other and self._is_worth_taking(other, work, now):
                 self._note_overflow(service, 1.0 if crowded else 0.0)
-                return self._make_choice(best, key)
+                return self._make_choice(other, key)
         self._note_overflow(service, 0.0)
-        return None
+        return Rejection("full" if wanted else "none usable", wanted, to_target_s)
 
     def _is_worth_taking(self, placement, work, now):
         return is_worth_taking(
@@ -283,6 +307,7 @@
             candidate.occupied,
             candidate.distance_s,
             self._get_warmth(upstream.id, key),
+            self._occupancy.get_report_age_s(upstream.id, now),
         )
 
     def _get_warmth(self, upstream_id, key):
@@ -358,11 +383,27 @@
         )
         held = self._shares_by_service.get(service, {})
         moved = wanted if jump else step(held, wanted, PLAN_PAUSE_S)
-        if jump and moved != held:
-            log_message(
-                "chooser:shares", service=service, shares=moved, slots_by_region=slots
-            )
         self._shares_by_service[service] = moved
+        self._log_shares(service, moved, jump, load_by_region)
+
+    def _log_shares(self, service, shares, jump, load_by_region):
+        told = self._told_shares_by_service.get(service, {})
+        names = told.keys() | shares.keys()
+        change = sum(abs(shares.get(n, 0.0) - told.get(n, 0.0)) for n in names)
+        if change < TOLD_CHANGE:
+            return
+        self._told_shares_by_service[service] = shares
+        log_message(
+            "chooser:shares",
+            service=service,
+            shares={name: round(share, 3) for name, share in shares.items()},
+            jump=jump,
+            peers=len(self._fleet.peer_by_vm),
+            load_by_region={
+                region: [round(figure, 1) for figure in load]
+                for region, load in load_by_region.items()
+            },
+        )
 
 
 def _now():
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -56,6 +56,7 @@
         self._rate_by_service_by_vm = {}
         self.is_ready = lambda: False
         self.leaving = False
+        self._was_ready = False
 
     async def start(self, kernel):
         """Listen for datagrams and begin to send."""
@@ -159,8 +160,6 @@
         }
 
     def _send(self, host_by_vm):
-        if not host_by_vm:
-            return
         data = encode_bulletin(self._make_bulletin())
         if len(data) > MAX_DATAGRAM_BYTES:
             log_message("peers:too_long", level="error", bytes=len(data))
@@ -170,6 +169,10 @@
 
     def _make_bulletin(self):
         self._sequence += 1
+        ready = self.is_ready()
+        if ready != self._was_ready:
+            self._was_ready = ready
+            log_message("peers:ready", ready=ready, leaving=self.leaving)
         now = asyncio.get_running_loop().time()
         self._crashes = [row for row in self._crashes if row[0] > now]
         return Bulletin(
@@ -178,7 +181,7 @@
             self._sequence,
             self._identity.region,
             self._identity.availability_zone,
-            self.is_ready(),
+            ready,
             self.leaving,
             self._occupancy.get_own(),
             self._rate_by_service,
