Let a VM that starts without the store learn from its peers

Cause: after a power cut while the store is away a VM answered 503 until the store was back, though its peers serve. Change: handover of what the mirrors hold, over TCP on the peers' port; the store's own list replaces it. Test: a VM killed and started during an outage serves within seconds (before: not until the store's return).

--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -74,13 +74,14 @@
 
     def __init__(self, store, kind, apply, guard=None, on_listed=None, outage=None):
         self.name = f"mirror-{kind}"
+        self.kind = kind
         self._store = store
-        self._kind = kind
         self._apply = apply
         self._guard = guard
         self._on_listed = on_listed
         self._outage = outage or Outage()
-        self._version_by_name = {}
+        self._object_by_name = {}
+        self._is_known = False
         self._task = None
         self._is_lost = False
         self._pause_s = FIRST_PAUSE_S
@@ -96,7 +97,23 @@
 
     def get_status(self):
         """Return whether the store answers and what is held."""
-        return {"lost": self._is_lost, "objects": len(self._version_by_name)}
+        return {"lost": self._is_lost, "objects": len(self._object_by_name)}
+
+    def is_empty(self):
+        """Tell whether nothing was learnt yet, from the store or a peer."""
+        return not self._is_known
+
+    def get_objects(self):
+        """Return the objects that are held."""
+        return list(self._object_by_name.values())
+
+    def take_over(self, objects):
+        """Take what a peer holds, unless the store has answered meanwhile."""
+        if self._is_known:
+            return
+        for stored in objects:
+            self._take(stored)
+        self._note_known()
 
     def get_age_s(self):
         """Return the seconds since the store last answered or held a watch."""
@@ -112,7 +129,7 @@
                 revision = await self._watch(revision)
 
     async def _list(self):
-        answer = await self._store.snapshot(self._kind)
+        answer = await self._store.snapshot(self.kind)
         if answer.is_err():
             await self._fail(answer.unwrap_err())
             return None
@@ -122,11 +139,15 @@
         for stored in snapshot.objects:
             names.add(stored.name)
             self._take(stored)
-        for name in self._version_by_name.keys() - names:
+        for name in self._object_by_name.keys() - names:
             self._remove(name)
+        self._note_known()
+        return snapshot.version
+
+    def _note_known(self):
+        self._is_known = True
         if self._on_listed:
             self._on_listed()
-        return snapshot.version
 
     async def _watch(self, revision):
         wait_s = WATCH_S
@@ -134,11 +155,11 @@
         if due is not None:
             wait_s = max(0.1, min(wait_s, due - _now()))
         begun = _now()
-        answer = await self._store.watch(self._kind, revision, wait_s)
+        answer = await self._store.watch(self.kind, revision, wait_s)
         if answer.is_err():
             refusal = answer.unwrap_err()
             if refusal.code is Code.WATCH_EXPIRED:
-                log_message("mirror:history_gone", kind=self._kind, revision=revision)
+                log_message("mirror:history_gone", kind=self.kind, revision=revision)
                 self._succeed()
                 return None
             await self._fail(refusal)
@@ -159,19 +180,20 @@
         if self._guard:
             self._guard.keep(stored.name)
         # A list may be answered from before what a watch already told.
-        if stored.version <= self._version_by_name.get(stored.name, 0):
+        held = self._object_by_name.get(stored.name)
+        if held and stored.version <= held.version:
             return
-        self._version_by_name[stored.name] = stored.version
+        self._object_by_name[stored.name] = stored
         self._apply(stored.name, stored.version, stored.value)
 
     def _remove(self, name):
         if self._guard and not self._guard.remove(name, _now()):
-            log_message("mirror:removal_held", kind=self._kind, name=name)
+            log_message("mirror:removal_held", kind=self.kind, name=name)
             return
         self._drop(name)
 
     def _drop(self, name):
-        if self._version_by_name.pop(name, None) is not None:
+        if self._object_by_name.pop(name, None) is not None:
             self._apply(name, 0, None)
 
     def _drop_due(self):
@@ -186,7 +208,7 @@
             self._guard.note_answer(now)
         if self._is_lost:
             log_message(
-                "mirror:regained", kind=self._kind, after_s=now - self.answered_at
+                "mirror:regained", kind=self.kind, after_s=now - self.answered_at
             )
         self._is_lost = False
         self._pause_s = FIRST_PAUSE_S
@@ -200,7 +222,7 @@
             log_message(
                 "mirror:lost",
                 level="warning",
-                kind=self._kind,
+                kind=self.kind,
                 code=refusal.code.name,
                 detail=refusal.detail,
             )
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -33,3 +33,16 @@
   fingerprint @0 :UInt64;
   upstream @1 :Text;
 }
+
+# Everything that a VM knows of the store, for a peer that starts while the
+# store is away.
+struct Handover {
+  objects @0 :List(HeldObject);
+}
+
+struct HeldObject {
+  kind @0 :Text;
+  name @1 :Text;
+  version @2 :UInt64;
+  value @3 :Data;
+}
--- /dev/null
+++ b/godwitlanding/tests/gateway/test_bulletin.py
@@ -0,0 +1,43 @@
+"""What VMs tell each other, and bytes that are none of it."""
+
+import pytest
+
+from godwitlanding.gateway.bulletin import (
+    Bulletin,
+    Crash,
+    decode_bulletin,
+    encode_bulletin,
+)
+from godwitlanding.gateway.handover import decode_handover, encode_handover
+from godwitlanding.store import StoredObject
+
+BULLETIN = Bulletin(
+    vm="a",
+    incarnation=2**62,
+    sequence=7,
+    region="r",
+    availability_zone="z",
+    ready=True,
+    leaving=False,
+    count_by_upstream={"u": 3},
+    rate_by_service={"s": 12.5},
+    crashes=(Crash(2**64 - 1, "u"),),
+)
+
+
+def test_bulletin_comes_back_as_it_was():
+    assert decode_bulletin(encode_bulletin(BULLETIN)) == BULLETIN
+
+
+def test_handover_comes_back_as_it_was():
+    objects = [StoredObject("k", "a", 3, b"{}"), StoredObject("k", "b", 4, b"\0\xff")]
+    assert decode_handover(encode_handover(objects)) == objects
+
+
+@pytest.mark.parametrize("decode", [decode_bulletin, decode_handover])
+@pytest.mark.parametrize("data", [b"\xff" * 40, b"GET / HTTP/1.1\r\n\r\n", b"\x10"])
+def test_other_bytes_are_refused(decode, data):
+    # Anything may arrive on an open port. An error that nobody expects would
+    # end what listens there.
+    with pytest.raises(ValueError):
+        decode(data)
--- a/godwitlanding/tests/gateway/test_whole_path.py
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -312,3 +312,27 @@
             return await world.get_status(vm.ready) == 200
 
         await wait_until(is_ready)
+
+
+async def test_vm_that_starts_without_the_store_learns_from_its_peers(world):
+    # A VM is killed and started again while the store is away. Without its
+    # peers it could serve nobody until the store is back.
+    vm = world.vms[0]
+    world.store.faults.status = 503
+    vm.process.kill()
+    await vm.process.wait()
+    await vm.start()
+    async with asyncio.timeout(8):
+        await world.wait_until_ready(vm)
+    answer, _ = await world.ask(vm)
+    assert answer.status == 200
+    assert "handover:taken" in vm.read_log()
+    # Changes are followed again as soon as the store is back.
+    world.store.faults.status = 0
+    row = ["new", "h", "/new/", "safe", "2s", "400ms", 2, None, 2, True, [], "looks"]
+    await world.store.put("config", "main", make_config("r9", [row]))
+
+    async def is_served():
+        return (await world.ask(vm, "/new/1"))[0].status == 200
+
+    await wait_until(is_served)
--- a/godwitlanding/vm.py
+++ b/godwitlanding/vm.py
@@ -28,6 +28,7 @@
 from godwitlanding.gateway.chooser import Chooser
 from godwitlanding.gateway.courier import Courier
 from godwitlanding.gateway.front import Front
+from godwitlanding.gateway.handover import Handover
 from godwitlanding.gateway.mirror import Mirror, Outage
 from godwitlanding.gateway.peers import Peers
 from godwitlanding.gateway.presence import Presence
@@ -131,6 +132,12 @@
             guard=LapseGuard(),
             on_listed=self._note_upstreams_listed,
         )
+        evacuation_mirror = self._make_mirror(EVACUATION_KIND, self._apply_evacuation)
+        handover = Handover(
+            self._settings,
+            self.fleet,
+            (self.config_mirror, upstream_mirror, evacuation_mirror),
+        )
         return [
             self.registry,
             self.peers,
@@ -140,7 +147,8 @@
             self.carrier,
             self.config_mirror,
             upstream_mirror,
-            self._make_mirror(EVACUATION_KIND, self._apply_evacuation),
+            evacuation_mirror,
+            handover,
             self._make_mirror(VM_KIND, self._apply_vm),
             HttpServer(
                 "directory",
