--- a/godwitlanding/gateway/attempt.py
+++ b/godwitlanding/gateway/attempt.py
@@ -46,6 +46,8 @@
     MOVED = "moved"
     # It was sent and there is no usable answer.
     UNKNOWN = "unknown"
+    # The caller left, or its time was over, before there was an answer.
+    GIVEN_UP = "given up"
 
 
 def make_fingerprint(exchange, host):
--- a/godwitlanding/gateway/carrier.py
+++ b/godwitlanding/gateway/carrier.py
@@ -169,9 +169,16 @@
                 break
             tried.add(choice.upstream.id)
             sink = StreamSink(exchange, self._make_headers)
-            outcome, answer, detail = await self._courier.send(
-                exchange, work, choice, sink
-            )
+            try:
+                outcome, answer, detail = await self._courier.send(
+                    exchange, work, choice, sink
+                )
+            except asyncio.CancelledError:
+                # The caller has left or the time is over; which upstream had
+                # the request is known only here.
+                took_s = loop.time() - now
+                self._note_attempt(work, choice, Outcome.GIVEN_UP, None, "", took_s)
+                raise
             took_s = loop.time() - now
             self._note_attempt(work, choice, outcome, answer, detail, took_s)
             last = (outcome, answer)
--- a/godwitlanding/tests/gateway/test_whole_path.py
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -87,6 +87,9 @@
     answer, _ = await world.ask(world.vms[0], **{"Godwitlanding-Deadline-Ms": "9000"})
     assert answer.status == 504
     assert 1.9 < loop.time() - begun < 2.5
+    # Its log tells which upstream had it, so that its cause can be found.
+    await asyncio.sleep(0.2)
+    assert '"outcome":"given up"' in world.vms[0].read_log()
 
 
 async def test_leaving_upstream_gets_no_new_work(world):
