--- /dev/null
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -0,0 +1,200 @@
+"""Which upstream an attempt goes to, by what one VM knows."""
+
+import asyncio
+from collections import Counter
+from types import SimpleNamespace
+
+import pytest
+
+from godwitlanding.decisions.fleet import Fleet
+from godwitlanding.decisions.occupancy import Occupancy
+from godwitlanding.decisions.routes import (
+    Limits,
+    Route,
+    RouteConfig,
+    RouteKind,
+    Service,
+    SplitPart,
+)
+from godwitlanding.decisions.worktime import WorkTimes
+from godwitlanding.gateway.attempt import Work
+from godwitlanding.gateway.bulletin import Bulletin
+from godwitlanding.gateway.chooser import OVERFLOW_SHARE, Chooser, Rejection
+from godwitlanding.gateway.registry import Registry, Upstream
+
+pytestmark = pytest.mark.looptime
+
+REGION_BY_ZONE = {"a1": "a", "b1": "b"}
+COLD_PER_S = 5.0
+
+
+def make_route(allowed_regions=()):
+    return Route(
+        "r",
+        "h",
+        "/",
+        RouteKind.SAFE,
+        2.0,
+        0.4,
+        1,
+        (SplitPart("s", 1.0),),
+        2,
+        True,
+        frozenset(allowed_regions),
+    )
+
+
+def make_bulletin(vm, region="a"):
+    return Bulletin(vm, 1, 1, region, "a1", True, False, {}, {}, ())
+
+
+def make_work(key="k", route=None, came_back=False):
+    now = asyncio.get_running_loop().time()
+    return Work(
+        request_id=b"r1",
+        route=route or make_route(),
+        service="s",
+        key=key,
+        fingerprint=1,
+        deadline_at=now + 2.0,
+        target_at=now + 0.4,
+        answer_by=now + 2.0,
+        came_back=came_back,
+    )
+
+
+class Setting:
+    """A chooser of one VM with its registry and peers."""
+
+    def __init__(self, upstreams, vm="vm-1", peers=(), rates=None):
+        self.registry = Registry(REGION_BY_ZONE)
+        service = Service("s", "/healthz", 100, 3.0, COLD_PER_S)
+        self.registry.set_config(RouteConfig(1, {}, {"s": service}, Limits()))
+        self.occupancy = Occupancy()
+        self.worktimes = WorkTimes()
+        fleet = Fleet()
+        for peer in peers:
+            fleet.hear(make_bulletin(peer), f"{peer}:1", 0.0)
+        identity = SimpleNamespace(
+            vm=vm, region="a", availability_zone="a1", region_by_zone=REGION_BY_ZONE
+        )
+        self.chooser = Chooser(identity, self.occupancy, self.worktimes, fleet)
+        self._rates = rates or {}
+        for name, zone, cold_s in upstreams:
+            self.registry.put_upstream(
+                Upstream(name, "s", ("127.0.0.1", 1), zone, 3, False, cold_s)
+            )
+
+    async def __aenter__(self):
+        peers = SimpleNamespace(get_rates=lambda service: dict(self._rates))
+        kernel = {"registry": self.registry, "peers": peers}
+        await self.chooser.start(SimpleNamespace(get=kernel.get))
+        await asyncio.sleep(0.01)
+        return self
+
+    async def __aexit__(self, *error):
+        await self.chooser.stop()
+
+    def choose(self, work=None, tried=()):
+        now = asyncio.get_running_loop().time()
+        return self.chooser.choose(work or make_work(), set(tried), now)
+
+    def fill(self, upstream, count):
+        for _ in range(count):
+            self.occupancy.begin(upstream)
+
+
+WARM = [(f"u{number}", "a1", 0.0) for number in range(4)]
+
+
+async def test_cold_upstream_gets_its_rate_from_all_vms_together():
+    # Upstreams come back cold and crash when they get much more than their
+    # rate. Four VMs that each kept to the rate would send four times as much.
+    vms = [f"vm-{number}" for number in range(4)]
+    sent = Counter()
+    for vm in vms:
+        peers = [other for other in vms if other != vm]
+        async with Setting([("cold", "a1", 9.0)], vm=vm, peers=peers) as setting:
+            for _ in range(100):
+                if not isinstance(setting.choose(), Rejection):
+                    sent[vm] += 1
+                await asyncio.sleep(0.01)
+    assert len(sent) == 1
+    assert COLD_PER_S - 1 <= sum(sent.values()) <= COLD_PER_S + 1
+
+
+async def test_evacuated_zone_is_cold_when_it_is_taken_back():
+    # A zone had no work for a while. Its entries say only with their next
+    # heartbeat that it is cold, and the first second would crash it.
+    async with Setting(WARM) as setting:
+        setting.registry.set_evacuated("a1", True)
+        assert isinstance(setting.choose(), Rejection)
+        setting.registry.set_evacuated("a1", False)
+        sent = 0
+        for _ in range(100):
+            sent += not isinstance(setting.choose(make_work(key="")), Rejection)
+            await asyncio.sleep(0.01)
+        assert sent <= (COLD_PER_S + 1) * len(WARM)
+
+
+@pytest.mark.parametrize(
+    ("allowed", "expected"),
+    [((), {"u0", "far"}), (("a",), {"u0"}), (("b",), {"far"}), (("c",), set())],
+)
+async def test_route_keeps_to_its_regions(allowed, expected):
+    # A route may be served in some regions only, also while those are full.
+    upstreams = [("u0", "a1", 0.0), ("far", "b1", 0.0)]
+    async with Setting(upstreams) as setting:
+        seen = set()
+        for filled in (0, 9):
+            setting.fill("u0", filled)
+            for number in range(20):
+                work = make_work(str(number), make_route(allowed))
+                choice = setting.choose(work)
+                if not isinstance(choice, Rejection):
+                    seen.add(choice.upstream.id)
+        assert seen <= expected
+
+
+async def test_full_home_does_not_send_the_region_away():
+    # An object's home is full. Sent wherever there is room, callers would
+    # change the region that serves them within a second.
+    upstreams = [*WARM, *((f"f{n}", "b1", 0.0) for n in range(4))]
+    async with Setting(upstreams, rates={"a": 1.0, "b": 1.0}) as setting:
+        for name, _, _ in WARM:
+            setting.fill(name, 20)
+        far = 0
+        for number in range(1000):
+            choice = setting.choose(make_work(str(number % 20)))
+            far += not isinstance(choice, Rejection)
+        assert far <= 1000 * OVERFLOW_SHARE * 1.5
+
+
+async def test_lost_region_is_served_elsewhere():
+    # Every upstream of the region is gone: then the rest goes elsewhere at
+    # once, however many callers that moves.
+    async with Setting([*WARM, ("far", "b1", 0.0)]) as setting:
+        for name, _, _ in WARM:
+            setting.registry.remove_upstream(name)
+        for number in range(50):
+            choice = setting.choose(make_work(str(number)))
+            assert choice.upstream.id == "far"
+
+
+async def test_object_keeps_to_its_home_and_leaves_it_when_it_is_slow():
+    async with Setting(WARM) as setting:
+        home = setting.choose().upstream.id
+        assert {setting.choose().upstream.id for _ in range(20)} == {home}
+        assert setting.choose(tried=[home]).upstream.id != home
+        setting.chooser.ejected.add(home)
+        assert setting.choose().upstream.id != home
+
+
+async def test_rejection_tells_what_decided_it():
+    async with Setting([("u0", "a1", 0.0)]) as setting:
+        setting.fill("u0", 6)
+        now = asyncio.get_running_loop().time()
+        rejection = setting.choose(make_work()._replace(target_at=now + 0.2))
+        assert rejection.reason == "full"
+        assert rejection.placement.candidate.occupied == 6
+        assert rejection.to_target_s == pytest.approx(0.2, abs=0.01)
