--- a/godwitlanding/gateway/carrier.py
+++ b/godwitlanding/gateway/carrier.py
@@ -7,6 +7,7 @@
 
 from godwitlanding.codes import ROW_BY_CODE, Code
 from godwitlanding.decisions.comeback import get_retry_after_s
+from godwitlanding.decisions.patience import Patience
 from godwitlanding.decisions.routes import Splitter, find_route
 from godwitlanding.gateway.attempt import Outcome, Work, make_fingerprint
 from godwitlanding.gateway.chooser import Rejection
@@ -39,7 +40,7 @@
         self._counters = counters
         self._config_fresh = config_fresh
         self._splitter = Splitter()
-        self._longest_wait_by_route = {}
+        self._patience_by_route = {}
         self._tasks = set()
         self._registry = None
         self._chooser = None
@@ -143,11 +144,12 @@
         )
 
     def _get_waited_s(self, route, wait_s):
-        # Callers of a route begin with the same patience. One that has less
-        # left came back after a refusal, and its target is that much nearer.
-        longest = max(self._longest_wait_by_route.get(route.name, 0.0), wait_s)
-        self._longest_wait_by_route[route.name] = longest
-        return longest - wait_s
+        # The target of a caller that came back is that much nearer.
+        patience = self._patience_by_route.get(route.name)
+        if patience is None:
+            patience = self._patience_by_route[route.name] = Patience()
+        patience.note(wait_s)
+        return patience.get_waited_s(wait_s)
 
     async def _attempt_until_answered(self, exchange, work):
         loop = asyncio.get_running_loop()
