Estimate how many objects there are from how many were met

Cause: a VM that had met 60 of 258 objects took those for all, gave each up to four homes, and each home had to learn the object (0.6 s of a slot). Change: decisions/homes.py inverts the expected number of different objects; while nothing is known each object has one home.

--- a/godwitlanding/decisions/homes.py
+++ b/godwitlanding/decisions/homes.py
@@ -16,6 +16,7 @@
 over, and the next in the order is a home in its place.
 """
 
+import math
 from collections import OrderedDict
 
 from godwitlanding.rendezvous import rank
@@ -27,20 +28,49 @@
 # A day past full was worth 0.514 with this figure and 0.493 with 14.
 OBJECTS_EACH = 8
 MAX_HOMES = 4
-# Until a VM has seen more it takes a service to have this many, about the
-# number of both users' services.
+# A service is taken to have this many at the least, about the number of the
+# smallest services today.
 MIN_OBJECTS = 32
+# With fewer requests than this nothing is said of how many there are, and
+# each has one home.
+MIN_REQUESTS = 20
 # Objects remembered for counting; beyond that one home is all there can be.
 _MAX_COUNTED = 10_000
+# The estimate is made anew when the requests have grown by this factor.
+_GROWTH = 1.1
 _MAX_RANKED = 10_000
 
 
 def count_homes(upstreams, objects):
-    """Return how many homes each object has, one at the least."""
-    objects = max(objects, MIN_OBJECTS)
+    """Return how many homes each object has, one at the least.
+
+    ``objects`` is 0 where it is not known.
+    """
+    objects = max(objects or _MAX_COUNTED, MIN_OBJECTS)
     return max(1, min(MAX_HOMES, OBJECTS_EACH * upstreams // objects))
 
 
+def estimate_objects(distinct, requests):
+    """Return how many objects there are, given how many were met.
+
+    Met evenly, ``requests`` meet ``N * (1 - exp(-requests / N))`` of ``N``
+    objects. A VM that counted only what it met took a service of 258 objects
+    for one of 60 in its first seconds, gave each object four homes, and made
+    each of them learn it: a second or two of slots each.
+    """
+    if distinct >= requests:
+        # No object came twice yet; half of the pairs would be expected to.
+        return min(_MAX_COUNTED, requests * requests / 2)
+    low, high = float(distinct), float(_MAX_COUNTED)
+    for _ in range(30):
+        middle = (low + high) / 2
+        if middle * -math.expm1(-requests / middle) < distinct:
+            low = middle
+        else:
+            high = middle
+    return high
+
+
 def pick_homes(order, count, is_usable, is_sound):
     """Return the homes among upstreams in their ``order``.
 
@@ -61,22 +91,42 @@
     return homes or usable
 
 
+class _Met:
+    """The objects of one service that were met."""
+
+    def __init__(self):
+        self.keys = set()
+        self.requests = 0
+        self.objects = 0.0
+        self.counted_again_at = MIN_REQUESTS
+
+    def note(self, key):
+        self.requests += 1
+        if len(self.keys) < _MAX_COUNTED:
+            self.keys.add(key)
+        if self.requests >= self.counted_again_at:
+            self.counted_again_at = math.ceil(self.requests * _GROWTH)
+            self.objects = estimate_objects(len(self.keys), self.requests)
+
+
 class Homes:
     """Ranks upstreams for objects, and remembers the ranking."""
 
     def __init__(self):
         self._order_by_key = OrderedDict()
-        self._objects_by_service = {}
+        self._met_by_service = {}
 
     def note_object(self, service, key):
         """Count an object of a service."""
-        objects = self._objects_by_service.setdefault(service, set())
-        if len(objects) < _MAX_COUNTED:
-            objects.add(key)
+        met = self._met_by_service.get(service)
+        if met is None:
+            met = self._met_by_service[service] = _Met()
+        met.note(key)
 
     def get_objects(self, service):
-        """Return how many objects of a service were seen."""
-        return len(self._objects_by_service.get(service, ()))
+        """Return how many objects a service seems to have, 0 if unknown."""
+        met = self._met_by_service.get(service)
+        return met.objects if met else 0
 
     def get_count(self, service, upstreams):
         """Return how many homes an object of the service has."""
