Let two VMs of a region read the store and feed the others

Change: decisions/reading.py says who reads, gateway/reader.py does it, and gateway/feed.py hands changes on over our own wire. Bulletins and digests tell up to which change each VM knows each kind, so that a reader whose connection went deaf is noticed by what others know, in whatever region. The former handover is one case of a feed. A list of several pages is watched from its first page's revision: what changed while the others were read was lost. A mirror that is fed never goes back to what another source still holds.

--- a/godwitlanding/decisions/digest.py
+++ b/godwitlanding/decisions/digest.py
@@ -12,7 +12,7 @@
 
 from typing import NamedTuple
 
-from godwitlanding.decisions.fleet import pick_strong
+from godwitlanding.decisions.fleet import find_strong, pick_strong
 from godwitlanding.rendezvous import rank
 
 REPRESENTATIVES = 2
@@ -48,6 +48,10 @@
     # Requests a second of callers there.
     rate_by_service: dict[str, float]
     crashes: tuple[Crash, ...]
+    # IP number of a VM that knows the store's state, and up to which
+    # revision, by kind in alphabetical order.
+    source: str
+    changed_at: tuple[int, ...]
 
 
 def pick_representatives(peers):
@@ -57,24 +61,27 @@
     same ones.
     """
     usable = [peer for peer in peers if peer.ready and not peer.leaving]
-    names = [peer.vm for peer in pick_strong(usable)]
+    names = [peer.vm for peer in find_strong(usable)]
     return rank("representative", names)[:REPRESENTATIVES]
 
 
 def make_digest(region, peers, crashes):
-    """Return the digest of a region, given its VMs."""
+    """Return the digest of a region, given its VMs, one at the least."""
     usable = [peer for peer in peers if peer.ready and not peer.leaving]
     carriers = sorted(peer.address for peer in pick_strong(usable))
     rate_by_service = {}
     for peer in peers:
         for service, rate in peer.rate_by_service.items():
             rate_by_service[service] = rate_by_service.get(service, 0.0) + rate
+    source = max(peers, key=lambda peer: (peer.reads, peer.changed_at))
     return Digest(
         region=region,
         vms=len(usable),
         carriers=tuple(carriers[:MAX_CARRIERS]),
         rate_by_service=rate_by_service,
         crashes=tuple(crashes),
+        source=source.host,
+        changed_at=source.changed_at,
     )
 
 
--- a/godwitlanding/decisions/fleet.py
+++ b/godwitlanding/decisions/fleet.py
@@ -55,6 +55,12 @@
     busy: bool
     # Requests a second that callers send to it.
     rate_by_service: dict[str, float]
+    # Whether it reads the store, and whether the store does not answer it.
+    reads: bool
+    failed: bool
+    # Revisions of the last changes that it knows, by kind in alphabetical
+    # order.
+    changed_at: tuple[int, ...]
     heard_at: float
 
     @property
@@ -77,6 +83,9 @@
         capacity=identity.capacity,
         busy=True,
         rate_by_service={},
+        reads=False,
+        failed=False,
+        changed_at=(),
         heard_at=0.0,
     )
 
@@ -104,6 +113,9 @@
             bulletin.capacity,
             is_busy(bulletin.count_by_number, bulletin.rate_by_service),
             bulletin.rate_by_service,
+            bulletin.reads,
+            bulletin.failed,
+            bulletin.changed_at,
             now,
         )
         return True
@@ -131,15 +143,18 @@
     return bool(in_progress) or sum(rate_by_service.values()) >= BUSY_PER_S
 
 
-def pick_strong(peers):
-    """Return the strong ones of ``peers``, or all if those do not suffice."""
-    if not peers:
-        return peers
+def find_strong(peers):
+    """Return those of ``peers`` that are no weaker than they need be."""
     best = Capacity(
-        max(peer.capacity.link_mbps for peer in peers),
-        max(peer.capacity.cores for peer in peers),
+        max((peer.capacity.link_mbps for peer in peers), default=0.0),
+        max((peer.capacity.cores for peer in peers), default=0.0),
     )
-    strong = [peer for peer in peers if _is_strong(peer.capacity, best)]
+    return [peer for peer in peers if _is_strong(peer.capacity, best)]
+
+
+def pick_strong(peers):
+    """Return the strong ones of ``peers``, or all if those do not suffice."""
+    strong = find_strong(peers)
     if len(strong) < MIN_STRONG or not _suffices(strong, peers):
         return peers
     return strong
--- a/godwitlanding/gateway/bulletin.py
+++ b/godwitlanding/gateway/bulletin.py
@@ -31,6 +31,9 @@
     rate_by_service: dict[str, float]
     crashes: tuple[Crash, ...]
     digests: tuple[Digest, ...]
+    reads: bool
+    failed: bool
+    changed_at: tuple[int, ...]
 
 
 def encode_bulletin(bulletin):
@@ -51,6 +54,9 @@
         arrivals=_make_rates(bulletin.rate_by_service),
         crashes=[crash._asdict() for crash in bulletin.crashes],
         digests=[_make_digest(digest) for digest in bulletin.digests],
+        reads=bulletin.reads,
+        failed=bulletin.failed,
+        changedAt=list(bulletin.changed_at),
     )
     return message.to_bytes_packed()
 
@@ -69,6 +75,8 @@
         "carriers": list(digest.carriers),
         "arrivals": _make_rates(digest.rate_by_service),
         "crashes": [crash._asdict() for crash in digest.crashes],
+        "source": digest.source,
+        "changedAt": list(digest.changed_at),
     }
 
 
@@ -88,6 +96,9 @@
             rate_by_service=_read_rates(message.arrivals),
             crashes=_read_crashes(message.crashes),
             digests=tuple(_read_digest(row) for row in message.digests),
+            reads=message.reads,
+            failed=message.failed,
+            changed_at=tuple(message.changedAt),
         )
     except (capnp.KjException, UnicodeDecodeError, struct.error) as error:
         raise ValueError(f"not a bulletin: {error}") from None
@@ -108,4 +119,6 @@
         carriers=tuple(row.carriers),
         rate_by_service=_read_rates(row.arrivals),
         crashes=_read_crashes(row.crashes),
+        source=row.source,
+        changed_at=tuple(row.changedAt),
     )
--- /dev/null
+++ b/godwitlanding/gateway/feed.py
@@ -0,0 +1,231 @@
+"""What one VM learns of the store, handed on to others as it comes.
+
+A VM that does not read the store follows another that does (its *source*):
+it says up to which revision it knows each kind, gets what changed since, and
+every change from then on. Any VM feeds whoever asks, also one that is fed
+itself, so a VM that starts while the store is away takes what the others
+still know instead of answering 503 until the store is back.
+
+A source that stops, or a connection that falls silent without an end, would
+leave the VM with old state; signs of life on the same connection show it
+(``decisions.reading``).
+"""
+
+import asyncio
+
+from eliot import log_message
+
+from godwitlanding.decisions.reading import SIGN_PAUSE_S, SIGN_SILENT_S
+from godwitlanding.gateway.mirror import Change
+from godwitlanding.kernel import Service
+from godwitlanding.messages import (
+    PROTOCOL_VERSION,
+    Follow,
+    HeldObject,
+    Hello,
+    Position,
+    Sign,
+    Update,
+)
+from godwitlanding.store import StoredObject
+from godwitlanding.wire import Pool, Server
+
+ROLE = "vm"
+# A source in another region answers within 0.2 s.
+FOLLOW_TIMEOUT_S = 1.0
+# Half of the longest frame; the largest object of the store is 1 MB, but
+# configurations here have some tens of KB.
+MAX_PART_BYTES = 500_000
+
+
+class Feed(Service):
+    """Feeds other VMs, and takes from one source at a time."""
+
+    name = "feed"
+    needs = ("registry",)
+
+    def __init__(self, identity, mirrors, counters):
+        self._identity = identity
+        self._mirror_by_kind = {mirror.kind: mirror for mirror in mirrors}
+        hello = Hello(
+            PROTOCOL_VERSION, ROLE, identity.vm, identity.availability_zone, ""
+        )
+        self._server = Server(hello, {Follow: self._begin_feeding}, counters)
+        self._pool = Pool(hello, {Update: self._take, Sign: self._take_sign}, counters)
+        self._fed = set()
+        self._parts_by_kind = {}
+        self._task = None
+        self._sign_task = None
+        self._channel = None
+        self._signed_at = 0.0
+        # IP number of the source, empty for none.
+        self.source = ""
+        self.source_reads = False
+        self.reads = lambda: False
+        for mirror in mirrors:
+            mirror.on_change.append(self._pass_on)
+
+    async def start(self, kernel):
+        """Listen for VMs that want to be fed."""
+        await self._server.start(self._identity.ip, self._identity.peer_port)
+        self._sign_task = asyncio.create_task(self._sign_often())
+
+    async def stop(self):
+        """Feed nobody, and take nothing."""
+        self.follow("")
+        self._sign_task.cancel()
+        await self._pool.stop()
+        await self._server.stop()
+
+    def get_status(self):
+        """Return the source and the number of VMs that are fed."""
+        return {"source": self.source, "fed": len(self._fed)}
+
+    def follow(self, host):
+        """Take the store's state from the VM at ``host`` (empty: nobody)."""
+        if host == self.source:
+            return
+        if self._task:
+            self._task.cancel()
+        if self.source:
+            self._pool.drop(self._get_address(self.source))
+        self._channel = None
+        self.source = host
+        self.source_reads = False
+        self._task = asyncio.create_task(self._follow(host)) if host else None
+
+    def has_source(self):
+        """Tell whether a source is heard that reads the store itself."""
+        return self.source_reads
+
+    def _get_address(self, host):
+        return f"{host}:{self._identity.peer_port}"
+
+    async def _follow(self, host):
+        address = self._get_address(host)
+        detail = await self._subscribe(address)
+        if not detail:
+            log_message("feed:following", source=host)
+            while _now() - self._signed_at <= SIGN_SILENT_S:
+                if self._channel.closed.is_set():
+                    detail = "closed"
+                    break
+                await asyncio.sleep(SIGN_PAUSE_S)
+            else:
+                detail = "silent"
+        log_message("feed:lost", level="warning", source=host, detail=detail)
+        self.source = ""
+        self.source_reads = False
+        self._channel = None
+        self._task = None
+        self._pool.drop(address)
+
+    async def _subscribe(self, address):
+        """Begin to be fed; return why not, empty if all is well."""
+        dialled = await self._pool.get_channel(address)
+        if dialled.is_err():
+            return dialled.unwrap_err().detail
+        self._channel = dialled.unwrap()
+        self._signed_at = _now()
+        self._parts_by_kind = {}
+        positions = tuple(map(_make_position, self._mirror_by_kind.values()))
+        answer = await self._channel.call(Follow(positions), FOLLOW_TIMEOUT_S)
+        return answer.unwrap_err().detail or "refused" if answer.is_err() else ""
+
+    async def _take_sign(self, channel, sign):
+        if channel is self._channel:
+            self._signed_at = _now()
+            self.source_reads = sign.reads
+
+    async def _take(self, channel, update):
+        mirror = self._mirror_by_kind.get(update.kind)
+        if channel is not self._channel or mirror is None:
+            return
+        self._signed_at = _now()
+        objects = tuple(
+            StoredObject(update.kind, held.name, held.version, held.value)
+            for held in update.objects
+        )
+        if update.whole:
+            objects = self._parts_by_kind.pop(update.kind, ()) + objects
+            if not update.last:
+                self._parts_by_kind[update.kind] = objects
+                return
+        change = Change(
+            update.revision, update.changed_at, objects, update.removed, update.whole
+        )
+        mirror.take_over(change)
+
+    async def _begin_feeding(self, channel, follow):
+        for position in follow.positions:
+            mirror = self._mirror_by_kind.get(position.kind)
+            if mirror is None or not mirror.is_known:
+                continue
+            if _is_behind(position, mirror):
+                self._send_change(channel, position.kind, mirror.make_whole())
+        channel.send(Sign(self.reads()))
+        self._fed.add(channel)
+
+    def _pass_on(self, mirror, change):
+        for channel in list(self._fed):
+            self._send_change(channel, mirror.kind, change)
+
+    def _send_change(self, channel, kind, change):
+        if channel.closed.is_set():
+            self._fed.discard(channel)
+            return
+        parts = list(_split(change.objects))
+        for number, part in enumerate(parts, 1):
+            last = number == len(parts)
+            removed = change.removed if last else ()
+            update = Update(
+                kind=kind,
+                revision=change.revision,
+                whole=change.whole,
+                last=last,
+                objects=part,
+                removed=removed,
+                changed_at=change.changed_at,
+            )
+            channel.send(update)
+
+    async def _sign_often(self):
+        while True:
+            await asyncio.sleep(SIGN_PAUSE_S)
+            sign = Sign(self.reads())
+            for channel in list(self._fed):
+                if channel.closed.is_set():
+                    self._fed.discard(channel)
+                else:
+                    channel.send(sign)
+
+
+def _make_position(mirror):
+    revision = mirror.revision if mirror.is_known else 0
+    return Position(mirror.kind, revision, len(mirror.get_objects()))
+
+
+def _is_behind(position, mirror):
+    # An entry that was kept through an outage is dropped without a change of
+    # the store, so the number tells what the revision does not.
+    if position.revision < mirror.changed_at or not position.revision:
+        return True
+    return position.objects != len(mirror.get_objects())
+
+
+def _split(objects):
+    """Yield the objects in parts that fit a frame, one at the least."""
+    part = []
+    size = 0
+    for stored in objects:
+        if part and size + len(stored.value) > MAX_PART_BYTES:
+            yield tuple(part)
+            part = []
+            size = 0
+        part.append(HeldObject(stored.name, stored.version, stored.value))
+        size += len(stored.value)
+    yield tuple(part)
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -1,5 +1,10 @@
 """Keeps a kind of the store's objects in step: list, then watch.
 
+A mirror is fed in one of two ways: it follows the store itself, or it takes
+what another VM's mirror has learnt (``gateway.feed``). What it holds, and up
+to which revision of the store it knows every change, stands through a change
+from one way to the other.
+
 Load pattern: the store is away, slow, or turns this VM away, all VMs at
 once; then all of them come back. Each waits a random time that doubles up
 to ``MAX_PAUSE_S``, so that they do not come back together.
@@ -14,20 +19,24 @@
 import asyncio
 import contextlib
 import random
+from typing import NamedTuple
 
 from eliot import log_message
 
 from godwitlanding.codes import Code
 from godwitlanding.kernel import Service
+from godwitlanding.store import StoredObject
 
 # The store holds a waiting watch for up to 30 s; each call is paid for.
 WATCH_S = 20.0
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.0
 # Changes that come within this time are fetched by one call: a watch that
-# returned is not repeated sooner. A quarter of the 2.5 s in which a change
-# has to be in force.
-GATHER_S = 0.6
+# returned is not repeated sooner. A tenth of the 2.5 s in which a change has
+# to be in force.
+GATHER_S = 0.25
+# A VM reads every list at its start and begins to follow soon after.
+FRESH_LIST_S = 1.0
 # While the store is away one mirror asks for all. Should its answers alone
 # be held up, the others ask again after this time.
 OTHERS_PAUSE_S = 4.0
@@ -57,77 +66,150 @@
             async with asyncio.timeout(OTHERS_PAUSE_S):
                 await self._over.wait()
 
+    def leave(self, mirror):
+        """``mirror`` asks no longer; another one of those that wait does."""
+        if self._prober is mirror:
+            self.end()
+
     def end(self):
         """The store has answered a call."""
         self._prober = None
         self._over.set()
 
 
+class Change(NamedTuple):
+    """What a mirror has learnt at once.
+
+    ``revision`` is the store's, up to which the mirror knows every change,
+    and ``changed_at`` that of the last one; ``removed`` are names. A
+    ``whole`` change holds every object there is.
+    """
+
+    revision: int
+    changed_at: int
+    objects: tuple[StoredObject, ...]
+    removed: tuple[str, ...]
+    whole: bool = False
+
+
 class Mirror(Service):
-    """Follows one kind; ``apply(name, version, value)`` takes each object.
+    """Holds one kind; ``apply(name, version, value)`` takes each object.
 
     A ``value`` of ``None`` says that the object is gone. ``guard`` may hold
-    removals back (see ``decisions.lapse``).
+    removals back (see ``decisions.lapse``). ``on_change`` functions get each
+    ``Change``.
     """
 
     needs = ("registry",)
 
-    def __init__(self, store, kind, apply, guard=None, on_listed=None, outage=None):
+    def __init__(self, store, kind, apply, guard=None, on_known=None, outage=None):
         self.name = f"mirror-{kind}"
         self.kind = kind
         self._store = store
         self._apply = apply
         self._guard = guard
-        self._on_listed = on_listed
+        self._on_known = on_known
         self._outage = outage or Outage()
         self._object_by_name = {}
-        self._is_known = False
+        self._taken = []
+        self._dropped = []
         self._task = None
-        self._is_lost = False
         self._pause_s = FIRST_PAUSE_S
-        self.answered_at = 0.0
-
-    async def start(self, kernel):
-        """Begin to follow."""
-        self._task = asyncio.create_task(self._follow())
+        self._answered_at = 0.0
+        # Revision of the store's last list, until a call fails.
+        self._listed = None
+        self.on_change = []
+        self.is_known = False
+        self.is_lost = False
+        # Whether the store has answered since this mirror follows it.
+        self.has_answered = False
+        # Every change up to this revision is known, and the last one that
+        # there was of this kind.
+        self.revision = 0
+        self.changed_at = 0
 
     async def stop(self):
         """Follow no longer."""
-        self._task.cancel()
+        self.rest()
 
     def get_status(self):
-        """Return whether the store answers and what is held."""
-        return {"lost": self._is_lost, "objects": len(self._object_by_name)}
+        """Return how the kind is followed and what is held."""
+        return {
+            "follows": self.is_following(),
+            "lost": self.is_lost,
+            "revision": self.revision,
+            "objects": len(self._object_by_name),
+        }
+
+    def is_following(self):
+        """Tell whether this mirror follows the store itself."""
+        return self._task is not None
+
+    def follow(self, lost_at=None):
+        """Begin to follow the store.
+
+        ``lost_at`` is when the store was last known to answer anybody, if
+        it has not done so since.
+        """
+        if self._task:
+            return
+        if self._guard and lost_at is not None:
+            self._guard.note_lost(lost_at)
+        self._task = asyncio.create_task(self._follow())
 
-    def is_empty(self):
-        """Tell whether nothing was learnt yet, from the store or a peer."""
-        return not self._is_known
+    def rest(self):
+        """Follow the store no longer; what is held stands."""
+        if self._task:
+            self._task.cancel()
+        self._task = None
+        self.is_lost = False
+        self.has_answered = False
+        self._outage.leave(self)
 
     def get_objects(self):
         """Return the objects that are held."""
         return list(self._object_by_name.values())
 
-    def take_over(self, objects):
-        """Take what a peer holds, unless the store has answered meanwhile."""
-        if self._is_known:
-            return
-        for stored in objects:
-            self._take(stored)
-        self._note_known()
+    def get_object(self, name):
+        """Return an object that is held, or ``None``."""
+        return self._object_by_name.get(name)
+
+    def make_whole(self):
+        """Return all that is held as a ``Change``."""
+        objects = tuple(self._object_by_name.values())
+        return Change(self.revision, self.changed_at, objects, (), True)
 
-    def get_age_s(self):
-        """Return the seconds since the store last answered or held a watch."""
-        return _now() - self.answered_at if self._is_lost else 0.0
+    def take_over(self, change):
+        """Take what another mirror of this kind has learnt."""
+        self._merge(change, self._drop)
+        self._note_known()
 
     async def _follow(self):
-        revision = None
+        revision = self._get_fresh_revision()
         while True:
             self._drop_due()
+            self._tell()
             if revision is None:
                 revision = await self._list()
             else:
                 revision = await self._watch(revision)
 
+    def is_just_listed(self):
+        """Tell whether the store's list was read a moment ago."""
+        return self._listed is not None and _now() - self._answered_at < FRESH_LIST_S
+
+    def _get_fresh_revision(self):
+        # The history since a list that was just read is not gone yet.
+        return self._listed if self.is_just_listed() else None
+
+    async def read_once(self):
+        """Read the list once; return whether the store answered."""
+        if await self._list() is not None:
+            return True
+        # Whoever decides to follow the store asks again.
+        self.rest()
+        return False
+
     async def _list(self):
         answer = await self._store.snapshot(self.kind)
         if answer.is_err():
@@ -135,20 +217,19 @@
             return None
         self._succeed()
         snapshot = answer.unwrap()
-        names = set()
-        for stored in snapshot.objects:
-            names.add(stored.name)
-            self._take(stored)
-        for name in self._object_by_name.keys() - names:
-            self._remove(name)
+        versions = [stored.version for stored in snapshot.objects]
+        changed_at = max(versions, default=0)
+        if self._object_by_name.keys() - {o.name for o in snapshot.objects}:
+            # When they went is not told; not later than now.
+            changed_at = snapshot.version
+        self._merge(
+            Change(snapshot.version, changed_at, snapshot.objects, (), True),
+            self._remove,
+        )
+        self._listed = snapshot.version
         self._note_known()
         return snapshot.version
 
-    def _note_known(self):
-        self._is_known = True
-        if self._on_listed:
-            self._on_listed()
-
     async def _watch(self, revision):
         wait_s = WATCH_S
         due = self._guard.get_next_time() if self._guard else None
@@ -166,24 +247,41 @@
             return None
         self._succeed()
         batch = answer.unwrap()
-        for event in batch.events:
-            if event.deleted:
-                self._remove(event.stored.name)
-            else:
-                self._take(event.stored)
+        self._merge(_make_change(batch), self._remove)
         left_s = GATHER_S - (_now() - begun)
         if left_s > 0:
             await asyncio.sleep(left_s)
         return max(revision, batch.version)
 
+    def _merge(self, change, remove):
+        # Whoever tells may be behind: what it holds of before ``revision``
+        # is known here already, or known to be gone.
+        for stored in change.objects:
+            if self._guard:
+                self._guard.keep(stored.name)
+            held = self._object_by_name.get(stored.name)
+            known_to = held.version if held else self.revision
+            if stored.version > known_to or not self.is_known:
+                self._take(stored)
+        gone = set(change.removed)
+        if change.whole:
+            gone = self._object_by_name.keys() - {o.name for o in change.objects}
+        for name in gone:
+            held = self._object_by_name.get(name)
+            if held and held.version <= change.revision:
+                remove(name)
+        self.revision = max(self.revision, change.revision)
+        self.changed_at = max(self.changed_at, change.changed_at)
+        self._tell()
+
+    def _note_known(self):
+        self.is_known = True
+        if self._on_known:
+            self._on_known()
+
     def _take(self, stored):
-        if self._guard:
-            self._guard.keep(stored.name)
-        # A list may be answered from before what a watch already told.
-        held = self._object_by_name.get(stored.name)
-        if held and stored.version <= held.version:
-            return
         self._object_by_name[stored.name] = stored
+        self._taken.append(stored)
         self._apply(stored.name, stored.version, stored.value)
 
     def _remove(self, name):
@@ -194,6 +292,7 @@
 
     def _drop(self, name):
         if self._object_by_name.pop(name, None) is not None:
+            self._dropped.append(name)
             self._apply(name, 0, None)
 
     def _drop_due(self):
@@ -201,24 +300,38 @@
             for name in self._guard.take_due(_now()):
                 self._drop(name)
 
+    def _tell(self):
+        """Tell what was learnt since the last time, if anything."""
+        if not self._taken and not self._dropped:
+            return
+        change = Change(
+            self.revision, self.changed_at, tuple(self._taken), tuple(self._dropped)
+        )
+        self._taken = []
+        self._dropped = []
+        for tell in self.on_change:
+            tell(self, change)
+
     def _succeed(self):
         now = _now()
         self._outage.end()
         if self._guard:
             self._guard.note_answer(now)
-        if self._is_lost:
+        if self.is_lost:
             log_message(
-                "mirror:regained", kind=self.kind, after_s=now - self.answered_at
+                "mirror:regained", kind=self.kind, after_s=now - self._answered_at
             )
-        self._is_lost = False
+        self.is_lost = False
+        self.has_answered = True
         self._pause_s = FIRST_PAUSE_S
-        self.answered_at = now
+        self._answered_at = now
 
     async def _fail(self, refusal):
+        self._listed = None
         if self._guard:
             self._guard.note_lost(_now())
-        if not self._is_lost:
-            self._is_lost = True
+        if not self.is_lost:
+            self.is_lost = True
             log_message(
                 "mirror:lost",
                 level="warning",
@@ -231,5 +344,24 @@
         self._pause_s = min(MAX_PAUSE_S, self._pause_s * 2)
 
 
+def _make_change(batch):
+    """Return a watch's events as a change; the last one of a name counts."""
+    stored_by_name = {}
+    removed = {}
+    for event in batch.events:
+        name = event.stored.name
+        stored_by_name.pop(name, None)
+        removed.pop(name, None)
+        if event.deleted:
+            removed[name] = True
+        else:
+            stored_by_name[name] = event.stored
+    # The version of an object that is gone is that of its removal.
+    changed_at = max((event.stored.version for event in batch.events), default=0)
+    return Change(
+        batch.version, changed_at, tuple(stored_by_name.values()), tuple(removed)
+    )
+
+
 def _now():
     return asyncio.get_running_loop().time()
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -22,6 +22,12 @@
   # Other regions, as they told this VM themselves, or the VM's own region
   # in what it sends to others.
   digests @11 :List(Digest);
+  # Whether the VM reads the store, and whether the store does not answer it.
+  reads @12 :Bool;
+  failed @13 :Bool;
+  # Revision of the last change that the VM knows of each kind of object, by
+  # kind in alphabetical order.
+  changedAt @14 :List(UInt64);
 }
 
 # Requests for a service that callers sent to this VM, each second.
@@ -45,17 +51,8 @@
   carriers @2 :List(Text);
   arrivals @3 :List(ServiceRate);
   crashes @4 :List(Crash);
-}
-
-# Everything that a VM knows of the store, for a peer that starts while the
-# store is away.
-struct Handover {
-  objects @0 :List(HeldObject);
-}
-
-struct HeldObject {
-  kind @0 :Text;
-  name @1 :Text;
-  version @2 :UInt64;
-  value @3 :Data;
+  # IP number of a VM that knows the store's state, and up to which revision,
+  # as above.
+  source @5 :Text;
+  changedAt @6 :List(UInt64);
 }
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -37,6 +37,8 @@
 # second at the most, about 2 % of a core.
 PAUSE_EACH_PEER_S = 0.005
 FAR_TIMES = 4
+# A VM without requests of callers looks this often whether it has some.
+IDLE_LOOK_S = 0.2
 # For who serves; a VM is silent after almost four of these.
 STATE_PAUSE_S = 0.4
 # Crashes are told for this long, so that datagrams that are lost do no harm.
@@ -55,6 +57,14 @@
     region: str
 
 
+class StoreState(NamedTuple):
+    """What a VM says of itself and the store; see ``fleet.Peer``."""
+
+    reads: bool
+    failed: bool
+    changed_at: tuple[int, ...]
+
+
 class Peers(Service):
     """Sends and hears bulletins; holds ``fleet`` and ``occupancy`` in step."""
 
@@ -80,6 +90,7 @@
         self._host_by_far_teller = {}
         self.digests = Digests(identity.region)
         self.is_ready = lambda: False
+        self.get_store_state = lambda: StoreState(False, False, ())
         self.leaving = False
 
     async def start(self, kernel):
@@ -172,8 +183,9 @@
         self._take_digests(bulletin, host, now)
         for crash in bulletin.crashes:
             self._on_crash(crash)
-        if known is None or known.incarnation != bulletin.incarnation:
-            log_message("peers:heard", peer=bulletin.vm, region=bulletin.region)
+        is_new = known is None or known.incarnation != bulletin.incarnation
+        if is_new and bulletin.region == self._identity.region:
+            log_message("peers:heard", peer=bulletin.vm)
             # It knows as little of this VM, and need not wait for its turn.
             self._send([host])
 
@@ -190,16 +202,18 @@
     async def _tell_counts_often(self):
         turn = 0
         while True:
+            busy = is_busy(self._occupancy.get_own(), self._rate_by_service)
+            if not busy and not self._was_busy:
+                await asyncio.sleep(IDLE_LOOK_S)
+                continue
+            self._was_busy = busy
+            turn += 1
             near = self._get_busy_hosts()
             far = self._get_sharing_hosts()
+            # Digests go with what is sent more seldom.
+            self._send(near if turn % FAR_TIMES else near + far, ())
             peers = len(near) + len(far) / FAR_TIMES
             await asyncio.sleep(max(MIN_PAUSE_S, PAUSE_EACH_PEER_S * peers))
-            in_progress = self._occupancy.get_own()
-            busy = is_busy(in_progress, self._rate_by_service)
-            if busy or self._was_busy:
-                turn += 1
-                self._send(near if turn % FAR_TIMES else near + far)
-            self._was_busy = busy
 
     async def _tell_state_often(self):
         while True:
@@ -257,13 +271,18 @@
     def _send_digest(self):
         peers = self._get_near()
         if self.is_ready() and not self.leaving:
-            own = make_own_peer(self._identity)
-            peers.append(own._replace(rate_by_service=self._rate_by_service))
+            peers.append(self._make_own())
         if self._identity.vm not in pick_representatives(peers):
             return
         digest = make_digest(self._identity.region, peers, self._get_crashes())
         self._send(self._pick_targets(), (digest,))
 
+    def _make_own(self):
+        return make_own_peer(self._identity)._replace(
+            rate_by_service=self._rate_by_service,
+            **self.get_store_state()._asdict(),
+        )
+
     def _pick_targets(self):
         """Return the hosts of a few VMs of each other region."""
         hosts_by_region = {}
@@ -305,6 +324,7 @@
             rate_by_service=self._rate_by_service,
             crashes=self._get_crashes(),
             digests=digests,
+            **self.get_store_state()._asdict(),
         )
 
     async def _look_often(self):
@@ -319,9 +339,9 @@
     def _drop_silent(self):
         now = asyncio.get_running_loop().time()
         for peer in self._fleet.drop_silent(now):
-            log_message(
-                "peers:silent", level="warning", peer=peer.vm, region=peer.region
-            )
+            # VMs of other regions are heard now and then only.
+            if peer.region == self._identity.region:
+                log_message("peers:silent", level="warning", peer=peer.vm)
         for region in self.digests.drop_silent(now):
             log_message("peers:region_silent", level="warning", region=region)
         self._occupancy.drop_silent(now)
--- a/godwitlanding/gateway/presence.py
+++ b/godwitlanding/gateway/presence.py
@@ -14,7 +14,7 @@
 
 
 class Presence(Service):
-    """Writes where this VM is found, and again if somebody removed it.
+    """Writes where this VM is found, unless that stands there already.
 
     The object says nothing about whether the VM lives: peers learn that
     from each other, so that the store need not be written to all the time.
@@ -26,48 +26,49 @@
     def __init__(self, store, kind, identity):
         self._store = store
         self._kind = kind
-        self._identity = identity
+        self._vm = identity.vm
+        self._found = {"host": identity.ip, "zone": identity.availability_zone}
         self._task = None
-
-    async def start(self, kernel):
-        """Begin to write."""
-        self._task = asyncio.create_task(self._write_until_done())
+        self._is_written = False
 
     async def stop(self):
         """Write no longer; the object stays for the VM's next start."""
-        self._task.cancel()
+        if self._task:
+            self._task.cancel()
 
-    def note_removed(self):
-        """Somebody took this VM for gone: say again that it is here."""
-        if self._task and self._task.done():
-            self._task = asyncio.create_task(self._write_until_done())
+    def note_held(self, stored):
+        """The store holds this object of the VM (``None``: none)."""
+        if stored and orjson.loads(stored.value) == self._found:
+            self._is_written = True
+            return
+        self._is_written = False
+        if self._task is None or self._task.done():
+            version = stored.version if stored else 0
+            self._task = asyncio.create_task(self._write_until_done(version))
 
-    async def _write_until_done(self):
-        value = orjson.dumps(
-            {
-                "host": self._identity.ip,
-                "zone": self._identity.availability_zone,
-            }
-        )
+    async def _write_until_done(self, version):
         pause_s = _FIRST_PAUSE_S
-        while not await self._write(value):
+        while not self._is_written:
+            answer = await self._store.put(
+                self._kind, self._vm, orjson.dumps(self._found), version
+            )
+            if answer.is_ok():
+                log_message("presence:written", version=answer.unwrap())
+                self._is_written = True
+                return
+            refusal = answer.unwrap_err()
+            log_message("presence:not_written", code=refusal.code.name)
+            if refusal.code is Code.VERSION_CONFLICT:
+                version = await self._read_version(version)
             await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
             pause_s = min(_MAX_PAUSE_S, pause_s * 2)
 
-    async def _write(self, value):
-        vm = self._identity.vm
-        held = await self._store.get(self._kind, vm)
-        version = 0
+    async def _read_version(self, version):
+        # A write whose answer was lost has taken effect, or the list that
+        # this VM was told of is an old one.
+        held = await self._store.get(self._kind, self._vm)
         if held.is_ok():
-            if held.unwrap().value == value:
-                return True
-            version = held.unwrap().version
-        elif held.unwrap_err().code is not Code.NOT_FOUND:
-            return False
-        answer = await self._store.put(self._kind, vm, value, version)
-        if answer.is_err():
-            refusal = answer.unwrap_err()
-            log_message("presence:not_written", code=refusal.code.name)
-            return False
-        log_message("presence:written", version=answer.unwrap())
-        return True
+            stored = held.unwrap()
+            self._is_written = orjson.loads(stored.value) == self._found
+            return stored.version
+        return 0 if held.unwrap_err().code is Code.NOT_FOUND else version
--- a/godwitlanding/messages.capnp
+++ b/godwitlanding/messages.capnp
@@ -26,6 +26,9 @@
     giveBack @19 :GiveBack;
     poison @20 :Poison;
     signal @21 :Signal;
+    follow @22 :Follow;
+    update @23 :Update;
+    sign @24 :Sign;
   }
 }
 
@@ -185,3 +188,40 @@
   upstream @0 :Text;
   state @1 :Text;
 }
+
+# Asks for every change of the kinds from now on, and for what changed since.
+struct Follow {
+  positions @0 :List(Position);
+}
+
+# Every change of a kind up to a revision of the store is known.
+struct Position {
+  kind @0 :Text;
+  revision @1 :UInt64;
+  # How many objects are held.
+  objects @2 :UInt32;
+}
+
+# What changed of a kind. A whole update may come in parts, of which the
+# last one says so; what none of them holds is gone.
+struct Update {
+  kind @0 :Text;
+  revision @1 :UInt64;
+  whole @2 :Bool;
+  last @3 :Bool;
+  objects @4 :List(HeldObject);
+  removed @5 :List(Text);
+  # Revision of the last change of the kind.
+  changedAt @6 :UInt64;
+}
+
+struct HeldObject {
+  name @0 :Text;
+  version @1 :UInt64;
+  value @2 :Data;
+}
+
+# A sign of life; whether the sender reads the store itself.
+struct Sign {
+  reads @0 :Bool;
+}
--- a/godwitlanding/messages.py
+++ b/godwitlanding/messages.py
@@ -225,6 +225,52 @@
     state: str
 
 
+class Position(NamedTuple):
+    """Up to which revision of the store every change of a kind is known."""
+
+    kind: str
+    revision: int
+    # How many objects are held.
+    objects: int
+
+
+class Follow(NamedTuple):
+    """Asks for every change from now on, and for what changed since."""
+
+    positions: tuple[Position, ...]
+
+
+class HeldObject(NamedTuple):
+    """An object of the store as one VM tells it to another."""
+
+    name: str
+    version: int
+    value: bytes
+
+
+class Update(NamedTuple):
+    """What changed of a kind.
+
+    A ``whole`` update may come in parts, of which the ``last`` one says so;
+    what none of them holds is gone.
+    """
+
+    kind: str
+    revision: int
+    whole: bool
+    last: bool
+    objects: tuple[HeldObject, ...]
+    removed: tuple[str, ...]
+    # Revision of the last change of the kind.
+    changed_at: int
+
+
+class Sign(NamedTuple):
+    """A sign of life; whether the sender reads the store itself."""
+
+    reads: bool
+
+
 FORMER_NONE = "none"
 
 OUTCOME_OK = "ok"
@@ -267,6 +313,9 @@
     GiveBack,
     Poison,
     Signal,
+    Follow,
+    Update,
+    Sign,
 )
 
 
@@ -299,7 +348,8 @@
 _CLASS_BY_UNION_NAME = {_union_name(cls): cls for cls in _CLASSES}
 _UNION_NAME_BY_CLASS = {cls: name for name, cls in _CLASS_BY_UNION_NAME.items()}
 _ROWS_BY_CLASS = {
-    cls: _field_rows(cls) for cls in (*_CLASSES, VersionOf, HeldPermit, Holder)
+    cls: _field_rows(cls)
+    for cls in (*_CLASSES, VersionOf, HeldPermit, Holder, Position, HeldObject)
 }
 
 
--- a/godwitlanding/platform/store.py
+++ b/godwitlanding/platform/store.py
@@ -56,6 +56,7 @@
     async def snapshot(self, kind):
         """Return ``Ok(Snapshot)`` of all objects of a kind."""
         objects = []
+        version = None
         after = ""
         while True:
             query = {"after": after} if after else {}
@@ -65,7 +66,10 @@
             page = answer.unwrap()
             try:
                 objects.extend(_read_object(kind, item) for item in page["items"])
-                version = int(page["store_revision"])
+                if version is None:
+                    # What changes while the further pages are read is told
+                    # by a watch from here.
+                    version = int(page["store_revision"])
                 more = page.get("more")
             except (KeyError, TypeError, ValueError) as error:
                 return _make_unavailable(f"list cannot be read: {error!r}")
--- /dev/null
+++ b/godwitlanding/tests/gateway/test_feed.py
@@ -0,0 +1,162 @@
+"""VMs that feed each other what they know of the store."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from godwitlanding.gateway.feed import MAX_PART_BYTES, Feed
+from godwitlanding.gateway.mirror import Change, Mirror
+from godwitlanding.metrics import Counters
+from godwitlanding.store import StoredObject
+from godwitlanding.tests.tools.network import claim_world_prefix
+
+KIND = "things"
+PORT = 7540
+
+
+def make_object(name, version=1, value=b"v"):
+    return StoredObject(KIND, name, version, value)
+
+
+class Vm:
+    """A feed and one mirror that only it fills."""
+
+    def __init__(self, name, ip):
+        self.held = {}
+        self.ip = ip
+        identity = SimpleNamespace(
+            vm=name, ip=ip, availability_zone="a1", peer_port=PORT
+        )
+        self.mirror = Mirror(None, KIND, self._apply)
+        self.feed = Feed(identity, [self.mirror], Counters())
+
+    def _apply(self, name, version, value):
+        if value is None:
+            self.held.pop(name, None)
+        else:
+            self.held[name] = value
+
+
+@pytest.fixture
+async def vms():
+    prefix = claim_world_prefix()
+    vms = [Vm(f"vm-{number}", f"{prefix}{100 + number}") for number in range(3)]
+    for vm in vms:
+        await vm.feed.start(None)
+    yield vms
+    for vm in vms:
+        await vm.feed.stop()
+
+
+async def wait_until(check, seconds=5.0):
+    async with asyncio.timeout(seconds):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+async def test_vm_is_fed_what_there_is_and_what_comes(vms):
+    source, fed, _ = vms
+    source.mirror.take_over(Change(5, 5, (make_object("a"),), (), True))
+    fed.feed.follow(source.ip)
+    await wait_until(lambda: fed.held == {"a": b"v"})
+    assert fed.mirror.revision == 5
+    source.mirror.take_over(Change(8, 8, (make_object("b", 8),), ("a",)))
+    await wait_until(lambda: fed.held == {"b": b"v"})
+
+
+async def test_changes_travel_on_through_a_fed_vm(vms):
+    # A VM that is fed itself feeds another, as after an outage in which one
+    # VM of a region learnt from another region.
+    first, second, third = vms
+    third.feed.follow(second.ip)
+    second.feed.follow(first.ip)
+    await wait_until(lambda: third.feed.source and second.feed.source)
+    first.mirror.take_over(Change(5, 5, (make_object("a"),), (), True))
+    await wait_until(lambda: third.held == {"a": b"v"})
+
+
+async def test_large_states_come_in_parts(vms):
+    source, fed, _ = vms
+    fed.mirror.take_over(Change(3, 3, (make_object("old"),), (), True))
+    value = b"x" * (MAX_PART_BYTES // 2)
+    objects = tuple(make_object(f"n{number}", 4, value) for number in range(5))
+    source.mirror.take_over(Change(5, 5, objects, (), True))
+    fed.feed.follow(source.ip)
+    await wait_until(lambda: len(fed.held) == 5 and "old" not in fed.held)
+
+
+async def test_vm_that_knows_all_is_sent_nothing(vms):
+    source, fed, _ = vms
+    change = Change(5, 5, (make_object("a"),), (), True)
+    source.mirror.take_over(change)
+    fed.mirror.take_over(change)
+    taken = []
+    fed.mirror.take_over = taken.append
+    fed.feed.follow(source.ip)
+    source.feed.reads = lambda: True
+    await wait_until(fed.feed.has_source)
+    assert taken == []
+
+
+async def test_stopped_source_is_left(vms):
+    source, fed, _ = vms
+    source.feed.reads = lambda: True
+    fed.feed.follow(source.ip)
+    await wait_until(fed.feed.has_source)
+    await source.feed.stop()
+    await wait_until(lambda: not fed.feed.source)
+    assert not fed.feed.has_source()
+
+
+async def test_silent_source_is_left(vms):
+    # The source's VM freezes. Its connection stays open and nothing comes;
+    # the VM would go on with old state for as long as that lasts.
+    source, fed, _ = vms
+    source.feed.reads = lambda: True
+    fed.feed.follow(source.ip)
+    await wait_until(fed.feed.has_source)
+    source.feed._sign_task.cancel()
+    await wait_until(lambda: not fed.feed.has_source())
+
+
+async def test_source_that_cannot_read_says_so(vms):
+    source, fed, _ = vms
+    source.feed.reads = lambda: True
+    fed.feed.follow(source.ip)
+    await wait_until(fed.feed.has_source)
+    source.feed.reads = lambda: False
+    await wait_until(lambda: not fed.feed.has_source())
+    assert fed.feed.source == source.ip
+
+
+async def test_nobody_listens_at_the_source(vms):
+    fed = vms[0]
+    fed.feed.follow(vms[0].ip[:-3] + "199")
+    await wait_until(lambda: not fed.feed.source)
+
+
+async def test_former_source_is_not_listened_to(vms):
+    first, second, fed = vms
+    fed.feed.follow(first.ip)
+    await wait_until(lambda: first.feed._fed)
+    fed.feed.follow(second.ip)
+    await wait_until(lambda: second.feed._fed)
+    first.mirror.take_over(Change(5, 5, (make_object("a"),), (), True))
+    second.mirror.take_over(Change(6, 6, (make_object("b", 6),), (), True))
+    await wait_until(lambda: fed.held)
+    await asyncio.sleep(0.1)
+    assert fed.held == {"b": b"v"}
+
+
+async def test_entry_that_was_dropped_without_a_change_of_the_store_is_gone(vms):
+    # After an outage a source gives up an entry that did not come back. No
+    # revision tells of that; a VM that was not fed at that moment would send
+    # to an address that may be another service's by then.
+    source, fed, _ = vms
+    change = Change(5, 5, (make_object("a"), make_object("b")), (), True)
+    source.mirror.take_over(change)
+    fed.mirror.take_over(change)
+    source.mirror._drop("a")
+    fed.feed.follow(source.ip)
+    await wait_until(lambda: fed.held == {"b": b"v"})
--- a/godwitlanding/tests/support_fleet.py
+++ b/godwitlanding/tests/support_fleet.py
@@ -20,6 +20,9 @@
         rate_by_service={},
         crashes=(),
         digests=(),
+        reads=False,
+        failed=False,
+        changed_at=(),
     )
     return bulletin._replace(**changes)
 
@@ -37,6 +40,9 @@
         capacity=CAPACITY,
         busy=True,
         rate_by_service={},
+        reads=False,
+        failed=False,
+        changed_at=(),
         heard_at=0.0,
     )
     return peer._replace(**changes)
--- a/godwitlanding/vm.py
+++ b/godwitlanding/vm.py
@@ -28,11 +28,12 @@
 from godwitlanding.gateway.chooser import Chooser
 from godwitlanding.gateway.courier import Courier
 from godwitlanding.gateway.directory import Directory
+from godwitlanding.gateway.feed import Feed
 from godwitlanding.gateway.front import Front
-from godwitlanding.gateway.handover import Handover
 from godwitlanding.gateway.mirror import Mirror, Outage
 from godwitlanding.gateway.peers import Peers
 from godwitlanding.gateway.presence import Presence
+from godwitlanding.gateway.reader import Reader
 from godwitlanding.gateway.registry import Registry
 from godwitlanding.gateway.upstream import UpstreamPool
 from godwitlanding.kernel import Kernel
@@ -124,24 +125,38 @@
         self.carrier.get_vms = self.peers.count_vms
         self._now = loop.time
         self.outage = Outage()
-        self.config_mirror = self._make_mirror(CONFIG_KIND, self._apply_config)
+        self.vm_mirror = self._make_mirror(
+            VM_KIND, self._apply_vm, on_known=self._note_vms_known
+        )
+        self.mirrors = self._make_mirrors()
+        self.feed = Feed(settings, self.mirrors, counters)
+        self.reader = Reader(
+            settings,
+            self.fleet,
+            self.peers.digests,
+            self.feed,
+            self.mirrors,
+        )
+        self.peers.get_store_state = self.reader.get_store_state
         self.front = Front(settings.caller_address, bounds.stop_s)
-        self.front.needs += ("directory", "readiness", "metrics", "presence")
+        self.front.needs += ("directory", "readiness", "metrics", "presence", "reader")
 
-    def make_services(self):
-        """Return every service of the process."""
+    def _make_mirrors(self):
         upstream_mirror = self._make_mirror(
             UPSTREAM_KIND,
             self._apply_upstream,
             guard=LapseGuard(),
-            on_listed=self._note_upstreams_listed,
-        )
-        evacuation_mirror = self._make_mirror(EVACUATION_KIND, self._apply_evacuation)
-        handover = Handover(
-            self._settings,
-            self.fleet,
-            (self.config_mirror, upstream_mirror, evacuation_mirror),
+            on_known=self._note_upstreams_known,
         )
+        return [
+            self._make_mirror(CONFIG_KIND, self._apply_config),
+            upstream_mirror,
+            self._make_mirror(EVACUATION_KIND, self._apply_evacuation),
+            self.vm_mirror,
+        ]
+
+    def make_services(self):
+        """Return every service of the process."""
         return [
             self.registry,
             self.peers,
@@ -149,11 +164,9 @@
             self.chooser,
             self.courier,
             self.carrier,
-            self.config_mirror,
-            upstream_mirror,
-            evacuation_mirror,
-            handover,
-            self._make_mirror(VM_KIND, self._apply_vm),
+            *self.mirrors,
+            self.feed,
+            self.reader,
             HttpServer(
                 "directory",
                 make_directory(self.directory.choose),
@@ -195,7 +208,7 @@
         return self.registry.is_complete()
 
     def _is_config_fresh(self):
-        return self.config_mirror.get_age_s() <= 0
+        return self.reader.is_fresh()
 
     def _take_crash(self, crash):
         self.poison.note_report(crash.fingerprint, crash.upstream, 1, self._now())
@@ -222,16 +235,19 @@
             return
         self.registry.put_upstream(upstream)
 
-    def _note_upstreams_listed(self):
+    def _note_upstreams_known(self):
         self.registry.has_upstreams = True
 
     def _apply_evacuation(self, name, version, value):
         self.registry.set_evacuated(name, value is not None)
 
+    def _note_vms_known(self):
+        self.presence.note_held(self.vm_mirror.get_object(self._settings.vm))
+
     def _apply_vm(self, name, version, value):
         if value is None:
             if name == self._settings.vm:
-                self.presence.note_removed()
+                self.presence.note_held(None)
             self.peers.note_vm(name, None, "")
             return
         try:
--- a/godwitlanding/wire.py
+++ b/godwitlanding/wire.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import socket
 import struct
 
 from eliot import log_message
@@ -32,6 +33,9 @@
 CONNECT_TIMEOUT_S = 1.0
 # A peer that reads nothing must not fill our memory: its connection goes.
 MAX_UNSENT_BYTES = 8_000_000
+# A peer whose machine has lost its power never resets the connection; data
+# that it does not acknowledge for this long end it.
+USER_TIMEOUT_MS = 3000
 
 
 class Channel:
@@ -48,6 +52,8 @@
         self._call_by_id = {}
         self._tasks = set()
         self._next_id = 0
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
     async def greet(self):
         """Exchange hellos; return an ``Ok`` or the ``Err`` that ends it."""
