Soak real programs under drawn faults

Four VMs in two regions as processes, eight upstreams and a store, a loopback link in front of each that delays, resets, silences or loses one way; signals that stop, pause, kill and restart; a store that is down, busy, hangs, is slow, loses answers or its history; upstreams that crash, shed, fail, break off, drain; changes of the configuration and evacuations. The judge joins what callers got with what upstreams ran.

--- /dev/null
+++ b/godwitlanding/tests/soak/judge.py
@@ -0,0 +1,114 @@
+"""What must hold of every run, from what callers and upstreams saw."""
+
+from godwitlanding.tests.soak.caller import DEADLINE_S
+from godwitlanding.tests.soak.schedule import PLANNED_KINDS
+from godwitlanding.tests.tools.standin_worker import make_echo
+
+# The bounds of the users' rules, and what a busy machine adds.
+DRAIN_S = 2.5
+EVACUATE_S = 5.0
+STABLE_S = 4.0
+SLACK_S = 0.7
+PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
+SERVICE_BY_ROUTE = {"look": "looks", "pay": "pays"}
+# Faults that leave a VM's own duties as they are.
+HARMLESS = frozenset((*PLANNED_KINDS, "shed", "fail", "slow"))
+
+
+class Judge:
+    """Joins callers' records with the upstreams' runs of one world."""
+
+    def __init__(self, tried, world, striker):
+        self._tried = tried
+        self._striker = striker
+        self._vms = world.vms
+        self._workers = world.get_all_workers()
+        self._runs_by_request = {}
+        for worker in self._workers:
+            for request_id, at in zip(worker.ran, worker.ran_at):
+                row = self._runs_by_request.setdefault(request_id, [])
+                row.append((worker, at))
+
+    def find_problems(self):
+        """Return a line for each promise that was not kept."""
+        problems = list(self._striker.problems)
+        for tried in self._tried:
+            problems.extend(self._judge_answer(tried))
+        problems.extend(self._judge_runs())
+        problems.extend(self._judge_drains())
+        problems.extend(self._judge_evacuations())
+        problems.extend(self._judge_logs())
+        return problems
+
+    def _judge_answer(self, tried):
+        runs = self._runs_by_request.get(tried.request_id, [])
+        if tried.status == 200:
+            if tried.body != make_echo(tried.request_id.encode()):
+                yield f"MIXED {tried.request_id}: not its own whole answer"
+            if not runs:
+                yield f"MIXED {tried.request_id}: answered and never run"
+        if tried.detail == "foreign":
+            yield f"MIXED {tried.request_id}: another request's answer"
+        if tried.unsafe and tried.status in PROMISES_NOT_RUN and runs:
+            yield f"REFUSED {tried.request_id}: {tried.status} and has run"
+        if tried.status == 503 and not tried.retry_after:
+            yield f"REFUSED {tried.request_id}: 503 without when to come back"
+        if tried.status in (400, 404):
+            yield f"DENIED {tried.request_id}: {tried.status} for {tried.path}"
+        if tried.detail == "silent" and self._is_calm(tried.sent_at, tried.ended_at):
+            yield f"HELD {tried.request_id}: no answer {DEADLINE_S} s and more"
+        if tried.detail in ("closed", "broken") and runs:
+            if self._is_calm(tried.sent_at, tried.ended_at, PLANNED_KINDS):
+                yield (
+                    f"LOST {tried.request_id}: {tried.detail} by {tried.vm}, "
+                    f"which had passed it on"
+                )
+
+    def _judge_runs(self):
+        unsafe = {tried.request_id for tried in self._tried if tried.unsafe}
+        path_by_request = {tried.request_id: tried.path for tried in self._tried}
+        for request_id, runs in self._runs_by_request.items():
+            if request_id in unsafe and len(runs) > 1:
+                yield f"TWICE {request_id}: run {len(runs)} times"
+            path = path_by_request.get(request_id)
+            for worker, _ in runs:
+                if path and worker.service != SERVICE_BY_ROUTE[path.split("/")[1]]:
+                    yield f"ROUTE {request_id}: {path} run by {worker.service}"
+
+    def _judge_drains(self):
+        for worker in self._workers:
+            drained_at = self._striker.drained_at_by_worker.get(worker.id)
+            if drained_at is None:
+                continue
+            for request_id, at in zip(worker.ran, worker.ran_at):
+                if at > drained_at + DRAIN_S + SLACK_S and self._is_calm(
+                    drained_at, at
+                ):
+                    late_s = at - drained_at
+                    yield f"DRAIN {request_id}: {worker.id} after {late_s:.1f} s"
+
+    def _judge_evacuations(self):
+        for zone, begun, ended in self._striker.evacuations:
+            for worker in self._workers:
+                if worker.zone != zone:
+                    continue
+                for request_id, at in zip(worker.ran, worker.ran_at):
+                    late = begun + EVACUATE_S + SLACK_S < at < ended
+                    if late and self._is_calm(begun, at):
+                        yield f"EVAC {request_id}: {zone} after {at - begun:.1f} s"
+
+    def _judge_logs(self):
+        for vm in self._vms:
+            log = vm.read_log()
+            if "Traceback" in log or '"carrier:failed"' in log:
+                yield f"CRASH {vm.name}: an error that nobody expected"
+
+    def _is_calm(self, begun, ended, allowed=HARMLESS):
+        """Tell whether only allowed faults were near a time."""
+        for fault, at, mended in self._striker.log:
+            if fault.kind in allowed:
+                continue
+            until = (mended if mended is not None else ended) + STABLE_S
+            if at <= ended + SLACK_S and until >= begun:
+                return False
+        return True
--- /dev/null
+++ b/godwitlanding/tests/soak/strike.py
@@ -0,0 +1,174 @@
+"""Applies drawn faults to a world, and mends them when their time is over."""
+
+import asyncio
+import signal
+
+from godwitlanding.tests.gateway.world import GRACE_S
+
+# An entry lapses after three heartbeats of 1.5 s; shorter here, as it may be.
+LAPSE_S = 1.5
+DRAIN_S = 3.0
+SLOW_S = 0.6
+DELAY_S = 0.4
+STORE_DELAY_S = 0.7
+
+
+class Striker:
+    """Strikes a ``SoakWorld``; ``log`` holds what happened and when.
+
+    Each row is a fault, when it began and when it was mended, on the loop's
+    clock; planned work is logged with when the store acknowledged it.
+    """
+
+    def __init__(self, world):
+        self._world = world
+        self._busy_vms = set()
+        self._loop = asyncio.get_running_loop()
+        self.log = []
+        self.drained_at_by_worker = {}
+        self.evacuations = []
+        self.stopped = []
+        self.problems = []
+
+    async def strike(self, fault):
+        """Apply one fault and mend it."""
+        begun = self._loop.time()
+        row = [fault, begun, None]
+        self.log.append(row)
+        await getattr(self, f"_strike_{fault.family}")(fault)
+        row[2] = self._loop.time()
+
+    async def _strike_vm(self, fault):
+        vm = self._world.vms[fault.target % len(self._world.vms)]
+        if vm.name in self._busy_vms:
+            return
+        self._busy_vms.add(vm.name)
+        try:
+            await getattr(self, f"_{fault.kind}_vm")(vm, fault.for_s)
+        finally:
+            self._busy_vms.discard(vm.name)
+
+    async def _term_vm(self, vm, for_s):
+        at = self._loop.time()
+        vm.signal(signal.SIGTERM)
+        self.stopped.append((vm.address, at))
+        try:
+            async with asyncio.timeout(GRACE_S + 1.0):
+                code = await vm.process.wait()
+        except TimeoutError:
+            self.problems.append(f"{vm.name} still runs {GRACE_S + 1} s after SIGTERM")
+            await vm.end()
+            code = 0
+        if code:
+            self.problems.append(f"{vm.name} ended with {code} after SIGTERM")
+        await vm.start()
+
+    async def _kill_vm(self, vm, for_s):
+        await vm.end()
+        await asyncio.sleep(for_s / 2)
+        await vm.start()
+
+    async def _herd_vm(self, vm, for_s):
+        struck = [vm]
+        for other in self._world.vms:
+            if other.name not in self._busy_vms:
+                self._busy_vms.add(other.name)
+                struck.append(other)
+        try:
+            await asyncio.gather(*(self._kill_vm(one, for_s) for one in struck))
+        finally:
+            self._busy_vms -= {one.name for one in struck}
+
+    async def _pause_vm(self, vm, for_s):
+        vm.signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        vm.signal(signal.SIGCONT)
+
+    async def _hangup_vm(self, vm, for_s):
+        vm.signal(signal.SIGHUP)
+        await asyncio.sleep(for_s)
+
+    async def _strike_upstream(self, fault):
+        workers = self._world.get_workers()
+        worker = workers[fault.target % len(workers)]
+        if fault.kind == "crash":
+            await self._crash(worker, fault.for_s)
+        elif fault.kind == "drain":
+            await self._drain(worker)
+        elif fault.kind == "slow":
+            worker.work_s = SLOW_S
+            await asyncio.sleep(fault.for_s)
+            worker.work_s = 0.03
+        else:
+            worker.fault = fault.kind
+            await asyncio.sleep(fault.for_s)
+            worker.fault = ""
+
+    async def _crash(self, worker, for_s):
+        worker.stop()
+        await asyncio.sleep(min(for_s, LAPSE_S))
+        if worker in self._world.get_workers():
+            await self._world.store.remove("servers", worker.id)
+            await self._world.replace_worker(worker)
+
+    async def _drain(self, worker):
+        if worker.id in self.drained_at_by_worker:
+            return
+        await self._world.register(worker, "draining")
+        self.drained_at_by_worker[worker.id] = self._loop.time()
+        await asyncio.sleep(DRAIN_S)
+        if worker in self._world.get_workers():
+            await self._world.store.remove("servers", worker.id)
+            worker.stop()
+            await self._world.replace_worker(worker)
+
+    async def _strike_store(self, fault):
+        faults = self._world.store.faults
+        if fault.kind == "forget":
+            await self._world.store.forget_history()
+        elif fault.kind == "lose_answers":
+            faults.lose_answers = 5
+        elif fault.kind == "slow":
+            faults.delay_s = STORE_DELAY_S
+        elif fault.kind == "hang":
+            faults.silent = True
+        else:
+            faults.status = {"down": 503, "busy": 429}[fault.kind]
+        await asyncio.sleep(fault.for_s)
+        faults.delay_s, faults.silent, faults.status = 0.0, False, 0
+        faults.lose_answers = 0
+
+    async def _strike_store_link(self, fault):
+        await self._strike_link(self._world.store_links, fault)
+
+    async def _strike_upstream_link(self, fault):
+        await self._strike_link(self._world.worker_links, fault)
+
+    async def _strike_caller_link(self, fault):
+        await self._strike_link(self._world.caller_links, fault)
+
+    async def _strike_link(self, links, fault):
+        link = links[fault.target % len(links)]
+        if fault.kind == "reset_link":
+            link.reset()
+            return
+        link.set_mode(fault.kind, DELAY_S if fault.kind == "delayed" else 0.0)
+        await asyncio.sleep(fault.for_s)
+        link.set_mode("open")
+        # What was lost on the way leaves connections that nobody can use.
+        if fault.kind.startswith("deaf"):
+            link.reset()
+
+    async def _strike_operator(self, fault):
+        if fault.kind == "config":
+            await self._world.change_config()
+            return
+        zone = self._world.vms[fault.target % len(self._world.vms)].zone
+        if any(row[0] == zone for row in self.evacuations):
+            return
+        await self._world.store.put("evacuations", zone, {})
+        row = [zone, self._loop.time(), None]
+        self.evacuations.append(row)
+        await asyncio.sleep(fault.for_s)
+        row[2] = self._loop.time()
+        await self._world.store.remove("evacuations", zone)
--- a/godwitlanding/tests/tools/standin_store.py
+++ b/godwitlanding/tests/tools/standin_store.py
@@ -86,6 +86,10 @@
 
     async def _tell(self, kind, item, removed):
         self.revision += 1
+        if removed:
+            # The removal is the object's last change.
+            metadata = {**item["metadata"], "rev": self.revision}
+            item = {**item, "metadata": metadata}
         self._events.append((self.revision, kind, {"object": item, "removed": removed}))
         async with self._changed:
             self._changed.notify_all()
--- a/godwitlanding/tests/tools/standin_worker.py
+++ b/godwitlanding/tests/tools/standin_worker.py
@@ -11,6 +11,13 @@
 
 _SLOTS = 3
 _QUEUE = 9
+# Some 4 KB with ids of ten letters: more than one packet.
+ECHO_TIMES = 400
+
+
+def make_echo(request_id):
+    """Return the body of an answer that can be told from any other."""
+    return request_id * ECHO_TIMES
 
 
 class StandinWorker:
@@ -29,6 +36,10 @@
         self.work_s = work_s
         self.fault = ""
         self.ran = []
+        # When each request began to run, on the loop's clock.
+        self.ran_at = []
+        # Whether answers hold the request's id, many times.
+        self.echoes = False
         self.bodies = {}
         self.dropped = 0
         self.connections = set()
@@ -92,6 +103,7 @@
         try:
             async with self._slots:
                 self.ran.append(request_id.decode())
+                self.ran_at.append(asyncio.get_running_loop().time())
                 self.bodies[request_id.decode()] = body
                 await self._work(reader)
         finally:
@@ -124,6 +136,8 @@
             writer.close()
         else:
             body = f"done by {self.id}".encode()
+            if self.echoes:
+                body = make_echo(request_id)
             self._write(writer, b"200 OK", request_id, body, proof)
 
     def _write(self, writer, status, request_id, body, extra=b""):
