Pass over an upstream only where it fails more than its service

Cause: while all upstreams of a service shed half of their requests, each that just did so was passed over; upstreams met 36 objects each in six seconds in place of 10, and work on unknown objects filled the slots. Change: decisions/worktime.py keeps a share of failures for the service too; and the retry budget uses three quarters of the ratio in place of half, since only the fixed part can be spent twice by a process that starts again.

--- a/godwitlanding/decisions/retrybudget.py
+++ b/godwitlanding/decisions/retrybudget.py
@@ -7,13 +7,16 @@
 fixed allowance. Shares of a sum hold while VMs are cut off from each other;
 a count that they would have to agree on does not.
 
-Half of the bound is used: the other half is for VMs that were added without
-this VM's knowing, and for windows that do not begin together.
+Part of the bound is left unused. Of the share of the requests a quarter, for
+windows that do not begin together; a process that starts again within a
+window has no requests to count on, so it cannot take that part twice. Of the
+fixed allowance it can, and VMs may be added without this VM's knowing: half.
 """
 
 from collections import deque
 
-USED_SHARE = 0.5
+USED_RATIO_SHARE = 0.75
+USED_SLACK_SHARE = 0.5
 # Parts into which the fixed allowance is cut at the least, so that a VM that
 # hears of no other does not take all of it.
 MIN_SHARES = 8
@@ -51,7 +54,8 @@
         """Tell whether one more repeat fits, and count it if it does."""
         window = self._get(service, now)
         slack = self._slack / max(MIN_SHARES, vms)
-        allowed = USED_SHARE * (self._ratio * len(window.requests) + slack)
+        allowed = USED_RATIO_SHARE * self._ratio * len(window.requests)
+        allowed += USED_SLACK_SHARE * slack
         if len(window.repeats) + 1 > allowed:
             return False
         window.repeats.append(now)
--- a/godwitlanding/decisions/worktime.py
+++ b/godwitlanding/decisions/worktime.py
@@ -19,6 +19,16 @@
 _SERVICE_WEIGHT = 0.1
 _UPSTREAM_WEIGHT = 0.25
 _FAILURE_WEIGHT = 0.2
+# The share of a service is that of the last fifty answers.
+_SERVICE_FAILURE_WEIGHT = 0.02
+# An upstream that fails half of its requests is worse than one that does
+# not know the object (three times as long for each), but only where others
+# fail less: when all upstreams of a service shed half of their requests,
+# passing over each that just did so sends every object everywhere. (Played:
+# upstreams met 36 objects each in place of 10, and the work on objects that
+# they did not know filled the slots.)
+FAILING_SHARE = 0.5
+OUTLIER_MARGIN = 0.25
 # Before the first answer: the usual work of both users lies near these.
 FIRST_WARM_S = 0.15
 FIRST_COLD_S = 0.4
@@ -45,10 +55,11 @@
         self._mean_by_service = {}
         self._factor_by_upstream = {}
         self._failures_by_upstream = {}
+        self._failures_by_service = {}
 
     def note_answer(self, service, upstream, work_s, warmth, waited):
         """Take the time of an answer; ``waited``: it queued for a slot."""
-        self._move_failures(upstream, 0.0)
+        self._move_failures(service, upstream, 0.0)
         if warmth is Warmth.UNSURE:
             middle = (self.get_warm_s(service) + self.get_cold_s(service)) / 2
             warmth = Warmth.COLD if work_s > middle else Warmth.WARM
@@ -62,9 +73,9 @@
             sample = min(work_s, _MAX_SAMPLE_TIMES * held)
             self._mean_by_service[key] = held + _SERVICE_WEIGHT * (sample - held)
 
-    def note_failure(self, upstream):
+    def note_failure(self, service, upstream):
         """The upstream failed a request, shed it or did not answer."""
-        self._move_failures(upstream, 1.0)
+        self._move_failures(service, upstream, 1.0)
 
     def get_warm_s(self, service):
         """Return the work time of a service on objects that are known."""
@@ -83,6 +94,17 @@
         """Return the share of an upstream's recent requests that failed."""
         return self._failures_by_upstream.get(upstream, 0.0)
 
+    def stands_out(self, service, upstream):
+        """Tell whether an upstream fails more often than its service does."""
+        usual = self._failures_by_service.get(service, 0.0)
+        return self.get_failure_share(upstream) > usual + OUTLIER_MARGIN
+
+    def is_failing(self, service, upstream):
+        """Tell whether others should be preferred to the upstream."""
+        if self.get_failure_share(upstream) < FAILING_SHARE:
+            return False
+        return self.stands_out(service, upstream)
+
     def recover(self):
         """Let factors and failure shares fade, so that each is tried again.
 
@@ -108,7 +130,10 @@
         held = self.get_factor(upstream)
         self._factor_by_upstream[upstream] = held + _UPSTREAM_WEIGHT * (seen - held)
 
-    def _move_failures(self, upstream, seen):
+    def _move_failures(self, service, upstream, seen):
         share = self._failures_by_upstream.get(upstream, 0.0)
         share += _FAILURE_WEIGHT * (seen - share)
         self._failures_by_upstream[upstream] = share
+        usual = self._failures_by_service.get(service, 0.0)
+        usual += _SERVICE_FAILURE_WEIGHT * (seen - usual)
+        self._failures_by_service[service] = usual
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -42,7 +42,6 @@
 # An upstream this many times slower than usual takes longer for an object
 # that it knows than others for one that they do not (3.3 times).
 SLOW_FACTOR = 2.5
-FAILING_SHARE = 0.5
 # Shares are logged when they have moved this far since the last line.
 TOLD_CHANGE = 0.05
 # Objects remembered for each upstream as sent there; more than it knows.
@@ -237,10 +236,15 @@
                 return False
             return self._may_take_cold(upstream_id, now)
 
+        def is_sound(upstream_id):
+            if self._worktimes.get_factor(upstream_id) >= SLOW_FACTOR:
+                return False
+            return not self._worktimes.is_failing(service, upstream_id)
+
         if key:
             order = self._homes.get_order((service, region), key, ids)
             count = self._homes.get_count(service, len(ids))
-            homes = pick_homes(order, count, is_usable, self._is_sound)
+            homes = pick_homes(order, count, is_usable, is_sound)
             first = order[0] if order else ""
         else:
             homes = [upstream_id for upstream_id in ids if is_usable(upstream_id)]
@@ -252,11 +256,6 @@
             ]
         )
 
-    def _is_sound(self, upstream_id):
-        if self._worktimes.get_factor(upstream_id) >= SLOW_FACTOR:
-            return False
-        return self._worktimes.get_failure_share(upstream_id) < FAILING_SHARE
-
     def _make_candidate(self, service, upstream_id, rank, key, first, now):
         upstream = self._registry.upstream_by_id[upstream_id]
         factor = self._worktimes.get_factor(upstream_id)
--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -65,7 +65,7 @@
             try:
                 connection = await self._connect(upstream, choice, work)
             except UpstreamError as error:
-                self._worktimes.note_failure(upstream.id)
+                self._worktimes.note_failure(work.service, upstream.id)
                 self._eject(upstream)
                 return Outcome.UNREACHED, None, str(error)
             self._chooser.note_distance(upstream, loop.time() - begun)
@@ -94,7 +94,7 @@
             )
             whole = True
         except UpstreamError as error:
-            self._worktimes.note_failure(upstream.id)
+            self._worktimes.note_failure(work.service, upstream.id)
             if error.failure is Failure.RESET:
                 self._spawn(self._check_crash(upstream, work.fingerprint))
             return Outcome.UNKNOWN, None, str(error)
@@ -122,7 +122,7 @@
             self._chooser.note_known(upstream.id, work.key)
             self._poison.note_success(work.fingerprint, now)
         elif outcome is not Outcome.MOVED:
-            self._worktimes.note_failure(upstream.id)
+            self._worktimes.note_failure(work.service, upstream.id)
 
     def _note_report(self, upstream, answer, now):
         report = answer.get_header(self._names.load_report)
--- a/godwitlanding/tests/decisions/test_retrybudget.py
+++ b/godwitlanding/tests/decisions/test_retrybudget.py
@@ -23,6 +23,23 @@
     assert total <= RATIO * requests * vms + SLACK
 
 
+def test_killed_vms_do_not_repeat_twice_as_much():
+    # All VMs are killed and start again while every upstream sheds. What
+    # they repeated before stands in the same window.
+    total = 0
+    requests = 0
+    for _ in range(12):
+        for begun in (0.0, 5.0):
+            budget = RetryBudget(RATIO, WINDOW_S, SLACK)
+            for number in range(100):
+                now = begun + number / 25
+                budget.note_request("s", now)
+                requests += 1
+                while budget.take("s", 12, now):
+                    total += 1
+    assert total <= RATIO * requests + SLACK
+
+
 def test_window_slides():
     budget = RetryBudget(RATIO, WINDOW_S, SLACK)
     while budget.take("s", 12, 0.0):
--- a/godwitlanding/tests/decisions/test_worktime.py
+++ b/godwitlanding/tests/decisions/test_worktime.py
@@ -45,8 +45,31 @@
     # busy one, and would draw most of the requests.
     worktimes = make_worktimes()
     for _ in range(5):
-        worktimes.note_failure("a")
+        worktimes.note_failure("s", "a")
     assert worktimes.get_failure_share("a") > 0.5
     for _ in range(30):
         worktimes.recover()
     assert worktimes.get_failure_share("a") < 0.05
+
+
+def test_one_failing_upstream_is_passed_over():
+    worktimes = make_worktimes()
+    for _ in range(6):
+        worktimes.note_failure("s", "a")
+    assert worktimes.is_failing("s", "a")
+    assert not worktimes.is_failing("s", "b")
+
+
+def test_where_all_fail_alike_none_is_passed_over():
+    # Every upstream of a service sheds half of its requests. Passing over
+    # each that just did sends objects to upstreams that do not know them,
+    # and work that takes four times as long fills the slots.
+    worktimes = make_worktimes()
+    for _ in range(60):
+        for upstream in ("a", "b", "c"):
+            worktimes.note_failure("s", upstream)
+            worktimes.note_answer("s", upstream, 0.1, Warmth.WARM, False)
+            worktimes.note_failure("s", upstream)
+    for upstream in ("a", "b", "c"):
+        assert worktimes.get_failure_share(upstream) > 0.5
+        assert not worktimes.is_failing("s", upstream)
