Ask an upstream again that shed at random

Cause: where all upstreams shed half of their requests whatever they have to do, the next upstream sheds as well and does not know the object. Change: one that has slots free and fails no more than its service may be asked again; the retry budget bounds it.

--- a/godwitlanding/gateway/carrier.py
+++ b/godwitlanding/gateway/carrier.py
@@ -187,6 +187,10 @@
             if outcome is Outcome.ANSWERED:
                 self._pass_on(exchange, work, answer, sink)
                 return
+            if outcome is Outcome.NOT_RUN:
+                now = loop.time()
+                if self._chooser.may_try_again(work.service, choice.upstream, now):
+                    tried.discard(choice.upstream.id)
             if outcome in (Outcome.FAILED, Outcome.UNKNOWN):
                 runs += 1
                 if not work.is_idempotent:
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -137,6 +137,16 @@
             return REGION_DISTANCE_S
         return FAR_DISTANCE_S
 
+    def may_try_again(self, service, upstream, now):
+        """Tell whether an upstream that shed a request may be asked again.
+
+        Where a service sheds requests at random, the upstream that knows
+        the object is still the best one; one that is full sheds again.
+        """
+        if self._worktimes.stands_out(service, upstream.id):
+            return False
+        return self._occupancy.get(upstream.id, now) < upstream.slots
+
     def get_work_s(self, service):
         """Return the usual work time of a service."""
         return self._worktimes.get_warm_s(service)
--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -15,7 +15,7 @@
     Service,
     SplitPart,
 )
-from godwitlanding.decisions.worktime import WorkTimes
+from godwitlanding.decisions.worktime import Warmth, WorkTimes
 from godwitlanding.gateway.attempt import Work
 from godwitlanding.gateway.chooser import OVERFLOW_SHARE, Chooser, Rejection
 from godwitlanding.gateway.registry import Registry, Upstream
@@ -196,3 +196,28 @@
         assert rejection.reason == "full"
         assert rejection.placement.candidate.occupied == 6
         assert rejection.to_target_s == pytest.approx(0.2, abs=0.01)
+
+
+@pytest.mark.parametrize(
+    ("in_progress", "failing", "expected"),
+    [
+        pytest.param(0, ("u0", "u1"), True, id="all shed at random"),
+        pytest.param(3, ("u0", "u1"), False, id="full"),
+        pytest.param(0, ("u0",), False, id="it alone sheds"),
+    ],
+)
+async def test_upstream_that_shed_at_random_is_asked_again(
+    in_progress, failing, expected
+):
+    # A service sheds half of its requests whatever it has to do. Another
+    # upstream sheds as well, and does not know the object.
+    async with Setting(WARM[:2]) as setting:
+        for _ in range(40):
+            for upstream in ("u0", "u1"):
+                setting.worktimes.note_answer("s", upstream, 0.1, Warmth.WARM, False)
+                if upstream in failing:
+                    setting.worktimes.note_failure("s", upstream)
+        setting.fill("u0", in_progress)
+        upstream = setting.registry.upstream_by_id["u0"]
+        now = asyncio.get_running_loop().time()
+        assert setting.chooser.may_try_again("s", upstream, now) is expected
