Serve directory, readiness and metrics by the gateway's own protocol

RssAnon after the imports was 38.2 MB, of it 7 MB uvicorn and starlette with what they bring, and 1 MB certificates, which the HTTP client's import reads twice.

--- a/godwitlanding/vm.py
+++ b/godwitlanding/vm.py
@@ -14,9 +14,6 @@
 
 import orjson
 from eliot import log_message
-from starlette.applications import Starlette
-from starlette.responses import Response
-from starlette.routing import Route
 
 from godwitlanding import __version__
 from godwitlanding.decisions.fleet import Fleet
@@ -31,6 +28,7 @@
 from godwitlanding.gateway.feed import Feed
 from godwitlanding.gateway.front import Front
 from godwitlanding.gateway.mirror import Mirror
+from godwitlanding.gateway.pages import Page, PageServer
 from godwitlanding.gateway.peers import Peers
 from godwitlanding.gateway.presence import Presence
 from godwitlanding.gateway.reader import Reader
@@ -53,13 +51,13 @@
 from godwitlanding.platform.settings import SETTINGS_VARIABLE, read_settings
 from godwitlanding.platform.store import ObjectStore
 from godwitlanding.poison import PoisonLedger
-from godwitlanding.web import HttpServer
 
 ROLE = "vm"
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
 # Nothing in the settings has to be in force sooner than a configuration.
 SETTINGS_LOOK_S = 1.0
 _UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
@@ -166,24 +164,20 @@
             *self.mirrors,
             self.feed,
             self.reader,
-            HttpServer(
+            PageServer(
                 "directory",
+                self._settings.directory_address,
                 make_directory(self.directory.choose),
-                *self._settings.directory_address,
-                ends_at_once=True,
             ),
-            HttpServer(
+            PageServer(
                 "readiness",
+                self._settings.ready_address,
                 make_readiness(self.is_ready),
-                *self._settings.ready_address,
-                ends_at_once=True,
             ),
-            HttpServer(
+            PageServer(
                 "metrics",
-                _make_metrics_app(),
-                self._settings.ip,
-                self._metrics_port,
-                ends_at_once=True,
+                (self._settings.ip, self._metrics_port),
+                {METRICS_PATH: _get_metrics},
             ),
             self.front,
         ]
@@ -269,11 +263,8 @@
     )
 
 
-def _make_metrics_app():
-    async def get_metrics(request):
-        return Response(render_metrics(), media_type="text/plain; version=0.0.4")
-
-    return Starlette(routes=[Route("/metrics", get_metrics)])
+def _get_metrics(query):
+    return Page(200, "text/plain; version=0.0.4", render_metrics())
 
 
 async def run(settings, arguments, stream, counters):
