Keep ten objects for each upstream while other regions have room

Cause: a region with a tenth of the upstreams kept 14 objects for each, as many as one remembers; one request in fifty found seven others at its only home and was refused (carrier:rejected without a placement), and half of the upstreams had more than they remember. Change: regionshare.KEPT_OBJECTS.

--- a/godwitlanding/decisions/regionshare.py
+++ b/godwitlanding/decisions/regionshare.py
@@ -26,6 +26,10 @@
 from godwitlanding.decisions.homes import REMEMBERED_OBJECTS
 
 FULL = 0.9
+# Objects that a region keeps for each of its upstreams while others have
+# room: at ``REMEMBERED_OBJECTS`` in the mean every other upstream has more,
+# and one in fifty requests finds seven others at its only home.
+KEPT_OBJECTS = 10
 # Twice this is the change between two windows of 2 s, 0.08, and half of the
 # 0.15 that users allow; the rest is for the luck of which requests arrive.
 MAX_STEP_PER_S = 0.04
@@ -38,11 +42,14 @@
     capacity_per_s: float
 
 
-def get_known_share(upstreams, objects):
-    """Return the share of all objects that a region can keep in memory."""
+def get_known_share(upstreams, objects, each=REMEMBERED_OBJECTS):
+    """Return the share of all objects that a region can keep in memory.
+
+    ``each`` is how many an upstream is to remember.
+    """
     if objects == 0:
         return 1.0
-    return min(1.0, REMEMBERED_OBJECTS * upstreams / objects)
+    return min(1.0, each * upstreams / objects)
 
 
 def get_shares(region, load_by_region):
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -16,6 +16,7 @@
 )
 from godwitlanding.decisions.regionshare import (
     FULL,
+    KEPT_OBJECTS,
     RegionDealer,
     RegionLoad,
     get_known_share,
@@ -364,7 +365,9 @@
                 if upstream.id not in self.ejected
             ]
             slots_by_region[region] = sum(upstream.slots for upstream in upstreams)
-            known_by_region[region] = get_known_share(len(upstreams), objects)
+            known_by_region[region] = get_known_share(
+                len(upstreams), objects, KEPT_OBJECTS
+            )
         if not any(rate_by_region.values()):
             # Nothing was measured yet: as if each region had an equal part
             # of what all slots can serve.
