--- a/godwitlanding/ctl.py
+++ b/godwitlanding/ctl.py
@@ -197,6 +197,12 @@
     parser.add_argument(
         "request_id", metavar="REQUEST_ID", help="From the answer's Godwit-Request-Id"
     )
+    parser.add_argument(
+        "--logs",
+        nargs="+",
+        metavar="FILE",
+        help="Read it out of these logs of VMs, asking no process",
+    )
     _add_ports(parser)
 
 
--- a/godwitlanding/operations.py
+++ b/godwitlanding/operations.py
@@ -9,6 +9,7 @@
 from godwitlanding.codes import Code, make_refusal
 from godwitlanding.config import CONFIG_KIND, CONFIG_NAME
 from godwitlanding.inventory import find_request, read_fleet, read_in_force
+from godwitlanding.logstory import read_story
 from godwitlanding.store import StoredObject
 from godwitlanding.survey import (
     read_plan,
@@ -146,6 +147,8 @@
 
 async def run_explain(arguments):
     """Tell what became of a request."""
+    if arguments.logs:
+        return _explain_by_logs(arguments)
     async with open_store(arguments) as store:
         listed = await store.list_vms()
     if listed.is_err():
@@ -167,5 +170,25 @@
     return EXIT_OK
 
 
+def _explain_by_logs(arguments):
+    try:
+        story = read_story(arguments.logs, arguments.request_id)
+    except OSError as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAILED
+    if not story:
+        print(f"{arguments.request_id}: no line names it", file=sys.stderr)
+        return EXIT_FAILED
+    if arguments.json:
+        print(json.dumps([row._asdict() for row in story]))
+        return EXIT_OK
+    begun = story[0].at
+    rows = [
+        (f"+{row.at - begun:.3f}", row.vm, row.what, _join(row.fields)) for row in story
+    ]
+    print(format_table(("seconds", "vm", "line", "fields"), rows))
+    return EXIT_OK
+
+
 def _join(event):
     return ", ".join(f"{key}={value}" for key, value in event.items())
--- a/godwitlanding/tests/gateway/test_whole_path.py
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 
+from godwitlanding.logstory import read_story
 from godwitlanding.tests.gateway.world import GRACE_S, World, make_config
 
 
@@ -333,3 +334,28 @@
         return (await world.ask(vm, "/new/1"))[0].status == 200
 
     await wait_until(is_served)
+
+
+# What befalls every upstream, what the caller of a payment is told, and the
+# words of the story that tell why.
+CAUSES = (
+    pytest.param("shed", 503, ("not run", "UPSTREAM_SHED"), id="refused when full"),
+    pytest.param("reset", 502, ("unknown", "reset"), id="outcome unknown"),
+    pytest.param("cut", 502, ("unknown", "broken"), id="broken off midway"),
+)
+
+
+@pytest.mark.parametrize(("fault", "status", "words"), CAUSES)
+async def test_id_leads_to_its_cause_by_the_logs(world, fault, status, words):
+    # A member complains days later. On call has the request's id and what
+    # the VMs wrote, nothing else.
+    for worker_id in ("pay-1", "pay-2"):
+        world.get_worker(worker_id).fault = fault
+    answer, _ = await world.pay(world.vms[0], 1)
+    assert answer.status == status
+    await asyncio.sleep(0.3)
+    story = read_story([vm.log for vm in world.vms], "pay-1")
+    told = " ".join(str(row.fields) for row in story if row.what.startswith("carrier"))
+    for word in words:
+        assert word in told, story
+    assert any(row.fields.get("upstream", "").startswith("pay-") for row in story)
--- /dev/null
+++ b/godwitlanding/tests/test_logstory.py
@@ -0,0 +1,94 @@
+"""A request's story out of the logs of several VMs."""
+
+import json
+
+import pytest
+
+from godwitlanding.ctl import main
+from godwitlanding.logstory import read_story
+from godwitlanding.terminal import EXIT_FAILED, EXIT_OK
+
+LINES_BY_VM = {
+    "vm-1": (
+        {"timestamp": 90.0, "message_type": "mirror:lost", "kind": "config"},
+        {"timestamp": 99.0, "message_type": "courier:ejected", "upstream": "u1"},
+        {"timestamp": 99.5, "message_type": "courier:ejected", "upstream": "u9"},
+        {
+            "timestamp": 100.2,
+            "message_type": "carrier:attempt",
+            "request": "r1",
+            "upstream": "u1",
+            "outcome": "unknown",
+        },
+        {
+            "timestamp": 100.3,
+            "message_type": "carrier:done",
+            "request": "r1",
+            "outcome": "UPSTREAM_FAILED",
+        },
+        {"timestamp": 100.4, "message_type": "carrier:done", "request": "r2"},
+        {"timestamp": 101.0, "message_type": "kernel:stopping"},
+    ),
+    "vm-2": (
+        {
+            "timestamp": 100.1,
+            "message_type": "registry:upstream_gone",
+            "upstream": "u1",
+        },
+        {"timestamp": 100.2, "message_type": "peers:silent", "peer": "vm-1"},
+        {"timestamp": 100.9, "message_type": "carrier:done", "request": "r1"},
+        {"timestamp": 200.0, "message_type": "courier:ejected", "upstream": "u1"},
+    ),
+}
+
+
+@pytest.fixture
+def logs(tmp_path):
+    paths = []
+    for vm, lines in LINES_BY_VM.items():
+        path = tmp_path / f"{vm}.log"
+        rows = [json.dumps({"vm": vm, "role": "vm", **line}) for line in lines]
+        path.write_text("\n".join(["cut off here}", *rows, '{"vm": "half']))
+        paths.append(str(path))
+    return paths
+
+
+def test_story_joins_the_request_its_upstreams_and_its_vms(logs):
+    # A payment failed; on call has the logs of all VMs and the request's id.
+    story = read_story(logs, "r1")
+    assert [(row.at, row.vm, row.what) for row in story] == [
+        (99.0, "vm-1", "courier:ejected"),
+        (100.1, "vm-2", "registry:upstream_gone"),
+        (100.2, "vm-1", "carrier:attempt"),
+        (100.2, "vm-2", "peers:silent"),
+        (100.3, "vm-1", "carrier:done"),
+        (100.9, "vm-2", "carrier:done"),
+        (101.0, "vm-1", "kernel:stopping"),
+    ]
+    assert story[2].fields == {"upstream": "u1", "outcome": "unknown"}
+
+
+def test_unknown_request_has_no_story(logs):
+    assert read_story(logs, "r9") == []
+
+
+@pytest.mark.parametrize("as_json", [False, True])
+def test_command_tells_the_story(logs, capsys, as_json):
+    words = ["explain", "r1", "--logs", *logs] + ["--json"] * as_json
+    assert main(words) == EXIT_OK
+    told = capsys.readouterr().out
+    assert "UPSTREAM_FAILED" in told
+    if as_json:
+        assert len(json.loads(told)) == 7
+    else:
+        assert "+1.300" in told
+
+
+@pytest.mark.parametrize(
+    ("request_id", "missing", "says"),
+    [("r9", "", "no line names it"), ("r1", "none.log", "none.log")],
+)
+def test_command_says_what_is_wrong(logs, capsys, request_id, missing, says):
+    files = [*logs, missing] if missing else logs
+    assert main(["explain", request_id, "--logs", *files]) == EXIT_FAILED
+    assert says in capsys.readouterr().err
