--- a/godwitlanding/vm.py
+++ b/godwitlanding/vm.py
@@ -60,6 +60,8 @@
 METRICS_PATH = "/metrics"
 # Nothing in the settings has to be in force sooner than a configuration.
 SETTINGS_LOOK_S = 1.0
+# Each line is written at once; this is for what a slow reader did not take.
+FLUSH_PAUSE_S = 0.5
 _UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
 
 
@@ -321,7 +323,7 @@
 
 async def _flush_often(stream):
     while True:
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(FLUSH_PAUSE_S)
         stream.flush()
 
 
