--- a/godwitlanding/tests/gateway/test_upstream.py
+++ b/godwitlanding/tests/gateway/test_upstream.py
@@ -63,11 +63,11 @@
         elif self._end == "close":
             writer.close()
 
-    async def ask(self, request_id=ID, sink=None):
+    async def ask(self, request_id=ID, sink=None, data=REQUEST):
         connection = self.pool.take("u", True)
         if connection is None:
             connection = await self.pool.connect("u", self.address, 1.0)
-        answer = await connection.send(REQUEST, request_id, False, sink)
+        answer = await connection.send(data, request_id, False, sink)
         if not answer.is_stream:
             self.pool.give_back("u", connection)
         return answer
@@ -218,3 +218,15 @@
         with pytest.raises(UpstreamError) as caught:
             await upstream.pool.connect("u", (host, 1), 0.5)
         assert caught.value.failure is Failure.CONNECT
+
+
+async def test_answer_before_the_body_was_read_ends_the_connection():
+    # An upstream answers before it has read a long body, keeps the
+    # connection, and reads on later. The next request's bytes would be taken
+    # for the rest of that body.
+    body = b"x" * (16 << 20)
+    head = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % len(body)
+    async with Upstream(make_answer(), make_answer(b"b")) as upstream:
+        assert (await upstream.ask(data=head + body)).body == b"hello"
+        assert (await upstream.ask()).body == b"b"
+        assert upstream.connections == 2
--- a/godwitlanding/tests/gateway/test_whole_path.py
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -359,3 +359,38 @@
     for word in words:
         assert word in told, story
     assert any(row.fields.get("upstream", "").startswith("pay-") for row in story)
+
+
+async def test_upstream_is_told_what_time_is_left(world):
+    # The first upstream takes a while to fail, and the request is sent to
+    # another. Told the caller's whole time again, that one would go on
+    # working for a caller who has left.
+    for worker_id in ("look-1", "look-2"):
+        world.get_worker(worker_id).work_s = 0.4
+        world.get_worker(worker_id).fault = "fail"
+    await world.ask(world.vms[0], **{"Godwitlanding-Deadline-Ms": "1500"})
+    first, second = sorted(
+        world.get_worker("look-1").deadlines_ms
+        + world.get_worker("look-2").deadlines_ms
+    )[::-1]
+    assert 1300 < first <= 1500
+    assert second <= first - 400
+
+
+async def test_request_that_crashes_upstreams_is_stopped_on_every_vm(world):
+    # One request ends each upstream that begins to run it, and its caller
+    # sends it again, to any VM. Unless they tell each other, it takes every
+    # licensed copy of the service.
+    workers = [world.get_worker("look-1"), world.get_worker("look-2")]
+    for number in (3, 4, 5):
+        workers.append(await world.add_worker(f"look-{number}", "looks", "a1"))
+    for worker in workers:
+        worker.deadly_path = "/look/deadly"
+    await asyncio.sleep(0.5)
+    for vm in (*world.vms, *world.vms):
+        answer, _ = await world.ask(vm, "/look/deadly")
+        assert answer.status >= 500
+        await asyncio.sleep(0.4)
+    assert sum(len(worker.ran) for worker in workers) <= 2
+    answer, _ = await world.ask(world.vms[2], "/look/other")
+    assert answer.status == 200
--- a/godwitlanding/tests/tools/standin_worker.py
+++ b/godwitlanding/tests/tools/standin_worker.py
@@ -38,6 +38,10 @@
         self.ran = []
         # When each request began to run, on the loop's clock.
         self.ran_at = []
+        # Milliseconds that each request's sender would wait, as it said.
+        self.deadlines_ms = []
+        # A path that ends this upstream as soon as it begins to run it.
+        self.deadly_path = ""
         # Whether answers hold the request's id, many times.
         self.echoes = False
         self.bodies = {}
@@ -45,6 +49,7 @@
         self.connections = set()
         self._slots = asyncio.Semaphore(_SLOTS)
         self._inside = 0
+        self._path = ""
         self._server = None
 
     def make_entry(self, state="ready"):
@@ -82,6 +87,7 @@
                 headers = {name.lower(): value for name, value in headers.items()}
                 length = int(headers.get(b"content-length", 0))
                 body = await reader.readexactly(length)
+                self._path = head.split(b" ", 2)[1].decode()
                 await self._answer(reader, writer, headers, body)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -105,6 +111,11 @@
                 self.ran.append(request_id.decode())
                 self.ran_at.append(asyncio.get_running_loop().time())
                 self.bodies[request_id.decode()] = body
+                left = headers.get(b"godwitlanding-deadline-ms", b"0")
+                self.deadlines_ms.append(int(left))
+                if self.deadly_path and self._path == self.deadly_path:
+                    self.stop()
+                    raise ConnectionError("crashed by the request")
                 await self._work(reader)
         finally:
             self._inside -= 1
