Ignore SIGHUP from the first line of a start

Change: vm.py is the command alone and imports nothing slow; it ignores the signal before the services are imported (program.py, moved from vm.py as it was). The file's change time is taken before it is read, so a change in between is seen by the next look.

--- a/godwitlanding/platform/settings.py
+++ b/godwitlanding/platform/settings.py
@@ -1,8 +1,10 @@
 """Reads the settings file that the platform gives to each process."""
 
+import os
 import tomllib
 from typing import NamedTuple
 
+from eliot import log_message
 from result import Err, Ok
 
 from godwitlanding.decisions.fleet import Capacity
@@ -84,6 +86,15 @@
     return host, int(port)
 
 
+def get_change_time(path):
+    """Return when the file last changed, ``None`` where it cannot be told."""
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError as error:
+        log_message("settings:no_file", level="warning", error=str(error))
+        return None
+
+
 def read_settings(path):
     """Return ``Ok(VmSettings)`` or ``Err`` with a list of all mistakes."""
     try:
--- a/godwitlanding/tests/soak/run.py
+++ b/godwitlanding/tests/soak/run.py
@@ -20,6 +20,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+import aiohttp
+
 from godwitlanding.tests.soak.caller import Caller
 from godwitlanding.tests.soak.judge import Judge
 from godwitlanding.tests.soak.schedule import FAULTS_S, draw_faults
@@ -104,9 +106,9 @@
     await asyncio.sleep(CALM_S + 0.5)
     before = len(tried)
     for vm in world.vms:
-        answer, _ = await world.ask(vm, path)
-        if answer.status != 200:
-            problems.append(f"CONFIG {vm.name}: {answer.status} for {path}")
+        status = await _ask_for(world, vm, path)
+        if status != 200:
+            problems.append(f"CONFIG {vm.name}: {status} for {path}")
     await asyncio.sleep(CALM_S)
     calm = tried[before:]
     served = sum(row.status == 200 for row in calm)
@@ -118,6 +120,14 @@
     return problems
 
 
+async def _ask_for(world, vm, path):
+    try:
+        answer, _ = await world.ask(vm, path)
+    except aiohttp.ClientError as error:
+        return repr(error)
+    return answer.status
+
+
 async def _end(tasks):
     for task in tasks:
         task.cancel()
--- a/godwitlanding/vm.py
+++ b/godwitlanding/vm.py
@@ -1,68 +1,23 @@
 """``godwit-vm``: the one process of an entry VM on the users' platform.
 
-Joins the gateway's services with the platform's names and formats; nothing
-else of the product knows of the platform.
-
 >>> GODWITLANDING_SETTINGS=/etc/node.toml godwit-vm
 """
 
 import argparse
-import asyncio
 import os
+import signal
 import sys
-import time
-
-import orjson
-from eliot import log_message
 
 from godwitlanding import __version__
-from godwitlanding.decisions.fleet import Fleet
-from godwitlanding.decisions.lapse import LapseGuard
-from godwitlanding.decisions.occupancy import Occupancy
-from godwitlanding.decisions.retrybudget import RetryBudget
-from godwitlanding.decisions.worktime import WorkTimes
-from godwitlanding.gateway.carrier import Carrier
-from godwitlanding.gateway.chooser import Chooser
-from godwitlanding.gateway.courier import Courier
-from godwitlanding.gateway.directory import Directory
-from godwitlanding.gateway.feed import Feed
-from godwitlanding.gateway.front import Front
-from godwitlanding.gateway.mirror import Mirror
-from godwitlanding.gateway.pages import Page, PageServer
-from godwitlanding.gateway.peers import Peers
-from godwitlanding.gateway.presence import Presence
-from godwitlanding.gateway.reader import Reader
-from godwitlanding.gateway.registry import Registry
-from godwitlanding.gateway.upstream import UpstreamPool
-from godwitlanding.kernel import Kernel
-from godwitlanding.logstream import set_up_log_stream
-from godwitlanding.metrics import Counters, make_meter, render_metrics
-from godwitlanding.platform.doors import make_directory, make_readiness
-from godwitlanding.platform.entries import (
-    CONFIG_KIND,
-    CONFIG_NAME,
-    EVACUATION_KIND,
-    UPSTREAM_KIND,
-    VM_KIND,
-    read_config,
-    read_upstream,
+from godwitlanding.platform.settings import (
+    SETTINGS_VARIABLE,
+    get_change_time,
+    read_settings,
 )
-from godwitlanding.platform.headers import HEADER_NAMES
-from godwitlanding.platform.settings import SETTINGS_VARIABLE, read_settings
-from godwitlanding.platform.store import ObjectStore
-from godwitlanding.poison import PoisonLedger
 
-ROLE = "vm"
 EXIT_OK = 0
-EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 METRICS_PORT = 9464
-METRICS_PATH = "/metrics"
-# Nothing in the settings has to be in force sooner than a configuration.
-SETTINGS_LOOK_S = 1.0
-# Each line is written at once; this is for what a slow reader did not take.
-FLUSH_PAUSE_S = 0.5
-_UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
 
 
 def parse_arguments(argv=None):
@@ -90,262 +45,27 @@
     return parser.parse_args(argv)
 
 
-class Program:
-    """The services of one process and what they share."""
-
-    def __init__(self, settings, metrics_port, counters):
-        loop = asyncio.get_running_loop()
-        self._settings = settings
-        self._metrics_port = metrics_port
-        self._counters = counters
-        self.occupancy = Occupancy()
-        self.worktimes = WorkTimes()
-        self.fleet = Fleet()
-        self.poison = PoisonLedger()
-        bounds = settings.bounds
-        self.budget = RetryBudget(
-            bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
-        )
-        self.store = ObjectStore(settings.store_address, counters)
-        self.registry = Registry(settings.region_by_zone)
-        self.peers = Peers(settings, self.fleet, self.occupancy, self._take_crash)
-        self.peers.is_ready = self.is_ready
-        self.directory = Directory(
-            settings, self.fleet, self.peers.digests, self.is_ready
-        )
-        self.presence = Presence(self.store, VM_KIND, settings)
-        self.chooser = Chooser(settings, self.occupancy, self.worktimes, self.fleet)
-        pool = UpstreamPool(HEADER_NAMES.request_id, counters)
-        self.courier = Courier(
-            HEADER_NAMES, pool, self.occupancy, self.worktimes, counters, self.poison
-        )
-        self.carrier = Carrier(
-            HEADER_NAMES, self.budget, self.poison, counters, self._is_config_fresh
-        )
-        self.carrier.get_vms = self.peers.count_vms
-        self._now = loop.time
-        self.vm_mirror = self._make_mirror(
-            VM_KIND, self._apply_vm, on_known=self._note_vms_known
-        )
-        self.mirrors = self._make_mirrors()
-        self.feed = Feed(settings, self.mirrors, counters)
-        self.reader = Reader(
-            settings,
-            self.fleet,
-            self.peers.digests,
-            self.feed,
-            self.mirrors,
-        )
-        self.peers.get_store_state = self.reader.get_store_state
-        self.front = Front(settings.caller_address, bounds.stop_s)
-        self.front.needs += ("directory", "readiness", "metrics", "presence", "reader")
-
-    def _make_mirrors(self):
-        upstream_mirror = self._make_mirror(
-            UPSTREAM_KIND,
-            self._apply_upstream,
-            guard=LapseGuard(),
-            on_known=self._note_upstreams_known,
-        )
-        return [
-            self._make_mirror(CONFIG_KIND, self._apply_config),
-            upstream_mirror,
-            self._make_mirror(EVACUATION_KIND, self._apply_evacuation),
-            self.vm_mirror,
-        ]
-
-    def make_services(self):
-        """Return every service of the process."""
-        return [
-            self.registry,
-            self.peers,
-            self.presence,
-            self.chooser,
-            self.courier,
-            self.carrier,
-            *self.mirrors,
-            self.feed,
-            self.reader,
-            PageServer(
-                "directory",
-                self._settings.directory_address,
-                make_directory(self.directory.choose),
-            ),
-            PageServer(
-                "readiness",
-                self._settings.ready_address,
-                make_readiness(self.is_ready),
-            ),
-            PageServer(
-                "metrics",
-                (self._settings.ip, self._metrics_port),
-                {METRICS_PATH: _get_metrics},
-            ),
-            self.front,
-        ]
-
-    def _make_mirror(self, kind, apply, **keywords):
-        return Mirror(self.store, kind, apply, **keywords)
-
-    def take_settings(self, settings):
-        """Put changed settings in force; addresses change by a restart."""
-        bounds = settings.bounds
-        self.budget.set_bounds(
-            bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
-        )
-        self.registry.set_regions(settings.region_by_zone)
-        self.front.stop_s = bounds.stop_s
-
-    def is_ready(self):
-        """Tell whether callers should be sent here."""
-        if not self.front.is_listening() or self.peers.leaving:
-            return False
-        return self.registry.is_complete()
-
-    def _is_config_fresh(self):
-        return self.reader.is_fresh()
-
-    def _take_crash(self, crash):
-        self.poison.note_report(crash.fingerprint, crash.upstream, 1, self._now())
-
-    def _apply_config(self, name, version, value):
-        if name != CONFIG_NAME or value is None:
-            return
-        try:
-            config = read_config(orjson.loads(value))
-        except _UNREADABLE as error:
-            # The last good configuration stays in force.
-            _log_unreadable(CONFIG_KIND, name, version, error)
-            return
-        self.registry.set_config(config)
-
-    def _apply_upstream(self, name, version, value):
-        if value is None:
-            self.registry.remove_upstream(name)
-            return
-        try:
-            upstream = read_upstream(name, orjson.loads(value))
-        except _UNREADABLE as error:
-            _log_unreadable(UPSTREAM_KIND, name, version, error)
-            return
-        self.registry.put_upstream(upstream)
-
-    def _note_upstreams_known(self):
-        self.registry.has_upstreams = True
-
-    def _apply_evacuation(self, name, version, value):
-        self.registry.set_evacuated(name, value is not None)
-
-    def _note_vms_known(self):
-        self.presence.note_held(self.vm_mirror.get_object(self._settings.vm))
-
-    def _apply_vm(self, name, version, value):
-        if value is None:
-            if name == self._settings.vm:
-                self.presence.note_held(None)
-            self.peers.note_vm(name, None, "")
-            return
-        try:
-            found = orjson.loads(value)
-            host, availability_zone = found["host"], found["zone"]
-        except _UNREADABLE as error:
-            _log_unreadable(VM_KIND, name, version, error)
-            return
-        self.peers.note_vm(name, host, availability_zone)
-
-
-def _log_unreadable(kind, name, version, error):
-    log_message(
-        "vm:unreadable_object",
-        level="error",
-        kind=kind,
-        name=name,
-        version=version,
-        error=repr(error),
-    )
-
-
-def _get_metrics(query):
-    return Page(200, "text/plain; version=0.0.4", render_metrics())
-
-
-async def run(settings, arguments, stream, counters):
-    """Serve until the process is told to stop."""
-    path = arguments.settings
-    program = Program(settings, arguments.metrics_port, counters)
-    kernel = Kernel(program.make_services())
-    tasks = [
-        asyncio.create_task(_flush_often(stream)),
-        asyncio.create_task(_reload_when_changed(program, path)),
-    ]
-    try:
-        await kernel.run(lambda: reload(program, path, "hangup"))
-    finally:
-        for task in tasks:
-            task.cancel()
-        await program.store.close()
-        stream.flush()
-
-
-def reload(program, path, reason):
-    """Read the settings again; mistakes leave the former ones in force."""
-    read = read_settings(path)
-    if read.is_err():
-        log_message(
-            "vm:reload_failed",
-            level="error",
-            reason=reason,
-            problems=read.unwrap_err(),
-        )
-        return
-    program.take_settings(read.unwrap())
-    log_message("vm:reloaded", reason=reason)
-
-
-async def _reload_when_changed(program, path):
-    # The file may change without a signal.
-    former = _get_change_time(path)
-    while True:
-        await asyncio.sleep(SETTINGS_LOOK_S)
-        changed = _get_change_time(path)
-        if changed != former:
-            former = changed
-            reload(program, path, "file changed")
-
-
-def _get_change_time(path):
-    try:
-        return os.stat(path).st_mtime_ns
-    except OSError as error:
-        log_message("vm:no_settings", level="warning", error=str(error))
-        return None
-
-
-async def _flush_often(stream):
-    while True:
-        await asyncio.sleep(FLUSH_PAUSE_S)
-        stream.flush()
-
-
 def main(argv=None):
     """Run the program; return its exit code."""
+    # What SIGHUP does by default is end the process, and a settings file may
+    # change while a VM starts: the VM would be missing until somebody starts
+    # it again. The settings are read after this line, so nothing is lost; the
+    # kernel takes the signal later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     arguments = parse_arguments(argv)
+    changed_at = get_change_time(arguments.settings)
     read = read_settings(arguments.settings)
     if read.is_err():
         for problem in read.unwrap_err():
             print(problem, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    settings = read.unwrap()
     if arguments.check:
         return EXIT_OK
-    counters = Counters(make_meter(settings.vm, ROLE))
-    stream = set_up_log_stream(settings.vm, ROLE, time.monotonic, counters)
-    try:
-        asyncio.run(run(settings, arguments, stream, counters))
-    except OSError as error:
-        log_message("vm:failed", level="error", error=repr(error))
-        return EXIT_FAILED
-    return EXIT_OK
+    # The imports of the services take most of a start, half a second of a
+    # small VM, in which a signal that is not yet ignored would end it.
+    from godwitlanding.program import run_program
+
+    return run_program(read.unwrap(), changed_at, arguments)
 
 
 if __name__ == "__main__":
