--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -4,8 +4,6 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-from eliot import log_message
-
 from godwitlanding.decisions.fleet import get_carriers, make_own_peer
 from godwitlanding.decisions.homes import Homes, pick_homes
 from godwitlanding.decisions.placing import (
@@ -14,28 +12,17 @@
     is_worth_taking,
     place,
 )
-from godwitlanding.decisions.regionshare import (
-    FULL,
-    KEPT_OBJECTS,
-    RegionDealer,
-    RegionLoad,
-    get_known_share,
-    get_shares,
-    step,
-)
 from godwitlanding.decisions.worktime import Warmth
+from godwitlanding.gateway.regionplan import RegionPlan
 from godwitlanding.gateway.registry import Upstream
 from godwitlanding.kernel import Service
 from godwitlanding.rendezvous import choose
 
-PLAN_PAUSE_S = 0.5
+RECOVER_PAUSE_S = 1.0
 # First word on distance, in seconds there and back, until it is measured.
 ZONE_DISTANCE_S = 0.001
 REGION_DISTANCE_S = 0.004
 FAR_DISTANCE_S = 0.112
-# A region whose capacity changes by more than this share between two looks
-# has lost or gained upstreams, and its share moves at once.
-JUMP_SHARE = 0.34
 # Beside the planned share this part of the requests may go to whichever
 # region has room now; twice that is still below what users allow.
 OVERFLOW_SHARE = 0.05
@@ -43,8 +30,6 @@
 # An upstream this many times slower than usual takes longer for an object
 # that it knows than others for one that they do not (3.3 times).
 SLOW_FACTOR = 2.5
-# Shares are logged when they have moved this far since the last line.
-TOLD_CHANGE = 0.05
 # Objects remembered for each upstream as sent there; more than it knows.
 _MAX_KNOWN = 64
 
@@ -88,36 +73,41 @@
         self._own_peer = make_own_peer(identity)
         self._registry = None
         self._peers = None
-        self._task = None
-        self._shares_by_service = {}
-        self._told_shares_by_service = {}
-        self._capacity_by_service = {}
-        self._dealer_by_service = {}
+        self._tasks = []
+        self._plan = None
         self._overflow_by_service = {}
         self._homes = Homes()
         self._known_by_upstream = {}
         self._distance_by_zone = {}
         self._cold_next_by_upstream = {}
         self.ejected = set()
-        # This VM's own region first.
-        self._regions = sorted(
-            set(identity.region_by_zone.values()),
-            key=lambda region: (region != identity.region, region),
-        )
 
     async def start(self, kernel):
         """Begin to plan the regions' shares."""
         self._registry = kernel.get("registry")
         self._peers = kernel.get("peers")
-        self._task = asyncio.create_task(self._plan_often())
+        self._plan = RegionPlan(
+            self._identity,
+            self._registry,
+            self._peers,
+            self._worktimes,
+            self._homes,
+            self.ejected,
+        )
+        self._tasks = [
+            asyncio.create_task(self._plan.run()),
+            asyncio.create_task(self._recover_often()),
+        ]
 
     async def stop(self):
         """Plan no longer."""
-        self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
 
     def get_status(self):
         """Return the regions' shares by service."""
-        return {"shares": self._shares_by_service, "ejected": sorted(self.ejected)}
+        shares = self._plan.shares_by_service
+        return {"shares": shares, "ejected": sorted(self.ejected)}
 
     def note_distance(self, upstream, seconds):
         """Take the time that a connection took to open, there and back."""
@@ -180,7 +170,7 @@
             return Rejection("no upstream", None, to_target_s)
         if key:
             self._homes.note_object(service, key)
-        first = self._deal(service, regions, key)
+        first = self._plan.deal(service, regions, key)
         wanted = self._place(service, first, key, tried)
         if wanted and self._is_worth_taking(wanted, work, now):
             self._note_overflow(service, 0.0)
@@ -193,7 +183,7 @@
         for region in regions:
             if region == first:
                 continue
-            if crowded and not self._remembers_all(service, region):
+            if crowded and not self._plan.remembers_all(service, region):
                 # What overflows would push out what is known there.
                 continue
             other = self._place(service, region, key, tried)
@@ -214,30 +204,15 @@
             for upstream in self._registry.get_usable(service, region)
         )
 
-    def _remembers_all(self, service, region):
-        upstreams = len(self._registry.get_usable(service, region))
-        return get_known_share(upstreams, self._homes.get_objects(service)) >= 1.0
-
     def _get_regions(self, route, service):
         regions = []
-        for region in self._regions:
+        for region in self._plan.regions:
             if route.allowed_regions and region not in route.allowed_regions:
                 continue
             if self._registry.get_usable_ids(service, region):
                 regions.append(region)
         return regions
 
-    def _deal(self, service, regions, key):
-        shares = self._shares_by_service.get(service, {})
-        if not any(shares.values()) or len(regions) == 1:
-            return regions[0]
-        dealer = self._dealer_by_service.get(service)
-        if dealer is None:
-            dealer = RegionDealer(self._identity.region)
-            self._dealer_by_service[service] = dealer
-        region = dealer.pick(shares, key)
-        return region if region in regions else regions[0]
-
     def _place(self, service, region, key, tried):
         ids = self._registry.get_usable_ids(service, region)
         now = _now()
@@ -332,91 +307,10 @@
         moved = held + _OVERFLOW_WEIGHT * (seen - held)
         self._overflow_by_service[service] = moved
 
-    async def _plan_often(self):
-        turn = 0
+    async def _recover_often(self):
         while True:
-            self._plan()
-            await asyncio.sleep(PLAN_PAUSE_S)
-            turn += 1
-            if turn % 2 == 0:
-                self._worktimes.recover()
-
-    def _plan(self):
-        config = self._registry.config
-        if config is None:
-            return
-        for service in config.service_by_name:
-            load_by_region = self._get_loads(service)
-            if self._identity.region not in load_by_region:
-                continue
-            wanted = get_shares(self._identity.region, load_by_region)
-            self._move_shares(service, wanted, load_by_region)
-
-    def _get_loads(self, service):
-        work_s = self._worktimes.get_warm_s(service)
-        rate_by_region = self._peers.get_rates(service)
-        slots_by_region = {}
-        known_by_region = {}
-        objects = self._homes.get_objects(service)
-        for region in self._regions:
-            upstreams = [
-                upstream
-                for upstream in self._registry.get_usable(service, region)
-                if upstream.id not in self.ejected
-            ]
-            slots_by_region[region] = sum(upstream.slots for upstream in upstreams)
-            known_by_region[region] = get_known_share(
-                len(upstreams), objects, KEPT_OBJECTS
-            )
-        if not any(rate_by_region.values()):
-            # Nothing was measured yet: as if each region had an equal part
-            # of what all slots can serve.
-            even = sum(slots_by_region.values()) / work_s / len(slots_by_region)
-            rate_by_region = dict.fromkeys(slots_by_region, even)
-        load_by_region = {}
-        for region, slots in slots_by_region.items():
-            rate = rate_by_region.get(region, 0.0)
-            capacity = slots / work_s
-            if known_by_region[region] < 1.0:
-                capacity = min(capacity, rate * known_by_region[region] / FULL)
-            load_by_region[region] = RegionLoad(rate, capacity)
-        return load_by_region
-
-    def _move_shares(self, service, wanted, load_by_region):
-        slots = {
-            region: sum(u.slots for u in self._registry.get_usable(service, region))
-            for region in load_by_region
-        }
-        former = self._capacity_by_service.get(service)
-        self._capacity_by_service[service] = slots
-        jump = former is None or any(
-            abs(count - former.get(region, 0.0))
-            > JUMP_SHARE * max(count, former.get(region, 0.0))
-            for region, count in slots.items()
-        )
-        held = self._shares_by_service.get(service, {})
-        moved = wanted if jump else step(held, wanted, PLAN_PAUSE_S)
-        self._shares_by_service[service] = moved
-        self._log_shares(service, moved, jump, load_by_region)
-
-    def _log_shares(self, service, shares, jump, load_by_region):
-        told = self._told_shares_by_service.get(service, {})
-        names = told.keys() | shares.keys()
-        change = sum(abs(shares.get(n, 0.0) - told.get(n, 0.0)) for n in names)
-        if change < TOLD_CHANGE:
-            return
-        self._told_shares_by_service[service] = shares
-        log_message(
-            "chooser:shares",
-            service=service,
-            shares={name: round(share, 3) for name, share in shares.items()},
-            jump=jump,
-            peers=len(self._fleet.peer_by_vm),
-            load_by_region={
-                region: [round(figure, 1) for figure in load]
-                for region, load in load_by_region.items()
-            },
-        )
+            await asyncio.sleep(RECOVER_PAUSE_S)
+            self._worktimes.recover()
 
 
 def _now():
--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -1,6 +1,7 @@
 """Sends one request to one upstream and brings its answer, or says why not."""
 
 import asyncio
+import math
 
 from eliot import log_message
 
@@ -63,7 +64,7 @@
         if connection is None:
             begun = loop.time()
             try:
-                connection = await self._connect(upstream, choice, work)
+                connection = await self._connect(upstream, work.answer_by - begun)
             except UpstreamError as error:
                 self._worktimes.note_failure(work.service, upstream.id)
                 self._eject(upstream)
@@ -71,11 +72,12 @@
             self._chooser.note_distance(upstream, loop.time() - begun)
         return await self._send_on(connection, exchange, work, choice, sink)
 
-    async def _connect(self, upstream, choice, work):
-        left_s = work.answer_by - asyncio.get_running_loop().time()
-        timeout_s = CONNECT_SLACK_S + CONNECT_TRIPS * choice.distance_s
+    async def _connect(self, upstream, most_s=math.inf):
+        """Open a connection, waiting ``most_s`` at the most."""
+        distance_s = self._chooser.get_distance_s(upstream.availability_zone)
+        timeout_s = CONNECT_SLACK_S + CONNECT_TRIPS * distance_s
         return await self._pool.connect(
-            upstream.id, upstream.address, min(timeout_s, max(0.001, left_s))
+            upstream.id, upstream.address, min(timeout_s, max(0.001, most_s))
         )
 
     async def _send_on(self, connection, exchange, work, choice, sink):
@@ -102,15 +104,15 @@
             self._occupancy.end(upstream.id)
             if not whole:
                 connection.abort()
-        self._learn(upstream, work, choice, answer, loop.time() - sent_at)
+        outcome = judge(answer, self._names)
+        self._learn(upstream, work, choice, answer, outcome, loop.time() - sent_at)
         if not answer.is_stream:
             self._pool.give_back(upstream.id, connection)
-        return judge(answer, self._names), answer, ""
+        return outcome, answer, ""
 
-    def _learn(self, upstream, work, choice, answer, took_s):
+    def _learn(self, upstream, work, choice, answer, outcome, took_s):
         now = asyncio.get_running_loop().time()
         self._note_report(upstream, answer, now)
-        outcome = judge(answer, self._names)
         if outcome is Outcome.ANSWERED:
             self._worktimes.note_answer(
                 work.service,
@@ -139,11 +141,8 @@
         await asyncio.sleep(CRASH_CHECK_S)
         if upstream.id not in self._registry.upstream_by_id:
             return
-        distance_s = self._chooser.get_distance_s(upstream.availability_zone)
         try:
-            connection = await self._pool.connect(
-                upstream.id, upstream.address, CONNECT_SLACK_S + 2 * distance_s
-            )
+            connection = await self._connect(upstream)
         except UpstreamError:
             now = asyncio.get_running_loop().time()
             crashes = self._poison.note_crash(fingerprint, upstream.id, now)
@@ -169,16 +168,13 @@
 
     async def _try_again(self, upstream):
         pause_s = FIRST_EJECT_S
-        distance_s = self._chooser.get_distance_s(upstream.availability_zone)
         while True:
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_EJECT_S, pause_s * 2)
             if upstream.id not in self._registry.upstream_by_id:
                 return
             try:
-                connection = await self._pool.connect(
-                    upstream.id, upstream.address, CONNECT_SLACK_S + 2 * distance_s
-                )
+                connection = await self._connect(upstream)
             except UpstreamError:
                 continue
             self._pool.give_back(upstream.id, connection)
--- /dev/null
+++ b/godwitlanding/gateway/regionplan.py
@@ -0,0 +1,155 @@
+"""Follows what share of each service's requests should run in which region.
+
+The rules are in ``decisions.regionshare``; this knows the upstreams, the
+objects, and what arrives in each region.
+"""
+
+import asyncio
+
+from eliot import log_message
+
+from godwitlanding.decisions.regionshare import (
+    FULL,
+    KEPT_OBJECTS,
+    RegionDealer,
+    RegionLoad,
+    get_known_share,
+    get_shares,
+    step,
+)
+
+PLAN_PAUSE_S = 0.5
+# A region whose capacity changes by more than this share between two looks
+# has lost or gained upstreams, and its share moves at once.
+JUMP_SHARE = 0.34
+# Shares are logged when they have moved this far since the last line.
+TOLD_CHANGE = 0.05
+
+
+class RegionPlan:
+    """The regions' shares by service, and who is dealt out to which.
+
+    ``ejected`` is the set of upstreams that cannot be reached.
+    """
+
+    def __init__(self, identity, registry, peers, worktimes, homes, ejected):
+        self._region = identity.region
+        self._registry = registry
+        self._peers = peers
+        self._worktimes = worktimes
+        self._homes = homes
+        self._ejected = ejected
+        self._told_by_service = {}
+        self._slots_by_service = {}
+        self._dealer_by_service = {}
+        self.shares_by_service = {}
+        # This VM's own region first.
+        self.regions = sorted(
+            set(identity.region_by_zone.values()),
+            key=lambda region: (region != identity.region, region),
+        )
+
+    async def run(self):
+        """Plan again and again."""
+        while True:
+            self._plan()
+            await asyncio.sleep(PLAN_PAUSE_S)
+
+    def deal(self, service, regions, key):
+        """Return which of ``regions``, nearest first, a request runs in."""
+        shares = self.shares_by_service.get(service, {})
+        if not any(shares.values()) or len(regions) == 1:
+            return regions[0]
+        dealer = self._dealer_by_service.get(service)
+        if dealer is None:
+            dealer = self._dealer_by_service[service] = RegionDealer(self._region)
+        region = dealer.pick(shares, key)
+        return region if region in regions else regions[0]
+
+    def remembers_all(self, service, region):
+        """Tell whether a region's upstreams can keep every object in mind."""
+        upstreams = len(self._registry.get_usable(service, region))
+        return get_known_share(upstreams, self._homes.get_objects(service)) >= 1.0
+
+    def _plan(self):
+        config = self._registry.config
+        if config is None:
+            return
+        for service in config.service_by_name:
+            load_by_region = self._get_loads(service)
+            if self._region not in load_by_region:
+                continue
+            wanted = get_shares(self._region, load_by_region)
+            self._move(service, wanted, load_by_region)
+
+    def _get_loads(self, service):
+        work_s = self._worktimes.get_warm_s(service)
+        rate_by_region = self._peers.get_rates(service)
+        objects = self._homes.get_objects(service)
+        slots_by_region = {}
+        known_by_region = {}
+        for region in self.regions:
+            upstreams = [
+                upstream
+                for upstream in self._registry.get_usable(service, region)
+                if upstream.id not in self._ejected
+            ]
+            slots_by_region[region] = sum(upstream.slots for upstream in upstreams)
+            known_by_region[region] = get_known_share(
+                len(upstreams), objects, KEPT_OBJECTS
+            )
+        if not any(rate_by_region.values()):
+            # Nothing was measured yet: as if each region had an equal part
+            # of what all slots can serve.
+            even = sum(slots_by_region.values()) / work_s / len(slots_by_region)
+            rate_by_region = dict.fromkeys(slots_by_region, even)
+        load_by_region = {}
+        for region, slots in slots_by_region.items():
+            rate = rate_by_region.get(region, 0.0)
+            capacity = slots / work_s
+            if known_by_region[region] < 1.0:
+                capacity = min(capacity, rate * known_by_region[region] / FULL)
+            load_by_region[region] = RegionLoad(rate, capacity)
+        return load_by_region
+
+    def _move(self, service, wanted, load_by_region):
+        jump = self._has_jumped(service, load_by_region)
+        held = self.shares_by_service.get(service, {})
+        moved = wanted if jump else step(held, wanted, PLAN_PAUSE_S)
+        self.shares_by_service[service] = moved
+        self._log(service, moved, jump, load_by_region)
+
+    def _has_jumped(self, service, regions):
+        """Tell whether a region has lost or gained many slots."""
+        slots = {
+            region: sum(u.slots for u in self._registry.get_usable(service, region))
+            for region in regions
+        }
+        former = self._slots_by_service.get(service)
+        self._slots_by_service[service] = slots
+        if former is None:
+            return True
+        return any(
+            abs(count - former.get(region, 0.0))
+            > JUMP_SHARE * max(count, former.get(region, 0.0))
+            for region, count in slots.items()
+        )
+
+    def _log(self, service, shares, jump, load_by_region):
+        told = self._told_by_service.get(service, {})
+        names = told.keys() | shares.keys()
+        change = sum(abs(shares.get(n, 0.0) - told.get(n, 0.0)) for n in names)
+        if change < TOLD_CHANGE:
+            return
+        self._told_by_service[service] = shares
+        log_message(
+            "chooser:shares",
+            service=service,
+            shares={name: round(share, 3) for name, share in shares.items()},
+            jump=jump,
+            vms=self._peers.count_vms(),
+            load_by_region={
+                region: [round(figure, 1) for figure in load]
+                for region, load in load_by_region.items()
+            },
+        )
--- a/godwitlanding/gateway/upstream.py
+++ b/godwitlanding/gateway/upstream.py
@@ -85,7 +85,6 @@
         self.reusable = True
         self.idle_since = 0.0
         self.idle_s = DEFAULT_IDLE_S
-        self.used = 0
 
     def connection_made(self, transport):
         self._transport = transport
@@ -101,7 +100,6 @@
         self._without_body = without_body
         self._sink = sink
         self._waiter = self._loop.create_future()
-        self.used += 1
         self._transport.write(data)
         return self._waiter
 
--- a/godwitlanding/tests/soak/kept.py
+++ b/godwitlanding/tests/soak/kept.py
@@ -19,4 +19,22 @@
         Fault(7.16, 1.04, "operator", "evacuate", 30),
         Fault(7.96, 4.71, "operator", "config", 94),
     ),
+    # Seed 205. SIGHUP reached a VM while it was importing its libraries,
+    # which ends a process by default; the VM was missing from then on.
+    "hangup while a VM starts": (
+        Fault(0.87, 4.06, "store_link", "deaf_up", 45),
+        Fault(1.34, 3.18, "vm", "herd", 45),
+        Fault(1.74, 0.78, "store", "down", 80),
+        Fault(2.48, 0.88, "vm", "herd", 86),
+        Fault(2.56, 0.36, "upstream", "slow", 9),
+        Fault(3.12, 4.55, "store", "slow", 39),
+        Fault(3.85, 1.28, "vm", "hangup", 96),
+        Fault(3.99, 0.29, "operator", "config", 32),
+        Fault(4.63, 0.9, "upstream", "drain", 2),
+        Fault(4.75, 2.84, "upstream_link", "silent", 0),
+        Fault(5.09, 3.04, "store", "hang", 11),
+        Fault(6.49, 0.38, "upstream_link", "delayed", 30),
+        Fault(6.64, 0.31, "vm", "term", 34),
+        Fault(7.96, 1.92, "operator", "config", 91),
+    ),
 }
