--- a/godwitlanding/tests/gateway/test_mirror.py
+++ b/godwitlanding/tests/gateway/test_mirror.py
@@ -80,8 +80,8 @@
     ]
 
 
-async def follow(seconds, *steps, guard=None):
-    """Return what is held after a time, and the calls that were made."""
+def make_mirror(*steps, guard=None):
+    """Return a mirror of a scripted store, the store, and what is held."""
     store = ScriptedStore(*steps)
     held = {}
 
@@ -91,7 +91,12 @@
         else:
             held[name] = value
 
-    mirror = Mirror(store, KIND, apply, guard)
+    return Mirror(store, KIND, apply, guard), store, held
+
+
+async def follow(seconds, *steps, guard=None):
+    """Return what is held after a time, and the calls that were made."""
+    mirror, store, held = make_mirror(*steps, guard=guard)
     mirror.follow()
     await asyncio.sleep(seconds)
     await mirror.stop()
@@ -169,18 +174,6 @@
     assert held == {"a": b"v"}
 
 
-def make_fed_mirror(*steps):
-    held = {}
-
-    def apply(name, version, value):
-        if value is None:
-            held.pop(name, None)
-        else:
-            held[name] = value
-
-    return Mirror(ScriptedStore(*steps), KIND, apply), held
-
-
 def whole(revision, *objects):
     changed_at = max((stored.version for stored in objects), default=0)
     return Change(revision, changed_at, objects, (), True)
@@ -224,7 +217,7 @@
 async def test_sources_that_differ_never_take_a_mirror_back(changes, expected):
     # A VM is fed by one neighbour and then by another that is behind. If it
     # took its word, it would send to upstreams that have left.
-    mirror, held = make_fed_mirror()
+    mirror, _, held = make_mirror()
     for change in changes:
         mirror.take_over(change)
     assert set(held) == expected
@@ -234,7 +227,7 @@
     # A watch of the VM's own was held up on its way; a neighbour has told
     # meanwhile that the upstream came and left.
     event = WatchEvent(make_object("b", 7), False)
-    mirror, held = make_fed_mirror(listed(5), after_s(1, watched(7, event)))
+    mirror, _, held = make_mirror(listed(5), after_s(1, watched(7, event)))
     mirror.follow()
     await asyncio.sleep(0.5)
     mirror.take_over(Change(9, 9, (), ("b",)))
@@ -246,7 +239,7 @@
 async def test_followers_are_told_each_change_once():
     event = WatchEvent(make_object("b", 9), False)
     gone = WatchEvent(make_object("a", 11), True)
-    mirror, _ = make_fed_mirror(
+    mirror, _, _ = make_mirror(
         listed(5, make_object("a")), watched(9, event), watched(10), watched(11, gone)
     )
     told = []
