Read entries of other writers as nobody's, and upstreams that start anew

An entry in the store may come from another writer, and an upstream may start again under its id (`born`). Cause: every field was taken as it came, one object that strict JSON refuses made the whole list unreadable, and what was held of an upstream's former life (warmth, connections, ejection, crash records) stood. Now each field is checked, an odd object names no upstream and hides no other, an older start never replaces a newer one, and an upstream that could not be reached counts as cold until its entry tells.

--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -145,8 +145,9 @@
             connection = await self._connect(upstream)
         except UpstreamError:
             now = asyncio.get_running_loop().time()
-            crashes = self._poison.note_crash(fingerprint, upstream.id, now)
-            self._peers.note_crash(Crash(fingerprint, upstream.id))
+            crashed = upstream.incarnation
+            crashes = self._poison.note_crash(fingerprint, crashed, now)
+            self._peers.note_crash(Crash(fingerprint, crashed))
             log_message(
                 "courier:crash",
                 level="warning",
@@ -178,6 +179,8 @@
             except UpstreamError:
                 continue
             self._pool.give_back(upstream.id, connection)
+            now = asyncio.get_running_loop().time()
+            self._registry.note_reached_again(upstream.id, now)
             self._chooser.ejected.discard(upstream.id)
             log_message("courier:reachable", upstream=upstream.id)
             return
--- a/godwitlanding/gateway/registry.py
+++ b/godwitlanding/gateway/registry.py
@@ -7,6 +7,9 @@
 
 from godwitlanding.kernel import Service
 
+# Upstreams renew their entries every 1.5 s; a change needs 0.25 s to get here.
+ENTRY_WITHIN_S = 2.0
+
 
 class Upstream(NamedTuple):
     """An upstream as its entry in the store tells it.
@@ -22,13 +25,21 @@
     slots: int
     leaving: bool
     cold_s: float
+    # When it started, as Unix milliseconds by its own clock; 0 where it does
+    # not say. One that starts again under its id knows nothing of before.
+    born_ms: int = 0
+
+    @property
+    def incarnation(self):
+        """Return the name of this start of it, unlike that of any other."""
+        return f"{self.id}@{self.born_ms}" if self.born_ms else self.id
 
 
 class Registry(Service):
     """Holds the newest known state; others ask it and are told of changes.
 
-    ``on_upstream_gone`` is called with the id of each upstream that leaves
-    or is gone, ``on_config`` with each new configuration.
+    ``on_upstream_gone`` is called with the id of each upstream that leaves,
+    is gone or has started anew, ``on_config`` with each new configuration.
     """
 
     name = "registry"
@@ -40,6 +51,7 @@
         self._usable_by_place = {}
         self._usable_ids_by_place = {}
         self._cold_until_by_upstream = {}
+        self._unsure_until_by_upstream = {}
         self.config = None
         self.config_seen_at = 0.0
         self.upstream_by_id = {}
@@ -72,7 +84,18 @@
 
     def get_cold_left_s(self, upstream_id, now):
         """Return the seconds for which an upstream stays cold, 0 if warm."""
-        return max(0.0, self._cold_until_by_upstream.get(upstream_id, 0.0) - now)
+        cold_until = self._cold_until_by_upstream.get(upstream_id, 0.0)
+        unsure_until = self._unsure_until_by_upstream.get(upstream_id, 0.0)
+        return max(0.0, max(cold_until, unsure_until) - now)
+
+    def note_reached_again(self, upstream_id, now):
+        """An upstream that could not be reached answers again.
+
+        It may have started anew under its id, cold, and a cold one crashes
+        under the load that it bore before. Its next entry tells; until then
+        it is taken for cold.
+        """
+        self._unsure_until_by_upstream[upstream_id] = now + ENTRY_WITHIN_S
 
     def note_cold(self, upstream_id, cold_s, now):
         """An upstream says that it is cold for this long."""
@@ -106,7 +129,21 @@
     def put_upstream(self, upstream):
         """Take an upstream's entry."""
         held = self.upstream_by_id.get(upstream.id)
+        if held and upstream.born_ms < held.born_ms:
+            # A write of its former life that the store did late.
+            log_message(
+                "registry:older_start",
+                level="warning",
+                upstream=upstream.id,
+                born_ms=upstream.born_ms,
+                known_born_ms=held.born_ms,
+            )
+            return
+        reborn = held is not None and upstream.born_ms > held.born_ms > 0
+        if reborn:
+            self._forget_start(upstream, held)
         self.upstream_by_id[upstream.id] = upstream
+        self._unsure_until_by_upstream.pop(upstream.id, None)
         self.note_cold(upstream.id, upstream.cold_s, _now())
         if held and held._replace(cold_s=upstream.cold_s) == upstream:
             return
@@ -117,17 +154,29 @@
             availability_zone=upstream.availability_zone,
             leaving=upstream.leaving,
             cold_s=upstream.cold_s,
+            born_ms=upstream.born_ms,
         )
         self._rebuild()
         if upstream.leaving:
             self._tell_gone(upstream.id)
 
+    def _forget_start(self, upstream, held):
+        log_message(
+            "registry:upstream_reborn",
+            upstream=upstream.id,
+            born_ms=upstream.born_ms,
+            former_born_ms=held.born_ms,
+        )
+        self._cold_until_by_upstream.pop(upstream.id, None)
+        self._tell_gone(upstream.id)
+
     def remove_upstream(self, upstream_id):
         """An upstream's entry is gone."""
         if self.upstream_by_id.pop(upstream_id, None) is None:
             return
         log_message("registry:upstream_gone", upstream=upstream_id)
         self._cold_until_by_upstream.pop(upstream_id, None)
+        self._unsure_until_by_upstream.pop(upstream_id, None)
         self._rebuild()
         self._tell_gone(upstream_id)
 
--- a/godwitlanding/platform/entries.py
+++ b/godwitlanding/platform/entries.py
@@ -1,5 +1,7 @@
 """Decodes what the operator and the upstreams keep in the platform's store."""
 
+import ipaddress
+
 from godwitlanding.decisions.routes import (
     Limits,
     Route,
@@ -19,6 +21,7 @@
 VM_KIND = "godwit-vms"
 
 _DEFAULT_PRIORITY = 1
+_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
 def _read_rows(table):
@@ -90,14 +93,53 @@
 
 
 def read_upstream(name, spec):
-    """Return the ``Upstream`` whose entry is called ``name``; raises alike."""
-    host, _, port = spec["address"].rpartition(":")
+    """Return the ``Upstream`` whose entry is called ``name``.
+
+    Anybody may write into the store, so every field that an upstream writes
+    is checked, also those that nothing here uses. Raises ``ValueError``,
+    ``KeyError`` or ``TypeError`` where the entry is not one of an upstream.
+    """
+    _take(spec, "version", str)
+    _take(spec, "seq", int)
     return Upstream(
         id=name,
-        service=spec["service"],
-        address=(host, int(port)),
-        availability_zone=spec["zone"],
-        slots=int(spec["slots"]),
-        leaving=spec["state"] != "ready",
-        cold_s=read_seconds(spec.get("cold_remaining", "0s")),
+        service=_take(spec, "service", str),
+        address=_read_address(_take(spec, "address", str)),
+        availability_zone=_take(spec, "zone", str),
+        slots=_read_slots(_take(spec, "slots", int)),
+        leaving=_LEAVING_BY_STATE[_take(spec, "state", str)],
+        cold_s=read_seconds(spec["cold_remaining"]),
+        born_ms=_take(spec, "born", int) if "born" in spec else 0,
     )
+
+
+def read_vm(spec):
+    """Return the IP number and the availability zone of an entry VM.
+
+    Raises as ``read_upstream`` does.
+    """
+    host = _take(spec, "host", str)
+    ipaddress.IPv4Address(host)
+    return host, _take(spec, "zone", str)
+
+
+def _take(spec, name, kind):
+    value = spec[name]
+    # To Python a bool is a whole number.
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise TypeError(f"{name} is {value!r}")
+    return value
+
+
+def _read_slots(number):
+    if number < 1:
+        raise ValueError(f"{number} slots")
+    return number
+
+
+def _read_address(text):
+    host, _, port = text.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not 0 < int(port) < 65536:
+        raise ValueError(f"{port} is no port")
+    return host, int(port)
--- a/godwitlanding/platform/store.py
+++ b/godwitlanding/platform/store.py
@@ -1,10 +1,12 @@
 """The client of the platform's metadata store, behind the product's types."""
 
 import asyncio
+import json
 import socket
 
 import aiohttp
 import orjson
+from eliot import log_message
 from result import Err, Ok
 from yarl import URL
 
@@ -65,7 +67,7 @@
                 return answer
             page = answer.unwrap()
             try:
-                objects.extend(_read_object(kind, item) for item in page["items"])
+                objects.extend(_read_objects(kind, page["items"]))
                 if version is None:
                     # What changes while the further pages are read is told
                     # by a watch from here.
@@ -73,9 +75,10 @@
                 more = page.get("more")
             except (KeyError, TypeError, ValueError) as error:
                 return _make_unavailable(f"list cannot be read: {error!r}")
-            if not more or not objects:
+            last = objects[-1].name if objects else ""
+            if not more or last == after:
                 return Ok(Snapshot(version, tuple(objects)))
-            after = objects[-1].name
+            after = last
 
     async def get(self, kind, name):
         """Return ``Ok(StoredObject)``."""
@@ -110,7 +113,7 @@
             return answer
         try:
             page = answer.unwrap()
-            events = tuple(_read_event(kind, event) for event in page["events"])
+            events = tuple(_read_events(kind, page["events"]))
             return Ok(WatchBatch(int(page["store_revision"]), events))
         except (KeyError, TypeError, ValueError) as error:
             return _make_unavailable(f"watch cannot be read: {error!r}")
@@ -141,8 +144,8 @@
             return _make_unavailable(repr(error))
         if response.status in (200, 201):
             try:
-                return Ok(orjson.loads(text) if text else {})
-            except ValueError as error:
+                return Ok(_read_json(text) if text else {})
+            except (ValueError, RecursionError) as error:
                 return _make_unavailable(f"answer cannot be read: {error!r}")
         code = _CODE_BY_STATUS.get(response.status, Code.PLATFORM_UNAVAILABLE)
         return Err(make_refusal(code, detail=f"answered {response.status}"))
@@ -159,11 +162,57 @@
     return Err(make_refusal(Code.PLATFORM_UNAVAILABLE, detail=detail))
 
 
-def _read_object(kind, item):
-    metadata = item["metadata"]
-    value = orjson.dumps(item.get("spec"))
-    return StoredObject(kind, metadata["name"], int(metadata["rev"]), value)
+def _read_json(text):
+    """Return a body as objects; raises ``ValueError`` or ``RecursionError``.
+
+    A list holds what anybody wrote. One entry with bytes that are no text,
+    half of a surrogate pair or a number beyond 64 bits makes the strict
+    parser refuse the whole list, and every VM would keep what it knew before
+    for as long as that entry stands; the lenient one reads the others.
+    """
+    try:
+        return orjson.loads(text)
+    except orjson.JSONDecodeError as error:
+        log_message("store:not_strict_json", level="warning", detail=str(error))
+        return json.loads(text.decode("utf-8", errors="replace"))
+
+
+def _read_objects(kind, items):
+    for item in items:
+        stored = _read_object(kind, item)
+        if stored:
+            yield stored
 
 
-def _read_event(kind, event):
-    return WatchEvent(_read_object(kind, event["object"]), bool(event["removed"]))
+def _read_events(kind, events):
+    for event in events:
+        stored = _read_object(kind, event["object"])
+        if stored:
+            yield WatchEvent(stored, bool(event["removed"]))
+
+
+def _read_object(kind, item):
+    """Return the ``StoredObject``, ``None`` for one without a name.
+
+    What it holds may be nothing that can be read; then its value is empty,
+    so that the object is known to be there and to say nothing.
+    """
+    try:
+        metadata = item["metadata"]
+        name, version = str(metadata["name"]), int(metadata["rev"])
+    except (KeyError, TypeError, ValueError) as error:
+        log_message("store:unnamed_object", level="error", kind=kind, error=repr(error))
+        return None
+    try:
+        value = orjson.dumps(item.get("spec"))
+    except (TypeError, RecursionError) as error:
+        log_message(
+            "store:unreadable_object",
+            level="error",
+            kind=kind,
+            name=name,
+            version=version,
+            error=repr(error),
+        )
+        value = b""
+    return StoredObject(kind, name, version, value)
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -41,6 +41,7 @@
     VM_KIND,
     read_config,
     read_upstream,
+    read_vm,
 )
 from godwitlanding.platform.headers import HEADER_NAMES
 from godwitlanding.platform.settings import get_change_time, read_settings
@@ -55,7 +56,7 @@
 SETTINGS_LOOK_S = 1.0
 # Each line is written at once; this is for what a slow reader did not take.
 FLUSH_PAUSE_S = 0.5
-_UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
+_UNREADABLE = (ValueError, LookupError, TypeError, AttributeError, ArithmeticError)
 
 
 class Program:
@@ -194,7 +195,10 @@
         try:
             upstream = read_upstream(name, orjson.loads(value))
         except _UNREADABLE as error:
+            # Somebody else wrote over it: whatever is at the address now,
+            # nothing tells that it is the upstream it was.
             _log_unreadable(UPSTREAM_KIND, name, version, error)
+            self.registry.remove_upstream(name)
             return
         self.registry.put_upstream(upstream)
 
@@ -214,10 +218,10 @@
             self.peers.note_vm(name, None, "")
             return
         try:
-            found = orjson.loads(value)
-            host, availability_zone = found["host"], found["zone"]
+            host, availability_zone = read_vm(orjson.loads(value))
         except _UNREADABLE as error:
             _log_unreadable(VM_KIND, name, version, error)
+            self.peers.note_vm(name, None, "")
             return
         self.peers.note_vm(name, host, availability_zone)
 
--- /dev/null
+++ b/godwitlanding/tests/gateway/test_entries.py
@@ -0,0 +1,137 @@
+"""What the store says of upstreams, from whoever wrote it."""
+
+import orjson
+import pytest
+
+from godwitlanding.codes import Code
+from godwitlanding.metrics import Counters
+from godwitlanding.platform.entries import read_upstream, read_vm
+from godwitlanding.platform.store import ObjectStore
+from godwitlanding.tests.tools.network import claim_world_prefix
+from godwitlanding.tests.tools.standin_store import StandinStore
+
+ENTRY = {
+    "service": "s",
+    "address": "127.0.0.1:9000",
+    "zone": "a1",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_remaining": "1500ms",
+    "seq": 0,
+    "born": 1_790_000_000_123,
+}
+MISSING = object()
+# Everything that may be wrong with an entry by its field.
+FOREIGN_BY_FIELD = {
+    "service": (MISSING, None, 7, ["s"]),
+    "address": (MISSING, None, "", "127.0.0.1", "host:9000", "127.0.0.1:0", 9000),
+    "zone": (MISSING, None, 1, {}),
+    "version": (MISSING, None, 1),
+    "slots": (MISSING, None, "3", 3.5, 0, -1, True),
+    "state": (MISSING, None, "resting", 1, ["ready"]),
+    "cold_remaining": (MISSING, None, 0, "soon", "nans", "infs", "-1s"),
+    "seq": (MISSING, None, "4", 1.5),
+    "born": (None, "1790000000123", 1.5, True),
+}
+CASES = [
+    pytest.param(field, value, id=f"{field}-{number}")
+    for field, values in FOREIGN_BY_FIELD.items()
+    for number, value in enumerate(values)
+]
+UNREADABLE = (ValueError, LookupError, TypeError, AttributeError)
+
+
+def test_entry_of_an_upstream_is_read():
+    upstream = read_upstream("u", ENTRY)
+    assert upstream.address == ("127.0.0.1", 9000)
+    assert upstream.cold_s == 1.5
+    assert not upstream.leaving
+    assert upstream.born_ms == ENTRY["born"]
+
+
+def test_entry_without_its_start_is_read():
+    entry = {name: value for name, value in ENTRY.items() if name != "born"}
+    assert read_upstream("u", entry).born_ms == 0
+
+
+@pytest.mark.parametrize(("field", "value"), CASES)
+def test_foreign_entry_is_no_upstream(field, value):
+    # Another program writes into the same store. Taken for an upstream, its
+    # entry would draw callers' requests to an address where nobody answers.
+    entry = dict(ENTRY)
+    if value is MISSING:
+        del entry[field]
+    else:
+        entry[field] = value
+    with pytest.raises(UNREADABLE):
+        read_upstream("u", entry)
+
+
+@pytest.mark.parametrize("spec", [None, [], "text", 7, {}], ids=repr)
+def test_foreign_object_is_no_upstream_and_no_vm(spec):
+    with pytest.raises(UNREADABLE):
+        read_upstream("u", spec)
+    with pytest.raises(UNREADABLE):
+        read_vm(spec)
+
+
+def test_vm_at_a_name_is_no_vm():
+    # Datagrams to a name would wait for the resolver and hold up everything.
+    with pytest.raises(ValueError):
+        read_vm({"host": "example.org", "zone": "a1"})
+
+
+# What stands for an item in a list's bytes, and whether it has a name.
+ODD_ITEMS = [
+    pytest.param(b'{"metadata":{"name":"x","rev":9},"spec":"\xff\xfe"}', id="no text"),
+    pytest.param(b'{"metadata":{"name":"x","rev":9},"spec":"\\ud800"}', id="half pair"),
+    pytest.param(
+        b'{"metadata":{"name":"x","rev":9},"spec":1e999}', id="no finite number"
+    ),
+    pytest.param(
+        b'{"metadata":{"name":"x","rev":9},"spec":%d}' % 10**30, id="long number"
+    ),
+    pytest.param(b'{"metadata":{"name":"x","rev":9}}', id="empty"),
+    pytest.param(b'{"metadata":{"rev":9},"spec":{}}', id="no name"),
+    pytest.param(b'{"metadata":7,"spec":{}}', id="no metadata"),
+    pytest.param(b"7", id="no object"),
+]
+SOUND = b'{"metadata":{"name":"u","rev":8},"spec":{"x":1}}'
+
+
+@pytest.fixture
+async def standin():
+    standin = await StandinStore(f"{claim_world_prefix()}2", 8541).start()
+    yield standin
+    standin.crash()
+
+
+@pytest.mark.parametrize("item", ODD_ITEMS)
+@pytest.mark.parametrize("call", ["snapshot", "watch"])
+async def test_one_odd_object_hides_no_other(standin, item, call):
+    # A foreign program leaves something in the store that cannot be read.
+    # Refusing the whole list for it would leave every VM with the upstreams
+    # of before, and a drained one would go on getting requests.
+    standin.raw_items = [SOUND, item]
+    store = ObjectStore(standin.address, Counters())
+    try:
+        if call == "snapshot":
+            objects = (await store.snapshot("things")).unwrap().objects
+        else:
+            batch = (await store.watch("things", 1, 0.2)).unwrap()
+            objects = [event.stored for event in batch.events]
+    finally:
+        await store.close()
+    assert [o.value for o in objects if o.name == "u"] == [orjson.dumps({"x": 1})]
+    assert {o.name for o in objects} <= {"u", "x"}
+
+
+async def test_answer_that_is_no_list_is_an_error(standin):
+    standin.raw_body = b'{"items":'
+    store = ObjectStore(standin.address, Counters())
+    try:
+        refusal = (await store.snapshot("things")).unwrap_err()
+    finally:
+        await store.close()
+    assert refusal.code is Code.PLATFORM_UNAVAILABLE
--- /dev/null
+++ b/godwitlanding/tests/gateway/test_registry.py
@@ -0,0 +1,74 @@
+"""Upstreams that start again under the id that they had."""
+
+import asyncio
+
+import pytest
+
+from godwitlanding.gateway.registry import ENTRY_WITHIN_S, Registry, Upstream
+
+pytestmark = pytest.mark.looptime
+
+
+def make_upstream(born_ms, cold_s=0.0, leaving=False):
+    return Upstream("u", "s", ("127.0.0.1", 1), "a1", 3, leaving, cold_s, born_ms)
+
+
+def make_registry(*upstreams):
+    registry = Registry({"a1": "a"})
+    gone = []
+    registry.on_upstream_gone.append(gone.append)
+    for upstream in upstreams:
+        registry.put_upstream(upstream)
+    return registry, gone
+
+
+def get_cold_left_s(registry):
+    return registry.get_cold_left_s("u", asyncio.get_running_loop().time())
+
+
+async def test_reborn_upstream_is_another_one():
+    # An upstream crashes and starts again within its heartbeats, so that its
+    # entry never vanishes. It is cold and knows no object; with what is held
+    # of its former life it would be sent its full load, and crash again.
+    registry, gone = make_registry(make_upstream(100), make_upstream(200, 3.0))
+    assert gone == ["u"]
+    assert get_cold_left_s(registry) == pytest.approx(3.0)
+    assert registry.get_usable_ids("s", "a") == ("u",)
+
+
+async def test_reborn_upstream_takes_work_after_it_was_leaving():
+    registry, _ = make_registry(make_upstream(100, leaving=True), make_upstream(200))
+    assert registry.get_usable_ids("s", "a") == ("u",)
+
+
+async def test_late_write_of_a_former_life_changes_nothing():
+    # The store does a write seconds after it was sent, when the upstream has
+    # started anew. Believed, it would take a new upstream out of use.
+    registry, gone = make_registry(make_upstream(200), make_upstream(100, leaving=True))
+    assert gone == []
+    assert registry.get_usable_ids("s", "a") == ("u",)
+
+
+@pytest.mark.parametrize("born_ms", [0, 100])
+async def test_heartbeat_of_the_same_life_changes_nothing(born_ms):
+    upstream = make_upstream(born_ms)
+    _, gone = make_registry(upstream, upstream)
+    assert gone == []
+
+
+async def test_upstream_that_is_reached_again_is_taken_for_cold_until_it_tells():
+    # A connection opens again to an upstream that could not be reached. It
+    # may have started anew, and its entry that says so is still on its way.
+    registry, _ = make_registry(make_upstream(100))
+    now = asyncio.get_running_loop().time()
+    registry.note_reached_again("u", now)
+    assert get_cold_left_s(registry) == pytest.approx(ENTRY_WITHIN_S)
+    registry.put_upstream(make_upstream(100))
+    assert get_cold_left_s(registry) == 0.0
+
+
+async def test_each_life_of_an_upstream_that_a_request_ends_counts():
+    # One request ends the same upstream twice. Counted by the id alone that
+    # would be one crash, and the request would go on to the next upstream.
+    first, second = make_upstream(100), make_upstream(200)
+    assert first.incarnation != second.incarnation
--- a/godwitlanding/tests/tools/standin_store.py
+++ b/godwitlanding/tests/tools/standin_store.py
@@ -11,7 +11,7 @@
 from types import SimpleNamespace
 
 from starlette.applications import Starlette
-from starlette.responses import JSONResponse
+from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from godwitlanding.tests.tools.listener import Listener, reset
@@ -29,6 +29,10 @@
             status=0, lose_answers=0, silent=False, delay_s=0.0, deaf=False
         )
         self.calls = []
+        # Bytes of the objects, or of the whole body, that each list and
+        # watch is answered with in place of what is held.
+        self.raw_items = []
+        self.raw_body = b""
         self._object_by_name_by_kind = {}
         self._events = []
         self._oldest = 0
@@ -125,6 +129,8 @@
 
     async def _answer(self, request, kind):
         name = request.path_params.get("name")
+        if self.raw_items or self.raw_body:
+            return Response(self.raw_body or self._make_raw(request))
         if request.method == "POST":
             return await self._create(kind, await request.json())
         if name is None and "watch" in request.query_params:
@@ -138,6 +144,14 @@
             return JSONResponse(held)
         return await self._change(request, kind, name, held)
 
+    def _make_raw(self, request):
+        if "watch" not in request.query_params:
+            return b'{"items":[%b],"more":false,"store_revision":9}' % b",".join(
+                self.raw_items
+            )
+        events = [b'{"removed":false,"object":%b}' % item for item in self.raw_items]
+        return b'{"events":[%b],"store_revision":9}' % b",".join(events)
+
     async def _create(self, kind, body):
         name = body["metadata"]["name"]
         held = self._get_kind(kind).get(name)
