Keep objects where any VM knows them to be known

Change: VMs tell each other which upstream got which object (decisions.objectmap), an object stays where it is known while that is in time, a new object goes to the least crowded of the first three in its order, and what moves callers between regions beside the plan is bounded (decisions.shiftguard). The test of a full home now serves the region first, since a VM that served nobody has no share to keep; its bound is the same.

--- a/godwitlanding/decisions/digest.py
+++ b/godwitlanding/decisions/digest.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from godwitlanding.decisions.fleet import find_strong, pick_strong
+from godwitlanding.decisions.objectmap import Meeting
 from godwitlanding.rendezvous import rank
 
 REPRESENTATIVES = 2
@@ -52,6 +53,8 @@
     # revision, by kind in alphabetical order.
     source: str
     changed_at: tuple[int, ...]
+    # Which upstreams got which objects lately.
+    met: tuple[Meeting, ...] = ()
 
 
 def pick_representatives(peers):
@@ -65,7 +68,7 @@
     return rank("representative", names)[:REPRESENTATIVES]
 
 
-def make_digest(region, peers, crashes):
+def make_digest(region, peers, crashes, met=()):
     """Return the digest of a region, given its VMs, one at the least."""
     usable = [peer for peer in peers if peer.ready and not peer.leaving]
     carriers = sorted(peer.address for peer in pick_strong(usable))
@@ -82,6 +85,7 @@
         crashes=tuple(crashes),
         source=source.host,
         changed_at=source.changed_at,
+        met=tuple(met),
     )
 
 
--- a/godwitlanding/decisions/placing.py
+++ b/godwitlanding/decisions/placing.py
@@ -66,6 +66,19 @@
     return usual_s / (slots + 1) + (occupied - slots) * usual_s / slots
 
 
+def mix_work_s(warm_s, cold_s, learning, in_progress):
+    """Return the mean work time of the requests in progress.
+
+    ``learning`` of them work on objects that are new to the upstream. Taking
+    all for known, a wait behind four first meetings looks like 0.05 s and is
+    0.3 s, and the requests behind them are late without having been expected
+    to be.
+    """
+    if learning <= 0 or in_progress <= 0:
+        return warm_s
+    return warm_s + (cold_s - warm_s) * min(1.0, learning / in_progress)
+
+
 def place(candidates):
     """Return the ``Placement`` that finishes first, or ``None``.
 
--- a/godwitlanding/gateway/bulletin.py
+++ b/godwitlanding/gateway/bulletin.py
@@ -8,9 +8,10 @@
 
 from godwitlanding.decisions.digest import Crash, Digest
 from godwitlanding.decisions.fleet import Capacity
+from godwitlanding.decisions.objectmap import Meeting
 
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
-_COUNT = struct.Struct("<II")
+_PAIR = struct.Struct("<II")
 # The longest datagram there is; one that is longer than a packet is lost
 # with any of its packets.
 MAX_DATAGRAM_BYTES = 60_000
@@ -34,6 +35,8 @@
     reads: bool
     failed: bool
     changed_at: tuple[int, ...]
+    # Which upstreams got which objects, as the VM saw lately.
+    met: tuple[Meeting, ...] = ()
 
 
 def encode_bulletin(bulletin):
@@ -47,20 +50,26 @@
         leaving=bulletin.leaving,
         linkMbps=bulletin.capacity.link_mbps,
         cores=bulletin.capacity.cores,
-        inProgress=b"".join(
-            _COUNT.pack(number, count)
-            for number, count in bulletin.count_by_number.items()
-        ),
+        inProgress=_pack(bulletin.count_by_number.items()),
         arrivals=_make_rates(bulletin.rate_by_service),
         crashes=[crash._asdict() for crash in bulletin.crashes],
         digests=[_make_digest(digest) for digest in bulletin.digests],
         reads=bulletin.reads,
         failed=bulletin.failed,
         changedAt=list(bulletin.changed_at),
+        met=_pack(bulletin.met),
     )
     return message.to_bytes_packed()
 
 
+def _pack(pairs):
+    return b"".join(_PAIR.pack(*pair) for pair in pairs)
+
+
+def _read_met(data):
+    return tuple(Meeting(*pair) for pair in _PAIR.iter_unpack(data))
+
+
 def _make_rates(rate_by_service):
     return [
         {"service": service, "perSecond": rate}
@@ -77,6 +86,7 @@
         "crashes": [crash._asdict() for crash in digest.crashes],
         "source": digest.source,
         "changedAt": list(digest.changed_at),
+        "met": _pack(digest.met),
     }
 
 
@@ -92,13 +102,14 @@
             ready=message.ready,
             leaving=message.leaving,
             capacity=Capacity(message.linkMbps, message.cores),
-            count_by_number=dict(_COUNT.iter_unpack(message.inProgress)),
+            count_by_number=dict(_PAIR.iter_unpack(message.inProgress)),
             rate_by_service=_read_rates(message.arrivals),
             crashes=_read_crashes(message.crashes),
             digests=tuple(_read_digest(row) for row in message.digests),
             reads=message.reads,
             failed=message.failed,
             changed_at=tuple(message.changedAt),
+            met=_read_met(message.met),
         )
     except (capnp.KjException, UnicodeDecodeError, struct.error) as error:
         raise ValueError(f"not a bulletin: {error}") from None
@@ -121,4 +132,5 @@
         crashes=_read_crashes(row.crashes),
         source=row.source,
         changed_at=tuple(row.changedAt),
+        met=_read_met(row.met),
     )
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -1,22 +1,24 @@
 """Joins the decisions about upstreams with what this VM knows of them."""
 
 import asyncio
-from collections import OrderedDict
 from typing import NamedTuple
 
 from godwitlanding.decisions.fleet import get_carriers, make_own_peer
 from godwitlanding.decisions.homes import Homes, pick_homes
+from godwitlanding.decisions.objectmap import Meeting, get_object_number
 from godwitlanding.decisions.placing import (
     Candidate,
     Placement,
     is_worth_taking,
+    mix_work_s,
     place,
 )
+from godwitlanding.decisions.shiftguard import ShiftGuard
 from godwitlanding.decisions.worktime import Warmth
 from godwitlanding.gateway.regionplan import RegionPlan
 from godwitlanding.gateway.registry import Upstream
 from godwitlanding.kernel import Service
-from godwitlanding.rendezvous import choose
+from godwitlanding.rendezvous import choose, rank
 
 RECOVER_PAUSE_S = 1.0
 # First word on distance, in seconds there and back, until it is measured.
@@ -26,12 +28,27 @@
 # Beside the planned share this part of the requests may go to whichever
 # region has room now; twice that is still below what users allow.
 OVERFLOW_SHARE = 0.05
-_OVERFLOW_WEIGHT = 0.02
+# An object that is known, but where it would wait too long, is learnt by
+# another upstream for this share of the requests: a region has some dozens
+# of objects, so each that moves takes a few of a hundred requests with it.
+MOVE_SHARE = 0.02
+_SHARE_WEIGHT = 0.02
 # An upstream this many times slower than usual takes longer for an object
 # that it knows than others for one that they do not (3.3 times).
 SLOW_FACTOR = 2.5
-# Objects remembered for each upstream as sent there; more than it knows.
-_MAX_KNOWN = 64
+# An object that nobody knows goes to one of the first of its order, so that
+# all VMs choose among the same few and the load can still decide.
+FRESH_CHOICES = 3
+# What an object that an upstream knows already counts against it, in places
+# of the order (2 ms each): an upstream with five more than the next one gets
+# no further one while that has a free slot.
+PLACES_EACH_OBJECT = 10
+# Where upstreams know this many in the mean, one that knows none has joined
+# late; at the start all are empty and get objects anyway.
+OBJECTS_TO_SHARE = 2
+# The same for each further home of an object: it keeps to its first one
+# unless that one is busier by 20 ms.
+PLACES_EACH_HOME = 10
 
 
 class Choice(NamedTuple):
@@ -65,19 +82,21 @@
     name = "chooser"
     needs = ("registry", "peers")
 
-    def __init__(self, identity, occupancy, worktimes, fleet):
+    def __init__(self, identity, occupancy, worktimes, fleet, object_map):
         self._identity = identity
         self._occupancy = occupancy
         self._worktimes = worktimes
         self._fleet = fleet
+        self._object_map = object_map
         self._own_peer = make_own_peer(identity)
         self._registry = None
         self._peers = None
         self._tasks = []
         self._plan = None
         self._overflow_by_service = {}
+        self._moves_by_service = {}
         self._homes = Homes()
-        self._known_by_upstream = {}
+        self._shift_guard = ShiftGuard()
         self._distance_by_zone = {}
         self._cold_next_by_upstream = {}
         self.ejected = set()
@@ -142,56 +161,160 @@
         """Return the usual work time of a service."""
         return self._worktimes.get_warm_s(service)
 
-    def note_known(self, upstream_id, key):
-        """An upstream has handled an object."""
-        known = self._known_by_upstream.setdefault(upstream_id, OrderedDict())
-        known[key] = None
-        known.move_to_end(key)
-        if len(known) > _MAX_KNOWN:
-            known.popitem(last=False)
+    def note_not_run(self, work, choice):
+        """An upstream did not get the object that it was chosen for."""
+        if work.key and choice.warmth is not Warmth.WARM:
+            self._object_map.drop(self._make_meeting(work, choice.upstream.id))
 
     def forget(self, upstream_id):
-        """Drop what is held of an upstream that is gone."""
+        """Drop what is held of an upstream that is gone or new again."""
         self.ejected.discard(upstream_id)
         self._cold_next_by_upstream.pop(upstream_id, None)
-        self._known_by_upstream.pop(upstream_id, None)
         self._worktimes.forget(upstream_id)
+        number = self._registry.number_by_id.get(upstream_id)
+        if number is not None:
+            self._object_map.forget(number)
 
     def choose(self, work, tried, now):
         """Return the ``Choice`` for an attempt, or why there is none.
 
         ``tried`` are the upstreams that had the request before.
         """
-        service = work.service
-        key = work.key
-        to_target_s = work.target_at - now
-        regions = self._get_regions(work.route, service)
+        regions = self._get_regions(work.route, work.service)
         if not regions:
-            return Rejection("no upstream", None, to_target_s)
-        if key:
-            self._homes.note_object(service, key)
-        first = self._plan.deal(service, regions, key)
-        wanted = self._place(service, first, key, tried)
+            return Rejection("no upstream", None, work.target_at - now)
+        if work.key:
+            self._homes.note_object(work.service, work.key)
+        dealt = self._plan.deal(work.service, regions, work.key)
+        known_by_region = self._find_known(work, regions, tried, now)
+        if known_by_region:
+            return self._choose_known(work, known_by_region, dealt, tried, now)
+        return self._choose_fresh(work, regions, dealt, tried, now)
+
+    def _choose_known(self, work, known_by_region, dealt, tried, now):
+        """Choose for an object that some upstream knows."""
+        empty = self._find_empty(work, dealt, tried, now)
+        if empty:
+            return self._take(work, empty)
+        here = self._place_known(work, known_by_region.get(dealt, ()), now)
+        if here and self._is_in_time(here, work, now):
+            return self._take(work, here)
+        others = [
+            upstream_id
+            for region, ids in known_by_region.items()
+            if region != dealt and self._shift_guard.may_change(region, now)
+            for upstream_id in ids
+        ]
+        there = self._place_known(work, others, now)
+        if there and self._is_in_time(there, work, now):
+            if here is None:
+                return self._take(work, there)
+            if self._overflow_by_service.get(work.service, 0.0) <= OVERFLOW_SHARE:
+                return self._take(work, there, overflow=1.0)
+        best = _get_sooner(here, there)
+        if best and self._is_worth_taking(best, work, now):
+            return self._take(work, best)
+        fresh = self._place_fresh(work, dealt, tried, now)
+        if fresh and self._may_move(work, fresh, now):
+            return self._take(work, fresh, move=1.0)
+        return self._reject(work, "full", best, now)
+
+    def _choose_fresh(self, work, regions, dealt, tried, now):
+        """Choose for an object that nobody knows, or for none."""
+        wanted = self._place_fresh(work, dealt, tried, now)
         if wanted and self._is_worth_taking(wanted, work, now):
-            self._note_overflow(service, 0.0)
-            return self._make_choice(wanted, key)
-        crowded = self._has_upstream(service, first, tried)
-        overflow = self._overflow_by_service.get(service, 0.0)
+            return self._take(work, wanted)
+        crowded = self._has_upstream(work.service, dealt, tried)
+        overflow = self._overflow_by_service.get(work.service, 0.0)
         if crowded and overflow > OVERFLOW_SHARE:
-            self._note_overflow(service, 0.0)
-            return Rejection("full, overflow spent", wanted, to_target_s)
+            return self._reject(work, "full, overflow spent", wanted, now)
         for region in regions:
-            if region == first:
+            if region == dealt:
                 continue
-            if crowded and not self._plan.remembers_all(service, region):
-                # What overflows would push out what is known there.
+            if crowded and not self._may_overflow(work.service, region, now):
                 continue
-            other = self._place(service, region, key, tried)
+            other = self._place_fresh(work, region, tried, now)
             if other and self._is_worth_taking(other, work, now):
-                self._note_overflow(service, 1.0 if crowded else 0.0)
-                return self._make_choice(other, key)
-        self._note_overflow(service, 0.0)
-        return Rejection("full" if wanted else "none usable", wanted, to_target_s)
+                return self._take(work, other, overflow=1.0 if crowded else 0.0)
+        return self._reject(work, "full" if wanted else "none usable", wanted, now)
+
+    def _may_overflow(self, service, region, now):
+        # Where not all is remembered, what overflows pushes out what is known.
+        if not self._plan.remembers_all(service, region):
+            return False
+        return self._shift_guard.may_change(region, now)
+
+    def _take(self, work, placement, overflow=0.0, move=0.0):
+        self._note_share(self._overflow_by_service, work.service, overflow)
+        self._note_share(self._moves_by_service, work.service, move)
+        return self._make_choice(work, placement)
+
+    def _reject(self, work, reason, placement, now):
+        self._note_share(self._overflow_by_service, work.service, 0.0)
+        self._note_share(self._moves_by_service, work.service, 0.0)
+        return Rejection(reason, placement, work.target_at - now)
+
+    def _find_known(self, work, regions, tried, now):
+        """Return the ids of the upstreams that know the object, by region.
+
+        Those that may not be used, are slow or fail are left out.
+        """
+        known_by_region = {}
+        if not work.key:
+            return known_by_region
+        key = get_object_number(work.service, work.key)
+        for number in self._object_map.get_upstreams(key):
+            upstream_id = self._registry.id_by_number.get(number)
+            if upstream_id is None or upstream_id in tried:
+                continue
+            region = self._registry.get_usable_region(upstream_id)
+            if region not in regions or upstream_id in self.ejected:
+                continue
+            if not self._is_sound(work.service, upstream_id):
+                continue
+            if self._may_take_cold(upstream_id, now):
+                known_by_region.setdefault(region, []).append(upstream_id)
+        return known_by_region
+
+    def _find_empty(self, work, region, tried, now):
+        """Return a placement at an upstream that is new and knows nothing.
+
+        Objects stay where they are known, so one that joins would get none.
+        The first object whose order it heads is learnt there.
+        """
+        ids = self._registry.get_usable_ids(work.service, region)
+        order = self._homes.get_order((work.service, region), work.key, ids)
+        if not order or order[0] in tried or order[0] in self.ejected:
+            return None
+        if not self._is_left_out(order[0], ids):
+            return None
+        if self._registry.get_cold_left_s(order[0], now) > 0:
+            return None
+        return place([self._make_candidate(work, order[0], 0, False, now)])
+
+    def _is_left_out(self, upstream_id, ids):
+        """Tell whether it knows nothing while the others know a lot."""
+        numbers = self._registry.number_by_id
+        if self._object_map.count_known(numbers[upstream_id]):
+            return False
+        known = sum(self._object_map.count_known(numbers[other]) for other in ids)
+        return known >= OBJECTS_TO_SHARE * len(ids)
+
+    def _place_known(self, work, ids, now):
+        return place(
+            [
+                self._make_candidate(work, upstream_id, number, True, now)
+                for number, upstream_id in enumerate(rank(work.key, ids))
+            ]
+        )
+
+    def _may_move(self, work, placement, now):
+        if self._moves_by_service.get(work.service, 0.0) > MOVE_SHARE:
+            return False
+        return placement.wait_s == 0.0 and placement.finish_s < work.answer_by - now
+
+    def _is_in_time(self, placement, work, now):
+        return placement.finish_s <= work.target_at - now
 
     def _is_worth_taking(self, placement, work, now):
         return is_worth_taking(
@@ -213,9 +336,8 @@
                 regions.append(region)
         return regions
 
-    def _place(self, service, region, key, tried):
-        ids = self._registry.get_usable_ids(service, region)
-        now = _now()
+    def _place_fresh(self, work, region, tried, now):
+        ids = self._registry.get_usable_ids(work.service, region)
 
         def is_usable(upstream_id):
             if upstream_id in tried or upstream_id in self.ejected:
@@ -223,44 +345,51 @@
             return self._may_take_cold(upstream_id, now)
 
         def is_sound(upstream_id):
-            if self._worktimes.get_factor(upstream_id) >= SLOW_FACTOR:
-                return False
-            return not self._worktimes.is_failing(service, upstream_id)
-
-        if key:
-            order = self._homes.get_order((service, region), key, ids)
-            count = self._homes.get_count(service, len(ids))
-            homes = pick_homes(order, count, is_usable, is_sound)
-            first = order[0] if order else ""
-        else:
-            homes = [upstream_id for upstream_id in ids if is_usable(upstream_id)]
-            first = ""
+            return self._is_sound(work.service, upstream_id)
+
+        order = ids
+        count = len(ids)
+        if work.key:
+            order = self._homes.get_order((work.service, region), work.key, ids)
+            count = FRESH_CHOICES
+        homes = pick_homes(order, count, is_usable, is_sound)
         return place(
             [
-                self._make_candidate(service, upstream_id, rank, key, first, now)
-                for rank, upstream_id in enumerate(homes)
+                self._make_candidate(work, upstream_id, number, False, now)
+                for number, upstream_id in enumerate(homes)
             ]
         )
 
-    def _make_candidate(self, service, upstream_id, rank, key, first, now):
+    def _is_sound(self, service, upstream_id):
+        if self._worktimes.get_factor(upstream_id) >= SLOW_FACTOR:
+            return False
+        return not self._worktimes.is_failing(service, upstream_id)
+
+    def _make_candidate(self, work, upstream_id, number, known, now):
+        """Return a ``Candidate``; ``number`` is its place in the order."""
+        service = work.service
         upstream = self._registry.upstream_by_id[upstream_id]
         factor = self._worktimes.get_factor(upstream_id)
         warm_s = self._worktimes.get_warm_s(service) * factor
-        known = upstream_id == first or key in self._known_by_upstream.get(
-            upstream_id, ()
-        )
-        work_s = warm_s
-        if not known:
-            work_s = self._worktimes.get_cold_s(service) * factor
+        cold_s = self._worktimes.get_cold_s(service) * factor
+        occupied = self._occupancy.get(upstream_id, now)
+        upstream_number = self._registry.number_by_id[upstream_id]
+        places = 0
+        if work.key and known:
+            places = PLACES_EACH_HOME * number
+        elif work.key:
+            objects = self._object_map.count_known(upstream_number)
+            places = number + PLACES_EACH_OBJECT * objects
+        learning = self._object_map.count_met_since(upstream_number, now - cold_s)
         return Candidate(
             upstream=upstream_id,
             slots=upstream.slots,
-            occupied=self._occupancy.get(upstream_id, now),
-            work_s=work_s,
-            usual_s=warm_s,
+            occupied=occupied,
+            work_s=warm_s if known else cold_s,
+            usual_s=mix_work_s(warm_s, cold_s, learning, occupied),
             distance_s=self.get_distance_s(upstream.availability_zone),
             failure_share=self._worktimes.get_failure_share(upstream_id),
-            rank=rank if key else 0,
+            rank=places,
         )
 
     def _may_take_cold(self, upstream_id, now):
@@ -277,7 +406,7 @@
             return False
         return now >= self._cold_next_by_upstream.get(upstream.id, 0.0)
 
-    def _make_choice(self, placement, key):
+    def _make_choice(self, work, placement):
         candidate = placement.candidate
         upstream = self._registry.upstream_by_id[candidate.upstream]
         now = _now()
@@ -286,31 +415,43 @@
             rate = service.cold_per_s if service else 0.0
             pause_s = 1.0 / rate if rate > 0 else 1.0
             self._cold_next_by_upstream[upstream.id] = now + pause_s
+        region = self._registry.get_region(upstream.availability_zone)
+        self._shift_guard.note(region, now)
+        warmth = Warmth.COLD
+        if work.key:
+            meeting = self._make_meeting(work, upstream.id)
+            known = self._object_map.knows(*meeting)
+            warmth = Warmth.WARM if known else Warmth.UNSURE
+            self._peers.note_meeting(meeting)
         return Choice(
             upstream,
             placement.finish_s,
             placement.wait_s,
             candidate.occupied,
             candidate.distance_s,
-            self._get_warmth(upstream.id, key),
+            warmth,
             self._occupancy.get_report_age_s(upstream.id, now),
         )
 
-    def _get_warmth(self, upstream_id, key):
-        if not key:
-            return Warmth.COLD
-        known = self._known_by_upstream.get(upstream_id, ())
-        return Warmth.WARM if key in known else Warmth.UNSURE
+    def _make_meeting(self, work, upstream_id):
+        number = self._registry.number_by_id[upstream_id]
+        return Meeting(number, get_object_number(work.service, work.key))
 
-    def _note_overflow(self, service, seen):
-        held = self._overflow_by_service.get(service, 0.0)
-        moved = held + _OVERFLOW_WEIGHT * (seen - held)
-        self._overflow_by_service[service] = moved
+    def _note_share(self, share_by_service, service, seen):
+        held = share_by_service.get(service, 0.0)
+        share_by_service[service] = held + _SHARE_WEIGHT * (seen - held)
 
     async def _recover_often(self):
         while True:
             await asyncio.sleep(RECOVER_PAUSE_S)
             self._worktimes.recover()
+            self._object_map.keep_only(self._registry.id_by_number.keys())
+
+
+def _get_sooner(first, second):
+    """Return the placement that finishes first; either may be ``None``."""
+    placements = [placement for placement in (first, second) if placement]
+    return min(placements, key=lambda p: p.finish_s, default=None)
 
 
 def _now():
--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -67,6 +67,7 @@
                 connection = await self._connect(upstream, work.answer_by - begun)
             except UpstreamError as error:
                 self._worktimes.note_failure(work.service, upstream.id)
+                self._chooser.note_not_run(work, choice)
                 self._eject(upstream)
                 return Outcome.UNREACHED, None, str(error)
             self._chooser.note_distance(upstream, loop.time() - begun)
@@ -121,8 +122,10 @@
                 choice.warmth,
                 choice.occupied >= upstream.slots,
             )
-            self._chooser.note_known(upstream.id, work.key)
             self._poison.note_success(work.fingerprint, now)
+        elif outcome is Outcome.NOT_RUN:
+            self._chooser.note_not_run(work, choice)
+            self._worktimes.note_failure(work.service, upstream.id)
         elif outcome is not Outcome.MOVED:
             self._worktimes.note_failure(work.service, upstream.id)
 
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -28,6 +28,9 @@
   # Revision of the last change that the VM knows of each kind of object, by
   # kind in alphabetical order.
   changedAt @14 :List(UInt64);
+  # Pairs of 32-bit little-endian numbers, as above: an upstream's, that of its
+  # present start, and an object's that it got (see ``decisions.objectmap``).
+  met @15 :Data;
 }
 
 # Requests for a service that callers sent to this VM, each second.
@@ -55,4 +58,6 @@
   # as above.
   source @5 :Text;
   changedAt @6 :List(UInt64);
+  # As in the bulletin, what the VMs of the region told lately.
+  met @7 :Data;
 }
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections import OrderedDict
 from typing import NamedTuple
 
 from eliot import log_message
@@ -46,6 +47,14 @@
 TELL_CRASH_S = 3.0
 MAX_CRASHES = 20
 LOOK_PAUSE_S = 0.25
+# Which upstream got which object is told to the region for the time of some
+# twenty bulletins, and to the other regions for four digests.
+TELL_MET_S = 0.5
+TELL_MET_FAR_S = 2.0
+# 8 bytes each: a packet holds some 120 beside the rest.
+MAX_MET = 100
+# A VM that has just started is told all of it, 16 KB at the most.
+MAX_MET_WHOLE = 2000
 # Weight of the newest second in the rate of arrivals: about the last three
 # seconds count, a twelfth of the waves that the load comes in.
 _RATE_WEIGHT = 0.3
@@ -72,8 +81,12 @@
     name = "peers"
     needs = ("registry",)
 
-    def __init__(self, identity, fleet, occupancy, on_crash):
+    def __init__(self, identity, fleet, occupancy, on_crash, object_map):
         self._identity = identity
+        self._object_map = object_map
+        # When each meeting was seen or heard last; own ones, and all.
+        self._met_at_by_own = OrderedDict()
+        self._met_at = OrderedDict()
         self._fleet = fleet
         self._occupancy = occupancy
         self._on_crash = on_crash
@@ -137,6 +150,20 @@
         count = self._arrived_by_service.get(service, 0)
         self._arrived_by_service[service] = count + 1
 
+    def note_meeting(self, meeting):
+        """An upstream is sent an object; the peers may not know."""
+        now = asyncio.get_running_loop().time()
+        if self._object_map.note(meeting, now):
+            self._met_at_by_own[meeting] = now
+            self._met_at_by_own.move_to_end(meeting)
+            self._keep_for_far(meeting, now)
+
+    def _keep_for_far(self, meeting, now):
+        self._met_at[meeting] = now
+        self._met_at.move_to_end(meeting)
+        if len(self._met_at) > MAX_MET_WHOLE:
+            self._met_at.popitem(last=False)
+
     def note_crash(self, crash):
         """Tell the peers that a request was running on a crashed upstream."""
         loop = asyncio.get_running_loop()
@@ -184,11 +211,16 @@
         self._take_digests(bulletin, host, now)
         for crash in bulletin.crashes:
             self._on_crash(crash)
+        is_near = bulletin.region == self._identity.region
+        for meeting in bulletin.met:
+            self._object_map.hear(meeting, now)
+            if is_near:
+                self._keep_for_far(meeting, now)
         is_new = known is None or known.incarnation != bulletin.incarnation
         if is_new and bulletin.region == self._identity.region:
             log_message("peers:heard", peer=bulletin.vm)
             # It knows as little of this VM, and need not wait for its turn.
-            self._send([host])
+            self._send([host], met=self._object_map.get_meetings(MAX_MET_WHOLE))
 
     def _take_digests(self, bulletin, host, now):
         is_near = bulletin.region == self._identity.region
@@ -197,6 +229,8 @@
             self.digests.hear(digest, is_direct, now)
             for crash in digest.crashes:
                 self._on_crash(crash)
+            for meeting in digest.met:
+                self._object_map.hear(meeting, now)
         if bulletin.digests and not is_near:
             self._host_by_far_teller[bulletin.region] = host
 
@@ -258,11 +292,11 @@
     def _get_hosts(self, addresses):
         return [address.partition(":")[0] for address in addresses]
 
-    def _send(self, hosts, digests=None):
+    def _send(self, hosts, digests=None, met=None):
         hosts = list(hosts)
         if not hosts or self._transport is None:
             return
-        data = encode_bulletin(self._make_bulletin(digests))
+        data = encode_bulletin(self._make_bulletin(digests, met))
         if len(data) > MAX_DATAGRAM_BYTES:
             log_message("peers:too_long", level="error", bytes=len(data))
             return
@@ -275,7 +309,9 @@
             peers.append(self._make_own())
         if self._identity.vm not in pick_representatives(peers):
             return
-        digest = make_digest(self._identity.region, peers, self._get_crashes())
+        met = _take_newest(self._met_at, TELL_MET_FAR_S)
+        crashes = self._get_crashes()
+        digest = make_digest(self._identity.region, peers, crashes, met)
         self._send(self._pick_targets(), (digest,))
 
     def _make_own(self):
@@ -304,12 +340,14 @@
         self._crashes = [row for row in self._crashes if row[0] > now]
         return tuple(crash for _, crash in self._crashes)
 
-    def _make_bulletin(self, digests):
+    def _make_bulletin(self, digests, met):
         self._sequence += 1
         ready = self.is_ready()
         if ready != self._was_ready:
             self._was_ready = ready
             log_message("peers:ready", ready=ready, leaving=self.leaving)
+        if met is None:
+            met = _take_newest(self._met_at_by_own, TELL_MET_S)
         if digests is None:
             now = asyncio.get_running_loop().time()
             digests = self.digests.get_passed_on(now)
@@ -325,6 +363,7 @@
             rate_by_service=self._rate_by_service,
             crashes=self._get_crashes(),
             digests=digests,
+            met=met,
             **self.get_store_state()._asdict(),
         )
 
@@ -357,6 +396,14 @@
         self._arrived_by_service = {}
 
 
+def _take_newest(met_at, most_s):
+    """Return the newest meetings, and drop those that are too old to tell."""
+    oldest = asyncio.get_running_loop().time() - most_s
+    while met_at and next(iter(met_at.values())) < oldest:
+        met_at.popitem(last=False)
+    return tuple(list(met_at)[-MAX_MET:])
+
+
 class _Listener(asyncio.DatagramProtocol):
     def __init__(self, peers):
         self._peers = peers
--- a/godwitlanding/gateway/registry.py
+++ b/godwitlanding/gateway/registry.py
@@ -5,6 +5,7 @@
 
 from eliot import log_message
 
+from godwitlanding.decisions.occupancy import get_upstream_number
 from godwitlanding.kernel import Service
 
 # Upstreams renew their entries every 1.5 s; a change needs 0.25 s to get here.
@@ -50,8 +51,12 @@
         self._listed = {}
         self._usable_by_place = {}
         self._usable_ids_by_place = {}
+        self._region_by_usable_id = {}
         self._cold_until_by_upstream = {}
         self._unsure_until_by_upstream = {}
+        # Numbers stand for the present starts of upstreams among VMs.
+        self.number_by_id = {}
+        self.id_by_number = {}
         self.config = None
         self.config_seen_at = 0.0
         self.upstream_by_id = {}
@@ -82,6 +87,10 @@
         """Return the ids of ``get_usable``, the same tuple while it stands."""
         return self._usable_ids_by_place.get((service, region), ())
 
+    def get_usable_region(self, upstream_id):
+        """Return the region of an upstream that takes new work, else empty."""
+        return self._region_by_usable_id.get(upstream_id, "")
+
     def get_cold_left_s(self, upstream_id, now):
         """Return the seconds for which an upstream stays cold, 0 if warm."""
         cold_until = self._cold_until_by_upstream.get(upstream_id, 0.0)
@@ -143,6 +152,7 @@
         if reborn:
             self._forget_start(upstream, held)
         self.upstream_by_id[upstream.id] = upstream
+        self._give_number(upstream)
         self._unsure_until_by_upstream.pop(upstream.id, None)
         self.note_cold(upstream.id, upstream.cold_s, _now())
         if held and held._replace(cold_s=upstream.cold_s) == upstream:
@@ -179,6 +189,15 @@
         self._unsure_until_by_upstream.pop(upstream_id, None)
         self._rebuild()
         self._tell_gone(upstream_id)
+        self.id_by_number.pop(self.number_by_id.pop(upstream_id), None)
+
+    def _give_number(self, upstream):
+        number = get_upstream_number(upstream.incarnation)
+        former = self.number_by_id.get(upstream.id)
+        if former != number:
+            self.id_by_number.pop(former, None)
+            self.number_by_id[upstream.id] = number
+            self.id_by_number[number] = upstream.id
 
     def set_evacuated(self, availability_zone, evacuated):
         """A zone's upstreams are to get nothing, or may be used again.
@@ -219,6 +238,11 @@
             place = (upstream.service, self.get_region(upstream.availability_zone))
             usable.setdefault(place, []).append(upstream)
         self._usable_by_place = usable
+        self._region_by_usable_id = {
+            upstream.id: region
+            for (_, region), upstreams in usable.items()
+            for upstream in upstreams
+        }
         self._usable_ids_by_place = {
             place: tuple(sorted(upstream.id for upstream in upstreams))
             for place, upstreams in usable.items()
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -13,6 +13,7 @@
 
 from godwitlanding.decisions.fleet import Fleet
 from godwitlanding.decisions.lapse import LapseGuard
+from godwitlanding.decisions.objectmap import ObjectMap
 from godwitlanding.decisions.occupancy import Occupancy
 from godwitlanding.decisions.retrybudget import RetryBudget
 from godwitlanding.decisions.worktime import WorkTimes
@@ -77,13 +78,22 @@
         )
         self.store = ObjectStore(settings.store_address, counters)
         self.registry = Registry(settings.region_by_zone)
-        self.peers = Peers(settings, self.fleet, self.occupancy, self._take_crash)
+        self.object_map = ObjectMap()
+        self.peers = Peers(
+            settings,
+            self.fleet,
+            self.occupancy,
+            self._take_crash,
+            self.object_map,
+        )
         self.peers.is_ready = self.is_ready
         self.directory = Directory(
             settings, self.fleet, self.peers.digests, self.is_ready
         )
         self.presence = Presence(self.store, VM_KIND, settings)
-        self.chooser = Chooser(settings, self.occupancy, self.worktimes, self.fleet)
+        self.chooser = Chooser(
+            settings, self.occupancy, self.worktimes, self.fleet, self.object_map
+        )
         pool = UpstreamPool(HEADER_NAMES.request_id, counters)
         self.courier = Courier(
             HEADER_NAMES, pool, self.occupancy, self.worktimes, counters, self.poison
--- a/godwitlanding/tests/decisions/test_placing.py
+++ b/godwitlanding/tests/decisions/test_placing.py
@@ -7,6 +7,7 @@
     Candidate,
     estimate_wait_s,
     is_worth_taking,
+    mix_work_s,
     place,
 )
 
@@ -94,3 +95,13 @@
     )
     taken = is_worth_taking(placement, to_target_s, left_s, came_back)
     assert taken is expected
+
+
+@pytest.mark.parametrize(
+    ("learning", "in_progress", "expected_s"),
+    [(0, 4, 0.2), (4, 4, 0.8), (2, 4, 0.5), (3, 0, 0.2), (9, 2, 0.8)],
+)
+def test_first_meetings_make_the_wait_longer(learning, in_progress, expected_s):
+    # Four first meetings fill an upstream. Who comes next waits for one of
+    # them to end, not for work that is done in a quarter of the time.
+    assert mix_work_s(0.2, 0.8, learning, in_progress) == pytest.approx(expected_s)
--- /dev/null
+++ b/godwitlanding/tests/decisions/test_shiftguard.py
@@ -0,0 +1,42 @@
+"""Callers change the region that serves them slowly, whatever happens."""
+
+import pytest
+
+from godwitlanding.decisions.shiftguard import STEP, WINDOW_S, ShiftGuard
+
+USERS_ALLOW = 0.15
+
+
+def play(guard, begun_at, requests, wanted_share):
+    """Serve a window's requests, as many elsewhere as wanted and allowed."""
+    away = 0
+    for number in range(requests):
+        now = begun_at + WINDOW_S * number / requests
+        wants = (number + 1) * wanted_share > away + 0.5
+        region = "far" if wants and guard.may_change("far", now) else "own"
+        away += region == "far"
+        guard.note(region, now)
+    return away / requests
+
+
+@pytest.mark.parametrize("requests", [20, 60, 400])
+@pytest.mark.parametrize("before", [0.0, 0.3])
+def test_burst_moves_few_requests_at_once(requests, before):
+    # A burst fills a region. Without a bound half of its requests would run
+    # in another region within a second, where nobody reckons with them.
+    guard = ShiftGuard()
+    first = play(guard, 0.0, requests, before)
+    second = play(guard, WINDOW_S, requests, 1.0)
+    assert second - first <= STEP + 3 / requests
+    assert requests < 60 or second - first < USERS_ALLOW
+
+
+def test_long_burst_moves_on():
+    guard = ShiftGuard()
+    shares = [play(guard, WINDOW_S * n, 100, 1.0 if n else 0.0) for n in range(6)]
+    assert shares[-1] > 0.3
+
+
+def test_vm_that_served_nobody_moves_nobody():
+    # After a start there is no share that could be kept.
+    assert play(ShiftGuard(), 0.0, 50, 1.0) == 1.0
--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -6,6 +6,11 @@
 
 import pytest
 
+from godwitlanding.decisions.objectmap import (
+    Meeting,
+    ObjectMap,
+    get_object_number,
+)
 from godwitlanding.decisions.occupancy import Occupancy
 from godwitlanding.decisions.routes import (
     Limits,
@@ -15,6 +20,7 @@
     Service,
     SplitPart,
 )
+from godwitlanding.decisions.shiftguard import WINDOW_S
 from godwitlanding.decisions.worktime import Warmth, WorkTimes
 from godwitlanding.gateway.attempt import Work
 from godwitlanding.gateway.chooser import OVERFLOW_SHARE, Chooser, Rejection
@@ -67,6 +73,7 @@
         self.registry.set_config(RouteConfig(1, {}, {"s": service}, Limits()))
         self.occupancy = Occupancy()
         self.worktimes = WorkTimes()
+        self.object_map = ObjectMap()
         fleet = make_fleet(*(make_bulletin(peer, region="a") for peer in peers))
         identity = SimpleNamespace(
             vm=vm,
@@ -76,7 +83,9 @@
             caller_address=("127.0.0.1", 1),
             capacity=CAPACITY,
         )
-        self.chooser = Chooser(identity, self.occupancy, self.worktimes, fleet)
+        self.chooser = Chooser(
+            identity, self.occupancy, self.worktimes, fleet, self.object_map
+        )
         self._rates = rates or {}
         for name, zone, cold_s in upstreams:
             self.registry.put_upstream(
@@ -84,7 +93,12 @@
             )
 
     async def __aenter__(self):
-        peers = SimpleNamespace(get_rates=lambda service: dict(self._rates))
+        peers = SimpleNamespace(
+            get_rates=lambda service: dict(self._rates),
+            note_meeting=lambda meeting: self.object_map.note(
+                meeting, asyncio.get_running_loop().time()
+            ),
+        )
         kernel = {"registry": self.registry, "peers": peers}
         await self.chooser.start(SimpleNamespace(get=kernel.get))
         await asyncio.sleep(0.01)
@@ -159,6 +173,10 @@
     # change the region that serves them within a second.
     upstreams = [*WARM, *((f"f{n}", "b1", 0.0) for n in range(4))]
     async with Setting(upstreams, rates={"a": 1.0, "b": 1.0}) as setting:
+        for number in range(200):
+            choice = setting.choose(make_work(str(number % 20)))
+            assert choice.upstream.id.startswith("u")
+        await asyncio.sleep(WINDOW_S)
         for name, _, _ in WARM:
             setting.fill(name, 20)
         far = 0
@@ -221,3 +239,87 @@
         upstream = setting.registry.upstream_by_id["u0"]
         now = asyncio.get_running_loop().time()
         assert setting.chooser.may_try_again("s", upstream, now) is expected
+
+
+def learn(setting, keys):
+    """Send each object once and return its upstream."""
+    home_by_key = {}
+    for key in keys:
+        home_by_key[key] = setting.choose(make_work(key)).upstream.id
+    return home_by_key
+
+
+KEYS = [str(number) for number in range(40)]
+
+
+async def test_objects_stay_when_an_upstream_joins():
+    # Upstreams join a service. Each object whose order the new one heads
+    # would be learnt there at once, and each of these answers would be late.
+    async with Setting(WARM) as setting:
+        home_by_key = learn(setting, KEYS)
+        setting.registry.put_upstream(
+            Upstream("new", "s", ("127.0.0.1", 1), "a1", 3, False, 0.0)
+        )
+        moved = [
+            key
+            for key, home in learn(setting, KEYS).items()
+            if home != home_by_key[key]
+        ]
+        assert len(moved) == 1
+        assert setting.choose(make_work(moved[0])).upstream.id == "new"
+
+
+async def test_object_goes_where_a_peer_has_sent_it():
+    # Two VMs meet the same object within a moment and choose on their own.
+    # Without the other's word both upstreams would learn it.
+    async with Setting(WARM) as setting:
+        numbers = setting.registry.number_by_id
+        for number, key in enumerate(KEYS):
+            name = WARM[number % len(WARM)][0]
+            meeting = Meeting(numbers[name], get_object_number("s", key))
+            setting.object_map.hear(meeting, 0.0)
+            assert setting.choose(make_work(key)).upstream.id == name
+
+
+async def test_objects_are_dealt_evenly():
+    # By hashing alone one upstream in four gets twice its part of the objects
+    # and is full while the others are idle.
+    async with Setting(WARM) as setting:
+        counts = Counter(learn(setting, KEYS).values())
+        assert max(counts.values()) <= 1.3 * len(KEYS) / len(WARM)
+
+
+async def test_full_home_gives_few_objects_away_at_once():
+    # One upstream is full. Its objects may be learnt elsewhere, but each that
+    # moves is a late answer; not all of them at once.
+    async with Setting(WARM) as setting:
+        home_by_key = learn(setting, KEYS)
+        full = home_by_key[KEYS[0]]
+        setting.fill(full, 6)
+        objects = [key for key, home in home_by_key.items() if home == full]
+        moved = set()
+        for number in range(60):
+            choice = setting.choose(make_work(objects[number % len(objects)]))
+            if not isinstance(choice, Rejection) and choice.upstream.id != full:
+                moved.add(objects[number % len(objects)])
+        assert 1 <= len(moved) <= 4
+
+
+async def test_upstream_that_leaves_loses_its_objects_only():
+    async with Setting(WARM) as setting:
+        home_by_key = learn(setting, KEYS)
+        gone = home_by_key[KEYS[0]]
+        setting.registry.remove_upstream(gone)
+        for key, home in learn(setting, KEYS).items():
+            assert home == home_by_key[key] or home_by_key[key] == gone
+
+
+async def test_upstream_that_shed_its_first_request_knows_nothing():
+    # The upstream sheds the first request for an object, which then goes to
+    # another one. Taken for known at both, it would be learnt twice.
+    async with Setting(WARM) as setting:
+        work = make_work("k")
+        choice = setting.choose(work)
+        setting.chooser.note_not_run(work, choice)
+        other = setting.choose(work, tried=[choice.upstream.id]).upstream.id
+        assert setting.choose(work).upstream.id == other
--- a/godwitlanding/tests/gateway/test_peers.py
+++ b/godwitlanding/tests/gateway/test_peers.py
@@ -8,6 +8,7 @@
 
 from godwitlanding.decisions.digest import Crash, Digest
 from godwitlanding.decisions.fleet import Fleet
+from godwitlanding.decisions.objectmap import ObjectMap
 from godwitlanding.decisions.occupancy import Occupancy
 from godwitlanding.gateway.bulletin import decode_bulletin, encode_bulletin
 from godwitlanding.gateway.peers import Peers
@@ -53,7 +54,9 @@
         self.occupancy = Occupancy()
         self.registry = Registry(REGION_BY_ZONE)
         self.crashes = []
-        self.peers = Peers(identity, self.fleet, self.occupancy, self.crashes.append)
+        self.peers = Peers(
+            identity, self.fleet, self.occupancy, self.crashes.append, ObjectMap()
+        )
         self.peers.is_ready = lambda: True
         self.wire = Wire()
         self._monkeypatch = monkeypatch
