--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -303,10 +303,18 @@
         for host in hosts:
             self._transport.sendto(data, (host, self._identity.peer_port))
 
-    def _send_digest(self):
+    def speaks_first(self):
+        """Tell whether this VM is the first that speaks for its region."""
+        return pick_representatives(self._get_region())[:1] == [self._identity.vm]
+
+    def _get_region(self):
         peers = self._get_near()
         if self.is_ready() and not self.leaving:
             peers.append(self._make_own())
+        return peers
+
+    def _send_digest(self):
+        peers = self._get_region()
         if self._identity.vm not in pick_representatives(peers):
             return
         met = _take_newest(self._met_at, TELL_MET_FAR_S)
--- a/godwitlanding/platform/entries.py
+++ b/godwitlanding/platform/entries.py
@@ -19,6 +19,8 @@
 EVACUATION_KIND = "evacuations"
 # A kind of our own: one object for each VM of the system.
 VM_KIND = "godwit-vms"
+# Another one: one object for each region, with what its upstreams know.
+OBJECT_MAP_KIND = "godwit-objects"
 
 _DEFAULT_PRIORITY = 1
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -29,6 +29,7 @@
 from godwitlanding.gateway.presence import Presence
 from godwitlanding.gateway.reader import Reader
 from godwitlanding.gateway.registry import Registry
+from godwitlanding.gateway.savedmap import SavedMap
 from godwitlanding.gateway.upstream import UpstreamPool
 from godwitlanding.kernel import Kernel
 from godwitlanding.logstream import set_up_log_stream
@@ -38,6 +39,7 @@
     CONFIG_KIND,
     CONFIG_NAME,
     EVACUATION_KIND,
+    OBJECT_MAP_KIND,
     UPSTREAM_KIND,
     VM_KIND,
     read_config,
@@ -107,6 +109,9 @@
             VM_KIND, self._apply_vm, on_known=self._note_vms_known
         )
         self.mirrors = self._make_mirrors()
+        self.saved_map = SavedMap(
+            self.store, OBJECT_MAP_KIND, settings.region, self.object_map
+        )
         self.feed = Feed(settings, self.mirrors, counters)
         self.reader = Reader(
             settings,
@@ -145,6 +150,7 @@
             *self.mirrors,
             self.feed,
             self.reader,
+            self.saved_map,
             PageServer(
                 "directory",
                 self._settings.directory_address,
