Split the chooser: distances, what answers teach, and candidates

Moves alone, beside two guards for an upstream that leaves while a request is on its way there, with their test; tests for what peers tell each other of objects.

--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -67,15 +67,15 @@
                 connection = await self._connect(upstream, work.answer_by - begun)
             except UpstreamError as error:
                 self._worktimes.note_failure(work.service, upstream.id)
-                self._chooser.note_unreached(work, choice)
+                self._chooser.learning.note_unreached(work, choice)
                 self._eject(upstream)
                 return Outcome.UNREACHED, None, str(error)
-            self._chooser.note_distance(upstream, loop.time() - begun)
+            self._chooser.distances.note(upstream, loop.time() - begun)
         return await self._send_on(connection, exchange, work, choice, sink)
 
     async def _connect(self, upstream, most_s=math.inf):
         """Open a connection, waiting ``most_s`` at the most."""
-        distance_s = self._chooser.get_distance_s(upstream.availability_zone)
+        distance_s = self._chooser.distances.get_s(upstream.availability_zone)
         timeout_s = CONNECT_SLACK_S + CONNECT_TRIPS * distance_s
         return await self._pool.connect(
             upstream.id, upstream.address, min(timeout_s, max(0.001, most_s))
@@ -116,7 +116,7 @@
         self._note_report(upstream, answer, now)
         if outcome is Outcome.ANSWERED:
             work_s = max(0.001, took_s - choice.distance_s)
-            self._chooser.note_answer(work, choice, work_s)
+            self._chooser.learning.note_answer(work, choice, work_s)
             self._poison.note_success(work.fingerprint, now)
         elif outcome is not Outcome.MOVED:
             self._worktimes.note_failure(work.service, upstream.id)
--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -345,11 +345,24 @@
     async with Setting(WARM) as setting:
         work = make_work("k")
         choice = setting.choose(work)
-        setting.chooser.note_unreached(work, choice)
+        setting.chooser.learning.note_unreached(work, choice)
         other = setting.choose(work, tried=[choice.upstream.id]).upstream.id
         assert setting.choose(work).upstream.id == other
 
 
+@pytest.mark.parametrize("key", ["k", ""])
+async def test_upstream_that_left_meanwhile_does_no_harm(key):
+    # An upstream leaves while a request is on its way there. An error here
+    # would answer a payment that did not run with "may have run".
+    async with Setting(WARM) as setting:
+        work = make_work(key)
+        choice = setting.choose(work)
+        setting.registry.remove_upstream(choice.upstream.id)
+        setting.chooser.learning.note_unreached(work, choice)
+        setting.chooser.learning.note_answer(work, choice, 0.1)
+        assert setting.choose(work).upstream.id != choice.upstream.id
+
+
 async def test_forgotten_objects_make_no_upstream_slow():
     # More objects than the upstream remembers come in turn; each run is a
     # first one again. The upstream is as fast as ever, and what it knows is
@@ -361,6 +374,6 @@
         for number in range(240):
             work = make_work(str(number % 12))
             choice = setting.choose(work)
-            setting.chooser.note_answer(work, choice, 0.4)
+            setting.chooser.learning.note_answer(work, choice, 0.4)
         assert setting.worktimes.get_factor("u0") < 2.0
-        assert setting.chooser.get_remembered("s") < 12
+        assert setting.chooser.learning.get_remembered("s") < 12
--- a/godwitlanding/tests/gateway/test_peers.py
+++ b/godwitlanding/tests/gateway/test_peers.py
@@ -6,14 +6,14 @@
 
 import pytest
 
-from godwitlanding.decisions.digest import Crash, Digest
+from godwitlanding.decisions.digest import Crash, Digest, make_digest
 from godwitlanding.decisions.fleet import Fleet
-from godwitlanding.decisions.objectmap import ObjectMap
+from godwitlanding.decisions.objectmap import Meeting, ObjectMap
 from godwitlanding.decisions.occupancy import Occupancy
 from godwitlanding.gateway.bulletin import decode_bulletin, encode_bulletin
-from godwitlanding.gateway.peers import Peers
+from godwitlanding.gateway.peers import TELL_MET_S, Peers
 from godwitlanding.gateway.registry import Registry, Upstream
-from godwitlanding.tests.support_fleet import CAPACITY, make_bulletin
+from godwitlanding.tests.support_fleet import CAPACITY, make_bulletin, make_peer
 
 pytestmark = pytest.mark.looptime
 
@@ -54,8 +54,13 @@
         self.occupancy = Occupancy()
         self.registry = Registry(REGION_BY_ZONE)
         self.crashes = []
+        self.object_map = ObjectMap()
         self.peers = Peers(
-            identity, self.fleet, self.occupancy, self.crashes.append, ObjectMap()
+            identity,
+            self.fleet,
+            self.occupancy,
+            self.crashes.append,
+            self.object_map,
         )
         self.peers.is_ready = lambda: True
         self.wire = Wire()
@@ -199,3 +204,52 @@
         assert setting.peers.count_vms() == 4
         setting.peers.note_vm("far", None, "")
         assert setting.peers.count_vms() == 3
+
+
+MEETING = Meeting(7, 9)
+
+
+async def test_peers_are_told_who_got_an_object(monkeypatch):
+    # Another VM gets a request for the same object a moment later. Unless it
+    # knows where the first one went, a second upstream learns the object. Any
+    # datagram may be lost, so it is told more than once, and not for ever.
+    async with Setting(monkeypatch) as setting:
+        setting.hear("vm-2", "10.0.0.2", rate_by_service={"s": 20.0})
+        setting.occupancy.begin("u")
+        setting.peers.note_meeting(MEETING)
+        await setting.count_sent(0.1)
+        assert sum(MEETING in told.met for _, told in setting.wire.sent) >= 2
+        await asyncio.sleep(TELL_MET_S)
+        await setting.count_sent(0.2)
+        assert not any(told.met for _, told in setting.wire.sent)
+
+
+async def test_other_regions_are_told_who_got_an_object(monkeypatch):
+    # Callers move to another region and ask for the same objects there.
+    async with Setting(monkeypatch) as setting:
+        setting.peers.note_vm("far", "10.0.9.1", "b1")
+        setting.hear("vm-2", "10.0.0.2", met=(MEETING,))
+        await setting.count_sent(1.2)
+        told = [bulletin for host, bulletin in setting.wire.sent if host == "10.0.9.1"]
+        assert all(MEETING in bulletin.digests[0].met for bulletin in told)
+
+
+async def test_word_of_another_region_is_taken(monkeypatch):
+    async with Setting(monkeypatch) as setting:
+        digest = make_digest("b", [make_peer("far")], (), (MEETING,))
+        bulletin = make_bulletin("far", region="b", digests=(digest,))
+        setting.peers.hear(encode_bulletin(bulletin), "10.0.9.1")
+        assert setting.object_map.get_depth(*MEETING) == 0
+
+
+async def test_vm_that_starts_is_told_all_that_is_known(monkeypatch):
+    # A VM that was killed is back and knows no object. It would have each one
+    # learnt anew wherever chance sends it.
+    async with Setting(monkeypatch) as setting:
+        meetings = {Meeting(number, 9) for number in range(300)}
+        for meeting in meetings:
+            setting.peers.note_meeting(meeting)
+        await asyncio.sleep(TELL_MET_S + 0.1)
+        setting.wire.sent.clear()
+        setting.hear("vm-2", "10.0.0.2", incarnation=5)
+        assert set(setting.wire.sent[0][1].met) == meetings
