Let two VMs of a region tell a new one which objects are known

Cause: each VM greeted one that had started with the whole map, 16 KB at the most; 22 VMs of a region would fill half a second of a link of 5 Mbit/s at the very moment of its start. Test: two of eight VMs tell it.

--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -220,7 +220,18 @@
         if is_new and bulletin.region == self._identity.region:
             log_message("peers:heard", peer=bulletin.vm)
             # It knows as little of this VM, and need not wait for its turn.
-            self._send([host], met=self._object_map.get_meetings(MAX_MET_WHOLE))
+            self._send([host], met=self._get_greeting())
+
+    def _get_greeting(self):
+        """Return what a VM that has just started is told of objects.
+
+        All of it, by the representatives alone. If each VM of a region told
+        it, 22 of them would send 350 KB at once, over half a second of the
+        weakest links, which are those of 5 Mbit/s.
+        """
+        if self._identity.vm not in pick_representatives(self._get_region()):
+            return None
+        return self._object_map.get_meetings(MAX_MET_WHOLE)
 
     def _take_digests(self, bulletin, host, now):
         is_near = bulletin.region == self._identity.region
--- a/godwitlanding/tests/gateway/test_peers.py
+++ b/godwitlanding/tests/gateway/test_peers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from godwitlanding.decisions.digest import Crash, Digest, make_digest
+from godwitlanding.decisions.digest import REPRESENTATIVES, Crash, Digest, make_digest
 from godwitlanding.decisions.fleet import Fleet
 from godwitlanding.decisions.objectmap import Meeting, ObjectMap
 from godwitlanding.decisions.occupancy import Occupancy
@@ -253,3 +253,21 @@
         setting.wire.sent.clear()
         setting.hear("vm-2", "10.0.0.2", incarnation=5)
         assert set(setting.wire.sent[0][1].met) == meetings
+
+
+async def test_vm_that_starts_is_told_all_by_two(monkeypatch):
+    # Twenty VMs that each told all of it would fill the link of a weak one
+    # just when it starts.
+    names = [f"vm-{number}" for number in range(8)]
+    greeted = 0
+    for name in names:
+        async with Setting(monkeypatch, vm=name) as setting:
+            for other in names:
+                if other != name:
+                    setting.hear(other, f"10.0.1.{other[3:]}")
+            setting.peers.note_meeting(MEETING)
+            await asyncio.sleep(TELL_MET_S + 0.1)
+            setting.wire.sent.clear()
+            setting.hear("new", "10.0.0.2")
+            greeted += bool(setting.wire.sent[0][1].met)
+    assert greeted <= REPRESENTATIVES
