Learn the time of first runs from first runs

Change: a run of an object that nobody has sent there is a first run. Test fails before and passes after.

--- a/godwitlanding/gateway/learning.py
+++ b/godwitlanding/gateway/learning.py
@@ -33,10 +33,14 @@
         if not work.key:
             return Warmth.COLD, None
         meeting = self._make_meeting(work, upstream_id)
-        depth = None
-        if self._object_map.has_answered(meeting):
-            depth = self._object_map.get_depth(*meeting)
+        held = self._object_map.get_depth(*meeting)
+        depth = held if self._object_map.has_answered(meeting) else None
         self._peers.note_meeting(meeting)
+        if held is None:
+            # Nobody has sent it there. Judged by its time alone, a fast first
+            # run would count as known, and where all are fast, or were slow
+            # for a moment, the time of first runs would never be learnt.
+            return Warmth.COLD, None
         return self._get_warmth(work.service, depth), depth
 
     def note_unreached(self, work, choice):
--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -363,6 +363,24 @@
         assert setting.choose(work).upstream.id != choice.upstream.id
 
 
+@pytest.mark.parametrize("slow_s", [0.0, 2.0])
+async def test_time_of_first_runs_is_learnt_where_it_is_short(slow_s):
+    # Objects make no difference to a service, or its upstreams were slow for
+    # a moment. Callers with new objects would be refused for good wherever
+    # they had to wait a few milliseconds, as if each took half a second.
+    async with Setting([("u0", "a1", 0.0)]) as setting:
+        for number in range(5 if slow_s else 0):
+            work = make_work(f"slow{number}")
+            choice = setting.choose(work._replace(answer_by=work.answer_by + 9))
+            setting.chooser.learning.note_answer(work, choice, slow_s)
+        for number in range(60):
+            work = make_work(f"k{number}")
+            work = work._replace(answer_by=work.answer_by + 9)
+            setting.chooser.learning.note_answer(work, setting.choose(work), 0.02)
+        setting.fill("u0", 4)
+        assert not isinstance(setting.choose(make_work("new")), Rejection)
+
+
 async def test_forgotten_objects_make_no_upstream_slow():
     # More objects than the upstream remembers come in turn; each run is a
     # first one again. The upstream is as fast as ever, and what it knows is
