--- a/godwitlanding/decisions/homes.py
+++ b/godwitlanding/decisions/homes.py
@@ -5,6 +5,9 @@
 every upstream with every object, each forgets what it learned before it
 comes again, and the slots are worth a third.
 
+This is for objects that nobody knows yet; those that are known stay where
+they are (``decisions.objectmap``).
+
 The upstreams are ranked for each object by rendezvous hashing, the same on
 every VM, and the first are the object's *homes*: as many as leave each
 upstream with ``OBJECTS_EACH`` objects. A request goes to no other upstream
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -208,16 +208,16 @@
         if not self._fleet.hear(bulletin, address, now):
             return
         self._occupancy.note_peer(bulletin.vm, bulletin.count_by_number, now)
-        self._take_digests(bulletin, host, now)
+        is_near = bulletin.region == self._identity.region
+        self._take_digests(bulletin, host, is_near, now)
         for crash in bulletin.crashes:
             self._on_crash(crash)
-        is_near = bulletin.region == self._identity.region
         for meeting in bulletin.met:
             self._object_map.hear(meeting, now)
             if is_near:
                 self._keep_for_far(meeting, now)
         is_new = known is None or known.incarnation != bulletin.incarnation
-        if is_new and bulletin.region == self._identity.region:
+        if is_new and is_near:
             log_message("peers:heard", peer=bulletin.vm)
             # It knows as little of this VM, and need not wait for its turn.
             self._send([host], met=self._get_greeting())
@@ -233,8 +233,7 @@
             return None
         return self._object_map.get_meetings(MAX_MET_WHOLE)
 
-    def _take_digests(self, bulletin, host, now):
-        is_near = bulletin.region == self._identity.region
+    def _take_digests(self, bulletin, host, is_near, now):
         for digest in bulletin.digests:
             is_direct = digest.region == bulletin.region
             self.digests.hear(digest, is_direct, now)
