--- /dev/null
+++ b/godwitlanding/base/__init__.py
@@ -0,0 +1,1 @@
+"""What every program stands on: kernel, logs, metrics, messages, settings."""
--- a/godwitlanding/config.py
+++ b/godwitlanding/base/config.py
@@ -12,14 +12,14 @@
 
 from result import Err, Ok
 
-from godwitlanding.codes import Code
-from godwitlanding.configtable import (
+from godwitlanding.base.codes import Code
+from godwitlanding.base.configtable import (
     CONFIG,
     KIND_BULK,
     KIND_LOOKUP,
     KIND_TRANSACTION,
 )
-from godwitlanding.fields import Checker, Field, read_text
+from godwitlanding.base.fields import Checker, Field, read_text
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
--- a/godwitlanding/configtable.py
+++ b/godwitlanding/base/configtable.py
@@ -4,7 +4,7 @@
 together.
 """
 
-from godwitlanding.fields import Field
+from godwitlanding.base.fields import Field
 
 KIND_TRANSACTION = "transaction"
 KIND_LOOKUP = "lookup"
--- a/godwitlanding/fields.py
+++ b/godwitlanding/base/fields.py
@@ -16,7 +16,7 @@
 import pyjson5
 from result import Err, Ok
 
-from godwitlanding.codes import Code
+from godwitlanding.base.codes import Code
 
 REQUIRED = object()
 
--- a/godwitlanding/store.py
+++ b/godwitlanding/base/store.py
@@ -14,8 +14,8 @@
 from result import Err, Ok
 from yarl import URL
 
-from godwitlanding.client import make_session
-from godwitlanding.codes import Code, make_refusal
+from godwitlanding.base.client import make_session
+from godwitlanding.base.codes import Code, make_refusal
 
 MAX_VALUE_BYTES = 1_000_000
 
--- a/godwitlanding/tasks.py
+++ b/godwitlanding/base/tasks.py
@@ -3,7 +3,7 @@
 import asyncio
 import traceback
 
-from godwitlanding.log import log_error
+from godwitlanding.base.log import log_error
 
 # Between two cancellations a task may tidy up.
 _CANCEL_AGAIN_S = 0.2
--- a/godwitlanding/web.py
+++ b/godwitlanding/base/web.py
@@ -7,10 +7,10 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from godwitlanding.codes import ROW_BY_CODE, Code, make_refusal
-from godwitlanding.config import CONFIG_KIND, CONFIG_NAME
-from godwitlanding.kernel import Service
-from godwitlanding.metrics import render_metrics
+from godwitlanding.base.codes import ROW_BY_CODE, Code, make_refusal
+from godwitlanding.base.config import CONFIG_KIND, CONFIG_NAME
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.metrics import render_metrics
 
 VERSION_HEADER = "Godwit-Version"
 PROBLEM_TYPE = "application/problem+json"
--- a/godwitlanding/wire.py
+++ b/godwitlanding/base/wire.py
@@ -16,8 +16,8 @@
 from eliot import log_message
 from result import Err, Ok
 
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.messages import (
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.messages import (
     Ack,
     Envelope,
     Failure,
--- a/godwitlanding/ctl.py
+++ b/godwitlanding/ctl.py
@@ -11,9 +11,9 @@
 import sys
 
 from godwitlanding import __version__
-from godwitlanding.changes import run_apply, run_drain, run_rollback, run_shift
-from godwitlanding.inventory import Ports
-from godwitlanding.operations import (
+from godwitlanding.operator.changes import run_apply, run_drain, run_rollback, run_shift
+from godwitlanding.operator.inventory import Ports
+from godwitlanding.operator.operations import (
     run_diff,
     run_explain,
     run_get,
@@ -21,7 +21,7 @@
     run_status,
     run_validate,
 )
-from godwitlanding.terminal import EXIT_FAILED, EXIT_INTERRUPTED
+from godwitlanding.operator.terminal import EXIT_FAILED, EXIT_INTERRUPTED
 
 DEFAULT_PLATFORM = "http://127.0.0.9:8000"
 
--- /dev/null
+++ b/godwitlanding/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the three daemons ``godwit-steer``, ``-entry`` and ``-zone``."""
--- a/godwitlanding/answer.py
+++ b/godwitlanding/daemons/answer.py
@@ -9,9 +9,9 @@
 import re
 from typing import NamedTuple
 
-from godwitlanding.codes import RUN_NO, Code, Run
-from godwitlanding.headers import UPSTREAM_REFUSED, UPSTREAM_REQUEST_ID
-from godwitlanding.messages import OUTCOME_LEAVING, OUTCOME_SHED
+from godwitlanding.base.codes import RUN_NO, Code, Run
+from godwitlanding.base.headers import UPSTREAM_REFUSED, UPSTREAM_REQUEST_ID
+from godwitlanding.base.messages import OUTCOME_LEAVING, OUTCOME_SHED
 
 # Most look-ups are far smaller; 64 KB for each request in progress keeps
 # 500 of them within 32 MB.
--- a/godwitlanding/arbiter.py
+++ b/godwitlanding/daemons/arbiter.py
@@ -17,17 +17,17 @@
 [Decision(request_id='r1', outcome=Grant(permit_id=1, upstream='s1', ...
 """
 
-from godwitlanding.admission import Admission
-from godwitlanding.codes import RUN_NO, RUN_UNKNOWN, Code, Refusal
-from godwitlanding.decision import Ask, Decision, Grant, Spill
-from godwitlanding.intake import Intake
-from godwitlanding.outlier import OutlierDetector
-from godwitlanding.permits import Permit, PermitBook, Teacher
-from godwitlanding.poison import PoisonLedger
-from godwitlanding.pool import Pool
-from godwitlanding.reserve import LongJobs
-from godwitlanding.spill import SpillAllowances
-from godwitlanding.warmup import Warmup
+from godwitlanding.base.codes import RUN_NO, RUN_UNKNOWN, Code, Refusal
+from godwitlanding.daemons.decision import Ask, Decision, Grant, Spill
+from godwitlanding.daemons.intake import Intake
+from godwitlanding.daemons.permits import Permit, PermitBook, Teacher
+from godwitlanding.daemons.pool import Pool
+from godwitlanding.decisions.admission import Admission
+from godwitlanding.decisions.outlier import OutlierDetector
+from godwitlanding.decisions.poison import PoisonLedger
+from godwitlanding.decisions.reserve import LongJobs
+from godwitlanding.decisions.spill import SpillAllowances
+from godwitlanding.decisions.warmup import Warmup
 
 DEFAULT_WORK_S = 0.05
 DEFAULT_SLOW_START_S = 10.0
--- a/godwitlanding/blockstore.py
+++ b/godwitlanding/daemons/blockstore.py
@@ -27,7 +27,7 @@
 from itertools import accumulate
 from typing import NamedTuple
 
-from godwitlanding.blocks import GROUP, START, BlockChange, BlockTable, Piece
+from godwitlanding.daemons.blocks import GROUP, START, BlockChange, BlockTable, Piece
 
 BLOCKS_KIND = "blocks"
 MARKER_NAME = "marker"
--- a/godwitlanding/borrower.py
+++ b/godwitlanding/daemons/borrower.py
@@ -9,8 +9,8 @@
 
 from typing import NamedTuple
 
-from godwitlanding.loan import CLOCK_RATE_MARGIN
-from godwitlanding.messages import FORMER_NONE, GiveBack, Holder, Loan
+from godwitlanding.base.messages import FORMER_NONE, GiveBack, Holder, Loan
+from godwitlanding.daemons.loan import CLOCK_RATE_MARGIN
 
 
 class Gain(NamedTuple):
--- a/godwitlanding/daemon.py
+++ b/godwitlanding/daemons/daemon.py
@@ -9,12 +9,12 @@
 from eliot import log_message
 
 from godwitlanding import __version__
-from godwitlanding.kernel import Kernel
-from godwitlanding.log import set_up_logs
-from godwitlanding.messages import PROTOCOL_VERSION, Hello
-from godwitlanding.metrics import Counters, make_meter
-from godwitlanding.replica import Replica
-from godwitlanding.settings import read_settings
+from godwitlanding.base.kernel import Kernel
+from godwitlanding.base.log import set_up_logs
+from godwitlanding.base.messages import PROTOCOL_VERSION, Hello
+from godwitlanding.base.metrics import Counters, make_meter
+from godwitlanding.base.settings import read_settings
+from godwitlanding.daemons.replica import Replica
 
 EXIT_OK = 0
 EXIT_FAILED = 1
--- a/godwitlanding/decision.py
+++ b/godwitlanding/daemons/decision.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from godwitlanding.codes import Refusal
+from godwitlanding.base.codes import Refusal
 
 
 class Ask(NamedTuple):
--- a/godwitlanding/desk.py
+++ b/godwitlanding/daemons/desk.py
@@ -7,9 +7,9 @@
 
 from typing import NamedTuple
 
-from godwitlanding.arbiter import Ask, Grant, Spill
-from godwitlanding.borrower import Borrower
-from godwitlanding.messages import OUTCOME_UNUSED, Granted, PassOn, Refused
+from godwitlanding.base.messages import OUTCOME_UNUSED, Granted, PassOn, Refused
+from godwitlanding.daemons.arbiter import Ask, Grant, Spill
+from godwitlanding.daemons.borrower import Borrower
 
 # Each incarnation of an arbiter numbers its permits in a range of its own,
 # so that one which it is told of cannot be taken for one that it granted.
--- a/godwitlanding/fleet.py
+++ b/godwitlanding/daemons/fleet.py
@@ -10,7 +10,7 @@
 import json
 from typing import NamedTuple
 
-from godwitlanding.choice import make_target
+from godwitlanding.decisions.choice import make_target
 
 STATE_LIVE = "live"
 
--- a/godwitlanding/forward.py
+++ b/godwitlanding/daemons/forward.py
@@ -13,7 +13,7 @@
 import hmac
 from typing import NamedTuple
 
-from godwitlanding import headers as names
+from godwitlanding.base import headers as names
 
 HOP = "hop"
 HOME = "home"
--- a/godwitlanding/holdings.py
+++ b/godwitlanding/daemons/holdings.py
@@ -17,7 +17,7 @@
 
 from result import Err, Ok
 
-from godwitlanding.messages import Held, HeldPermit
+from godwitlanding.base.messages import Held, HeldPermit
 
 STALE = "stale_arbiter"
 EXPIRED = "expired"
--- a/godwitlanding/intake.py
+++ b/godwitlanding/daemons/intake.py
@@ -7,12 +7,12 @@
 what it does next comes too late.
 """
 
-from godwitlanding.admission import PATIENCE
-from godwitlanding.codes import Code, Refusal
-from godwitlanding.decision import Decision, Spill
-from godwitlanding.fairness import bound_cost
-from godwitlanding.queue import AskQueue
-from godwitlanding.timers import Timers
+from godwitlanding.base.codes import Code, Refusal
+from godwitlanding.base.timers import Timers
+from godwitlanding.daemons.decision import Decision, Spill
+from godwitlanding.decisions.admission import PATIENCE
+from godwitlanding.decisions.fairness import bound_cost
+from godwitlanding.decisions.queue import AskQueue
 
 # Slots assumed before any upstream has been lent.
 DEFAULT_SLOTS = 3
--- a/godwitlanding/journal.py
+++ b/godwitlanding/daemons/journal.py
@@ -23,8 +23,8 @@
 
 from result import Err, Ok
 
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.journaltext import (
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.daemons.journaltext import (
     CLAIMED,
     DONE,
     MAX_JOURNAL_BYTES,
@@ -34,7 +34,7 @@
     format_journal,
     parse_journal,
 )
-from godwitlanding.ticket import JOURNALED
+from godwitlanding.daemons.ticket import JOURNALED
 
 STILL_RUNNING_RETRY_S = 1.0
 # Rarely enough that making room costs nothing a press.
--- a/godwitlanding/loan.py
+++ b/godwitlanding/daemons/loan.py
@@ -15,7 +15,7 @@
 
 from typing import NamedTuple
 
-from godwitlanding.messages import FORMER_NONE, Holder, Lent
+from godwitlanding.base.messages import FORMER_NONE, Holder, Lent
 
 # Clocks of two machines run at slightly different rates.
 CLOCK_RATE_MARGIN = 1.01
--- a/godwitlanding/membership.py
+++ b/godwitlanding/daemons/membership.py
@@ -13,8 +13,8 @@
 
 from typing import NamedTuple
 
-from godwitlanding.rendezvous import rank
-from godwitlanding.store import VmList
+from godwitlanding.base.rendezvous import rank
+from godwitlanding.base.store import VmList
 
 STATE_LEAVING = "leaving"
 # The arbiter and two that are tried after it; more only cost bytes.
--- a/godwitlanding/permits.py
+++ b/godwitlanding/daemons/permits.py
@@ -9,7 +9,7 @@
 
 from typing import NamedTuple
 
-from godwitlanding.messages import (
+from godwitlanding.base.messages import (
     OUTCOME_CANCELLED,
     OUTCOME_CRASHED,
     OUTCOME_LEAVING,
@@ -17,7 +17,7 @@
     OUTCOME_SHED,
     OUTCOME_TIMEOUT,
 )
-from godwitlanding.timers import Timers
+from godwitlanding.base.timers import Timers
 
 # The upstream may hear of a cancellation later than the permit ends; its
 # slot is not used again before. A one-way trip in the zone takes 1 ms and
--- a/godwitlanding/pool.py
+++ b/godwitlanding/daemons/pool.py
@@ -20,7 +20,7 @@
 
 from sortedcontainers import SortedList
 
-from godwitlanding.timers import Timers
+from godwitlanding.base.timers import Timers
 
 
 class PooledUpstream:
--- a/godwitlanding/request.py
+++ b/godwitlanding/daemons/request.py
@@ -4,8 +4,8 @@
 
 import xxhash
 
-from godwitlanding.config import KIND_TRANSACTION, ServiceConfig
-from godwitlanding.forward import HOP, NOT_FORWARDED, Forward
+from godwitlanding.base.config import KIND_TRANSACTION, ServiceConfig
+from godwitlanding.daemons.forward import HOP, NOT_FORWARDED, Forward
 
 SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
--- a/godwitlanding/roster.py
+++ b/godwitlanding/daemons/roster.py
@@ -15,9 +15,9 @@
 import json
 from typing import NamedTuple
 
-from godwitlanding.loan import CLOCK_RATE_MARGIN, Handover
-from godwitlanding.messages import FORMER_NONE, Holder
-from godwitlanding.rendezvous import choose
+from godwitlanding.base.messages import FORMER_NONE, Holder
+from godwitlanding.base.rendezvous import choose
+from godwitlanding.daemons.loan import CLOCK_RATE_MARGIN, Handover
 
 ROSTER_KIND = "roster"
 # A member that has just come is given work when it has stayed this long,
--- a/godwitlanding/services/answers.py
+++ b/godwitlanding/daemons/services/answers.py
@@ -11,10 +11,10 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from godwitlanding.codes import Code, Refusal, make_refusal
-from godwitlanding.kernel import Service
-from godwitlanding.services.tickets import NOT_READY_RETRY_S
-from godwitlanding.web import make_problem, make_status_routes
+from godwitlanding.base.codes import Code, Refusal, make_refusal
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.web import make_problem, make_status_routes
+from godwitlanding.daemons.services.tickets import NOT_READY_RETRY_S
 
 STEER_PATH = "/v1/steer/"
 _CALLER_HEADER = b"x-caller"
--- a/godwitlanding/services/arbitration.py
+++ b/godwitlanding/daemons/services/arbitration.py
@@ -3,12 +3,9 @@
 import asyncio
 import secrets
 
-from godwitlanding.arbiter import Arbiter
-from godwitlanding.codes import Code
-from godwitlanding.desk import PERMIT_ID_BITS, Desk
-from godwitlanding.health import DRAINING, UpstreamHealth
-from godwitlanding.kernel import Service
-from godwitlanding.messages import (
+from godwitlanding.base.codes import Code
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.messages import (
     OUTCOME_CRASHED,
     OUTCOME_LEAVING,
     OUTCOME_OK,
@@ -20,9 +17,12 @@
     Signal,
     Withdraw,
 )
-from godwitlanding.poison import PoisonLedger
-from godwitlanding.spill import LinkMeter
-from godwitlanding.tasks import Tasks
+from godwitlanding.base.tasks import Tasks
+from godwitlanding.daemons.arbiter import Arbiter
+from godwitlanding.daemons.desk import PERMIT_ID_BITS, Desk
+from godwitlanding.decisions.health import DRAINING, UpstreamHealth
+from godwitlanding.decisions.poison import PoisonLedger
+from godwitlanding.decisions.spill import LinkMeter
 
 # A crash is told to the zone's members and to this many VMs elsewhere.
 MAX_TOLD_ELSEWHERE = 64
--- a/godwitlanding/services/borrowing.py
+++ b/godwitlanding/daemons/services/borrowing.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from godwitlanding.kernel import Service
-from godwitlanding.messages import Held, Holdings, Lent
-from godwitlanding.tasks import Tasks
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.messages import Held, Holdings, Lent
+from godwitlanding.base.tasks import Tasks
 
 # An owner that takes longer is counted as silent for this round.
 LOAN_TIMEOUT_S = 0.5
--- a/godwitlanding/services/callers.py
+++ b/godwitlanding/daemons/services/callers.py
@@ -2,9 +2,9 @@
 
 from eliot import log_message
 
-from godwitlanding.blocks import parse_address
-from godwitlanding.blockstore import BLOCKS_KIND, BlockLoader
-from godwitlanding.kernel import Service
+from godwitlanding.base.kernel import Service
+from godwitlanding.daemons.blocks import parse_address
+from godwitlanding.daemons.blockstore import BLOCKS_KIND, BlockLoader
 
 
 class Callers(Service):
--- a/godwitlanding/services/carrier.py
+++ b/godwitlanding/daemons/services/carrier.py
@@ -4,13 +4,13 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
-from godwitlanding.codes import RUN_NO, Code, Refusal, make_refusal
-from godwitlanding.holdings import Permit, Spill
-from godwitlanding.kernel import Service
-from godwitlanding.messages import OUTCOME_CANCELLED, OUTCOME_UNUSED, Poison
-from godwitlanding.poison import CRASHES_TO_STOP, PoisonLedger
-from godwitlanding.retry import Failure, RetryPolicy, Tries
-from godwitlanding.trace import Trace
+from godwitlanding.base.codes import RUN_NO, Code, Refusal, make_refusal
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.messages import OUTCOME_CANCELLED, OUTCOME_UNUSED, Poison
+from godwitlanding.daemons.holdings import Permit, Spill
+from godwitlanding.daemons.trace import Trace
+from godwitlanding.decisions.poison import CRASHES_TO_STOP, PoisonLedger
+from godwitlanding.decisions.retry import Failure, RetryPolicy, Tries
 
 
 class Final(NamedTuple):
--- a/godwitlanding/services/claims.py
+++ b/godwitlanding/daemons/services/claims.py
@@ -1,17 +1,17 @@
 """Non-idempotent work: finds the one process that may run a ticket."""
 
-from godwitlanding.codes import RUN_UNKNOWN, Code, make_refusal
-from godwitlanding.fleet import VmRow
-from godwitlanding.forward import HOME
-from godwitlanding.journal import Claim
-from godwitlanding.journaltext import Closer
-from godwitlanding.kernel import Service
-from godwitlanding.messages import OUTCOME_UNUSED
-from godwitlanding.request import compute_body_fingerprint
-from godwitlanding.services.carrier import Final
-from godwitlanding.services.once import answer_again
-from godwitlanding.services.upstreams import CONNECTION_REFUSED
-from godwitlanding.ticket import JOURNALED, is_ticket, read_ticket
+from godwitlanding.base.codes import RUN_UNKNOWN, Code, make_refusal
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.messages import OUTCOME_UNUSED
+from godwitlanding.daemons.fleet import VmRow
+from godwitlanding.daemons.forward import HOME
+from godwitlanding.daemons.journal import Claim
+from godwitlanding.daemons.journaltext import Closer
+from godwitlanding.daemons.request import compute_body_fingerprint
+from godwitlanding.daemons.services.carrier import Final
+from godwitlanding.daemons.services.once import answer_again
+from godwitlanding.daemons.services.upstreams import CONNECTION_REFUSED
+from godwitlanding.daemons.ticket import JOURNALED, is_ticket, read_ticket
 
 # Homes in a row that were replaced while one ticket was pressed.
 MAX_HOMES = 8
--- a/godwitlanding/services/configuration.py
+++ b/godwitlanding/daemons/services/configuration.py
@@ -1,9 +1,9 @@
 """The operators' configuration and the plan, parsed once for a process."""
 
-from godwitlanding.config import CONFIG_KIND, parse_config
-from godwitlanding.kernel import Service
-from godwitlanding.log import log_error
-from godwitlanding.plan import EMPTY_PLAN, parse_plan
+from godwitlanding.base.config import CONFIG_KIND, parse_config
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.log import log_error
+from godwitlanding.decisions.plan import EMPTY_PLAN, parse_plan
 
 
 class Configuration(Service):
--- a/godwitlanding/services/departure.py
+++ b/godwitlanding/daemons/services/departure.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from godwitlanding.kernel import Service
-from godwitlanding.log import log_warning
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.log import log_warning
 
 
 class Departure(Service):
--- a/godwitlanding/services/feed.py
+++ b/godwitlanding/daemons/services/feed.py
@@ -13,12 +13,12 @@
 
 from eliot import log_message
 
-from godwitlanding.codes import Code
-from godwitlanding.kernel import Service
-from godwitlanding.messages import Fetch, State, Subscribe
-from godwitlanding.tasks import end_tasks
-from godwitlanding.view import MEMBERS_KIND, View
-from godwitlanding.wire import Pool
+from godwitlanding.base.codes import Code
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.messages import Fetch, State, Subscribe
+from godwitlanding.base.tasks import end_tasks
+from godwitlanding.base.wire import Pool
+from godwitlanding.daemons.view import MEMBERS_KIND, View
 
 RETRY_S = 0.2
 # Any other answer, even a refusal, shows that the daemon is awake.
--- a/godwitlanding/services/holder.py
+++ b/godwitlanding/daemons/services/holder.py
@@ -1,8 +1,8 @@
 """The entry daemon's server for our own processes."""
 
-from godwitlanding.kernel import Service
-from godwitlanding.messages import Holdings, Poison
-from godwitlanding.wire import Server
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.messages import Holdings, Poison
+from godwitlanding.base.wire import Server
 
 
 class HolderServer(Service):
--- a/godwitlanding/services/journal.py
+++ b/godwitlanding/daemons/services/journal.py
@@ -7,12 +7,12 @@
 from eliot import log_message
 from result import Err, Ok
 
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.journal import Journal, close_journal
-from godwitlanding.journaltext import Closer
-from godwitlanding.kernel import Service
-from godwitlanding.log import log_error
-from godwitlanding.tasks import Tasks
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.log import log_error
+from godwitlanding.base.tasks import Tasks
+from godwitlanding.daemons.journal import Journal, close_journal
+from godwitlanding.daemons.journaltext import Closer
 
 JOURNAL_KIND = "journal"
 # An outcome that is not written yet is lost with its process; a caller who
--- a/godwitlanding/services/keys.py
+++ b/godwitlanding/daemons/services/keys.py
@@ -10,20 +10,20 @@
 
 from result import Err, Ok
 
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.journaltext import CLAIMED, DONE, UNKNOWN
-from godwitlanding.kernel import Service
-from godwitlanding.keyrecord import (
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.log import log_error
+from godwitlanding.base.tasks import Tasks
+from godwitlanding.daemons.journaltext import CLAIMED, DONE, UNKNOWN
+from godwitlanding.daemons.keyrecord import (
     MAX_KEY_CHARS,
     KeyRecord,
     format_record,
     make_name,
     parse_record,
 )
-from godwitlanding.log import log_error
-from godwitlanding.request import compute_body_fingerprint
-from godwitlanding.services.once import answer_again
-from godwitlanding.tasks import Tasks
+from godwitlanding.daemons.request import compute_body_fingerprint
+from godwitlanding.daemons.services.once import answer_again
 
 CLAIM_KIND = "claim"
 RETRY_S = 0.1
--- a/godwitlanding/services/leave.py
+++ b/godwitlanding/daemons/services/leave.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from godwitlanding.kernel import Service
+from godwitlanding.base.kernel import Service
 
 
 class Leave(Service):
--- a/godwitlanding/services/lending.py
+++ b/godwitlanding/daemons/services/lending.py
@@ -2,13 +2,18 @@
 
 import asyncio
 
-from godwitlanding.codes import Code
-from godwitlanding.kernel import Service
-from godwitlanding.log import log_warning
-from godwitlanding.messages import Failure, GiveBack, Loan, State
-from godwitlanding.roster import ROSTER_KIND, Candidate, format_roster, parse_roster
-from godwitlanding.steward import Steward, Surroundings
-from godwitlanding.tasks import Tasks
+from godwitlanding.base.codes import Code
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.log import log_warning
+from godwitlanding.base.messages import Failure, GiveBack, Loan, State
+from godwitlanding.base.tasks import Tasks
+from godwitlanding.daemons.roster import (
+    ROSTER_KIND,
+    Candidate,
+    format_roster,
+    parse_roster,
+)
+from godwitlanding.daemons.steward import Steward, Surroundings
 
 ROUND_S = 0.3
 
--- a/godwitlanding/services/linger.py
+++ b/godwitlanding/daemons/services/linger.py
@@ -4,9 +4,9 @@
 
 from eliot import log_message
 
-from godwitlanding.kernel import Service
-from godwitlanding.log import log_warning
-from godwitlanding.messages import Heartbeat
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.log import log_warning
+from godwitlanding.base.messages import Heartbeat
 
 REPORT_S = 5.0
 # The stop ends itself before whoever asked for it loses patience.
--- a/godwitlanding/services/links.py
+++ b/godwitlanding/daemons/services/links.py
@@ -1,7 +1,7 @@
 """The zone daemon's connections to other processes of ours."""
 
-from godwitlanding.kernel import Service
-from godwitlanding.wire import Pool, Server
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.wire import Pool, Server
 
 
 class Peers(Service):
--- a/godwitlanding/services/members.py
+++ b/godwitlanding/daemons/services/members.py
@@ -3,13 +3,13 @@
 import asyncio
 import json
 
-from godwitlanding.kernel import Service
-from godwitlanding.log import log_warning
-from godwitlanding.membership import Membership, choose_arbiters, get_active
-from godwitlanding.messages import Fetch, Heartbeat, State
-from godwitlanding.store import VmEntry, VmList
-from godwitlanding.tasks import Tasks
-from godwitlanding.versions import choose_versions
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.log import log_warning
+from godwitlanding.base.messages import Fetch, Heartbeat, State
+from godwitlanding.base.store import VmEntry, VmList
+from godwitlanding.base.tasks import Tasks
+from godwitlanding.daemons.membership import Membership, choose_arbiters, get_active
+from godwitlanding.daemons.versions import choose_versions
 
 VMS_KIND = "vms"
 MEMBERS_KIND = "members"
--- a/godwitlanding/services/once.py
+++ b/godwitlanding/daemons/services/once.py
@@ -3,11 +3,11 @@
 import asyncio
 from typing import Protocol
 
-from godwitlanding.codes import RUN_NO, Code, make_refusal
-from godwitlanding.kernel import Service
-from godwitlanding.services.carrier import Guard
-from godwitlanding.sink import Recorder, replay
-from godwitlanding.tasks import Tasks
+from godwitlanding.base.codes import RUN_NO, Code, make_refusal
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.tasks import Tasks
+from godwitlanding.daemons.services.carrier import Guard
+from godwitlanding.daemons.sink import Recorder, replay
 
 
 class Record(Protocol):
--- a/godwitlanding/services/passer.py
+++ b/godwitlanding/daemons/services/passer.py
@@ -3,14 +3,14 @@
 import asyncio
 import random
 
-from godwitlanding.answer import Attempt
-from godwitlanding.codes import RUN_NO, RUN_UNKNOWN, Code, Run
-from godwitlanding.forward import HOP, Forward, sign_forward
-from godwitlanding.headers import DEADLINE, REFUSED, RUN, select_request_headers
-from godwitlanding.kernel import Service
-from godwitlanding.messages import OUTCOME_FAILED, OUTCOME_UNUSED
-from godwitlanding.spill import LinkMeter
-from godwitlanding.tasks import Tasks
+from godwitlanding.base.codes import RUN_NO, RUN_UNKNOWN, Code, Run
+from godwitlanding.base.headers import DEADLINE, REFUSED, RUN, select_request_headers
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.messages import OUTCOME_FAILED, OUTCOME_UNUSED
+from godwitlanding.base.tasks import Tasks
+from godwitlanding.daemons.answer import Attempt
+from godwitlanding.daemons.forward import HOP, Forward, sign_forward
+from godwitlanding.decisions.spill import LinkMeter
 
 # One VM that has just died must not fail the spill; with more, the caller
 # waits through a zone that is gone.
--- a/godwitlanding/services/permits.py
+++ b/godwitlanding/daemons/services/permits.py
@@ -4,10 +4,9 @@
 
 from result import Err
 
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.holdings import PermitBook, Spill
-from godwitlanding.kernel import Service
-from godwitlanding.messages import (
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.messages import (
     OUTCOME_UNUSED,
     Acquire,
     Granted,
@@ -16,8 +15,9 @@
     Release,
     Withdraw,
 )
-from godwitlanding.tasks import Tasks
-from godwitlanding.view import MEMBERS_KIND
+from godwitlanding.base.tasks import Tasks
+from godwitlanding.daemons.holdings import PermitBook, Spill
+from godwitlanding.daemons.view import MEMBERS_KIND
 
 # An arbiter that is replaced takes a moment to collect the open permits.
 NO_ARBITER_WAIT_S = 0.1
--- a/godwitlanding/services/planner.py
+++ b/godwitlanding/daemons/services/planner.py
@@ -2,16 +2,16 @@
 
 import asyncio
 
-from godwitlanding.codes import Code
-from godwitlanding.demand import Demand
-from godwitlanding.kernel import Service
-from godwitlanding.lease import LeaseKeeper, format_lease, parse_lease
-from godwitlanding.log import log_warning
-from godwitlanding.messages import State
-from godwitlanding.plan import format_plan, parse_plan
-from godwitlanding.planner import Planner
-from godwitlanding.services.summary import SUMMARY_KIND
-from godwitlanding.tasks import Tasks
+from godwitlanding.base.codes import Code
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.log import log_warning
+from godwitlanding.base.messages import State
+from godwitlanding.base.tasks import Tasks
+from godwitlanding.daemons.services.summary import SUMMARY_KIND
+from godwitlanding.decisions.demand import Demand
+from godwitlanding.decisions.lease import LeaseKeeper, format_lease, parse_lease
+from godwitlanding.decisions.plan import format_plan, parse_plan
+from godwitlanding.decisions.planner import Planner
 
 LEASE_KIND = "lease"
 LEASE_NAME = "planner"
--- a/godwitlanding/services/platform.py
+++ b/godwitlanding/daemons/services/platform.py
@@ -1,6 +1,6 @@
 """The platform's object API as a service of a daemon."""
 
-from godwitlanding.kernel import Service
+from godwitlanding.base.kernel import Service
 
 
 class Platform(Service):
--- a/godwitlanding/services/probes.py
+++ b/godwitlanding/daemons/services/probes.py
@@ -5,9 +5,9 @@
 
 import aiohttp
 
-from godwitlanding.health import DRAINING, FAILED, READY
-from godwitlanding.kernel import Service
-from godwitlanding.tasks import Tasks
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.tasks import Tasks
+from godwitlanding.decisions.health import DRAINING, FAILED, READY
 
 MAX_BODY_BYTES = 4096
 
--- a/godwitlanding/services/replication.py
+++ b/godwitlanding/daemons/services/replication.py
@@ -9,13 +9,13 @@
 import json
 import secrets
 
-from godwitlanding.codes import Code
-from godwitlanding.kernel import Service
-from godwitlanding.log import log_warning
-from godwitlanding.membership import choose_reachable
-from godwitlanding.messages import Failure, Fetch, State, Subscribe
-from godwitlanding.services.members import ENTRY_ROLE, VMS_KIND, format_vm_list
-from godwitlanding.tasks import Tasks, end_tasks
+from godwitlanding.base.codes import Code
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.log import log_warning
+from godwitlanding.base.messages import Failure, Fetch, State, Subscribe
+from godwitlanding.base.tasks import Tasks, end_tasks
+from godwitlanding.daemons.membership import choose_reachable
+from godwitlanding.daemons.services.members import ENTRY_ROLE, VMS_KIND, format_vm_list
 
 WATCHED_KINDS = ("config", "plan", "secret", "roster", "summary", "blocks")
 WATCHERS = 2
--- a/godwitlanding/services/requests.py
+++ b/godwitlanding/daemons/services/requests.py
@@ -6,14 +6,20 @@
 
 from result import Err, Ok
 
-from godwitlanding.codes import RUN_UNKNOWN, Code, make_refusal
-from godwitlanding.forward import read_forward
-from godwitlanding.headers import DEADLINE, IDEMPOTENCY_KEY, REFUSED, REQUEST_ID, RUN
-from godwitlanding.kernel import Service
-from godwitlanding.request import Request, compute_fingerprint
-from godwitlanding.sink import Sink
-from godwitlanding.upload import Upload
-from godwitlanding.web import make_problem
+from godwitlanding.base.codes import RUN_UNKNOWN, Code, make_refusal
+from godwitlanding.base.headers import (
+    DEADLINE,
+    IDEMPOTENCY_KEY,
+    REFUSED,
+    REQUEST_ID,
+    RUN,
+)
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.web import make_problem
+from godwitlanding.daemons.forward import read_forward
+from godwitlanding.daemons.request import Request, compute_fingerprint
+from godwitlanding.daemons.sink import Sink
+from godwitlanding.daemons.upload import Upload
 
 # A body up to this size is read whole before a permit is asked for, so a
 # slow upload holds no slot and the request can be sent again.
--- a/godwitlanding/services/routing.py
+++ b/godwitlanding/daemons/services/routing.py
@@ -4,16 +4,16 @@
 
 from eliot import log_message
 
-from godwitlanding.choice import (
+from godwitlanding.base.config import CONFIG_KIND, CONFIG_NAME
+from godwitlanding.base.kernel import Service
+from godwitlanding.daemons.fleet import list_targets, parse_leaving_vms
+from godwitlanding.daemons.view import MAIN_NAME, MEMBERS_KIND, PLAN_KIND, VMS_KIND
+from godwitlanding.decisions.choice import (
     choose_origin,
     choose_targets,
     rank_targets,
     rank_zones,
 )
-from godwitlanding.config import CONFIG_KIND, CONFIG_NAME
-from godwitlanding.fleet import list_targets, parse_leaving_vms
-from godwitlanding.kernel import Service
-from godwitlanding.view import MAIN_NAME, MEMBERS_KIND, PLAN_KIND, VMS_KIND
 
 SUMMARY_KIND = "summary"
 _TARGET_KINDS = frozenset({CONFIG_KIND, VMS_KIND, MEMBERS_KIND})
--- a/godwitlanding/services/summary.py
+++ b/godwitlanding/daemons/services/summary.py
@@ -8,11 +8,11 @@
 import asyncio
 import json
 
-from godwitlanding.codes import Code
-from godwitlanding.kernel import Service
-from godwitlanding.log import log_warning
-from godwitlanding.messages import State
-from godwitlanding.tasks import Tasks
+from godwitlanding.base.codes import Code
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.log import log_warning
+from godwitlanding.base.messages import State
+from godwitlanding.base.tasks import Tasks
 
 SUMMARY_KIND = "summary"
 # Not an object of the platform: what one arbiter tells the writer.
--- a/godwitlanding/services/tickets.py
+++ b/godwitlanding/daemons/services/tickets.py
@@ -5,9 +5,9 @@
 
 from starlette.responses import JSONResponse, RedirectResponse
 
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.kernel import Service
-from godwitlanding.ticket import JOURNALED, MEMORY_ONLY, Ticket, issue_ticket
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.kernel import Service
+from godwitlanding.daemons.ticket import JOURNALED, MEMORY_ONLY, Ticket, issue_ticket
 
 NO_STORE = {"Cache-Control": "no-store"}
 NOT_READY_RETRY_S = 1.0
--- a/godwitlanding/services/upstreams.py
+++ b/godwitlanding/daemons/services/upstreams.py
@@ -5,31 +5,31 @@
 import aiohttp
 from yarl import URL
 
-from godwitlanding.answer import (
-    SMALL_ANSWER_BYTES,
-    Attempt,
-    check_continuation,
-    check_head,
-    find_resume,
-    make_range_headers,
-    read_length,
-    read_upstream_refusal,
-)
-from godwitlanding.client import make_session
-from godwitlanding.codes import RUN_NO, RUN_UNKNOWN, RUN_YES, Code
-from godwitlanding.headers import (
+from godwitlanding.base.client import make_session
+from godwitlanding.base.codes import RUN_NO, RUN_UNKNOWN, RUN_YES, Code
+from godwitlanding.base.headers import (
     UPSTREAM_DEADLINE,
     UPSTREAM_REQUEST_ID,
     select_answer_headers,
     select_request_headers,
 )
-from godwitlanding.kernel import Service
-from godwitlanding.messages import (
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.messages import (
     OUTCOME_CRASHED,
     OUTCOME_FAILED,
     OUTCOME_OK,
     OUTCOME_TIMEOUT,
 )
+from godwitlanding.daemons.answer import (
+    SMALL_ANSWER_BYTES,
+    Attempt,
+    check_continuation,
+    check_head,
+    find_resume,
+    make_range_headers,
+    read_length,
+    read_upstream_refusal,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 # Shorter than servers commonly keep an idle connection (5 s and more), so
--- a/godwitlanding/sink.py
+++ b/godwitlanding/daemons/sink.py
@@ -1,7 +1,7 @@
 """Where an answer goes: the caller's connection."""
 
-from godwitlanding.headers import REPLAYED, REQUEST_ID
-from godwitlanding.journaltext import RECORDED_BODY_BYTES, Outcome
+from godwitlanding.base.headers import REPLAYED, REQUEST_ID
+from godwitlanding.daemons.journaltext import RECORDED_BODY_BYTES, Outcome
 
 _RECORDED_HEADERS = frozenset(("content-type", "content-language", "location", "etag"))
 _BODILESS_STATUSES = (204, 304)
--- a/godwitlanding/steward.py
+++ b/godwitlanding/daemons/steward.py
@@ -9,8 +9,8 @@
 
 from typing import NamedTuple
 
-from godwitlanding.loan import Lender
-from godwitlanding.roster import EMPTY_ROSTER, RosterKeeper
+from godwitlanding.daemons.loan import Lender
+from godwitlanding.daemons.roster import EMPTY_ROSTER, RosterKeeper
 
 
 class Surroundings(NamedTuple):
--- a/godwitlanding/ticket.py
+++ b/godwitlanding/daemons/ticket.py
@@ -18,7 +18,7 @@
 
 from result import Err, Ok
 
-from godwitlanding.codes import Code, make_refusal
+from godwitlanding.base.codes import Code, make_refusal
 
 JOURNALED = "journaled"
 MEMORY_ONLY = "memory"
--- a/godwitlanding/versions.py
+++ b/godwitlanding/daemons/versions.py
@@ -8,7 +8,7 @@
 are told each time, the many take turns.
 """
 
-from godwitlanding.messages import VersionOf
+from godwitlanding.base.messages import VersionOf
 
 ALWAYS_KINDS = ("config", "plan", "secret", "roster", "vms")
 # With 50 pieces and heartbeats 0.3 s apart a lost push is mended within
--- a/godwitlanding/view.py
+++ b/godwitlanding/daemons/view.py
@@ -9,9 +9,9 @@
 
 from eliot import log_message
 
-from godwitlanding.config import CONFIG_KIND, CONFIG_NAME, parse_config
-from godwitlanding.fleet import Member, parse_members, parse_vms
-from godwitlanding.plan import EMPTY_PLAN, parse_plan
+from godwitlanding.base.config import CONFIG_KIND, CONFIG_NAME, parse_config
+from godwitlanding.daemons.fleet import Member, parse_members, parse_vms
+from godwitlanding.decisions.plan import EMPTY_PLAN, parse_plan
 
 MEMBERS_KIND = "members"
 VMS_KIND = "vms"
--- a/godwitlanding/decisions/digest.py
+++ b/godwitlanding/decisions/digest.py
@@ -12,9 +12,9 @@
 
 from typing import NamedTuple
 
+from godwitlanding.base.rendezvous import rank
 from godwitlanding.decisions.fleet import find_strong, pick_strong
 from godwitlanding.decisions.objectmap import Meeting
-from godwitlanding.rendezvous import rank
 
 REPRESENTATIVES = 2
 # VMs of another region that a representative tells each time: one that has
--- a/godwitlanding/decisions/homes.py
+++ b/godwitlanding/decisions/homes.py
@@ -22,7 +22,7 @@
 import math
 from collections import OrderedDict
 
-from godwitlanding.rendezvous import rank
+from godwitlanding.base.rendezvous import rank
 
 # Measured over 2,200 answers: after up to 11 other objects an upstream knew
 # an object in 99 of 100 cases, after 12 to 15 in 86, after 16 to 19 in 39.
--- a/godwitlanding/outlier.py
+++ b/godwitlanding/decisions/outlier.py
@@ -31,7 +31,7 @@
 
 from sortedcontainers import SortedList
 
-from godwitlanding.messages import (
+from godwitlanding.base.messages import (
     OUTCOME_CRASHED,
     OUTCOME_FAILED,
     OUTCOME_OK,
--- a/godwitlanding/planner.py
+++ b/godwitlanding/decisions/planner.py
@@ -18,10 +18,10 @@
 
 from typing import NamedTuple
 
-from godwitlanding.allowances import get_sources, share_out, share_out_rest
-from godwitlanding.plan import EMPTY_PLAN, Plan
-from godwitlanding.room import Room
-from godwitlanding.targets import make_base, make_targets
+from godwitlanding.decisions.allowances import get_sources, share_out, share_out_rest
+from godwitlanding.decisions.plan import EMPTY_PLAN, Plan
+from godwitlanding.decisions.room import Room
+from godwitlanding.decisions.targets import make_base, make_targets
 
 # Below this a zone's upstreams are not warm enough to be given more.
 WARM_SHARE = 0.8
--- a/godwitlanding/queue.py
+++ b/godwitlanding/decisions/queue.py
@@ -14,7 +14,7 @@
 
 from sortedcontainers import SortedDict, SortedList
 
-from godwitlanding.fairness import Tag, VirtualClock
+from godwitlanding.decisions.fairness import Tag, VirtualClock
 
 
 class Waiting(NamedTuple):
--- a/godwitlanding/decisions/reading.py
+++ b/godwitlanding/decisions/reading.py
@@ -19,8 +19,8 @@
 
 from typing import NamedTuple
 
+from godwitlanding.base.rendezvous import rank
 from godwitlanding.decisions.fleet import find_strong
-from godwitlanding.rendezvous import rank
 
 READERS = 2
 # Readers and sources give a sign of life this often; after three are
--- a/godwitlanding/retry.py
+++ b/godwitlanding/decisions/retry.py
@@ -17,10 +17,10 @@
 
 from result import Err, Ok
 
-from godwitlanding.budget import RetryBudget
-from godwitlanding.codes import RUN_NO, RUN_UNKNOWN, Code, make_refusal
-from godwitlanding.messages import OUTCOME_CRASHED
-from godwitlanding.poison import PoisonLedger
+from godwitlanding.base.codes import RUN_NO, RUN_UNKNOWN, Code, make_refusal
+from godwitlanding.base.messages import OUTCOME_CRASHED
+from godwitlanding.decisions.budget import RetryBudget
+from godwitlanding.decisions.poison import PoisonLedger
 
 MAX_TRIES = 3
 
--- a/godwitlanding/entry.py
+++ b/godwitlanding/entry.py
@@ -9,21 +9,21 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
-from godwitlanding import daemon
-from godwitlanding.services.carrier import Carrier
-from godwitlanding.services.claims import ClaimService
-from godwitlanding.services.feed import Feed
-from godwitlanding.services.holder import HolderServer
-from godwitlanding.services.journal import JournalWriter
-from godwitlanding.services.keys import KeyService
-from godwitlanding.services.linger import Linger
-from godwitlanding.services.once import OnceRunner
-from godwitlanding.services.passer import Passer
-from godwitlanding.services.permits import PermitClient
-from godwitlanding.services.requests import RequestHandler
-from godwitlanding.services.upstreams import UpstreamClient
-from godwitlanding.store import HttpStore
-from godwitlanding.web import HttpServer, make_status_routes
+from godwitlanding.base.store import HttpStore
+from godwitlanding.base.web import HttpServer, make_status_routes
+from godwitlanding.daemons import daemon
+from godwitlanding.daemons.services.carrier import Carrier
+from godwitlanding.daemons.services.claims import ClaimService
+from godwitlanding.daemons.services.feed import Feed
+from godwitlanding.daemons.services.holder import HolderServer
+from godwitlanding.daemons.services.journal import JournalWriter
+from godwitlanding.daemons.services.keys import KeyService
+from godwitlanding.daemons.services.linger import Linger
+from godwitlanding.daemons.services.once import OnceRunner
+from godwitlanding.daemons.services.passer import Passer
+from godwitlanding.daemons.services.permits import PermitClient
+from godwitlanding.daemons.services.requests import RequestHandler
+from godwitlanding.daemons.services.upstreams import UpstreamClient
 
 ROLE = "entry"
 DESCRIPTION = "Carries requests: permit, dispatch, bounded retry, answer."
--- a/godwitlanding/gateway/candidates.py
+++ b/godwitlanding/gateway/candidates.py
@@ -1,10 +1,10 @@
 """Upstreams that may take a request, as they stand now."""
 
+from godwitlanding.base.rendezvous import choose, rank
 from godwitlanding.decisions.fleet import get_carriers, make_own_peer
 from godwitlanding.decisions.homes import pick_homes
 from godwitlanding.decisions.objectmap import get_object_number
 from godwitlanding.decisions.placing import Candidate, mix_work_s, place
-from godwitlanding.rendezvous import choose, rank
 
 # An upstream this many times slower than usual takes longer for an object
 # that it knows than others for one that they do not (3.3 times).
--- a/godwitlanding/gateway/carrier.py
+++ b/godwitlanding/gateway/carrier.py
@@ -5,7 +5,8 @@
 
 from eliot import log_message
 
-from godwitlanding.codes import ROW_BY_CODE, Code
+from godwitlanding.base.codes import ROW_BY_CODE, Code
+from godwitlanding.base.kernel import Service
 from godwitlanding.decisions.comeback import get_retry_after_s
 from godwitlanding.decisions.patience import Patience
 from godwitlanding.decisions.routes import Splitter, find_route
@@ -13,7 +14,6 @@
 from godwitlanding.gateway.chooser import Rejection
 from godwitlanding.gateway.exchange import select_headers
 from godwitlanding.gateway.stream import StreamSink
-from godwitlanding.kernel import Service
 
 # The way between caller and VM and back, 8 ms each, and our own work.
 CALLER_DISTANCE_S = 0.02
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from godwitlanding.base.kernel import Service
 from godwitlanding.decisions.homes import Homes
 from godwitlanding.decisions.placing import Placement, is_worth_taking
 from godwitlanding.decisions.shiftguard import ShiftGuard
@@ -13,7 +14,6 @@
 from godwitlanding.gateway.learning import Learning
 from godwitlanding.gateway.regionplan import RegionPlan
 from godwitlanding.gateway.registry import Upstream
-from godwitlanding.kernel import Service
 
 RECOVER_PAUSE_S = 1.0
 # Beside the planned share this part of the requests may go to whichever
--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -5,10 +5,10 @@
 
 from eliot import log_message
 
+from godwitlanding.base.kernel import Service
 from godwitlanding.decisions.digest import Crash
 from godwitlanding.gateway.attempt import Outcome, judge, make_request_bytes
 from godwitlanding.gateway.upstream import Failure, UpstreamError
-from godwitlanding.kernel import Service
 
 # Opening a connection takes a way there and back and a millisecond; a lost
 # packet costs a second, and another upstream is tried before that.
--- a/godwitlanding/gateway/exchange.py
+++ b/godwitlanding/gateway/exchange.py
@@ -1,6 +1,6 @@
 """One request of a caller and its answer, between connection and carrier."""
 
-from godwitlanding.headers import HOP_BY_HOP
+from godwitlanding.base.headers import HOP_BY_HOP
 
 _HOP_BY_HOP = frozenset(name.encode() for name in HOP_BY_HOP)
 _REASON_BY_STATUS = {
--- a/godwitlanding/gateway/feed.py
+++ b/godwitlanding/gateway/feed.py
@@ -15,10 +15,8 @@
 
 from eliot import log_message
 
-from godwitlanding.decisions.reading import SIGN_PAUSE_S, SIGN_SILENT_S
-from godwitlanding.gateway.mirror import Change
-from godwitlanding.kernel import Service
-from godwitlanding.messages import (
+from godwitlanding.base.kernel import Service
+from godwitlanding.base.messages import (
     PROTOCOL_VERSION,
     Follow,
     HeldObject,
@@ -27,8 +25,10 @@
     Sign,
     Update,
 )
-from godwitlanding.store import StoredObject
-from godwitlanding.wire import Pool, Server
+from godwitlanding.base.store import StoredObject
+from godwitlanding.base.wire import Pool, Server
+from godwitlanding.decisions.reading import SIGN_PAUSE_S, SIGN_SILENT_S
+from godwitlanding.gateway.mirror import Change
 
 ROLE = "vm"
 # A source in another region answers within 0.2 s.
--- a/godwitlanding/gateway/front.py
+++ b/godwitlanding/gateway/front.py
@@ -11,9 +11,9 @@
 
 from eliot import log_message
 
+from godwitlanding.base.kernel import Service
 from godwitlanding.decisions.routes import Limits
 from godwitlanding.gateway.caller import IDLE_GRACE_S, CallerConnection
-from godwitlanding.kernel import Service
 
 BACKLOG = 1024
 # Shares of the time until the process is killed. Callers hear within 1 s
--- a/godwitlanding/gateway/pages.py
+++ b/godwitlanding/gateway/pages.py
@@ -12,9 +12,9 @@
 
 from eliot import log_message
 
+from godwitlanding.base.kernel import Service
 from godwitlanding.decisions.routes import Limits
 from godwitlanding.gateway.caller import CallerConnection
-from godwitlanding.kernel import Service
 
 BACKLOG = 512
 # Askers keep connections for the seconds between two questions.
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -15,6 +15,7 @@
 
 from eliot import log_message
 
+from godwitlanding.base.kernel import Service
 from godwitlanding.decisions.digest import (
     DIGEST_PAUSE_S,
     TARGETS,
@@ -29,7 +30,6 @@
     decode_bulletin,
     encode_bulletin,
 )
-from godwitlanding.kernel import Service
 
 # Work lasts a quarter of a second at the least; in a tenth of that little
 # changes at an upstream.
--- a/godwitlanding/gateway/presence.py
+++ b/godwitlanding/gateway/presence.py
@@ -6,8 +6,8 @@
 import orjson
 from eliot import log_message
 
-from godwitlanding.codes import Code
-from godwitlanding.kernel import Service
+from godwitlanding.base.codes import Code
+from godwitlanding.base.kernel import Service
 
 _FIRST_PAUSE_S = 0.2
 _MAX_PAUSE_S = 2.0
--- a/godwitlanding/gateway/reader.py
+++ b/godwitlanding/gateway/reader.py
@@ -8,6 +8,7 @@
 
 from eliot import log_message
 
+from godwitlanding.base.kernel import Service
 from godwitlanding.decisions.fleet import make_own_peer
 from godwitlanding.decisions.reading import (
     BEHIND_S,
@@ -20,7 +21,6 @@
     should_read,
 )
 from godwitlanding.gateway.peers import StoreState
-from godwitlanding.kernel import Service
 
 LOOK_PAUSE_S = 0.2
 
--- a/godwitlanding/gateway/registry.py
+++ b/godwitlanding/gateway/registry.py
@@ -5,8 +5,8 @@
 
 from eliot import log_message
 
+from godwitlanding.base.kernel import Service
 from godwitlanding.decisions.occupancy import get_upstream_number
-from godwitlanding.kernel import Service
 
 # Upstreams renew their entries every 1.5 s; a change needs 0.25 s to get here.
 ENTRY_WITHIN_S = 2.0
--- a/godwitlanding/gateway/savedmap.py
+++ b/godwitlanding/gateway/savedmap.py
@@ -18,9 +18,9 @@
 import orjson
 from eliot import log_message
 
-from godwitlanding.codes import Code
+from godwitlanding.base.codes import Code
+from godwitlanding.base.kernel import Service
 from godwitlanding.decisions.objectmap import Meeting
-from godwitlanding.kernel import Service
 
 # Objects are learnt within the first seconds of a day, and few after that;
 # three regions write 36 times in 48 s at the most, of some 900 calls.
--- /dev/null
+++ b/godwitlanding/operator/__init__.py
@@ -0,0 +1,1 @@
+"""What ``godwitctl`` does for operators."""
--- a/godwitlanding/apply.py
+++ b/godwitlanding/operator/apply.py
@@ -19,8 +19,8 @@
 
 from result import Err, Ok
 
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.config import CONFIG_KIND, CONFIG_NAME
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.config import CONFIG_KIND, CONFIG_NAME
 
 HISTORY_KIND = "history"
 _APPLY_LINE = re.compile(r"\A//apply: (\S+)[^\n]*\n")
--- a/godwitlanding/changes.py
+++ b/godwitlanding/operator/changes.py
@@ -9,14 +9,14 @@
 
 from result import Err
 
-from godwitlanding.apply import apply_text, read_current, remove_old_history
-from godwitlanding.codes import Code
-from godwitlanding.config import CONFIG_KIND, parse_config
-from godwitlanding.edit import add_item, remove_item, replace_item
-from godwitlanding.fields import read_text
-from godwitlanding.inventory import read_fleet
-from godwitlanding.survey import count_in_progress
-from godwitlanding.terminal import (
+from godwitlanding.base.codes import Code
+from godwitlanding.base.config import CONFIG_KIND, parse_config
+from godwitlanding.base.fields import read_text
+from godwitlanding.operator.apply import apply_text, read_current, remove_old_history
+from godwitlanding.operator.edit import add_item, remove_item, replace_item
+from godwitlanding.operator.inventory import read_fleet
+from godwitlanding.operator.survey import count_in_progress
+from godwitlanding.operator.terminal import (
     EXIT_CONFLICT,
     EXIT_FAILED,
     EXIT_OK,
--- a/godwitlanding/edit.py
+++ b/godwitlanding/operator/edit.py
@@ -15,8 +15,8 @@
 
 from result import Err, Ok
 
-from godwitlanding.codes import Code
-from godwitlanding.fields import Problem, read_text
+from godwitlanding.base.codes import Code
+from godwitlanding.base.fields import Problem, read_text
 
 _INDENT = "    "
 
--- a/godwitlanding/inventory.py
+++ b/godwitlanding/operator/inventory.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from godwitlanding.web import VERSION_HEADER
+from godwitlanding.base.web import VERSION_HEADER
 
 ROLES = ("zone", "entry", "steer")
 TIMEOUT_S = 2.0
--- a/godwitlanding/operations.py
+++ b/godwitlanding/operator/operations.py
@@ -5,21 +5,21 @@
 
 from result import Err, Ok
 
-from godwitlanding.apply import read_applied, read_current, read_history
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.config import CONFIG_KIND, CONFIG_NAME
-from godwitlanding.inventory import find_request, read_fleet, read_in_force
-from godwitlanding.logstory import read_story
-from godwitlanding.store import StoredObject
-from godwitlanding.survey import (
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.config import CONFIG_KIND, CONFIG_NAME
+from godwitlanding.base.store import StoredObject
+from godwitlanding.operator.apply import read_applied, read_current, read_history
+from godwitlanding.operator.inventory import find_request, read_fleet, read_in_force
+from godwitlanding.operator.logstory import read_story
+from godwitlanding.operator.survey import (
     read_plan,
     summarise_leases,
     summarise_plan,
     summarise_services,
     summarise_vms,
 )
-from godwitlanding.table import format_table
-from godwitlanding.terminal import (
+from godwitlanding.operator.table import format_table
+from godwitlanding.operator.terminal import (
     EXIT_FAILED,
     EXIT_OK,
     fail_platform,
--- a/godwitlanding/survey.py
+++ b/godwitlanding/operator/survey.py
@@ -3,8 +3,8 @@
 import json
 from typing import NamedTuple
 
-from godwitlanding.config import CONFIG_KIND
-from godwitlanding.plan import EMPTY_PLAN, parse_plan
+from godwitlanding.base.config import CONFIG_KIND
+from godwitlanding.decisions.plan import EMPTY_PLAN, parse_plan
 
 
 class VmRow(NamedTuple):
--- a/godwitlanding/terminal.py
+++ b/godwitlanding/operator/terminal.py
@@ -8,13 +8,17 @@
 
 from result import Err, Ok
 
-from godwitlanding.apply import read_current, read_history, remove_apply_line
-from godwitlanding.codes import ROW_BY_CODE, Code, make_refusal
-from godwitlanding.config import parse_config
-from godwitlanding.diff import describe_shifts, describe_slots, diff_configurations
-from godwitlanding.inventory import Ports
-from godwitlanding.store import HttpStore
-from godwitlanding.table import format_table
+from godwitlanding.base.codes import ROW_BY_CODE, Code, make_refusal
+from godwitlanding.base.config import parse_config
+from godwitlanding.base.store import HttpStore
+from godwitlanding.operator.apply import read_current, read_history, remove_apply_line
+from godwitlanding.operator.diff import (
+    describe_shifts,
+    describe_slots,
+    diff_configurations,
+)
+from godwitlanding.operator.inventory import Ports
+from godwitlanding.operator.table import format_table
 
 EXIT_OK = 0
 EXIT_FAILED = 1
--- a/godwitlanding/platform/store.py
+++ b/godwitlanding/platform/store.py
@@ -10,9 +10,9 @@
 from result import Err, Ok
 from yarl import URL
 
-from godwitlanding.client import make_session
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.store import Snapshot, StoredObject, WatchBatch, WatchEvent
+from godwitlanding.base.client import make_session
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.store import Snapshot, StoredObject, WatchBatch, WatchEvent
 
 # The store answers within milliseconds; at 50 to 65 times that, as its slow
 # spells are, an answer still comes within this time.
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -11,10 +11,14 @@
 import orjson
 from eliot import log_message
 
+from godwitlanding.base.kernel import Kernel
+from godwitlanding.base.logstream import set_up_log_stream
+from godwitlanding.base.metrics import Counters, make_meter, render_metrics
 from godwitlanding.decisions.fleet import Fleet
 from godwitlanding.decisions.lapse import LapseGuard
 from godwitlanding.decisions.objectmap import ObjectMap
 from godwitlanding.decisions.occupancy import Occupancy
+from godwitlanding.decisions.poison import PoisonLedger
 from godwitlanding.decisions.retrybudget import RetryBudget
 from godwitlanding.decisions.worktime import WorkTimes
 from godwitlanding.gateway.carrier import Carrier
@@ -31,9 +35,6 @@
 from godwitlanding.gateway.registry import Registry
 from godwitlanding.gateway.savedmap import SavedMap
 from godwitlanding.gateway.upstream import UpstreamPool
-from godwitlanding.kernel import Kernel
-from godwitlanding.logstream import set_up_log_stream
-from godwitlanding.metrics import Counters, make_meter, render_metrics
 from godwitlanding.platform.doors import make_directory, make_readiness
 from godwitlanding.platform.entries import (
     CONFIG_KIND,
@@ -49,7 +50,6 @@
 from godwitlanding.platform.headers import HEADER_NAMES
 from godwitlanding.platform.settings import get_change_time, read_settings
 from godwitlanding.platform.store import ObjectStore
-from godwitlanding.poison import PoisonLedger
 
 ROLE = "vm"
 EXIT_OK = 0
--- a/godwitlanding/steer.py
+++ b/godwitlanding/steer.py
@@ -2,14 +2,14 @@
 
 import sys
 
-from godwitlanding.daemon import run_daemon
-from godwitlanding.services.answers import Answers
-from godwitlanding.services.callers import Callers
-from godwitlanding.services.feed import Feed
-from godwitlanding.services.leave import Leave
-from godwitlanding.services.routing import Routing
-from godwitlanding.services.tickets import Tickets
-from godwitlanding.web import HttpServer
+from godwitlanding.base.web import HttpServer
+from godwitlanding.daemons.daemon import run_daemon
+from godwitlanding.daemons.services.answers import Answers
+from godwitlanding.daemons.services.callers import Callers
+from godwitlanding.daemons.services.feed import Feed
+from godwitlanding.daemons.services.leave import Leave
+from godwitlanding.daemons.services.routing import Routing
+from godwitlanding.daemons.services.tickets import Tickets
 
 DESCRIPTION = "Tell callers which entry VMs to use and issue tickets."
 
--- /dev/null
+++ b/godwitlanding/tests/base/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what every program stands on."""
--- a/godwitlanding/tests/test_config.py
+++ b/godwitlanding/tests/base/test_config.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from godwitlanding.codes import Code
-from godwitlanding.config import parse_config
-from godwitlanding.diff import describe_shifts, diff_configurations
-from godwitlanding.settings import SETTINGS, check_settings
+from godwitlanding.base.codes import Code
+from godwitlanding.base.config import parse_config
+from godwitlanding.base.settings import SETTINGS, check_settings
+from godwitlanding.operator.diff import describe_shifts, diff_configurations
 
 TEXT = """{
   // two zones
--- a/godwitlanding/tests/test_foundation.py
+++ b/godwitlanding/tests/base/test_foundation.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from godwitlanding.codes import ROW_BY_CODE, Code
-from godwitlanding.kernel import Kernel, KernelError, Service
-from godwitlanding.messages import Envelope, State, decode, encode
-from godwitlanding.replica import Replica
+from godwitlanding.base.codes import ROW_BY_CODE, Code
+from godwitlanding.base.kernel import Kernel, KernelError, Service
+from godwitlanding.base.messages import Envelope, State, decode, encode
+from godwitlanding.daemons.replica import Replica
 
 
 class Recorder(Service):
--- a/godwitlanding/tests/test_store.py
+++ b/godwitlanding/tests/base/test_store.py
@@ -5,12 +5,12 @@
 import aiohttp
 import pytest
 
-from godwitlanding.codes import Code
-from godwitlanding.store import MAX_VALUE_BYTES, HttpStore
+from godwitlanding.base.codes import Code
+from godwitlanding.base.store import MAX_VALUE_BYTES, HttpStore
+from godwitlanding.tests.standins.listener import Listener
+from godwitlanding.tests.standins.standin_platform import Platform
 from godwitlanding.tests.support import FakeStore
-from godwitlanding.tests.tools.listener import Listener
 from godwitlanding.tests.tools.network import find_free_port
-from godwitlanding.tests.tools.standin_platform import Platform
 
 HOST = "127.0.10.250"
 PORT = find_free_port(HOST)
--- a/godwitlanding/tests/test_tasks.py
+++ b/godwitlanding/tests/base/test_tasks.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from godwitlanding.tasks import Tasks, end_tasks
+from godwitlanding.base.tasks import Tasks, end_tasks
 
 
 async def wait_in_turns(answered, rounds):
--- a/godwitlanding/tests/test_wire.py
+++ b/godwitlanding/tests/base/test_wire.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from godwitlanding.codes import Code
-from godwitlanding.messages import (
+from godwitlanding.base.codes import Code
+from godwitlanding.base.messages import (
     PROTOCOL_VERSION,
     Ack,
     Envelope,
@@ -17,8 +17,8 @@
     Withdraw,
     encode,
 )
-from godwitlanding.metrics import Counters
-from godwitlanding.wire import MAX_FRAME_BYTES, Pool, Server
+from godwitlanding.base.metrics import Counters
+from godwitlanding.base.wire import MAX_FRAME_BYTES, Pool, Server
 
 HOST = "127.0.70.1"
 HELLO = Hello(PROTOCOL_VERSION, "zone", "a1", "n-a", "i1")
--- /dev/null
+++ b/godwitlanding/tests/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, and what they share."""
--- a/godwitlanding/tests/tools/bench_apply.py
+++ b/godwitlanding/tests/benchmarks/bench_apply.py
@@ -3,16 +3,16 @@
 Applies changes to a small system under load and measures from the
 platform's answer to the write until the last daemon shows the version.
 
-    python -m godwitlanding.tests.tools.bench_apply --changes 20
+    python -m godwitlanding.tests.benchmarks.bench_apply --changes 20
 """
 
 import argparse
 import asyncio
 from pathlib import Path
 
-from godwitlanding.store import HttpStore
+from godwitlanding.base.store import HttpStore
+from godwitlanding.tests.load.load import Load, Rate
 from godwitlanding.tests.tools.cluster import ROLES, Cluster
-from godwitlanding.tests.tools.load import Load, Rate
 from godwitlanding.tests.tools.network import claim_test_network
 
 TEXT = (Path(__file__).parents[1] / "data/small.json5").read_text()
--- a/godwitlanding/tests/tools/bench_blocks.py
+++ b/godwitlanding/tests/benchmarks/bench_blocks.py
@@ -1,6 +1,6 @@
 """Measures caller blocks: memory, look-up, change, and ways of loading.
 
-    python -m godwitlanding.tests.tools.bench_blocks
+    python -m godwitlanding.tests.benchmarks.bench_blocks
 
 Slopes over the number of blocks, the cost of a change as a delta and as
 rewritten pieces, and four ways in which a fresh process can load the
@@ -19,8 +19,14 @@
 import sys
 import time
 
-from godwitlanding.blocks import BLOCKS_IN_PIECE, BlockChange, BlockTable, split_piece
-from godwitlanding.blockstore import (
+from godwitlanding.base.messages import Envelope, State, encode
+from godwitlanding.daemons.blocks import (
+    BLOCKS_IN_PIECE,
+    BlockChange,
+    BlockTable,
+    split_piece,
+)
+from godwitlanding.daemons.blockstore import (
     BLOCKS_KIND,
     MARKER_NAME,
     BlockLoader,
@@ -28,14 +34,13 @@
     format_piece,
     parse_delta,
 )
-from godwitlanding.messages import Envelope, State, encode
-from godwitlanding.tests.tools.measure import (
+from godwitlanding.tests.benchmarks.measure import (
     format_table,
     plot,
     read_cost,
 )
-from godwitlanding.tests.tools.peers import ZoneStandIn
-from godwitlanding.tests.tools.sizes import LETTER, make_block_objects, make_piece
+from godwitlanding.tests.benchmarks.sizes import LETTER, make_block_objects, make_piece
+from godwitlanding.tests.standins.peers import ZoneStandIn
 
 ADDRESS = "127.0.50.1"
 HTTP_PORT = 17201
@@ -136,7 +141,7 @@
     from starlette.responses import Response, StreamingResponse
     from starlette.routing import Route
 
-    from godwitlanding.web import HttpServer
+    from godwitlanding.base.web import HttpServer
 
     objects = make_block_objects(LETTER)
 
@@ -176,7 +181,7 @@
 
 async def _run_load(way):
     process = await asyncio.create_subprocess_exec(
-        *(sys.executable, "-m", "godwitlanding.tests.tools.bench_blocks"),
+        *(sys.executable, "-m", "godwitlanding.tests.benchmarks.bench_blocks"),
         *("--load", way),
         stdout=subprocess.PIPE,
     )
@@ -242,9 +247,9 @@
 
 
 async def _load_from_zone(loader):
-    from godwitlanding.messages import PROTOCOL_VERSION, Hello, Subscribe
-    from godwitlanding.metrics import Counters
-    from godwitlanding.wire import Pool
+    from godwitlanding.base.messages import PROTOCOL_VERSION, Hello, Subscribe
+    from godwitlanding.base.metrics import Counters
+    from godwitlanding.base.wire import Pool
 
     async def take(channel, state):
         loader.offer(state.name, state.body)
--- a/godwitlanding/tests/tools/bench_capacity.py
+++ b/godwitlanding/tests/benchmarks/bench_capacity.py
@@ -1,6 +1,6 @@
 """Runs all slopes that docs/CAPACITY.md quotes and writes their tables.
 
-    python -m godwitlanding.tests.tools.bench_capacity
+    python -m godwitlanding.tests.benchmarks.bench_capacity
 
 Prints each table as it is measured, and writes them to out/capacity.txt
 and the plots to out/*.png. Takes about six minutes.
@@ -12,9 +12,9 @@
 import sys
 import time
 
-from godwitlanding.tests.tools.measure import OUT
+from godwitlanding.tests.benchmarks.measure import OUT
 
-PACKAGE = "godwitlanding.tests.tools"
+PACKAGE = "godwitlanding.tests.benchmarks"
 BENCHMARKS = (
     ("bench_choice",),
     ("bench_blocks",),
--- a/godwitlanding/tests/tools/bench_choice.py
+++ b/godwitlanding/tests/benchmarks/bench_choice.py
@@ -1,6 +1,6 @@
 """Compares ways to choose a caller's zone and VM: who moves, how even.
 
-    python -m godwitlanding.tests.tools.bench_choice
+    python -m godwitlanding.tests.benchmarks.bench_choice
 
 For each way: how many callers move when a shift moves a tenth of one
 zone's callers to another, with two zones and with three, how many move on
@@ -14,8 +14,13 @@
 from bisect import bisect_right
 from itertools import accumulate
 
-from godwitlanding.choice import get_seed, make_target, rank_targets, rank_zones
-from godwitlanding.tests.tools.measure import format_table
+from godwitlanding.decisions.choice import (
+    get_seed,
+    make_target,
+    rank_targets,
+    rank_zones,
+)
+from godwitlanding.tests.benchmarks.measure import format_table
 
 CALLERS = 50_000
 SHIFTS = {
--- a/godwitlanding/tests/tools/bench_claims.py
+++ b/godwitlanding/tests/benchmarks/bench_claims.py
@@ -1,6 +1,6 @@
 """Measures what claims cost: the journal against one create a request.
 
-    python -m godwitlanding.tests.tools.bench_claims
+    python -m godwitlanding.tests.benchmarks.bench_claims
 
 A home writes its journal to a store in memory whose calls take 5 ms, as
 the platform's do, while presses come at random and work takes 0.3 s. Shown
@@ -17,12 +17,12 @@
 
 from result import Ok
 
-from godwitlanding.daemon import make_context
-from godwitlanding.journaltext import Outcome
-from godwitlanding.services.journal import JournalWriter
-from godwitlanding.tests.support_entry import make_settings
-from godwitlanding.tests.tools.measure import format_table
-from godwitlanding.ticket import JOURNALED, Ticket
+from godwitlanding.daemons.daemon import make_context
+from godwitlanding.daemons.journaltext import Outcome
+from godwitlanding.daemons.services.journal import JournalWriter
+from godwitlanding.daemons.ticket import JOURNALED, Ticket
+from godwitlanding.tests.benchmarks.measure import format_table
+from godwitlanding.tests.daemons.support_entry import make_settings
 
 RATES_PER_S = (0.5, 5, 20, 100)
 STORE_DELAY_S = 0.005
--- a/godwitlanding/tests/tools/bench_control.py
+++ b/godwitlanding/tests/benchmarks/bench_control.py
@@ -1,6 +1,6 @@
 """Measures what control costs each daemon: memory, processor, by message.
 
-    python -m godwitlanding.tests.tools.bench_control
+    python -m godwitlanding.tests.benchmarks.bench_control
 
 Each daemon is the real program in a process of its own. ``steer`` and
 ``entry`` are fed by a stand-in of the zone daemon, ``zone`` by the stand-in
@@ -12,11 +12,11 @@
 import sys
 from contextlib import asynccontextmanager
 
-from godwitlanding.blocks import BlockChange
-from godwitlanding.blockstore import format_delta
-from godwitlanding.messages import State, VersionOf
-from godwitlanding.store import HttpStore
-from godwitlanding.tests.tools.measure import (
+from godwitlanding.base.messages import State, VersionOf
+from godwitlanding.base.store import HttpStore
+from godwitlanding.daemons.blocks import BlockChange
+from godwitlanding.daemons.blockstore import format_delta
+from godwitlanding.tests.benchmarks.measure import (
     format_table,
     plot,
     read_cost,
@@ -25,8 +25,7 @@
     wait_for_health,
     write_settings,
 )
-from godwitlanding.tests.tools.peers import Peer, ZoneStandIn
-from godwitlanding.tests.tools.sizes import (
+from godwitlanding.tests.benchmarks.sizes import (
     LETTER,
     TODAY,
     make_block_objects,
@@ -37,6 +36,7 @@
     make_summary,
     make_vms,
 )
+from godwitlanding.tests.standins.peers import Peer, ZoneStandIn
 
 ADDRESS = "127.0.50.1"
 PLATFORM = "127.0.51.250"
@@ -198,7 +198,7 @@
     peers = [Peer(*row, ZONE_PORT, dials) for row in rows[1:]]
     url = f"http://{PLATFORM}:{PLATFORM_PORT}"
     arguments = ("--host", PLATFORM, "--port", str(PLATFORM_PORT))
-    with run_process("godwitlanding.tests.tools.standin_platform", *arguments):
+    with run_process("godwitlanding.tests.standins.standin_platform", *arguments):
         await _wait_for_platform(url)
         store = HttpStore(url, 5.0)
         await _fill(store, url, size, rows, with_blocks)
--- a/godwitlanding/tests/tools/bench_cost.py
+++ b/godwitlanding/tests/benchmarks/bench_cost.py
@@ -8,8 +8,8 @@
 import sys
 from time import perf_counter
 
-from godwitlanding.arbiter import Arbiter, Ask, Grant
-from godwitlanding.messages import OUTCOME_OK
+from godwitlanding.base.messages import OUTCOME_OK
+from godwitlanding.daemons.arbiter import Arbiter, Ask, Grant
 
 QUEUES = (10, 100, 1_000, 10_000)
 UPSTREAMS = (10, 100, 1_000)
--- a/godwitlanding/tests/tools/bench_decisions.py
+++ b/godwitlanding/tests/benchmarks/bench_decisions.py
@@ -3,7 +3,7 @@
 Prints a table for each load pattern and writes a plot of each to ``out/``;
 then what one decision costs by length of the queue and number of upstreams.
 
-    python -m godwitlanding.tests.tools.bench_decisions --pattern burst
+    python -m godwitlanding.tests.benchmarks.bench_decisions --pattern burst
 """
 
 import argparse
@@ -11,17 +11,17 @@
 from functools import partial
 from pathlib import Path
 
-from godwitlanding.tests.tools.bench_cost import print_costs
-from godwitlanding.tests.tools.load_designs import (
+from godwitlanding.tests.benchmarks.bench_cost import print_costs
+from godwitlanding.tests.load.load_designs import (
     DESIGNS,
     HashByKey,
     LeastLoadedOld,
 )
-from godwitlanding.tests.tools.load_driver import Run
-from godwitlanding.tests.tools.load_patterns import WORKLOADS, make_patterns
-from godwitlanding.tests.tools.load_plot import plot_pattern
-from godwitlanding.tests.tools.load_pooled import Hedged, Pooled
-from godwitlanding.tests.tools.load_report import summarise
+from godwitlanding.tests.load.load_driver import Run
+from godwitlanding.tests.load.load_patterns import WORKLOADS, make_patterns
+from godwitlanding.tests.load.load_plot import plot_pattern
+from godwitlanding.tests.load.load_pooled import Hedged, Pooled
+from godwitlanding.tests.load.load_report import summarise
 
 EXTRA_DESIGNS_BY_PATTERN = {
     "hot key": (HashByKey,),
--- a/godwitlanding/tests/tools/bench_entry.py
+++ b/godwitlanding/tests/benchmarks/bench_entry.py
@@ -1,6 +1,6 @@
 """Measures the entry daemon against a bare pass-through, in one run.
 
-    python -m godwitlanding.tests.tools.bench_entry
+    python -m godwitlanding.tests.benchmarks.bench_entry
 
 Requests of no working time go to an upstream directly, through the bare
 pass-through (``passthrough.py``) and through the entry daemon with its real
@@ -18,9 +18,9 @@
 import time
 from typing import NamedTuple
 
+from godwitlanding.tests.benchmarks.measure import format_table, read_cost, run_process
+from godwitlanding.tests.load.lookups import Connection
 from godwitlanding.tests.tools.cluster import Cluster
-from godwitlanding.tests.tools.lookups import Connection
-from godwitlanding.tests.tools.measure import format_table, read_cost, run_process
 from godwitlanding.tests.tools.network import make_network
 
 NETWORK = make_network(30)
@@ -108,7 +108,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "godwitlanding.tests.tools.bench_entry",
+        "godwitlanding.tests.benchmarks.bench_entry",
         "--send",
         json.dumps([target.host, target.port, target.path, connections, seconds]),
         stdout=asyncio.subprocess.PIPE,
@@ -166,7 +166,7 @@
     try:
         await cluster.start()
         with run_process(
-            "godwitlanding.tests.tools.passthrough",
+            "godwitlanding.tests.benchmarks.passthrough",
             *arguments,
             "--upstreams",
             ",".join(upstreams),
--- a/godwitlanding/tests/tools/bench_faults.py
+++ b/godwitlanding/tests/benchmarks/bench_faults.py
@@ -4,7 +4,7 @@
 prints what the callers received, how long until all was normal again, and
 the platform's reads, writes and waiting watches a second.
 
-    python -m godwitlanding.tests.tools.bench_faults [FAULT ...]
+    python -m godwitlanding.tests.benchmarks.bench_faults [FAULT ...]
 """
 
 import argparse
@@ -15,8 +15,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from godwitlanding.tests.load.load import Load, Rate
 from godwitlanding.tests.tools.cluster import Cluster
-from godwitlanding.tests.tools.load import Load, Rate
 from godwitlanding.tests.tools.network import claim_test_network
 
 TEXT = (Path(__file__).parents[1] / "data/small.json5").read_text()
--- a/godwitlanding/tests/tools/bench_journal.py
+++ b/godwitlanding/tests/benchmarks/bench_journal.py
@@ -1,6 +1,6 @@
 """Measures what non-idempotent work costs the platform and its home.
 
-    python -m godwitlanding.tests.tools.bench_journal
+    python -m godwitlanding.tests.benchmarks.bench_journal
 
 The real journal of one entry process against the platform in memory:
 writes a second by payments a second, and the size and processor time of
@@ -12,14 +12,14 @@
 import time
 import uuid
 
-from godwitlanding.daemon import make_context
-from godwitlanding.journal import Journal
-from godwitlanding.journaltext import Outcome
-from godwitlanding.services.journal import JournalWriter
-from godwitlanding.settings import check_settings
+from godwitlanding.base.settings import check_settings
+from godwitlanding.daemons.daemon import make_context
+from godwitlanding.daemons.journal import Journal
+from godwitlanding.daemons.journaltext import Outcome
+from godwitlanding.daemons.services.journal import JournalWriter
+from godwitlanding.daemons.ticket import JOURNALED, Ticket
+from godwitlanding.tests.benchmarks.measure import format_table, plot, run_benchmark
 from godwitlanding.tests.support import FakeStore
-from godwitlanding.tests.tools.measure import format_table, plot, run_benchmark
-from godwitlanding.ticket import JOURNALED, Ticket
 
 RATES = (1, 5, 20, 100)
 SECONDS = 6.0
--- a/godwitlanding/tests/tools/bench_loans.py
+++ b/godwitlanding/tests/benchmarks/bench_loans.py
@@ -1,6 +1,6 @@
 """Compares loans to one arbiter with a fixed split of the upstreams.
 
-    python -m godwitlanding.tests.tools.bench_loans
+    python -m godwitlanding.tests.benchmarks.bench_loans
 
 Runs the zone in memory of the tests (three VMs, three upstreams of two slots)
 and counts the requests that upstreams start in the 10 s after a fault, as
@@ -11,8 +11,8 @@
 import argparse
 import sys
 
-from godwitlanding.tests.tools.measure import format_table
-from godwitlanding.tests.zone_world import World
+from godwitlanding.tests.benchmarks.measure import format_table
+from godwitlanding.tests.daemons.zone_world import World
 
 SEEDS = 20
 WINDOW_S = 10.0
--- a/godwitlanding/tests/tools/bench_steer.py
+++ b/godwitlanding/tests/benchmarks/bench_steer.py
@@ -1,7 +1,7 @@
 """Measures look-ups a second of a steer process on one core, full table.
 
-    python -m godwitlanding.tests.tools.bench_steer
-    python -m godwitlanding.tests.tools.bench_steer --profile
+    python -m godwitlanding.tests.benchmarks.bench_steer
+    python -m godwitlanding.tests.benchmarks.bench_steer --profile
 
 The process is the real daemon, fed by a stand-in of its zone daemon with
 the state of the letter's size, and asked over HTTP by programs of their
@@ -22,26 +22,26 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from godwitlanding.daemon import make_context
-from godwitlanding.kernel import Kernel
-from godwitlanding.metrics import make_meter
-from godwitlanding.settings import check_settings
+from godwitlanding.base.kernel import Kernel
+from godwitlanding.base.metrics import make_meter
+from godwitlanding.base.settings import check_settings
+from godwitlanding.base.web import HttpServer
+from godwitlanding.daemons.daemon import make_context
 from godwitlanding.steer import make_services
-from godwitlanding.tests.tools.measure import (
+from godwitlanding.tests.benchmarks.measure import (
     format_table,
     read_cost,
     run_process,
     wait_for_health,
     write_settings,
 )
-from godwitlanding.tests.tools.peers import ZoneStandIn
-from godwitlanding.tests.tools.sizes import LETTER, TODAY, make_states
-from godwitlanding.web import HttpServer
+from godwitlanding.tests.benchmarks.sizes import LETTER, TODAY, make_states
+from godwitlanding.tests.standins.peers import ZoneStandIn
 
 ADDRESS = "127.0.50.1"
 PORT = 17101
 ZONE_PORT = 17102
-LOAD = "godwitlanding.tests.tools.lookups"
+LOAD = "godwitlanding.tests.load.lookups"
 LOAD_PROCESSES = 4
 NODE_SHARE_PER_S = 900
 PROFILE_ROWS = 22
--- a/godwitlanding/tests/tools/bench_takeover.py
+++ b/godwitlanding/tests/benchmarks/bench_takeover.py
@@ -1,6 +1,6 @@
 """Measures changes, take-overs and the cost at rest of real zone daemons.
 
-    python -m godwitlanding.tests.tools.bench_takeover
+    python -m godwitlanding.tests.benchmarks.bench_takeover
 
 Starts a cluster of separate processes and prints one table: seconds from
 the platform's commit of a change to the last process, seconds until another
@@ -16,10 +16,10 @@
 from pathlib import Path
 from statistics import median
 
-from godwitlanding.messages import Envelope, Heartbeat, VersionOf, encode
-from godwitlanding.store import HttpStore
+from godwitlanding.base.messages import Envelope, Heartbeat, VersionOf, encode
+from godwitlanding.base.store import HttpStore
+from godwitlanding.tests.benchmarks.measure import format_table, read_cost
 from godwitlanding.tests.tools.cluster import ROLES, Cluster, wait_until
-from godwitlanding.tests.tools.measure import format_table, read_cost
 from godwitlanding.tests.tools.network import make_network
 
 TEXT = Path(__file__).parents[1] / "data/small.json5"
--- a/godwitlanding/tests/tools/bench_ways.py
+++ b/godwitlanding/tests/benchmarks/bench_ways.py
@@ -3,7 +3,7 @@
 Each way changes one constant of a pure module and runs the load patterns
 that it matters for, with the mean over several seeds.
 
-    python -m godwitlanding.tests.tools.bench_ways --way return
+    python -m godwitlanding.tests.benchmarks.bench_ways --way return
 """
 
 import argparse
@@ -16,12 +16,13 @@
 from typing import NamedTuple
 from unittest.mock import patch
 
-from godwitlanding import admission, fairness, intake, outlier, pool, reserve, warmup
-from godwitlanding.tests.tools.bench_decisions import run_design
-from godwitlanding.tests.tools.load_designs import StaticShares
-from godwitlanding.tests.tools.load_patterns import WORKLOADS, make_patterns
-from godwitlanding.tests.tools.load_pooled import Hedged, Pooled
-from godwitlanding.tests.tools.load_report import summarise
+from godwitlanding.daemons import intake, pool
+from godwitlanding.decisions import admission, fairness, outlier, reserve, warmup
+from godwitlanding.tests.benchmarks.bench_decisions import run_design
+from godwitlanding.tests.load.load_designs import StaticShares
+from godwitlanding.tests.load.load_patterns import WORKLOADS, make_patterns
+from godwitlanding.tests.load.load_pooled import Hedged, Pooled
+from godwitlanding.tests.load.load_report import summarise
 
 ROW = "{:16}{:<12}{:22}" + "{:>10}" * 9
 HEADINGS = (
--- a/godwitlanding/tests/tools/bench_zone.py
+++ b/godwitlanding/tests/benchmarks/bench_zone.py
@@ -1,6 +1,6 @@
 """Measures how changes and heartbeats spread inside a zone and between zones.
 
-    python -m godwitlanding.tests.tools.bench_zone
+    python -m godwitlanding.tests.benchmarks.bench_zone
 
 Real services of the zone daemon (members, replication, peers, listener)
 over loopback, many to one process and so all on one core, with the
@@ -14,18 +14,18 @@
 import sys
 import zlib
 
-from godwitlanding.blocks import BlockChange
-from godwitlanding.blockstore import format_delta
-from godwitlanding.messages import State
-from godwitlanding.tests.tools.measure import format_table, plot, run_benchmark
-from godwitlanding.tests.tools.sizes import (
+from godwitlanding.base.messages import State
+from godwitlanding.daemons.blocks import BlockChange
+from godwitlanding.daemons.blockstore import format_delta
+from godwitlanding.tests.benchmarks.measure import format_table, plot, run_benchmark
+from godwitlanding.tests.benchmarks.sizes import (
     LETTER,
     TODAY,
     make_block_objects,
     make_config,
     make_summary,
 )
-from godwitlanding.tests.tools.zones import Fleet, Traffic
+from godwitlanding.tests.benchmarks.zones import Fleet, Traffic
 
 MEMBER_COUNTS = (2, 6, 12, 24)
 ZONE_COUNTS = (6, 25, 85)
@@ -149,7 +149,7 @@
 
 def measure_frames():
     """Return the bytes of single messages."""
-    from godwitlanding.messages import Envelope, Heartbeat, VersionOf, encode
+    from godwitlanding.base.messages import Envelope, Heartbeat, VersionOf, encode
 
     rows = []
     for count in (0, 5, 55):
--- a/godwitlanding/tests/tools/passthrough.py
+++ b/godwitlanding/tests/benchmarks/passthrough.py
@@ -2,7 +2,7 @@
 
 A starlette application that hands each request to the next upstream by
 aiohttp and knows nothing of slots, deadlines, retries or tickets:
-``python -m godwitlanding.tests.tools.passthrough --help``.
+``python -m godwitlanding.tests.benchmarks.passthrough --help``.
 """
 
 import argparse
--- a/godwitlanding/tests/tools/sizes.py
+++ b/godwitlanding/tests/benchmarks/sizes.py
@@ -10,9 +10,9 @@
 from array import array
 from typing import NamedTuple
 
-from godwitlanding.blocks import GROUP, START, Piece, split_piece
-from godwitlanding.blockstore import BLOCKS_KIND, Site, make_objects
-from godwitlanding.messages import State
+from godwitlanding.base.messages import State
+from godwitlanding.daemons.blocks import GROUP, START, Piece, split_piece
+from godwitlanding.daemons.blockstore import BLOCKS_KIND, Site, make_objects
 
 SEED = 20
 # Mean distance of 3.2 million blocks that share the addresses evenly, as
--- a/godwitlanding/tests/tools/zones.py
+++ b/godwitlanding/tests/benchmarks/zones.py
@@ -8,15 +8,15 @@
 import json
 from collections import Counter
 
-from godwitlanding import wire
-from godwitlanding.daemon import make_context
-from godwitlanding.kernel import Kernel, Service
-from godwitlanding.services.configuration import Configuration
-from godwitlanding.services.links import Listener, Peers
-from godwitlanding.services.members import Members
-from godwitlanding.services.platform import Platform
-from godwitlanding.services.replication import Replication
-from godwitlanding.settings import check_settings
+from godwitlanding.base import wire
+from godwitlanding.base.kernel import Kernel, Service
+from godwitlanding.base.settings import check_settings
+from godwitlanding.daemons.daemon import make_context
+from godwitlanding.daemons.services.configuration import Configuration
+from godwitlanding.daemons.services.links import Listener, Peers
+from godwitlanding.daemons.services.members import Members
+from godwitlanding.daemons.services.platform import Platform
+from godwitlanding.daemons.services.replication import Replication
 from godwitlanding.tests.support import FakeStore
 
 PORT = 17301
--- /dev/null
+++ b/godwitlanding/tests/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the three daemons."""
--- a/godwitlanding/tests/memory_wire.py
+++ b/godwitlanding/tests/daemons/memory_wire.py
@@ -9,11 +9,11 @@
 
 from result import Err, Ok
 
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.daemon import make_context
-from godwitlanding.kernel import Kernel, Service
-from godwitlanding.messages import Failure, Held, Holdings, State, Subscribe
-from godwitlanding.settings import check_settings
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.kernel import Kernel, Service
+from godwitlanding.base.messages import Failure, Held, Holdings, State, Subscribe
+from godwitlanding.base.settings import check_settings
+from godwitlanding.daemons.daemon import make_context
 from godwitlanding.tests.support import FakeStore
 from godwitlanding.zone import make_services
 
--- a/godwitlanding/tests/support_entry.py
+++ b/godwitlanding/tests/daemons/support_entry.py
@@ -5,9 +5,8 @@
 import json
 
 from godwitlanding import entry
-from godwitlanding.daemon import make_context
-from godwitlanding.kernel import Kernel
-from godwitlanding.messages import (
+from godwitlanding.base.kernel import Kernel
+from godwitlanding.base.messages import (
     PROTOCOL_VERSION,
     Acquire,
     Fetch,
@@ -21,11 +20,12 @@
     Subscribe,
     Withdraw,
 )
-from godwitlanding.metrics import Counters
-from godwitlanding.settings import check_settings
+from godwitlanding.base.metrics import Counters
+from godwitlanding.base.settings import check_settings
+from godwitlanding.base.wire import Server
+from godwitlanding.daemons.daemon import make_context
 from godwitlanding.tests.support import FakeStore
 from godwitlanding.tests.tools.network import Network, claim
-from godwitlanding.wire import Server
 
 
 def _claim_addresses():
--- a/godwitlanding/tests/test_arbiter_states.py
+++ b/godwitlanding/tests/daemons/test_arbiter_states.py
@@ -8,8 +8,8 @@
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from godwitlanding.arbiter import Arbiter, Ask, Grant, Spill
-from godwitlanding.messages import OUTCOME_CRASHED, OUTCOME_OK, OUTCOMES
+from godwitlanding.base.messages import OUTCOME_CRASHED, OUTCOME_OK, OUTCOMES
+from godwitlanding.daemons.arbiter import Arbiter, Ask, Grant, Spill
 
 SCHEDULES = int(os.environ.get("GODWIT_SCHEDULES", "30"))
 UPSTREAMS = ("s1", "s2", "s3")
--- a/godwitlanding/tests/test_blocks.py
+++ b/godwitlanding/tests/daemons/test_blocks.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from godwitlanding.blocks import (
+from godwitlanding.daemons.blocks import (
     LAST_ADDRESS,
     BlockChange,
     BlockTable,
@@ -12,7 +12,7 @@
     parse_address,
     split_piece,
 )
-from godwitlanding.blockstore import (
+from godwitlanding.daemons.blockstore import (
     BlockLoader,
     Marker,
     Site,
--- a/godwitlanding/tests/test_carry.py
+++ b/godwitlanding/tests/daemons/test_carry.py
@@ -6,8 +6,8 @@
 import aiohttp
 import pytest
 
-from godwitlanding.messages import PassOn, Refused
-from godwitlanding.tests.support_entry import (
+from godwitlanding.base.messages import PassOn, Refused
+from godwitlanding.tests.daemons.support_entry import (
     ADDRESS,
     KEY,
     OTHER_ADDRESS,
@@ -18,7 +18,7 @@
     make_config,
     wait_until,
 )
-from godwitlanding.tests.test_entry import fetch
+from godwitlanding.tests.daemons.test_entry import fetch
 
 WHOLE = bytes(range(256)) * 1000
 
--- a/godwitlanding/tests/test_claims.py
+++ b/godwitlanding/tests/daemons/test_claims.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from godwitlanding.messages import Refused
-from godwitlanding.services import claims
-from godwitlanding.services.journal import JOURNAL_KIND
-from godwitlanding.services.keys import CLAIM_KIND
-from godwitlanding.tests.support import FakeStore
-from godwitlanding.tests.support_entry import (
+from godwitlanding.base.messages import Refused
+from godwitlanding.daemons.services import claims
+from godwitlanding.daemons.services.journal import JOURNAL_KIND
+from godwitlanding.daemons.services.keys import CLAIM_KIND
+from godwitlanding.daemons.ticket import JOURNALED, MEMORY_ONLY, Ticket, issue_ticket
+from godwitlanding.tests.daemons.support_entry import (
     ADDRESS,
     KEY,
     SECOND_ADDRESS,
@@ -20,10 +20,10 @@
     make_members,
     wait_until,
 )
-from godwitlanding.tests.test_carry import crash, refuse_with
-from godwitlanding.tests.test_entry import fetch
-from godwitlanding.tests.test_journal import run_to
-from godwitlanding.ticket import JOURNALED, MEMORY_ONLY, Ticket, issue_ticket
+from godwitlanding.tests.daemons.test_carry import crash, refuse_with
+from godwitlanding.tests.daemons.test_entry import fetch
+from godwitlanding.tests.daemons.test_journal import run_to
+from godwitlanding.tests.support import FakeStore
 
 
 async def pay(writer, head, body):
--- a/godwitlanding/tests/test_desk.py
+++ b/godwitlanding/tests/daemons/test_desk.py
@@ -2,10 +2,17 @@
 
 import pytest
 
-from godwitlanding.borrower import Gain
-from godwitlanding.messages import Acquire, Granted, Held, HeldPermit, Holder, PassOn
-from godwitlanding.tests.zone_processes import make_desk as make_zone_desk
-from godwitlanding.tests.zone_world import World
+from godwitlanding.base.messages import (
+    Acquire,
+    Granted,
+    Held,
+    HeldPermit,
+    Holder,
+    PassOn,
+)
+from godwitlanding.daemons.borrower import Gain
+from godwitlanding.tests.daemons.zone_processes import make_desk as make_zone_desk
+from godwitlanding.tests.daemons.zone_world import World
 
 HOLDER = Holder("vm1", "vm1-entry-1")
 OTHER = Holder("vm2", "vm2-entry-1")
--- a/godwitlanding/tests/test_entry.py
+++ b/godwitlanding/tests/daemons/test_entry.py
@@ -5,9 +5,9 @@
 import aiohttp
 import pytest
 
-from godwitlanding.codes import Code
-from godwitlanding.messages import Failure, Refused
-from godwitlanding.tests.support_entry import (
+from godwitlanding.base.codes import Code
+from godwitlanding.base.messages import Failure, Refused
+from godwitlanding.tests.daemons.support_entry import (
     ADDRESS,
     Bench,
     answer_hello,
--- a/godwitlanding/tests/test_holdings.py
+++ b/godwitlanding/tests/daemons/test_holdings.py
@@ -4,10 +4,15 @@
 
 import pytest
 
-from godwitlanding.holdings import EXPIRED, STALE, PermitBook
-from godwitlanding.messages import Granted, HeldPermit, Holdings
-from godwitlanding.tests.support_entry import ADDRESS, Bench, answer_hello, wait_until
-from godwitlanding.tests.test_entry import fetch
+from godwitlanding.base.messages import Granted, HeldPermit, Holdings
+from godwitlanding.daemons.holdings import EXPIRED, STALE, PermitBook
+from godwitlanding.tests.daemons.support_entry import (
+    ADDRESS,
+    Bench,
+    answer_hello,
+    wait_until,
+)
+from godwitlanding.tests.daemons.test_entry import fetch
 
 GRANT = Granted(7, "u1", "127.0.30.9:80", 5.0, "old", 0.1)
 
--- a/godwitlanding/tests/test_journal.py
+++ b/godwitlanding/tests/daemons/test_journal.py
@@ -8,11 +8,11 @@
 import pytest
 from hypothesis import HealthCheck, given, settings, strategies as st
 
-from godwitlanding.codes import Code
-from godwitlanding.journal import Claim, Journal, close_journal
-from godwitlanding.journaltext import Closer, Outcome, parse_journal
-from godwitlanding.store import StoredObject
-from godwitlanding.ticket import JOURNALED, MEMORY_ONLY, Ticket
+from godwitlanding.base.codes import Code
+from godwitlanding.base.store import StoredObject
+from godwitlanding.daemons.journal import Claim, Journal, close_journal
+from godwitlanding.daemons.journaltext import Closer, Outcome, parse_journal
+from godwitlanding.daemons.ticket import JOURNALED, MEMORY_ONLY, Ticket
 
 CI_SCHEDULES = 100
 SCHEDULES = int(os.environ.get("GODWIT_SCHEDULES", CI_SCHEDULES))
--- a/godwitlanding/tests/test_linger.py
+++ b/godwitlanding/tests/daemons/test_linger.py
@@ -5,8 +5,13 @@
 import aiohttp
 import pytest
 
-from godwitlanding.tests.support_entry import ADDRESS, Bench, make_answer, wait_until
-from godwitlanding.tests.test_entry import fetch
+from godwitlanding.tests.daemons.support_entry import (
+    ADDRESS,
+    Bench,
+    make_answer,
+    wait_until,
+)
+from godwitlanding.tests.daemons.test_entry import fetch
 
 
 async def test_stop_cuts_off_nobody():
--- a/godwitlanding/tests/test_loan.py
+++ b/godwitlanding/tests/daemons/test_loan.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from godwitlanding.borrower import Borrower
-from godwitlanding.loan import Handover, Lender
-from godwitlanding.messages import FORMER_NONE, GiveBack, Holder, Loan
-from godwitlanding.roster import EMPTY_ROSTER, Candidate, Roster
-from godwitlanding.steward import Steward, Surroundings
+from godwitlanding.base.messages import FORMER_NONE, GiveBack, Holder, Loan
+from godwitlanding.daemons.borrower import Borrower
+from godwitlanding.daemons.loan import Handover, Lender
+from godwitlanding.daemons.roster import EMPTY_ROSTER, Candidate, Roster
+from godwitlanding.daemons.steward import Steward, Surroundings
 
 LOAN_S = 1.5
 PERMIT_S = 2.0
--- a/godwitlanding/tests/test_membership.py
+++ b/godwitlanding/tests/daemons/test_membership.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from godwitlanding.membership import Member, choose_arbiters, choose_reachable
+from godwitlanding.daemons.membership import Member, choose_arbiters, choose_reachable
 
 
 def make_member(vm, alive=True, leaving=False, reachable=True):
--- a/godwitlanding/tests/test_not_run.py
+++ b/godwitlanding/tests/daemons/test_not_run.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from godwitlanding.tests.support_entry import ADDRESS, Bench, answer_hello
-from godwitlanding.tests.test_entry import fetch
+from godwitlanding.tests.daemons.support_entry import ADDRESS, Bench, answer_hello
+from godwitlanding.tests.daemons.test_entry import fetch
 
 PRESSED_BEFORE = {"Idempotency-Key": "gwt1.pressed-before"}
 
--- a/godwitlanding/tests/test_processes.py
+++ b/godwitlanding/tests/daemons/test_processes.py
@@ -11,11 +11,11 @@
 
 import pytest
 
+from godwitlanding.tests.load.load import Load, Rate
 from godwitlanding.tests.tools.cluster import ROLES, Cluster, wait_until
-from godwitlanding.tests.tools.load import Load, Rate
 from godwitlanding.tests.tools.network import claim_test_network
 
-TEXT = (Path(__file__).parent / "data/small.json5").read_text()
+TEXT = (Path(__file__).parents[1] / "data/small.json5").read_text()
 RATES = (Rate("status", 40.0), Rate("renewal", 12.0), Rate("passes", 4.0))
 SERVICES = tuple(rate.service for rate in RATES)
 LIMIT_S = 60.0
--- a/godwitlanding/tests/test_region.py
+++ b/godwitlanding/tests/daemons/test_region.py
@@ -1,8 +1,8 @@
 """A whole region fails and comes back, with real processes."""
 
+from godwitlanding.tests.load.load import Load, Rate
 from godwitlanding.tests.test_docs import ROOT
 from godwitlanding.tests.tools.cluster import Cluster, wait_until
-from godwitlanding.tests.tools.load import Load, Rate
 from godwitlanding.tests.tools.network import claim_test_network
 
 RATES = (Rate("status", 30.0), Rate("renewal", 8.0), Rate("passes", 3.0))
--- a/godwitlanding/tests/test_steer.py
+++ b/godwitlanding/tests/daemons/test_steer.py
@@ -7,15 +7,15 @@
 import aiohttp
 import pytest
 
-from godwitlanding.blocks import make_piece
-from godwitlanding.blockstore import Site, make_objects
-from godwitlanding.daemon import make_context
-from godwitlanding.kernel import Kernel
-from godwitlanding.messages import State
-from godwitlanding.settings import check_settings
+from godwitlanding.base.kernel import Kernel
+from godwitlanding.base.messages import State
+from godwitlanding.base.settings import check_settings
+from godwitlanding.base.web import HttpServer
+from godwitlanding.daemons.blocks import make_piece
+from godwitlanding.daemons.blockstore import Site, make_objects
+from godwitlanding.daemons.daemon import make_context
+from godwitlanding.daemons.ticket import read_ticket
 from godwitlanding.steer import make_services
-from godwitlanding.ticket import read_ticket
-from godwitlanding.web import HttpServer
 
 KEY = b"k" * 32
 ADDRESS = "127.0.50.1"
--- a/godwitlanding/tests/test_trace.py
+++ b/godwitlanding/tests/daemons/test_trace.py
@@ -2,8 +2,8 @@
 
 import aiohttp
 
-from godwitlanding.tests.support_entry import ADDRESS, Bench, answer_hello
-from godwitlanding.trace import KEPT_EVENTS, Trace
+from godwitlanding.daemons.trace import KEPT_EVENTS, Trace
+from godwitlanding.tests.daemons.support_entry import ADDRESS, Bench, answer_hello
 
 
 def test_oldest_requests_are_forgotten():
--- a/godwitlanding/tests/test_versions.py
+++ b/godwitlanding/tests/daemons/test_versions.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from godwitlanding.messages import State
-from godwitlanding.versions import TURN_SIZE, choose_versions
+from godwitlanding.base.messages import State
+from godwitlanding.daemons.versions import TURN_SIZE, choose_versions
 
 FEW = [State(kind, "main", 7, b"") for kind in ("config", "plan", "secret")]
 
--- a/godwitlanding/tests/test_zone.py
+++ b/godwitlanding/tests/daemons/test_zone.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from godwitlanding.messages import Acquire, Granted, Signal
-from godwitlanding.tests.memory_wire import Daemon, MemoryZone
+from godwitlanding.base.messages import Acquire, Granted, Signal
+from godwitlanding.tests.daemons.memory_wire import Daemon, MemoryZone
 
 pytestmark = pytest.mark.looptime
 
--- a/godwitlanding/tests/test_zone_faults.py
+++ b/godwitlanding/tests/daemons/test_zone_faults.py
@@ -16,7 +16,7 @@
 )
 from hypothesis.strategies import booleans, floats, integers, sampled_from
 
-from godwitlanding.tests.zone_world import World
+from godwitlanding.tests.daemons.zone_world import World
 
 SCHEDULES = int(os.environ.get("GODWIT_SCHEDULES", "40"))
 STEPS = 40
--- a/godwitlanding/tests/zone_processes.py
+++ b/godwitlanding/tests/daemons/zone_processes.py
@@ -2,9 +2,7 @@
 
 from typing import NamedTuple
 
-from godwitlanding.arbiter import Arbiter
-from godwitlanding.desk import PERMIT_ID_BITS, Desk
-from godwitlanding.messages import (
+from godwitlanding.base.messages import (
     Acquire,
     Granted,
     Held,
@@ -13,8 +11,10 @@
     Holdings,
     Release,
 )
-from godwitlanding.roster import Candidate
-from godwitlanding.steward import Steward, Surroundings
+from godwitlanding.daemons.arbiter import Arbiter
+from godwitlanding.daemons.desk import PERMIT_ID_BITS, Desk
+from godwitlanding.daemons.roster import Candidate
+from godwitlanding.daemons.steward import Steward, Surroundings
 
 SERVICE = "status"
 DEADLINE_S = 2.0
--- a/godwitlanding/tests/zone_world.py
+++ b/godwitlanding/tests/daemons/zone_world.py
@@ -8,8 +8,8 @@
 
 import random
 
-from godwitlanding.roster import EMPTY_ROSTER
-from godwitlanding.tests.zone_processes import (
+from godwitlanding.daemons.roster import EMPTY_ROSTER
+from godwitlanding.tests.daemons.zone_processes import (
     BEAT_STEPS,
     LIST_LAG_S,
     STEP_S,
--- a/godwitlanding/tests/test_allowances.py
+++ b/godwitlanding/tests/decisions/test_allowances.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from godwitlanding.allowances import share_out, share_out_rest
+from godwitlanding.decisions.allowances import share_out, share_out_rest
 
 
 @pytest.mark.parametrize(
--- a/godwitlanding/tests/test_choice.py
+++ b/godwitlanding/tests/decisions/test_choice.py
@@ -2,16 +2,16 @@
 
 import pytest
 
-from godwitlanding.choice import (
+from godwitlanding.base.store import VmEntry
+from godwitlanding.daemons.fleet import list_targets
+from godwitlanding.daemons.view import Member
+from godwitlanding.decisions.choice import (
     choose_origin,
     choose_targets,
     make_target,
     rank_targets,
     rank_zones,
 )
-from godwitlanding.fleet import list_targets
-from godwitlanding.store import VmEntry
-from godwitlanding.view import Member
 
 CALLERS = [f"10.{n >> 8}.{n & 255}.7" for n in range(8000)]
 # Five standard deviations of a share among that many callers.
--- a/godwitlanding/tests/test_decisions.py
+++ b/godwitlanding/tests/decisions/test_decisions.py
@@ -5,17 +5,17 @@
 
 import pytest
 
-from godwitlanding.tests.tools.bench_decisions import run_design
-from godwitlanding.tests.tools.load_designs import (
+from godwitlanding.tests.benchmarks.bench_decisions import run_design
+from godwitlanding.tests.load.load_designs import (
     Fifo,
     HashByKey,
     LeastLoaded,
     RoundRobin,
     StaticShares,
 )
-from godwitlanding.tests.tools.load_patterns import ARMOR, LEGITKA, make_patterns
-from godwitlanding.tests.tools.load_pooled import Pooled
-from godwitlanding.tests.tools.load_report import summarise
+from godwitlanding.tests.load.load_patterns import ARMOR, LEGITKA, make_patterns
+from godwitlanding.tests.load.load_pooled import Pooled
+from godwitlanding.tests.load.load_report import summarise
 
 both = pytest.mark.parametrize("workload", [LEGITKA, ARMOR], ids=lambda w: w.name)
 
--- a/godwitlanding/tests/test_lease.py
+++ b/godwitlanding/tests/decisions/test_lease.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from godwitlanding.lease import Lease, LeaseKeeper
+from godwitlanding.decisions.lease import Lease, LeaseKeeper
 
 
 @pytest.mark.parametrize(
--- a/godwitlanding/tests/test_planner.py
+++ b/godwitlanding/tests/decisions/test_planner.py
@@ -5,10 +5,10 @@
 import pytest
 from hypothesis import HealthCheck, given, settings, strategies as st
 
-from godwitlanding.config import parse_config
-from godwitlanding.demand import Demand
-from godwitlanding.plan import format_plan, parse_plan
-from godwitlanding.planner import Planner
+from godwitlanding.base.config import parse_config
+from godwitlanding.decisions.demand import Demand
+from godwitlanding.decisions.plan import format_plan, parse_plan
+from godwitlanding.decisions.planner import Planner
 
 MAX_AGE_S = 5.0
 STEP_S = 10.0
--- a/godwitlanding/tests/test_policies.py
+++ b/godwitlanding/tests/decisions/test_policies.py
@@ -2,22 +2,22 @@
 
 import pytest
 
-from godwitlanding.arbiter import Arbiter, Ask, Grant, Spill
-from godwitlanding.budget import RetryBudget
-from godwitlanding.codes import RUN_NO, RUN_UNKNOWN, Code
-from godwitlanding.health import DRAINING, FAILED, READY, UpstreamHealth
-from godwitlanding.messages import (
+from godwitlanding.base.codes import RUN_NO, RUN_UNKNOWN, Code
+from godwitlanding.base.messages import (
     OUTCOME_CRASHED,
     OUTCOME_FAILED,
     OUTCOME_LEAVING,
     OUTCOME_OK,
     OUTCOME_SHED,
 )
-from godwitlanding.outlier import OutlierDetector
-from godwitlanding.poison import STOP_S, PoisonLedger
-from godwitlanding.spill import LinkMeter
-from godwitlanding.timers import Timers
-from godwitlanding.warmup import Warmup
+from godwitlanding.base.timers import Timers
+from godwitlanding.daemons.arbiter import Arbiter, Ask, Grant, Spill
+from godwitlanding.decisions.budget import RetryBudget
+from godwitlanding.decisions.health import DRAINING, FAILED, READY, UpstreamHealth
+from godwitlanding.decisions.outlier import OutlierDetector
+from godwitlanding.decisions.poison import STOP_S, PoisonLedger
+from godwitlanding.decisions.spill import LinkMeter
+from godwitlanding.decisions.warmup import Warmup
 
 FAR_S = 1000.0
 BAD = 77
--- a/godwitlanding/tests/gateway/test_entries.py
+++ b/godwitlanding/tests/gateway/test_entries.py
@@ -3,12 +3,12 @@
 import orjson
 import pytest
 
-from godwitlanding.codes import Code
-from godwitlanding.metrics import Counters
+from godwitlanding.base.codes import Code
+from godwitlanding.base.metrics import Counters
 from godwitlanding.platform.entries import read_upstream, read_vm
 from godwitlanding.platform.store import ObjectStore
+from godwitlanding.tests.standins.standin_store import StandinStore
 from godwitlanding.tests.tools.network import claim_world_prefix
-from godwitlanding.tests.tools.standin_store import StandinStore
 
 ENTRY = {
     "service": "s",
--- a/godwitlanding/tests/gateway/test_feed.py
+++ b/godwitlanding/tests/gateway/test_feed.py
@@ -5,10 +5,10 @@
 
 import pytest
 
+from godwitlanding.base.metrics import Counters
+from godwitlanding.base.store import StoredObject
 from godwitlanding.gateway.feed import MAX_PART_BYTES, Feed
 from godwitlanding.gateway.mirror import Change, Mirror
-from godwitlanding.metrics import Counters
-from godwitlanding.store import StoredObject
 from godwitlanding.tests.tools.network import claim_world_prefix
 
 KIND = "things"
--- a/godwitlanding/tests/gateway/test_mirror.py
+++ b/godwitlanding/tests/gateway/test_mirror.py
@@ -5,10 +5,10 @@
 import pytest
 from result import Err, Ok
 
-from godwitlanding.codes import Code, make_refusal
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.store import Snapshot, StoredObject, WatchBatch, WatchEvent
 from godwitlanding.decisions.lapse import BACK_WITHIN_S, LapseGuard
 from godwitlanding.gateway.mirror import Change, Mirror
-from godwitlanding.store import Snapshot, StoredObject, WatchBatch, WatchEvent
 
 pytestmark = pytest.mark.looptime
 
--- a/godwitlanding/tests/gateway/test_platform_store.py
+++ b/godwitlanding/tests/gateway/test_platform_store.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from godwitlanding.codes import Code
-from godwitlanding.metrics import Counters
+from godwitlanding.base.codes import Code
+from godwitlanding.base.metrics import Counters
 from godwitlanding.platform import store as platform_store
 from godwitlanding.platform.store import ObjectStore
+from godwitlanding.tests.standins.standin_store import StandinStore
 from godwitlanding.tests.tools.network import claim_world_prefix
-from godwitlanding.tests.tools.standin_store import StandinStore
 
 KIND = "things"
 STORE_PORT = 8541
--- a/godwitlanding/tests/gateway/test_savedmap.py
+++ b/godwitlanding/tests/gateway/test_savedmap.py
@@ -6,7 +6,8 @@
 import pytest
 from result import Err, Ok
 
-from godwitlanding.codes import Code, make_refusal
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.store import Snapshot, StoredObject
 from godwitlanding.decisions.objectmap import Meeting, ObjectMap
 from godwitlanding.gateway.registry import Registry, Upstream
 from godwitlanding.gateway.savedmap import (
@@ -15,7 +16,6 @@
     decode_meetings,
     encode_meetings,
 )
-from godwitlanding.store import Snapshot, StoredObject
 
 pytestmark = pytest.mark.looptime
 
--- a/godwitlanding/tests/gateway/test_upstream.py
+++ b/godwitlanding/tests/gateway/test_upstream.py
@@ -6,13 +6,13 @@
 
 import pytest
 
+from godwitlanding.base.metrics import Counters
 from godwitlanding.gateway.upstream import (
     MAX_HELD_BYTES,
     Failure,
     UpstreamError,
     UpstreamPool,
 )
-from godwitlanding.metrics import Counters
 
 HOST = "127.0.0.1"
 ID = b"r1"
--- a/godwitlanding/tests/gateway/test_whole_path.py
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -7,7 +7,7 @@
 import aiohttp
 import pytest
 
-from godwitlanding.logstory import read_story
+from godwitlanding.operator.logstory import read_story
 from godwitlanding.tests.gateway.world import GRACE_S, World, make_config
 
 
--- a/godwitlanding/tests/gateway/world.py
+++ b/godwitlanding/tests/gateway/world.py
@@ -7,9 +7,9 @@
 
 import aiohttp
 
+from godwitlanding.tests.standins.standin_store import StandinStore
+from godwitlanding.tests.standins.standin_worker import StandinWorker
 from godwitlanding.tests.tools.network import claim_world_prefix
-from godwitlanding.tests.tools.standin_store import StandinStore
-from godwitlanding.tests.tools.standin_worker import StandinWorker
 
 STORE_PORT = 8541
 WORKER_PORT = 9000
--- /dev/null
+++ b/godwitlanding/tests/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load for a system or a model of one, and what callers received."""
--- a/godwitlanding/tests/tools/callers.py
+++ b/godwitlanding/tests/load/callers.py
@@ -12,9 +12,9 @@
 
 import aiohttp
 
-from godwitlanding.client import make_session
-from godwitlanding.tests.tools.bodies import is_whole, make_bundle
-from godwitlanding.tests.tools.tally import Final
+from godwitlanding.base.client import make_session
+from godwitlanding.tests.load.tally import Final
+from godwitlanding.tests.standins.bodies import is_whole, make_bundle
 
 MAX_TRIES = 6
 PRESS_AGAIN_S = 0.3
--- a/godwitlanding/tests/tools/load.py
+++ b/godwitlanding/tests/load/load.py
@@ -4,11 +4,11 @@
 import random
 from typing import NamedTuple
 
-from godwitlanding.config import KIND_BULK, KIND_TRANSACTION
-from godwitlanding.tests.tools.callers import Caller, make_caller_session
+from godwitlanding.base.config import KIND_BULK, KIND_TRANSACTION
+from godwitlanding.tests.load.callers import Caller, make_caller_session
+from godwitlanding.tests.load.tally import Tally
+from godwitlanding.tests.load.verdict import judge
 from godwitlanding.tests.tools.cluster import wait_until
-from godwitlanding.tests.tools.tally import Tally
-from godwitlanding.tests.tools.verdict import judge
 
 CALLERS = 60
 FINISH_LIMIT_S = 120.0
--- a/godwitlanding/tests/tools/load_designs.py
+++ b/godwitlanding/tests/load/load_designs.py
@@ -2,8 +2,8 @@
 
 from collections import deque
 
-from godwitlanding.tests.tools.load_driver import FAILED, OK, VMS
-from godwitlanding.tests.tools.load_pooled import Pooled
+from godwitlanding.tests.load.load_driver import FAILED, OK, VMS
+from godwitlanding.tests.load.load_pooled import Pooled
 
 
 class Direct:
--- a/godwitlanding/tests/tools/load_patterns.py
+++ b/godwitlanding/tests/load/load_patterns.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from godwitlanding.tests.tools.load_driver import COLD_REQUESTS, Stream
+from godwitlanding.tests.load.load_driver import COLD_REQUESTS, Stream
 
 SLOTS = 3
 
--- a/godwitlanding/tests/tools/load_plot.py
+++ b/godwitlanding/tests/load/load_plot.py
@@ -6,8 +6,8 @@
 
 from matplotlib import pyplot  # noqa: E402
 
-from godwitlanding.tests.tools.load_driver import OK  # noqa: E402
-from godwitlanding.tests.tools.load_report import (  # noqa: E402
+from godwitlanding.tests.load.load_driver import OK  # noqa: E402
+from godwitlanding.tests.load.load_report import (  # noqa: E402
     find_quantile,
     split_by_second,
 )
--- a/godwitlanding/tests/tools/load_pooled.py
+++ b/godwitlanding/tests/load/load_pooled.py
@@ -1,14 +1,14 @@
 """The chosen design, driven by the load driver, plain and with hedging."""
 
-from godwitlanding.arbiter import Arbiter, Ask, Grant
-from godwitlanding.codes import Refusal
-from godwitlanding.messages import (
+from godwitlanding.base.codes import Refusal
+from godwitlanding.base.messages import (
     OUTCOME_CANCELLED,
     OUTCOME_CRASHED,
     OUTCOME_FAILED,
     OUTCOME_OK,
 )
-from godwitlanding.tests.tools.load_driver import (
+from godwitlanding.daemons.arbiter import Arbiter, Ask, Grant
+from godwitlanding.tests.load.load_driver import (
     CRASHED,
     FAILED,
     OK,
--- a/godwitlanding/tests/tools/load_report.py
+++ b/godwitlanding/tests/load/load_report.py
@@ -3,7 +3,7 @@
 from math import inf
 from typing import NamedTuple
 
-from godwitlanding.tests.tools.load_driver import FAILED, LATE, OK, REFUSED
+from godwitlanding.tests.load.load_driver import FAILED, LATE, OK, REFUSED
 
 # A second counts as normal while its p95 is within the p99 of the bare work
 # times, and 99 % of its tries are answered well.
--- a/godwitlanding/tests/tools/lookups.py
+++ b/godwitlanding/tests/load/lookups.py
@@ -1,7 +1,7 @@
 """Sends look-ups over kept connections and counts the answers.
 
 A small program of its own, so that the process under test has a core for
-itself: ``python -m godwitlanding.tests.tools.lookups --help``.
+itself: ``python -m godwitlanding.tests.load.lookups --help``.
 """
 
 import argparse
--- a/godwitlanding/tests/test_lost.py
+++ b/godwitlanding/tests/load/test_lost.py
@@ -2,7 +2,7 @@
 
 import json
 
-from godwitlanding.tests.tools import lost
+from godwitlanding.tests.load import lost
 
 ATTEMPT = {
     "message_type": "carrier:attempt",
--- /dev/null
+++ b/godwitlanding/tests/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' command line."""
--- a/godwitlanding/tests/test_apply.py
+++ b/godwitlanding/tests/operator/test_apply.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from godwitlanding.apply import apply_text, read_current, read_history
-from godwitlanding.codes import Code
+from godwitlanding.base.codes import Code
+from godwitlanding.operator.apply import apply_text, read_current, read_history
 from godwitlanding.tests.support import FakeStore
 
 pytestmark = pytest.mark.looptime
--- a/godwitlanding/tests/test_ctl.py
+++ b/godwitlanding/tests/operator/test_ctl.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from godwitlanding import changes, terminal
 from godwitlanding.ctl import main
-from godwitlanding.inventory import DaemonStatus
+from godwitlanding.operator import changes, terminal
+from godwitlanding.operator.inventory import DaemonStatus
+from godwitlanding.tests.base.test_config import TEXT
 from godwitlanding.tests.support import FakeStore
-from godwitlanding.tests.test_config import TEXT
 
 
 @pytest.fixture
--- a/godwitlanding/tests/test_edit.py
+++ b/godwitlanding/tests/operator/test_edit.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from godwitlanding.edit import add_item, remove_item, replace_item
-from godwitlanding.fields import read_text
+from godwitlanding.base.fields import read_text
+from godwitlanding.operator.edit import add_item, remove_item, replace_item
 
 DRAIN = {"what": "vm", "name": "a1"}
 OTHER = {"what": "vm", "name": "b1"}
--- a/godwitlanding/tests/test_logstory.py
+++ b/godwitlanding/tests/operator/test_logstory.py
@@ -5,8 +5,8 @@
 import pytest
 
 from godwitlanding.ctl import main
-from godwitlanding.logstory import read_story
-from godwitlanding.terminal import EXIT_FAILED, EXIT_OK
+from godwitlanding.operator.logstory import read_story
+from godwitlanding.operator.terminal import EXIT_FAILED, EXIT_OK
 
 LINES_BY_VM = {
     "vm-1": (
--- a/godwitlanding/tests/test_survey.py
+++ b/godwitlanding/tests/operator/test_survey.py
@@ -3,11 +3,11 @@
 import pytest
 from result import Err, Ok
 
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.inventory import DaemonStatus
-from godwitlanding.plan import EMPTY_PLAN, format_plan
-from godwitlanding.store import StoredObject
-from godwitlanding.survey import (
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.store import StoredObject
+from godwitlanding.decisions.plan import EMPTY_PLAN, format_plan
+from godwitlanding.operator.inventory import DaemonStatus
+from godwitlanding.operator.survey import (
     count_in_progress,
     read_plan,
     summarise_leases,
--- a/godwitlanding/tests/soak/judge.py
+++ b/godwitlanding/tests/soak/judge.py
@@ -2,7 +2,7 @@
 
 from godwitlanding.tests.soak.caller import DEADLINE_S
 from godwitlanding.tests.soak.schedule import PLANNED_KINDS
-from godwitlanding.tests.tools.standin_worker import make_echo
+from godwitlanding.tests.standins.standin_worker import make_echo
 
 # The bounds of the users' rules, and what a busy machine adds.
 DRAIN_S = 2.5
--- a/godwitlanding/tests/soak/link.py
+++ b/godwitlanding/tests/soak/link.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from godwitlanding.tests.tools.listener import reset
+from godwitlanding.tests.standins.listener import reset
 
 _READ_BYTES = 65536
 
--- a/godwitlanding/tests/soak/test_soak.py
+++ b/godwitlanding/tests/soak/test_soak.py
@@ -11,8 +11,8 @@
 from godwitlanding.tests.soak.link import Link
 from godwitlanding.tests.soak.run import format_report, run_faults
 from godwitlanding.tests.soak.schedule import FAULTS_S, Fault, draw_faults
+from godwitlanding.tests.standins.standin_worker import make_echo
 from godwitlanding.tests.tools.network import claim_world_prefix
-from godwitlanding.tests.tools.standin_worker import make_echo
 
 CI_SEED = 38
 
--- /dev/null
+++ b/godwitlanding/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of what is outside: stores, upstreams, their bodies."""
--- a/godwitlanding/tests/tools/licensed.py
+++ b/godwitlanding/tests/standins/licensed.py
@@ -8,10 +8,10 @@
 import random
 from collections import Counter
 
-from godwitlanding.tests.tools.bodies import make_body, make_bundle, make_etag
-from godwitlanding.tests.tools.listener import Listener, reset
-from godwitlanding.tests.tools.switches import Switches
-from godwitlanding.tests.tools.work import (
+from godwitlanding.tests.standins.bodies import make_body, make_bundle, make_etag
+from godwitlanding.tests.standins.listener import Listener, reset
+from godwitlanding.tests.standins.switches import Switches
+from godwitlanding.tests.standins.work import (
     Cut,
     Expired,
     Work,
--- a/godwitlanding/tests/tools/objects.py
+++ b/godwitlanding/tests/standins/objects.py
@@ -9,8 +9,8 @@
 
 from result import Err, Ok
 
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.store import (
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.store import (
     MAX_VALUE_BYTES,
     StoredObject,
     VmList,
--- a/godwitlanding/tests/tools/peers.py
+++ b/godwitlanding/tests/standins/peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from godwitlanding.messages import (
+from godwitlanding.base.messages import (
     PROTOCOL_VERSION,
     Fetch,
     Heartbeat,
@@ -10,8 +10,8 @@
     State,
     Subscribe,
 )
-from godwitlanding.metrics import Counters
-from godwitlanding.wire import Pool, Server
+from godwitlanding.base.metrics import Counters
+from godwitlanding.base.wire import Pool, Server
 
 HEARTBEAT_S = 0.3
 
--- a/godwitlanding/tests/tools/standin_platform.py
+++ b/godwitlanding/tests/standins/standin_platform.py
@@ -3,7 +3,7 @@
 Serves what ``docs/platform_api.rst`` describes from memory, and under
 ``/standin/`` the switches for its faults.
 
-    python -m godwitlanding.tests.tools.standin_platform --port 8000
+    python -m godwitlanding.tests.standins.standin_platform --port 8000
 """
 
 import argparse
@@ -16,10 +16,10 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from godwitlanding.codes import ROW_BY_CODE
-from godwitlanding.store import VmEntry, VmList
-from godwitlanding.tests.tools.listener import Listener, reset
-from godwitlanding.tests.tools.objects import EMPTY_VM_LIST, ObjectTable
+from godwitlanding.base.codes import ROW_BY_CODE
+from godwitlanding.base.store import VmEntry, VmList
+from godwitlanding.tests.standins.listener import Listener, reset
+from godwitlanding.tests.standins.objects import EMPTY_VM_LIST, ObjectTable
 
 OUTAGES = ("none", "refuse", "reset", "hang")
 # A hanging platform must not keep the stand-in's tasks for ever.
--- a/godwitlanding/tests/tools/standin_store.py
+++ b/godwitlanding/tests/standins/standin_store.py
@@ -14,7 +14,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from godwitlanding.tests.tools.listener import Listener, reset
+from godwitlanding.tests.standins.listener import Listener, reset
 
 PAGE_ITEMS = 3
 
--- a/godwitlanding/tests/tools/standin_upstream.py
+++ b/godwitlanding/tests/standins/standin_upstream.py
@@ -4,7 +4,7 @@
 ``docs/upstream_api.rst`` there; switches and counts stand under
 ``/standin/`` at the control address.
 
-    python -m godwitlanding.tests.tools.standin_upstream \\
+    python -m godwitlanding.tests.standins.standin_upstream \\
         --config samples/demo.json5 --control 127.0.0.9:8001
 """
 
@@ -16,9 +16,9 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
-from godwitlanding.config import parse_config
-from godwitlanding.tests.tools.licensed import Executions, LicensedUpstream
-from godwitlanding.tests.tools.listener import Listener
+from godwitlanding.base.config import parse_config
+from godwitlanding.tests.standins.licensed import Executions, LicensedUpstream
+from godwitlanding.tests.standins.listener import Listener
 
 
 class Fleet:
--- a/godwitlanding/tests/tools/standin_worker.py
+++ b/godwitlanding/tests/standins/standin_worker.py
@@ -7,7 +7,7 @@
 import asyncio
 import re
 
-from godwitlanding.tests.tools.listener import reset
+from godwitlanding.tests.standins.listener import reset
 
 _SLOTS = 3
 _QUEUE = 9
--- a/godwitlanding/tests/test_standin_upstream.py
+++ b/godwitlanding/tests/standins/test_standin_upstream.py
@@ -6,11 +6,11 @@
 import aiohttp
 import pytest
 
-from godwitlanding.client import make_session
-from godwitlanding.config import Upstream
-from godwitlanding.tests.tools.bodies import is_whole, make_bundle
-from godwitlanding.tests.tools.licensed import Executions, LicensedUpstream
-from godwitlanding.tests.tools.listener import Listener, reset
+from godwitlanding.base.client import make_session
+from godwitlanding.base.config import Upstream
+from godwitlanding.tests.standins.bodies import is_whole, make_bundle
+from godwitlanding.tests.standins.licensed import Executions, LicensedUpstream
+from godwitlanding.tests.standins.listener import Listener, reset
 from godwitlanding.tests.tools.network import find_free_port
 
 HOST = "127.0.10.250"
--- a/godwitlanding/tests/support.py
+++ b/godwitlanding/tests/support.py
@@ -5,9 +5,9 @@
 
 from result import Err, Ok
 
-from godwitlanding.codes import Code, make_refusal
-from godwitlanding.store import VmEntry, VmList
-from godwitlanding.tests.tools.objects import EMPTY_VM_LIST, ObjectTable
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.store import VmEntry, VmList
+from godwitlanding.tests.standins.objects import EMPTY_VM_LIST, ObjectTable
 
 STATE_LIVE = "live"
 STATE_LEAVING = "leaving"
--- a/godwitlanding/tests/test_docs.py
+++ b/godwitlanding/tests/test_docs.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from godwitlanding.codes import ROW_BY_CODE
-from godwitlanding.configtable import CONFIG
+from godwitlanding.base.codes import ROW_BY_CODE
+from godwitlanding.base.configtable import CONFIG
+from godwitlanding.base.fields import REQUIRED
+from godwitlanding.base.settings import SETTINGS
 from godwitlanding.ctl import parse_arguments
-from godwitlanding.fields import REQUIRED
-from godwitlanding.settings import SETTINGS
 
 ROOT = Path(__file__).parents[2]
 DOCS = ROOT / "docs"
--- /dev/null
+++ b/godwitlanding/tests/test_layers.py
@@ -0,0 +1,47 @@
+"""Each folder of the package imports only what stands below it."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parents[1]
+# Folders and what each may import beside itself; modules on the top floor
+# join the others and may import everything.
+ALLOWED_BY_FOLDER = {
+    "base": set(),
+    "decisions": {"base"},
+    "gateway": {"base", "decisions"},
+    "daemons": {"base", "decisions"},
+    "operator": {"base", "decisions"},
+    "platform": {"base", "decisions", "gateway"},
+}
+TOP_FLOOR = {"__init__", "ctl", "entry", "program", "steer", "vm", "zone"}
+
+
+def _find_imports(path):
+    """Yield the names under ``godwitlanding`` that a module imports."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            if node.module == "godwitlanding":
+                yield from (alias.name for alias in node.names)
+            elif node.module.startswith("godwitlanding."):
+                yield node.module.split(".")[1]
+        elif isinstance(node, ast.Import):
+            for alias in node.names:
+                if alias.name.startswith("godwitlanding."):
+                    yield alias.name.split(".")[1]
+
+
+@pytest.mark.parametrize("folder", ALLOWED_BY_FOLDER)
+def test_folder_imports_nothing_from_above(folder):
+    allowed = ALLOWED_BY_FOLDER[folder] | {folder, "__version__"}
+    for path in (PACKAGE / folder).rglob("*.py"):
+        above = set(_find_imports(path)) - allowed
+        assert not above, f"{path.relative_to(PACKAGE)} imports {above}"
+
+
+def test_top_floor_holds_the_programs_only():
+    assert {path.stem for path in PACKAGE.glob("*.py")} == TOP_FLOOR
+    folders = {path.parent.name for path in PACKAGE.glob("*/__init__.py")}
+    assert folders - {"tests"} == set(ALLOWED_BY_FOLDER)
--- a/godwitlanding/tests/test_promises_page.py
+++ b/godwitlanding/tests/test_promises_page.py
@@ -12,5 +12,5 @@
 
 @pytest.mark.parametrize(("module", "test"), NAMED)
 def test_named_test_exists(module, test):
-    text = (TESTS / f"{module}.py").read_text()
+    text = next(TESTS.rglob(f"{module}.py")).read_text()
     assert re.search(rf"^(async )?def {test}\(", text, re.MULTILINE)
--- a/godwitlanding/tests/tools/chaos.py
+++ b/godwitlanding/tests/tools/chaos.py
@@ -15,8 +15,8 @@
 import sys
 from pathlib import Path
 
+from godwitlanding.tests.load.load import Load, Rate
 from godwitlanding.tests.tools.cluster import Cluster, wait_until
-from godwitlanding.tests.tools.load import Load, Rate
 from godwitlanding.tests.tools.network import claim_test_network
 
 TEXT = (Path(__file__).parents[1] / "data/small.json5").read_text()
--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -16,14 +16,14 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from godwitlanding.config import parse_config
-from godwitlanding.tests.tools.network import DEMO_NETWORK
-from godwitlanding.tests.tools.processes import Processes, run_command
-from godwitlanding.tests.tools.standins import (
+from godwitlanding.base.config import parse_config
+from godwitlanding.tests.standins.standins import (
     CONTROL_PORT,
     PLATFORM_PORT,
     Standins,
 )
+from godwitlanding.tests.tools.network import DEMO_NETWORK
+from godwitlanding.tests.tools.processes import Processes, run_command
 
 ROLES = ("zone", "entry", "steer")
 PORT_BY_ROLE = {"steer": 7001, "entry": 7002, "zone": 7003}
@@ -32,7 +32,7 @@
 STOP_LIMIT_S = 90.0
 PLATFORM = ("standin", "platform")
 UPSTREAMS = ("standin", "upstream")
-_TOOLS = "godwitlanding.tests.tools"
+_STANDINS = "godwitlanding.tests.standins"
 
 
 class Vm(NamedTuple):
@@ -245,13 +245,13 @@
         control = self._network.control
         await self._processes.spawn(
             PLATFORM,
-            f"{_TOOLS}.standin_platform",
+            f"{_STANDINS}.standin_platform",
             *("--host", control, "--port", PLATFORM_PORT),
             *("--also", *self.platform_host_by_zone.values()),
         )
         await self._processes.spawn(
             UPSTREAMS,
-            f"{_TOOLS}.standin_upstream",
+            f"{_STANDINS}.standin_upstream",
             *("--config", text_path, "--control", f"{control}:{CONTROL_PORT}"),
         )
 
--- a/godwitlanding/tests/tools/demo.py
+++ b/godwitlanding/tests/tools/demo.py
@@ -12,11 +12,11 @@
 from collections import Counter
 from pathlib import Path
 
+from godwitlanding.tests.load.load import Load, Rate
+from godwitlanding.tests.load.verdict import judge
 from godwitlanding.tests.tools.cluster import Cluster
-from godwitlanding.tests.tools.load import Load, Rate
 from godwitlanding.tests.tools.network import claim, make_network
 from godwitlanding.tests.tools.processes import ROOT
-from godwitlanding.tests.tools.verdict import judge
 
 LIMIT_S = 58.0
 DRIVE_S = 20.0
--- a/godwitlanding/tests/tools/play.py
+++ b/godwitlanding/tests/tools/play.py
@@ -9,7 +9,7 @@
 import sys
 from pathlib import Path
 
-from godwitlanding.kernel import STOP_SIGNALS
+from godwitlanding.base.kernel import STOP_SIGNALS
 from godwitlanding.tests.tools.cluster import Cluster
 from godwitlanding.tests.tools.network import DEMO_NETWORK
 from godwitlanding.tests.tools.processes import ROOT
--- a/godwitlanding/zone.py
+++ b/godwitlanding/zone.py
@@ -4,21 +4,21 @@
 
 from starlette.applications import Starlette
 
-from godwitlanding.daemon import run_daemon
-from godwitlanding.services.arbitration import Arbitration
-from godwitlanding.services.borrowing import Borrowing
-from godwitlanding.services.configuration import Configuration
-from godwitlanding.services.departure import Departure
-from godwitlanding.services.lending import Lending
-from godwitlanding.services.links import Listener, Peers
-from godwitlanding.services.members import Members
-from godwitlanding.services.planner import Planning
-from godwitlanding.services.platform import Platform
-from godwitlanding.services.probes import Probes
-from godwitlanding.services.replication import Replication
-from godwitlanding.services.summary import Summary
-from godwitlanding.store import HttpStore
-from godwitlanding.web import HttpServer, make_status_routes
+from godwitlanding.base.store import HttpStore
+from godwitlanding.base.web import HttpServer, make_status_routes
+from godwitlanding.daemons.daemon import run_daemon
+from godwitlanding.daemons.services.arbitration import Arbitration
+from godwitlanding.daemons.services.borrowing import Borrowing
+from godwitlanding.daemons.services.configuration import Configuration
+from godwitlanding.daemons.services.departure import Departure
+from godwitlanding.daemons.services.lending import Lending
+from godwitlanding.daemons.services.links import Listener, Peers
+from godwitlanding.daemons.services.members import Members
+from godwitlanding.daemons.services.planner import Planning
+from godwitlanding.daemons.services.platform import Platform
+from godwitlanding.daemons.services.probes import Probes
+from godwitlanding.daemons.services.replication import Replication
+from godwitlanding.daemons.services.summary import Summary
 
 DESCRIPTION = "Control of an availability zone: members, permits, the plan."
 
