Learn an object here that is known only where it may not be asked

Change: where no upstream that knows the object may be asked, it is placed as an object that nobody knows.

--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -179,10 +179,10 @@
         dealt = self._plan.deal(work.service, regions, work.key)
         known_by_region = self._candidates.find_known(work, regions, tried, now)
         if known_by_region:
-            return self._choose_known(work, known_by_region, dealt, tried, now)
+            return self._choose_known(work, known_by_region, regions, dealt, tried, now)
         return self._choose_fresh(work, regions, dealt, tried, now)
 
-    def _choose_known(self, work, known_by_region, dealt, tried, now):
+    def _choose_known(self, work, known_by_region, regions, dealt, tried, now):
         """Choose for an object that some upstream knows."""
         empty = self._candidates.place_empty(work, dealt, tried, now)
         if empty:
@@ -198,7 +198,12 @@
             if self._overflow_by_service.get(work.service, 0.0) <= OVERFLOW_SHARE:
                 return self._take(work, there, Why.OVERFLOW, overflow=1.0)
         best = _get_sooner(here, there)
-        if best and self._is_worth_taking(best, work, now):
+        if best is None:
+            # Known only where it may not be asked, as in another region that
+            # has got all the callers that it may get now. Refused, its caller
+            # would come back to the same while upstreams here stand idle.
+            return self._choose_fresh(work, regions, dealt, tried, now)
+        if self._is_worth_taking(best, work, now):
             return self._take(work, best, Why.LATE)
         fresh = self._candidates.place_fresh(work, dealt, tried, now)
         if fresh and self._may_move(work, fresh, now):
--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -320,6 +320,26 @@
         assert set(learn(setting, KEYS[:10]).values()) == {"far"}
 
 
+async def test_object_that_is_known_far_away_only_is_learnt_here():
+    # Callers have moved to a region and ask for objects that only another
+    # region knows. As many as may change the region at once go there; the
+    # rest was refused, again and again, with every upstream here idle.
+    upstreams = [*WARM, *((f"f{n}", "b1", 0.0) for n in range(4))]
+    async with Setting(upstreams, rates={"a": 1.0, "b": 1.0}) as setting:
+        learn(setting, KEYS)
+        await asyncio.sleep(WINDOW_S)
+        learn(setting, KEYS)
+        numbers = setting.registry.number_by_id
+        moved = [f"moved-{number}" for number in range(60)]
+        for number, key in enumerate(moved):
+            far = numbers[f"f{number % 4}"]
+            setting.object_map.hear(Meeting(far, get_object_number("s", key)), 0.0)
+        choices = [setting.choose(make_work(key)) for key in moved]
+        assert not any(isinstance(choice, Rejection) for choice in choices)
+        far = sum(choice.upstream.id.startswith("f") for choice in choices)
+        assert far <= 0.15 * len(moved)
+
+
 async def test_upstream_that_leaves_loses_its_objects_only():
     async with Setting(WARM) as setting:
         home_by_key = learn(setting, KEYS)
