--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -19,6 +19,9 @@
 CRASH_CHECK_S = 0.05
 FIRST_EJECT_S = 0.3
 MAX_EJECT_S = 3.0
+# The entry of an upstream whose address another one has lapses after three
+# heartbeats of 1.5 s, and a little more in an outage of the store.
+MOVED_EJECT_S = 6.0
 
 
 class Courier(Service):
@@ -118,7 +121,9 @@
             work_s = max(0.001, took_s - choice.distance_s)
             self._chooser.learning.note_answer(work, choice, work_s)
             self._poison.note_success(work.fingerprint, now)
-        elif outcome is not Outcome.MOVED:
+        elif outcome is Outcome.MOVED:
+            self._eject_moved(upstream)
+        else:
             self._worktimes.note_failure(work.service, upstream.id)
 
     def _note_report(self, upstream, answer, now):
@@ -162,6 +167,22 @@
         log_message("courier:ejected", level="warning", upstream=upstream.id)
         self._spawn(self._try_again(upstream))
 
+    def _eject_moved(self, upstream):
+        # Connections open there as before, and its entry stands until it
+        # lapses. Each request for an object that it knew would make the trip
+        # for nothing and spend a retry, and be refused once those are spent.
+        if upstream.id in self._chooser.ejected:
+            return
+        self._chooser.ejected.add(upstream.id)
+        self._counters.add("upstreams_ejected")
+        log_message("courier:moved", level="warning", upstream=upstream.id)
+        self._pool.forget(upstream.id)
+        self._spawn(self._readmit(upstream.id, MOVED_EJECT_S))
+
+    async def _readmit(self, upstream_id, after_s):
+        await asyncio.sleep(after_s)
+        self._chooser.ejected.discard(upstream_id)
+
     async def _try_again(self, upstream):
         pause_s = FIRST_EJECT_S
         while True:
--- /dev/null
+++ b/godwitlanding/tests/gateway/test_courier.py
@@ -0,0 +1,87 @@
+"""What an attempt teaches about the upstream that it went to."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from godwitlanding.base.metrics import Counters
+from godwitlanding.decisions.occupancy import Occupancy
+from godwitlanding.decisions.worktime import WorkTimes
+from godwitlanding.gateway.attempt import Outcome
+from godwitlanding.gateway.courier import MOVED_EJECT_S, Courier
+from godwitlanding.gateway.registry import Upstream
+from godwitlanding.gateway.upstream import Answer
+from godwitlanding.platform.headers import HEADER_NAMES
+from godwitlanding.tests.gateway.test_chooser import make_work
+
+pytestmark = pytest.mark.looptime
+
+UPSTREAM = Upstream("u0", "s", ("127.0.0.1", 1), "a1", 3, False, 0.0)
+
+
+class Connection:
+    """Answers each request with one status."""
+
+    def __init__(self, status):
+        self._status = status
+
+    def send(self, data, request_id, without_body, sink):
+        answered = asyncio.get_running_loop().create_future()
+        answered.set_result(Answer(self._status, [], b"", False))
+        return answered
+
+    def abort(self):
+        pass
+
+
+class Setting:
+    """A courier whose connections answer with ``status``."""
+
+    def __init__(self, status):
+        self.forgotten = []
+        self.chooser = SimpleNamespace(ejected=set())
+        self.pool = SimpleNamespace(
+            take=lambda upstream, idempotent: Connection(status),
+            give_back=lambda upstream, connection: None,
+            forget=self.forgotten.append,
+            trim=lambda: None,
+            close=lambda: None,
+        )
+        self.courier = Courier(
+            HEADER_NAMES, self.pool, Occupancy(), WorkTimes(), Counters(), None
+        )
+
+    async def __aenter__(self):
+        registry = SimpleNamespace(on_upstream_gone=[])
+        services = {"chooser": self.chooser, "registry": registry, "peers": None}
+        await self.courier.start(SimpleNamespace(get=services.get))
+        return self
+
+    async def __aexit__(self, *error):
+        await self.courier.stop()
+
+    async def send(self):
+        exchange = SimpleNamespace(method=b"GET", target=b"/", headers=[], body=b"")
+        choice = SimpleNamespace(upstream=UPSTREAM, distance_s=0.0)
+        outcome, _, _ = await self.courier.send(exchange, make_work(), choice, None)
+        return outcome
+
+
+async def test_upstream_whose_address_another_has_is_asked_no_more():
+    # An upstream has ended and another service has its address. Its entry
+    # stands for seconds, and every request for an object that it knew went
+    # there, came back not run, and was refused once the retries were spent.
+    async with Setting(421) as setting:
+        assert await setting.send() is Outcome.MOVED
+        assert setting.chooser.ejected == {"u0"}
+        assert setting.forgotten == ["u0"]
+        await asyncio.sleep(MOVED_EJECT_S + 0.1)
+        assert setting.chooser.ejected == set()
+
+
+@pytest.mark.parametrize("status", [500, 503])
+async def test_upstream_that_failed_once_is_asked_again(status):
+    async with Setting(status) as setting:
+        await setting.send()
+        assert setting.chooser.ejected == set()
