--- a/godwitlanding/gateway/registry.py
+++ b/godwitlanding/gateway/registry.py
@@ -52,6 +52,8 @@
         self._usable_by_place = {}
         self._usable_ids_by_place = {}
         self._region_by_usable_id = {}
+        # Whether what is sorted by place above lags behind.
+        self._is_stale = False
         self._cold_until_by_upstream = {}
         self._unsure_until_by_upstream = {}
         # Numbers stand for the present starts of upstreams among VMs.
@@ -69,7 +71,7 @@
         """Take the regions of the availability zones."""
         if region_by_zone != self._region_by_zone:
             self._region_by_zone = region_by_zone
-            self._rebuild()
+            self._is_stale = True
 
     def is_complete(self):
         """Tell whether enough is known to serve callers."""
@@ -81,14 +83,17 @@
 
     def get_usable(self, service, region):
         """Return the upstreams of a service in a region that take new work."""
+        self._refresh()
         return self._usable_by_place.get((service, region), ())
 
     def get_usable_ids(self, service, region):
         """Return the ids of ``get_usable``, the same tuple while it stands."""
+        self._refresh()
         return self._usable_ids_by_place.get((service, region), ())
 
     def get_usable_region(self, upstream_id):
         """Return the region of an upstream that takes new work, else empty."""
+        self._refresh()
         return self._region_by_usable_id.get(upstream_id, "")
 
     def get_cold_left_s(self, upstream_id, now):
@@ -166,7 +171,7 @@
             cold_s=upstream.cold_s,
             born_ms=upstream.born_ms,
         )
-        self._rebuild()
+        self._is_stale = True
         if upstream.leaving:
             self._tell_gone(upstream.id)
 
@@ -187,7 +192,7 @@
         log_message("registry:upstream_gone", upstream=upstream_id)
         self._cold_until_by_upstream.pop(upstream_id, None)
         self._unsure_until_by_upstream.pop(upstream_id, None)
-        self._rebuild()
+        self._is_stale = True
         self._tell_gone(upstream_id)
         self.id_by_number.pop(self.number_by_id.pop(upstream_id), None)
 
@@ -214,7 +219,7 @@
         else:
             self.evacuated_zones.discard(availability_zone)
             self._chill(availability_zone)
-        self._rebuild()
+        self._is_stale = True
 
     def _chill(self, availability_zone):
         for upstream in self.upstream_by_id.values():
@@ -228,7 +233,15 @@
         for tell in self.on_upstream_gone:
             tell(upstream_id)
 
-    def _rebuild(self):
+    def _refresh(self):
+        """Sort the upstreams by place again if any has changed.
+
+        A VM that starts learns 450 of them at once. Sorted after each, that
+        took 0.05 s of its first second, 0.19 s beside a profiler.
+        """
+        if not self._is_stale:
+            return
+        self._is_stale = False
         usable = {}
         for upstream in self.upstream_by_id.values():
             if upstream.leaving:
