Read three of the five lists of a start as the store has them at hand

A list that may be some seconds old costs a tenth and does not count against the store's rate.

Change: upstreams, evacuations and the saved map are read so; VMs and the configuration are not. An old list is known up to its last change only, and is not followed on: neighbours make good what it lacks, and who follows the store reads it again.

--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -62,18 +62,20 @@
 
     A ``value`` of ``None`` says that the object is gone. ``guard`` may hold
     removals back (see ``decisions.lapse``). ``on_change`` functions get each
-    ``Change``.
+    ``Change``. With ``begins_old`` the list that is read at the start may be
+    some seconds behind.
     """
 
     needs = ("registry",)
 
-    def __init__(self, store, kind, apply, guard=None, on_known=None):
+    def __init__(self, store, kind, apply, guard=None, on_known=None, begins_old=False):
         self.name = f"mirror-{kind}"
         self.kind = kind
         self._store = store
         self._apply = apply
         self._guard = guard
         self._on_known = on_known
+        self.begins_old = begins_old
         self._object_by_name = {}
         self._taken = []
         self._dropped = []
@@ -167,14 +169,14 @@
 
     async def read_once(self):
         """Read the list once; return whether the store answered."""
-        if await self._list() is not None:
+        if await self._list(self.begins_old) is not None:
             return True
         # Whoever decides to follow the store asks again.
         self.rest()
         return False
 
-    async def _list(self):
-        answer = await self._store.snapshot(self.kind)
+    async def _list(self, may_be_old=False):
+        answer = await self._store.snapshot(self.kind, may_be_old)
         if answer.is_err():
             await self._fail(answer.unwrap_err())
             return None
@@ -182,6 +184,8 @@
         snapshot = answer.unwrap()
         versions = [stored.version for stored in snapshot.objects]
         changed_at = max(versions, default=0)
+        if may_be_old:
+            return self._take_old(changed_at, snapshot.objects)
         if self._object_by_name.keys() - {o.name for o in snapshot.objects}:
             # When they went is not told; not later than now.
             changed_at = snapshot.version
@@ -193,6 +197,18 @@
         self._note_known()
         return snapshot.version
 
+    def _take_old(self, changed_at, objects):
+        """Take a list that may be behind; return up to which revision.
+
+        Whatever revision the store tells with it, only that of the last
+        change in it is known. Neighbours tell the rest, and whoever follows
+        the store reads the list again.
+        """
+        if not self.is_known:
+            self._merge(Change(changed_at, changed_at, objects, (), True), self._remove)
+            self._note_known()
+        return changed_at
+
     async def _watch(self, revision):
         wait_s = WATCH_S
         due = self._guard.get_next_time() if self._guard else None
--- a/godwitlanding/gateway/reader.py
+++ b/godwitlanding/gateway/reader.py
@@ -80,7 +80,9 @@
         if self.reads() or self._feed.has_source():
             return True
         # At the start, until it is decided who reads.
-        return all(mirror.is_just_listed() for mirror in self._mirrors)
+        return all(
+            mirror.begins_old or mirror.is_just_listed() for mirror in self._mirrors
+        )
 
     def get_store_state(self):
         """Return what the peers are told."""
--- a/godwitlanding/gateway/savedmap.py
+++ b/godwitlanding/gateway/savedmap.py
@@ -89,7 +89,7 @@
                 await self._save()
 
     async def _read(self):
-        answer = await self._store.snapshot(self._kind)
+        answer = await self._store.snapshot(self._kind, may_be_old=True)
         if answer.is_err():
             # What upstreams know is learnt anew, by this VM or by its peers.
             log_message(
--- a/godwitlanding/platform/store.py
+++ b/godwitlanding/platform/store.py
@@ -55,14 +55,22 @@
         self._counters = counters
         self._session = None
 
-    async def snapshot(self, kind):
-        """Return ``Ok(Snapshot)`` of all objects of a kind."""
+    async def snapshot(self, kind, may_be_old=False):
+        """Return ``Ok(Snapshot)`` of all objects of a kind.
+
+        One that ``may_be_old`` is some seconds behind; it costs a tenth and
+        is not counted against the store's rate.
+        """
         objects = []
         version = None
         after = ""
         while True:
             query = {"after": after} if after else {}
-            answer = await self._call("list", "GET", kind, query=query)
+            if may_be_old:
+                query["stale_ok"] = "1"
+            answer = await self._call(
+                "old_list" if may_be_old else "list", "GET", kind, query=query
+            )
             if answer.is_err():
                 return answer
             page = answer.unwrap()
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -125,16 +125,21 @@
         self.front.needs += ("directory", "readiness", "metrics", "presence", "reader")
 
     def _make_mirrors(self):
+        # Of the lists that a VM reads as it starts, two must be fresh: that of
+        # the VMs, as all start at once and would not know of each other, and
+        # the configuration, as a route that is missing there is refused. The
+        # rest is made good by neighbours within moments.
         upstream_mirror = self._make_mirror(
             UPSTREAM_KIND,
             self._apply_upstream,
             guard=LapseGuard(),
+            begins_old=True,
             on_known=self._note_upstreams_known,
         )
         return [
             self._make_mirror(CONFIG_KIND, self._apply_config),
             upstream_mirror,
-            self._make_mirror(EVACUATION_KIND, self._apply_evacuation),
+            self._make_mirror(EVACUATION_KIND, self._apply_evacuation, begins_old=True),
             self.vm_mirror,
         ]
 
--- a/godwitlanding/tests/gateway/test_mirror.py
+++ b/godwitlanding/tests/gateway/test_mirror.py
@@ -30,8 +30,8 @@
         self._steps = list(steps)
         self.calls = []
 
-    async def snapshot(self, kind):
-        return await self._next("snapshot", None)
+    async def snapshot(self, kind, may_be_old=False):
+        return await self._next("old snapshot" if may_be_old else "snapshot", None)
 
     async def watch(self, kind, after, timeout_s):
         return await self._next("watch", after)
@@ -80,7 +80,7 @@
     ]
 
 
-def make_mirror(*steps, guard=None):
+def make_mirror(*steps, guard=None, **keywords):
     """Return a mirror of a scripted store, the store, and what is held."""
     store = ScriptedStore(*steps)
     held = {}
@@ -91,7 +91,7 @@
         else:
             held[name] = value
 
-    return Mirror(store, KIND, apply, guard), store, held
+    return Mirror(store, KIND, apply, guard, **keywords), store, held
 
 
 async def follow(seconds, *steps, guard=None):
@@ -236,6 +236,54 @@
     await mirror.stop()
 
 
+def listed_old(version, *objects):
+    return "old snapshot", Ok(Snapshot(version, objects))
+
+
+async def test_mirror_that_began_with_an_old_list_reads_it_again():
+    # Hundreds of VMs start at once and read lists that may be seconds old,
+    # which costs the store little. One that then follows the store from what
+    # it was told would never hear what changed in between.
+    mirror, store, held = make_mirror(
+        listed_old(9, make_object("a", 5), make_object("gone", 4)),
+        listed(9, make_object("a", 5), make_object("b", 8)),
+        begins_old=True,
+    )
+    assert await mirror.read_once()
+    assert set(held) == {"a", "gone"}
+    assert not mirror.is_just_listed()
+    mirror.follow()
+    await asyncio.sleep(1)
+    assert set(held) == {"a", "b"}
+    assert store.calls[1:] == [("snapshot", None), ("watch", 9)]
+    await mirror.stop()
+
+
+async def test_neighbour_makes_good_what_an_old_list_lacks():
+    # The store says with an old list that all is known up to now. Taken at
+    # its word, a change that the list lacks would be passed over when a
+    # neighbour tells of it.
+    mirror, _, held = make_mirror(
+        listed_old(9, make_object("a", 5), make_object("gone", 4)), begins_old=True
+    )
+    await mirror.read_once()
+    assert mirror.revision == 5
+    mirror.take_over(Change(9, 9, (make_object("b", 8),), ("gone",)))
+    assert set(held) == {"a", "b"}
+
+
+async def test_old_list_that_comes_late_undoes_nothing():
+    # A neighbour has told all meanwhile.
+    mirror, _, held = make_mirror(
+        after_s(1, listed_old(9, make_object("gone", 4))), begins_old=True
+    )
+    reading = asyncio.create_task(mirror.read_once())
+    await asyncio.sleep(0.5)
+    mirror.take_over(whole(9, make_object("a", 5)))
+    assert await reading
+    assert set(held) == {"a"}
+
+
 async def test_followers_are_told_each_change_once():
     event = WatchEvent(make_object("b", 9), False)
     gone = WatchEvent(make_object("a", 11), True)
--- a/godwitlanding/tests/gateway/test_platform_store.py
+++ b/godwitlanding/tests/gateway/test_platform_store.py
@@ -46,6 +46,14 @@
     assert snapshot.version == standin.revision
 
 
+@pytest.mark.parametrize("may_be_old", [False, True])
+async def test_only_a_list_that_may_be_old_says_so(store, standin, may_be_old):
+    await standin.put(KIND, "a", {})
+    assert (await store.snapshot(KIND, may_be_old)).is_ok()
+    query = standin.calls[-1][2]
+    assert query == ({"stale_ok": "1"} if may_be_old else {})
+
+
 async def test_watch_returns_with_the_first_change(store, standin):
     waiting = asyncio.create_task(store.watch(KIND, standin.revision, 5.0))
     await asyncio.sleep(0.05)
--- a/godwitlanding/tests/gateway/test_reader.py
+++ b/godwitlanding/tests/gateway/test_reader.py
@@ -30,6 +30,7 @@
         self.is_lost = False
         self.begun = 0
         self.lost_at = None
+        self.begins_old = False
         self._follows = False
 
     async def read_once(self):
--- a/godwitlanding/tests/gateway/test_savedmap.py
+++ b/godwitlanding/tests/gateway/test_savedmap.py
@@ -32,7 +32,7 @@
         self.lost = False
         self.writes = 0
 
-    async def snapshot(self, kind):
+    async def snapshot(self, kind, may_be_old=False):
         if self.code:
             return Err(make_refusal(self.code))
         objects = [
