Let the load say how many VMs carry, and let the others tell few that they live

Cause: of 195 VMs all were named, as the 27 strong ones have 58 of 130 cores and half was asked for, though 1,200 requests a second need a few. Each VM got six a second, heard of an upstream once a minute, and told and heard 64 neighbours at up to 300 datagrams a second, nearly all of the 0.048 of a core that it used.

Change: strong VMs first, as many as carry three times the load, of many alike nine at the least; weak ones beside them only where those that are left cannot. Those that carry tell their whole region; the others tell them, each once in 1.6 s, and a stray request a second makes nobody tell. The former test of half of all capacity is replaced by tables of loads, losses and rates.

--- a/godwitlanding/decisions/digest.py
+++ b/godwitlanding/decisions/digest.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from godwitlanding.base.rendezvous import rank
-from godwitlanding.decisions.fleet import find_strong, pick_strong
+from godwitlanding.decisions.fleet import find_strong, pick_carriers
 from godwitlanding.decisions.objectmap import Meeting
 
 REPRESENTATIVES = 2
@@ -71,16 +71,17 @@
 def make_digest(region, peers, crashes, met=()):
     """Return the digest of a region, given its VMs, one at the least."""
     usable = [peer for peer in peers if peer.ready and not peer.leaving]
-    carriers = sorted(peer.address for peer in pick_strong(usable))
     rate_by_service = {}
     for peer in peers:
         for service, rate in peer.rate_by_service.items():
             rate_by_service[service] = rate_by_service.get(service, 0.0) + rate
+    carriers = pick_carriers(usable, sum(rate_by_service.values()))
+    addresses = sorted(peer.address for peer in carriers)
     source = max(peers, key=lambda peer: (peer.reads, peer.changed_at))
     return Digest(
         region=region,
         vms=len(usable),
-        carriers=tuple(carriers[:MAX_CARRIERS]),
+        carriers=tuple(addresses[:MAX_CARRIERS]),
         rate_by_service=rate_by_service,
         crashes=tuple(crashes),
         source=source.host,
--- a/godwitlanding/decisions/fleet.py
+++ b/godwitlanding/decisions/fleet.py
@@ -8,25 +8,40 @@
 
 VMs are unlike: on links of 100 Mbit/s an answer of 90 KB takes 7 ms, on
 links of 5 it takes 144, twice, and small answers wait behind it. Callers
-pick evenly among the VMs that are named, so where the strong VMs can carry
-most of what all can, only they are named. (Measured on 18 strong and 41 weak
-VMs: an attempt took 0.16 s by the strong ones and 0.29 s by the others.) The
-weak ones are in reserve, and are named as soon as the strong ones that are
-left are too few.
+pick evenly among the VMs that are named, so the strong VMs are named first,
+and the weak ones only where the strong ones that are left cannot carry the
+load. (Measured on 18 strong and 41 weak VMs: an attempt took 0.16 s by the
+strong ones and 0.29 s by the others.)
+
+VMs are many: of 195 each would get six requests a second, see an upstream
+once a minute, and have to be told by 64 others what those have in progress.
+So of many alike only as many are named as carry three times the load.
 """
 
 from typing import NamedTuple
 
+from godwitlanding.base.rendezvous import rank
+
 # As in ``occupancy``: ten messages in a row.
 SILENT_S = 1.5
+# VMs that carry nothing are heard less often (``audience``): three rounds.
+IDLE_SILENT_S = 5.0
 MAX_NAMED = 64
 # A VM is strong if link and processor are this share of the best VM's: then
 # nothing takes more than four times as long as there.
 STRONG_SHARE = 0.25
-# Strong VMs alone are named if they have this share of what all have, and
-# there is another one when one of them is lost.
-SUFFICIENT_SHARE = 0.5
+# There is another one when one of them is lost.
 MIN_STRONG = 2
+# Of many alike this many carry at the least: three in each of three
+# availability zones, of which six are left when a zone is lost.
+MIN_CARRIERS = 9
+# What those who carry must be able to carry, in measured loads: waves are up
+# to 1.6 times the mean and bursts 1.7, and a lost zone takes a third.
+SPARE_TIMES = 3.0
+# Of a VM for each request: 12 VMs used 0.9 of a core for 357 requests a
+# second, bulletins included; answers have 12 KB in the mean, each way.
+REQUEST_CORE_S = 0.0025
+REQUEST_MBIT = 0.1
 # A VM that callers are not sent to gets a stray request now and then.
 BUSY_PER_S = 0.5
 
@@ -51,8 +66,10 @@
     ready: bool
     leaving: bool
     capacity: Capacity
-    # Whether it has requests of callers.
+    # Whether it carries requests of callers now.
     busy: bool
+    # Whether it tells its whole region that it lives (see ``audience``).
+    active: bool
     # Requests a second that callers send to it.
     rate_by_service: dict[str, float]
     # Whether it reads the store, and whether the store does not answer it.
@@ -82,6 +99,7 @@
         leaving=False,
         capacity=identity.capacity,
         busy=True,
+        active=True,
         rate_by_service={},
         reads=False,
         failed=False,
@@ -95,6 +113,8 @@
 
     def __init__(self):
         self.peer_by_vm = {}
+        # Requests that callers send to this VM itself.
+        self.own_rate_per_s = 0.0
 
     def hear(self, bulletin, address, now):
         """Take a peer's word; return whether it is new and not a late one."""
@@ -111,7 +131,9 @@
             bulletin.ready,
             bulletin.leaving,
             bulletin.capacity,
-            is_busy(bulletin.count_by_number, bulletin.rate_by_service),
+            bulletin.active
+            and is_busy(bulletin.count_by_number, bulletin.rate_by_service),
+            bulletin.active,
             bulletin.rate_by_service,
             bulletin.reads,
             bulletin.failed,
@@ -123,7 +145,9 @@
     def drop_silent(self, now):
         """Forget and return the peers that are silent."""
         silent = [
-            peer for peer in self.peer_by_vm.values() if now - peer.heard_at > SILENT_S
+            peer
+            for peer in self.peer_by_vm.values()
+            if now - peer.heard_at > (SILENT_S if peer.active else IDLE_SILENT_S)
         ]
         for peer in silent:
             del self.peer_by_vm[peer.vm]
@@ -137,6 +161,14 @@
             if peer.ready and not peer.leaving and (not region or peer.region == region)
         ]
 
+    def get_rate(self, region):
+        """Return the requests a second that the peers of ``region`` get."""
+        return sum(
+            sum(peer.rate_by_service.values())
+            for peer in self.peer_by_vm.values()
+            if not region or peer.region == region
+        )
+
 
 def is_busy(in_progress, rate_by_service):
     """Tell whether a VM has or gets requests of callers."""
@@ -152,12 +184,22 @@
     return [peer for peer in peers if _is_strong(peer.capacity, best)]
 
 
-def pick_strong(peers):
-    """Return the strong ones of ``peers``, or all if those do not suffice."""
-    strong = find_strong(peers)
-    if len(strong) < MIN_STRONG or not _suffices(strong, peers):
-        return peers
-    return strong
+def pick_carriers(peers, rate_per_s):
+    """Return those of ``peers`` that carry ``rate_per_s`` requests.
+
+    Every VM that hears the same peers and rates picks the same ones, and one
+    that is lost or added changes no more than it must.
+    """
+    peer_by_vm = {peer.vm: peer for peer in peers}
+    strong = {peer.vm for peer in find_strong(peers)}
+    order = rank("carrier", strong) + rank("carrier", peer_by_vm.keys() - strong)
+    wanted = min(MIN_CARRIERS, max(MIN_STRONG, len(strong)))
+    carriers = []
+    for vm in order:
+        if len(carriers) >= wanted and _can_carry(carriers, rate_per_s):
+            break
+        carriers.append(peer_by_vm[vm])
+    return carriers
 
 
 def _is_strong(capacity, best):
@@ -167,11 +209,13 @@
     )
 
 
-def _suffices(some, peers):
-    for get in (_get_link_mbps, _get_cores):
-        if sum(map(get, some)) < SUFFICIENT_SHARE * sum(map(get, peers)):
-            return False
-    return True
+def _can_carry(carriers, rate_per_s):
+    # Callers pick evenly, so the weakest one bounds what each gets.
+    each_per_s = SPARE_TIMES * rate_per_s / len(carriers)
+    return (
+        min(map(_get_link_mbps, carriers)) >= REQUEST_MBIT * each_per_s
+        and min(map(_get_cores, carriers)) >= REQUEST_CORE_S * each_per_s
+    )
 
 
 def _get_link_mbps(peer):
@@ -189,9 +233,11 @@
     ``None``.
     """
     peers = fleet.get_usable(region)
+    rate_per_s = fleet.get_rate(region)
     if own and region in ("", own.region):
         peers.append(own)
-    return pick_strong(peers)
+        rate_per_s += fleet.own_rate_per_s
+    return pick_carriers(peers, rate_per_s)
 
 
 def choose_addresses(own, fleet, region, elsewhere=()):
--- a/godwitlanding/gateway/bulletin.py
+++ b/godwitlanding/gateway/bulletin.py
@@ -26,6 +26,8 @@
     region: str
     ready: bool
     leaving: bool
+    # Whether the VM tells its whole region that it lives.
+    active: bool
     capacity: Capacity
     # Requests in progress by the number of the upstream.
     count_by_number: dict[int, int]
@@ -48,6 +50,7 @@
         region=bulletin.region,
         ready=bulletin.ready,
         leaving=bulletin.leaving,
+        active=bulletin.active,
         linkMbps=bulletin.capacity.link_mbps,
         cores=bulletin.capacity.cores,
         inProgress=_pack(bulletin.count_by_number.items()),
@@ -101,6 +104,7 @@
             region=message.region,
             ready=message.ready,
             leaving=message.leaving,
+            active=message.active,
             capacity=Capacity(message.linkMbps, message.cores),
             count_by_number=dict(_PAIR.iter_unpack(message.inProgress)),
             rate_by_service=_read_rates(message.arrivals),
--- /dev/null
+++ b/godwitlanding/gateway/objectnews.py
@@ -0,0 +1,68 @@
+"""Which objects upstreams got lately, as this VM tells its peers."""
+
+import asyncio
+from collections import OrderedDict
+
+# Told to the region for the time of some twenty bulletins, and to the other
+# regions for four digests.
+TELL_S = 0.5
+TELL_FAR_S = 2.0
+# 8 bytes each: a packet holds some 120 beside the rest.
+MAX_NEWEST = 100
+# A VM that has just started is told all of it, 16 KB at the most.
+MAX_ALL = 2000
+
+
+class ObjectNews:
+    """Keeps for a while what this VM saw, and what its region told."""
+
+    def __init__(self, object_map):
+        self._object_map = object_map
+        # When each meeting was seen or heard last.
+        self._seen_at_by_own = OrderedDict()
+        self._seen_at = OrderedDict()
+
+    def note(self, meeting):
+        """An upstream is sent an object; the peers may not know."""
+        now = _now()
+        if self._object_map.note(meeting, now):
+            self._seen_at_by_own[meeting] = now
+            self._seen_at_by_own.move_to_end(meeting)
+            self._keep(meeting, now)
+
+    def hear(self, meeting, is_near):
+        """A peer says so; what neighbours say is told to other regions."""
+        now = _now()
+        self._object_map.hear(meeting, now)
+        if is_near:
+            self._keep(meeting, now)
+
+    def get_newest(self):
+        """Return what the region is told."""
+        return _take_newest(self._seen_at_by_own, TELL_S)
+
+    def get_newest_of_region(self):
+        """Return what other regions are told."""
+        return _take_newest(self._seen_at, TELL_FAR_S)
+
+    def get_all(self):
+        """Return what a VM that has just started is told."""
+        return self._object_map.get_meetings(MAX_ALL)
+
+    def _keep(self, meeting, now):
+        self._seen_at[meeting] = now
+        self._seen_at.move_to_end(meeting)
+        if len(self._seen_at) > MAX_ALL:
+            self._seen_at.popitem(last=False)
+
+
+def _take_newest(seen_at, most_s):
+    """Return the newest meetings, and drop those that are too old to tell."""
+    oldest = _now() - most_s
+    while seen_at and next(iter(seen_at.values())) < oldest:
+        seen_at.popitem(last=False)
+    return tuple(list(seen_at)[-MAX_NEWEST:])
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -31,6 +31,8 @@
   # Pairs of 32-bit little-endian numbers, as above: an upstream's, that of its
   # present start, and an object's that it got (see ``decisions.objectmap``).
   met @15 :Data;
+  # Whether the VM tells its whole region that it lives.
+  active @16 :Bool;
 }
 
 # Requests for a service that callers sent to this VM, each second.
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -3,19 +3,24 @@
 Each VM sends its whole state again and again, at three paces. VMs that carry
 callers' requests share upstreams and hear of each other's many times a
 second, those of other regions a quarter as often; the pause grows with their
-number, so that what a VM reads and sends a second is bounded. The other VMs
-of the region hear it twice a second. And a region's representatives send a
-digest to the other regions (see ``decisions.digest``).
+number, so that what a VM reads and sends a second is bounded. They also tell
+their whole region twice a second that they live; the other VMs tell only
+them, and less often (``decisions.audience``). And a region's representatives
+send a digest to the other regions (see ``decisions.digest``).
 """
 
 import asyncio
 import random
-from collections import OrderedDict
 from typing import NamedTuple
 
 from eliot import log_message
 
 from godwitlanding.base.kernel import Service
+from godwitlanding.decisions.audience import (
+    STATE_PAUSE_S,
+    is_active,
+    pick_listeners,
+)
 from godwitlanding.decisions.digest import (
     DIGEST_PAUSE_S,
     TARGETS,
@@ -24,12 +29,14 @@
     pick_representatives,
 )
 from godwitlanding.decisions.fleet import get_carriers, is_busy, make_own_peer
+from godwitlanding.gateway.arrivals import Arrivals
 from godwitlanding.gateway.bulletin import (
     MAX_DATAGRAM_BYTES,
     Bulletin,
     decode_bulletin,
     encode_bulletin,
 )
+from godwitlanding.gateway.objectnews import ObjectNews
 
 # Work lasts a quarter of a second at the least; in a tenth of that little
 # changes at an upstream.
@@ -41,23 +48,10 @@
 FAR_TIMES = 4
 # A VM without requests of callers looks this often whether it has some.
 IDLE_LOOK_S = 0.2
-# For who serves; a VM is silent after almost four of these.
-STATE_PAUSE_S = 0.4
 # Crashes are told for this long, so that datagrams that are lost do no harm.
 TELL_CRASH_S = 3.0
 MAX_CRASHES = 20
 LOOK_PAUSE_S = 0.25
-# Which upstream got which object is told to the region for the time of some
-# twenty bulletins, and to the other regions for four digests.
-TELL_MET_S = 0.5
-TELL_MET_FAR_S = 2.0
-# 8 bytes each: a packet holds some 120 beside the rest.
-MAX_MET = 100
-# A VM that has just started is told all of it, 16 KB at the most.
-MAX_MET_WHOLE = 2000
-# Weight of the newest second in the rate of arrivals: about the last three
-# seconds count, a twelfth of the waves that the load comes in.
-_RATE_WEIGHT = 0.3
 
 
 class ListedVm(NamedTuple):
@@ -83,10 +77,7 @@
 
     def __init__(self, identity, fleet, occupancy, on_crash, object_map):
         self._identity = identity
-        self._object_map = object_map
-        # When each meeting was seen or heard last; own ones, and all.
-        self._met_at_by_own = OrderedDict()
-        self._met_at = OrderedDict()
+        self._object_news = ObjectNews(object_map)
         self._fleet = fleet
         self._occupancy = occupancy
         self._on_crash = on_crash
@@ -97,9 +88,9 @@
         self._registry = None
         self._listed_by_vm = {}
         self._crashes = []
-        self._arrived_by_service = {}
-        self._rate_by_service = {}
+        self._arrivals = Arrivals()
         self._was_busy = False
+        self._is_active = True
         self._was_ready = False
         self._host_by_far_teller = {}
         self.digests = Digests(identity.region)
@@ -143,26 +134,16 @@
         listed = ListedVm(host, region)
         if self._listed_by_vm.get(vm) != listed:
             self._listed_by_vm[vm] = listed
-            self._send([host])
+            if region == self._identity.region:
+                self._send([host])
 
     def note_arrival(self, service):
         """Count a caller's request for a service."""
-        count = self._arrived_by_service.get(service, 0)
-        self._arrived_by_service[service] = count + 1
+        self._arrivals.note(service)
 
     def note_meeting(self, meeting):
         """An upstream is sent an object; the peers may not know."""
-        now = asyncio.get_running_loop().time()
-        if self._object_map.note(meeting, now):
-            self._met_at_by_own[meeting] = now
-            self._met_at_by_own.move_to_end(meeting)
-            self._keep_for_far(meeting, now)
-
-    def _keep_for_far(self, meeting, now):
-        self._met_at[meeting] = now
-        self._met_at.move_to_end(meeting)
-        if len(self._met_at) > MAX_MET_WHOLE:
-            self._met_at.popitem(last=False)
+        self._object_news.note(meeting)
 
     def note_crash(self, crash):
         """Tell the peers that a request was running on a crashed upstream."""
@@ -179,7 +160,7 @@
 
     def get_rates(self, service):
         """Return the requests a second for a service by region."""
-        own = self._rate_by_service.get(service, 0.0)
+        own = self._arrivals.rate_by_service.get(service, 0.0)
         rates = [peer.rate_by_service.get(service, 0.0) for peer in self._get_near()]
         rate_by_region = {self._identity.region: own + sum(rates)}
         for region, digest in self.digests.digest_by_region.items():
@@ -213,9 +194,7 @@
         for crash in bulletin.crashes:
             self._on_crash(crash)
         for meeting in bulletin.met:
-            self._object_map.hear(meeting, now)
-            if is_near:
-                self._keep_for_far(meeting, now)
+            self._object_news.hear(meeting, is_near)
         is_new = known is None or known.incarnation != bulletin.incarnation
         if is_new and is_near:
             log_message("peers:heard", peer=bulletin.vm)
@@ -231,7 +210,7 @@
         """
         if self._identity.vm not in pick_representatives(self._get_region()):
             return None
-        return self._object_map.get_meetings(MAX_MET_WHOLE)
+        return self._object_news.get_all()
 
     def _take_digests(self, bulletin, host, is_near, now):
         for digest in bulletin.digests:
@@ -240,14 +219,14 @@
             for crash in digest.crashes:
                 self._on_crash(crash)
             for meeting in digest.met:
-                self._object_map.hear(meeting, now)
+                self._object_news.hear(meeting, False)
         if bulletin.digests and not is_near:
             self._host_by_far_teller[bulletin.region] = host
 
     async def _tell_counts_often(self):
         turn = 0
         while True:
-            busy = is_busy(self._occupancy.get_own(), self._rate_by_service)
+            busy = self._is_busy()
             if not busy and not self._was_busy:
                 await asyncio.sleep(IDLE_LOOK_S)
                 continue
@@ -261,9 +240,33 @@
             await asyncio.sleep(max(MIN_PAUSE_S, PAUSE_EACH_PEER_S * peers))
 
     async def _tell_state_often(self):
+        turn = 0
         while True:
             await asyncio.sleep(STATE_PAUSE_S)
-            self._send(self._get_near_hosts())
+            turn += 1
+            was_active = self._is_active
+            self._is_active = self._find_active()
+            # One that is active no longer says so to all, who would take it
+            # for dead when it is heard less often.
+            everybody = self._is_active or was_active
+            active_hosts = {peer.host for peer in self._get_near() if peer.active}
+            self._send(
+                pick_listeners(everybody, self._get_near_hosts(), active_hosts, turn)
+            )
+
+    def _is_busy(self):
+        return self._is_active and is_busy(
+            self._occupancy.get_own(), self._arrivals.rate_by_service
+        )
+
+    def _find_active(self):
+        own = self._make_own() if self._takes_callers() else None
+        carriers = get_carriers(own, self._fleet, self._identity.region)
+        names = [peer.vm for peer in carriers]
+        return is_active(self._identity.vm, self._arrivals.get_total(), names)
+
+    def _takes_callers(self):
+        return self.is_ready() and not self.leaving
 
     async def _tell_digest_often(self):
         while True:
@@ -319,7 +322,7 @@
 
     def _get_region(self):
         peers = self._get_near()
-        if self.is_ready() and not self.leaving:
+        if self._takes_callers():
             peers.append(self._make_own())
         return peers
 
@@ -327,25 +330,31 @@
         peers = self._get_region()
         if self._identity.vm not in pick_representatives(peers):
             return
-        met = _take_newest(self._met_at, TELL_MET_FAR_S)
+        met = self._object_news.get_newest_of_region()
         crashes = self._get_crashes()
         digest = make_digest(self._identity.region, peers, crashes, met)
         self._send(self._pick_targets(), (digest,))
 
     def _make_own(self):
         return make_own_peer(self._identity)._replace(
-            rate_by_service=self._rate_by_service,
+            rate_by_service=self._arrivals.rate_by_service,
             **self.get_store_state()._asdict(),
         )
 
     def _pick_targets(self):
-        """Return the hosts of a few VMs of each other region."""
+        """Return the hosts of a few VMs of each other region.
+
+        They are its carriers, as far as they are known: those tell all their
+        neighbours.
+        """
         hosts_by_region = {}
         for listed in self._listed_by_vm.values():
             if listed.region != self._identity.region:
                 hosts_by_region.setdefault(listed.region, []).append(listed.host)
         targets = []
         for region, hosts in hosts_by_region.items():
+            carriers = self._get_hosts(self.digests.get_carriers({region}))
+            hosts = [host for host in carriers if host in hosts] or hosts
             chosen = {random.choice(hosts) for _ in range(TARGETS)}
             teller = self._host_by_far_teller.get(region)
             if teller in hosts:
@@ -365,7 +374,7 @@
             self._was_ready = ready
             log_message("peers:ready", ready=ready, leaving=self.leaving)
         if met is None:
-            met = _take_newest(self._met_at_by_own, TELL_MET_S)
+            met = self._object_news.get_newest()
         if digests is None:
             now = asyncio.get_running_loop().time()
             digests = self.digests.get_passed_on(now)
@@ -376,9 +385,14 @@
             region=self._identity.region,
             ready=ready,
             leaving=self.leaving,
+            active=self._is_active,
             capacity=self._identity.capacity,
-            count_by_number=self._occupancy.get_own_by_number(),
-            rate_by_service=self._rate_by_service,
+            # Told once in a round, they would be wrong for most of it; what
+            # upstreams report of their load has the strays in it.
+            count_by_number=(
+                self._occupancy.get_own_by_number() if self._is_active else {}
+            ),
+            rate_by_service=self._arrivals.rate_by_service,
             crashes=self._get_crashes(),
             digests=digests,
             met=met,
@@ -392,35 +406,20 @@
             self._drop_silent()
             turn += 1
             if turn % round(1 / LOOK_PAUSE_S) == 0:
-                self._update_rates()
+                self._arrivals.update()
+                self._fleet.own_rate_per_s = self._arrivals.get_total()
 
     def _drop_silent(self):
         now = asyncio.get_running_loop().time()
         for peer in self._fleet.drop_silent(now):
-            # VMs of other regions are heard now and then only.
-            if peer.region == self._identity.region:
+            # VMs of other regions, and those that carry nothing, are heard
+            # now and then only.
+            if peer.region == self._identity.region and peer.active:
                 log_message("peers:silent", level="warning", peer=peer.vm)
         for region in self.digests.drop_silent(now):
             log_message("peers:region_silent", level="warning", region=region)
         self._occupancy.drop_silent(now)
 
-    def _update_rates(self):
-        rate_by_service = {}
-        for service in self._arrived_by_service.keys() | self._rate_by_service.keys():
-            seen = self._arrived_by_service.get(service, 0)
-            held = self._rate_by_service.get(service, seen)
-            rate_by_service[service] = held + _RATE_WEIGHT * (seen - held)
-        self._rate_by_service = rate_by_service
-        self._arrived_by_service = {}
-
-
-def _take_newest(met_at, most_s):
-    """Return the newest meetings, and drop those that are too old to tell."""
-    oldest = asyncio.get_running_loop().time() - most_s
-    while met_at and next(iter(met_at.values())) < oldest:
-        met_at.popitem(last=False)
-    return tuple(list(met_at)[-MAX_MET:])
-
 
 class _Listener(asyncio.DatagramProtocol):
     def __init__(self, peers):
--- a/godwitlanding/tests/gateway/test_bulletin.py
+++ b/godwitlanding/tests/gateway/test_bulletin.py
@@ -17,6 +17,7 @@
     region="r",
     ready=True,
     leaving=False,
+    active=True,
     count_by_number={2**32 - 1: 3, 5: 1},
     rate_by_service={"s": 12.5},
     crashes=(Crash(2**64 - 1, "u"),),
