Let what one VM learns of a slow or silent upstream serve all

Cause: upstreams turn slow, or take requests and stay silent, without going down. A VM of a large fleet hears from an upstream every few seconds and needs four answers to know; a request that is cut off at its time taught nothing.

--- a/godwitlanding/tests/gateway/test_courier.py
+++ b/godwitlanding/tests/gateway/test_courier.py
@@ -7,7 +7,6 @@
 
 from godwitlanding.base.metrics import Counters
 from godwitlanding.decisions.occupancy import Occupancy
-from godwitlanding.decisions.worktime import WorkTimes
 from godwitlanding.gateway.attempt import Outcome
 from godwitlanding.gateway.courier import MOVED_EJECT_S, Courier
 from godwitlanding.gateway.registry import Upstream
@@ -40,7 +39,13 @@
 
     def __init__(self, status):
         self.forgotten = []
-        self.chooser = SimpleNamespace(ejected=set())
+        self.failed = []
+        self.overdue = []
+        learning = SimpleNamespace(
+            note_failure=lambda work, upstream: self.failed.append(upstream),
+            watch=self._watch,
+        )
+        self.chooser = SimpleNamespace(ejected=set(), learning=learning)
         self.pool = SimpleNamespace(
             take=lambda upstream, idempotent: Connection(status),
             give_back=lambda upstream, connection: None,
@@ -48,9 +53,11 @@
             trim=lambda: None,
             close=lambda: None,
         )
-        self.courier = Courier(
-            HEADER_NAMES, self.pool, Occupancy(), WorkTimes(), Counters(), None
-        )
+        self.courier = Courier(HEADER_NAMES, self.pool, Occupancy(), Counters(), None)
+
+    def _watch(self, work, choice):
+        loop = asyncio.get_running_loop()
+        return loop.call_later(1.0, self.overdue.append, choice.upstream.id)
 
     async def __aenter__(self):
         registry = SimpleNamespace(on_upstream_gone=[])
@@ -85,3 +92,11 @@
     async with Setting(status) as setting:
         await setting.send()
         assert setting.chooser.ejected == set()
+        assert setting.failed == ["u0"]
+
+
+async def test_answer_in_time_is_not_overdue():
+    async with Setting(500) as setting:
+        await setting.send()
+        await asyncio.sleep(2.0)
+        assert setting.overdue == []
