Refuse at once what would be cut off as often as not

Work spreads by 15 in 100.

Change: what is late anyway is taken only if 1.25 times its expected time is left.

--- a/godwitlanding/decisions/placing.py
+++ b/godwitlanding/decisions/placing.py
@@ -27,6 +27,12 @@
 # count is off, and the request would be shed after a trip for nothing.
 MAX_WAITING = 4
 
+# Work spreads by 15 in 100 and an expected wait by more. A request that is
+# expected to end just before its time is cut off as often as not: its slot was
+# spent for nothing, and a payment that may have run cannot be sent again,
+# where one that is refused comes back.
+UNSURE_TIMES = 1.25
+
 # Waits of requests that will be late, in works of one request: at three
 # slots, nobody may wait before it, or one. Three times as long each served
 # more callers (0.948 in place of 0.906 of a day past full), but 0.12 fewer
@@ -105,5 +111,7 @@
         return False
     if placement.finish_s <= time_to_target_s:
         return True
+    if UNSURE_TIMES * placement.finish_s > time_left_s:
+        return False
     most_wait = CAME_BACK_WAIT if came_back else LATE_WAIT
     return placement.wait_s <= most_wait * placement.candidate.usual_s
--- a/godwitlanding/tests/decisions/test_placing.py
+++ b/godwitlanding/tests/decisions/test_placing.py
@@ -97,6 +97,22 @@
     assert taken is expected
 
 
+@pytest.mark.parametrize(
+    ("to_target_s", "left_s", "expected"),
+    [
+        pytest.param(0.8, 2.5, True, id="late, with time to spare"),
+        pytest.param(0.8, 1.9, False, id="late, and maybe cut off"),
+        pytest.param(1.8, 1.9, True, id="in time for its target"),
+    ],
+)
+def test_work_that_may_be_cut_off_is_not_begun(to_target_s, left_s, expected):
+    # A payment is expected to end a moment before its route's time is over.
+    # When it lasts a little longer it is cut off, its caller is told nothing
+    # certain, and may not send it again. Refused at once, it could come back.
+    placement = place([USUAL._replace(work_s=1.6, usual_s=1.6)])
+    assert is_worth_taking(placement, to_target_s, left_s) is expected
+
+
 @pytest.mark.parametrize(
     ("learning", "in_progress", "expected_s"),
     [(0, 4, 0.2), (4, 4, 0.8), (2, 4, 0.5), (3, 0, 0.2), (9, 2, 0.8)],
