--- a/godwitlanding/decisions/worktime.py
+++ b/godwitlanding/decisions/worktime.py
@@ -33,9 +33,12 @@
 # Before the first answer: the usual work of both users lies near these.
 FIRST_WARM_S = 0.15
 FIRST_COLD_S = 0.4
+# An upstream this many times slower than usual takes longer for an object
+# that it knows than others for one that they do not (3.3 times).
+SLOW_FACTOR = 2.5
 # One that is silent is taken to be this many times as slow, and at once: four
-# answers to learn from do not come. Once overdue it is passed over for a second
-# or two; each further request that it keeps adds to that.
+# answers to learn from do not come. Once overdue it is passed over for a
+# second or two; each further request that it keeps adds to that.
 OVERDUE_TIMES = 4.5
 _OVERDUE_WEIGHT = 0.5
 _MIN_FACTOR = 0.7
@@ -129,6 +132,10 @@
         """Return how many times the usual time an upstream takes."""
         return self._factor_by_upstream.get(upstream, 1.0)
 
+    def is_slow(self, upstream):
+        """Tell whether others should be preferred for its slowness."""
+        return self.get_factor(upstream) >= SLOW_FACTOR
+
     def get_failure_share(self, upstream):
         """Return the share of an upstream's recent requests that failed."""
         return self._failures_by_upstream.get(upstream, 0.0)
--- a/godwitlanding/gateway/candidates.py
+++ b/godwitlanding/gateway/candidates.py
@@ -6,9 +6,6 @@
 from godwitlanding.decisions.objectmap import get_object_number
 from godwitlanding.decisions.placing import Candidate, mix_work_s, place
 
-# An upstream this many times slower than usual takes longer for an object
-# that it knows than others for one that they do not (3.3 times).
-SLOW_FACTOR = 2.5
 # An object that nobody knows goes to one of the first of its order, so that
 # all VMs choose among the same few and the load can still decide.
 FRESH_CHOICES = 3
@@ -161,7 +158,7 @@
         return known >= OBJECTS_TO_SHARE * len(ids)
 
     def _is_sound(self, service, upstream_id):
-        if self._worktimes.get_factor(upstream_id) >= SLOW_FACTOR:
+        if self._worktimes.is_slow(upstream_id):
             return False
         return not self._worktimes.is_failing(service, upstream_id)
 
--- a/godwitlanding/gateway/learning.py
+++ b/godwitlanding/gateway/learning.py
@@ -30,6 +30,8 @@
         self._worktimes = worktimes
         self._object_map = object_map
         self._memory = MemorySize()
+        # Those that were slow when something was last heard of them.
+        self._slow = set()
         peers.on_observation = self.hear
 
     def get_remembered(self, service):
@@ -75,6 +77,7 @@
             work.service, upstream_id, work_s, choice.warmth, waited
         )
         if seen is not None:
+            self._log_change(upstream_id, "")
             self._tell(upstream_id, seen, was_bad)
         if work.key and self._is_listed(choice):
             meeting = self._make_meeting(work, choice.upstream.id)
@@ -103,9 +106,10 @@
             factor=round(self._worktimes.get_factor(upstream_id), 2),
         )
         self._worktimes.note_overdue(upstream_id)
+        self._log_change(upstream_id, "")
         self._tell(upstream_id, OVERDUE_TIMES, True)
 
-    def hear(self, observation):
+    def hear(self, peer, observation):
         """Take a peer's word of an upstream."""
         upstream_id = self._registry.id_by_number.get(observation.upstream)
         if upstream_id is None:
@@ -115,6 +119,19 @@
             self._worktimes.hear_failure(upstream.id)
         else:
             self._worktimes.hear_times(upstream.id, observation.seen)
+            self._log_change(upstream.id, peer)
+
+    def _log_change(self, upstream_id, peer):
+        is_slow = self._worktimes.is_slow(upstream_id)
+        if is_slow == (upstream_id in self._slow):
+            return
+        self._slow ^= {upstream_id}
+        log_message(
+            "learning:slow" if is_slow else "learning:well",
+            upstream=upstream_id,
+            factor=round(self._worktimes.get_factor(upstream_id), 2),
+            peer=peer,
+        )
 
     def _is_bad(self, upstream_id):
         if self._worktimes.get_factor(upstream_id) >= TOLD_TIMES:
@@ -129,6 +146,7 @@
     def forget(self, upstream_id):
         """Drop what is held of an upstream that is gone or new again."""
         self._worktimes.forget(upstream_id)
+        self._slow.discard(upstream_id)
         number = self._registry.number_by_id.get(upstream_id)
         if number is not None:
             self._object_map.forget(number)
@@ -139,6 +157,8 @@
         Called once a second.
         """
         self._worktimes.recover()
+        for upstream_id in list(self._slow):
+            self._log_change(upstream_id, "")
         if self._registry.has_upstreams:
             self._object_map.keep_only(self._registry.id_by_number.keys())
 
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -80,7 +80,7 @@
         self._identity = identity
         self._object_news = ObjectNews(object_map)
         self._observations = Observations()
-        self.on_observation = lambda observation: None
+        self.on_observation = lambda peer, observation: None
         self._fleet = fleet
         self._occupancy = occupancy
         self._on_crash = on_crash
@@ -204,7 +204,7 @@
         for observation in self._observations.hear(
             bulletin.vm, bulletin.incarnation, bulletin.observations
         ):
-            self.on_observation(observation)
+            self.on_observation(bulletin.vm, observation)
         for meeting in bulletin.met:
             self._object_news.hear(meeting, is_near)
         is_new = known is None or known.incarnation != bulletin.incarnation
--- a/godwitlanding/tests/decisions/test_observation.py
+++ b/godwitlanding/tests/decisions/test_observation.py
@@ -13,8 +13,6 @@
 )
 from godwitlanding.decisions.worktime import Warmth, WorkTimes
 
-SLOW_FACTOR = 2.5
-
 
 @pytest.mark.parametrize(
     ("seen", "is_known_bad", "told"),
@@ -87,7 +85,7 @@
         vm = rng.randrange(vms)
         upstream = rng.choice(upstreams)
         is_slow = upstream == "0"
-        if is_slow and worktimes[vm].get_factor(upstream) >= SLOW_FACTOR:
+        if is_slow and worktimes[vm].is_slow(upstream):
             continue
         sent += is_slow
         work_s = 0.3 * (times if is_slow else 1.0)
--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -24,7 +24,6 @@
 from godwitlanding.decisions.shiftguard import WINDOW_S
 from godwitlanding.decisions.worktime import Warmth, WorkTimes
 from godwitlanding.gateway.attempt import Work
-from godwitlanding.gateway.candidates import SLOW_FACTOR
 from godwitlanding.gateway.chooser import OVERFLOW_SHARE, Chooser, Rejection
 from godwitlanding.gateway.registry import Registry, Upstream
 from godwitlanding.tests.support_fleet import CAPACITY, make_bulletin, make_fleet
@@ -416,7 +415,7 @@
         choice = setting.choose(work)
         setting.chooser.learning.watch(work, choice)
         await asyncio.sleep(0.8)
-        assert setting.worktimes.get_factor(choice.upstream.id) >= SLOW_FACTOR
+        assert setting.worktimes.is_slow(choice.upstream.id)
         assert setting.choose(make_work()).upstream.id != choice.upstream.id
         number = setting.registry.number_by_id[choice.upstream.id]
         assert [upstream for upstream, _, _ in setting.told] == [number]
@@ -427,9 +426,9 @@
         home = setting.choose(make_work()).upstream.id
         number = setting.registry.number_by_id[home]
         for seen in (5.0, 5.0):
-            setting.chooser.learning.hear(Observation(1, number, seen))
+            setting.chooser.learning.hear("peer", Observation(1, number, seen))
         assert setting.choose(make_work()).upstream.id != home
-        setting.chooser.learning.hear(Observation(2, 12345, 5.0))
+        setting.chooser.learning.hear("peer", Observation(2, 12345, 5.0))
 
 
 async def test_upstream_that_is_well_again_is_told_as_well():
--- a/godwitlanding/tests/tools/demo_daemons.py
+++ b/godwitlanding/tests/tools/demo_daemons.py
@@ -1,4 +1,4 @@
-"""The whole system on this machine for half a minute (``make demo``).
+"""The whole system on this machine for half a minute (``make demo-daemons``).
 
 Starts stand-ins and daemons as processes of their own, applies the sample,
 drives look-ups, payments and downloads, kills one entry VM and drains one
