Take back that what one VM learns of a slow upstream serves all

Past full, answers wait behind what nobody sees, and each upstream that is passed over costs a first run for each object that it knew.

--- a/godwitlanding/decisions/worktime.py
+++ b/godwitlanding/decisions/worktime.py
@@ -36,11 +36,6 @@
 # An upstream this many times slower than usual takes longer for an object
 # that it knows than others for one that they do not (3.3 times).
 SLOW_FACTOR = 2.5
-# One that is silent is taken to be this many times as slow, and at once: four
-# answers to learn from do not come. Once overdue it is passed over for a
-# second or two; each further request that it keeps adds to that.
-OVERDUE_TIMES = 4.5
-_OVERDUE_WEIGHT = 0.5
 _MIN_FACTOR = 0.7
 _MAX_FACTOR = 20.0
 # One answer counts at most this many times the mean, so that a slow upstream
@@ -68,19 +63,13 @@
         self._cold_share_by_service = {}
 
     def note_answer(self, service, upstream, work_s, warmth, waited):
-        """Take the time of an answer; ``waited``: it queued for a slot.
-
-        Returns how many times the usual time it took, ``None`` where that
-        cannot be told.
-        """
+        """Take the time of an answer; ``waited``: it queued for a slot."""
         self._move_failures(service, upstream, 0.0)
-        seen = None
         if warmth is Warmth.UNSURE:
             middle = (self.get_warm_s(service) + self.get_cold_s(service)) / 2
             warmth = Warmth.COLD if work_s > middle else Warmth.WARM
         elif not waited:
-            seen = self._compare(service, work_s, warmth)
-            self._move_factor(upstream, seen)
+            self._move_factor(service, upstream, work_s, warmth)
         self._move_cold_share(service, warmth is Warmth.COLD)
         key = (service, warmth)
         held = self._mean_by_service.get(key)
@@ -89,26 +78,11 @@
         elif not waited or work_s < held:
             sample = min(work_s, _MAX_SAMPLE_TIMES * held)
             self._mean_by_service[key] = held + _SERVICE_WEIGHT * (sample - held)
-        return seen
-
-    def note_overdue(self, upstream):
-        """The upstream has not answered for much longer than expected."""
-        self._move_factor(upstream, OVERDUE_TIMES, _OVERDUE_WEIGHT)
-
-    def hear_times(self, upstream, seen):
-        """A peer tells how many times the usual time an answer took."""
-        self._move_upstream_failures(upstream, 0.0)
-        weight = _OVERDUE_WEIGHT if seen >= OVERDUE_TIMES else _UPSTREAM_WEIGHT
-        self._move_factor(upstream, seen, weight)
 
     def note_failure(self, service, upstream):
         """The upstream failed a request, shed it or did not answer."""
         self._move_failures(service, upstream, 1.0)
 
-    def hear_failure(self, upstream):
-        """A peer tells that the upstream failed."""
-        self._move_upstream_failures(upstream, 1.0)
-
     def get_warm_s(self, service):
         """Return the work time of a service on objects that are known."""
         return self._mean_by_service.get((service, Warmth.WARM), FIRST_WARM_S)
@@ -168,15 +142,13 @@
         self._factor_by_upstream.pop(upstream, None)
         self._failures_by_upstream.pop(upstream, None)
 
-    def _compare(self, service, work_s, warmth):
+    def _move_factor(self, service, upstream, work_s, warmth):
         usual = self.get_warm_s(service)
         if warmth is Warmth.COLD:
             usual = self.get_cold_s(service)
-        return min(_MAX_FACTOR, max(_MIN_FACTOR, work_s / max(usual, 0.001)))
-
-    def _move_factor(self, upstream, seen, weight=_UPSTREAM_WEIGHT):
+        seen = min(_MAX_FACTOR, max(_MIN_FACTOR, work_s / max(usual, 0.001)))
         held = self.get_factor(upstream)
-        self._factor_by_upstream[upstream] = held + weight * (seen - held)
+        self._factor_by_upstream[upstream] = held + _UPSTREAM_WEIGHT * (seen - held)
 
     def _move_cold_share(self, service, is_cold):
         held = self._cold_share_by_service.get(service, 0.0)
@@ -184,12 +156,9 @@
         self._cold_share_by_service[service] = moved
 
     def _move_failures(self, service, upstream, seen):
-        self._move_upstream_failures(upstream, seen)
-        usual = self._failures_by_service.get(service, 0.0)
-        usual += _SERVICE_FAILURE_WEIGHT * (seen - usual)
-        self._failures_by_service[service] = usual
-
-    def _move_upstream_failures(self, upstream, seen):
         share = self._failures_by_upstream.get(upstream, 0.0)
         share += _FAILURE_WEIGHT * (seen - share)
         self._failures_by_upstream[upstream] = share
+        usual = self._failures_by_service.get(service, 0.0)
+        usual += _SERVICE_FAILURE_WEIGHT * (seen - usual)
+        self._failures_by_service[service] = usual
--- a/godwitlanding/gateway/bulletin.py
+++ b/godwitlanding/gateway/bulletin.py
@@ -9,11 +9,9 @@
 from godwitlanding.decisions.digest import Crash, Digest
 from godwitlanding.decisions.fleet import Capacity
 from godwitlanding.decisions.objectmap import Meeting
-from godwitlanding.decisions.observation import Observation
 
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 _PAIR = struct.Struct("<II")
-_OBSERVATION = struct.Struct("<IIf")
 # The longest datagram there is; one that is longer than a packet is lost
 # with any of its packets.
 MAX_DATAGRAM_BYTES = 60_000
@@ -41,7 +39,6 @@
     changed_at: tuple[int, ...]
     # Which upstreams got which objects, as the VM saw lately.
     met: tuple[Meeting, ...] = ()
-    observations: tuple[Observation, ...] = ()
 
 
 def encode_bulletin(bulletin):
@@ -64,7 +61,6 @@
         failed=bulletin.failed,
         changedAt=list(bulletin.changed_at),
         met=_pack(bulletin.met),
-        observations=b"".join(_OBSERVATION.pack(*o) for o in bulletin.observations),
     )
     return message.to_bytes_packed()
 
@@ -118,10 +114,6 @@
             failed=message.failed,
             changed_at=tuple(message.changedAt),
             met=_read_met(message.met),
-            observations=tuple(
-                Observation(*row)
-                for row in _OBSERVATION.iter_unpack(message.observations)
-            ),
         )
     except (capnp.KjException, UnicodeDecodeError, struct.error) as error:
         raise ValueError(f"not a bulletin: {error}") from None
--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -30,10 +30,11 @@
     name = "courier"
     needs = ("registry", "chooser", "peers")
 
-    def __init__(self, names, pool, occupancy, counters, poison):
+    def __init__(self, names, pool, occupancy, worktimes, counters, poison):
         self._names = names
         self._pool = pool
         self._occupancy = occupancy
+        self._worktimes = worktimes
         self._counters = counters
         self._poison = poison
         self._chooser = None
@@ -68,7 +69,7 @@
             try:
                 connection = await self._connect(upstream, work.answer_by - begun)
             except UpstreamError as error:
-                self._chooser.learning.note_failure(work, upstream.id)
+                self._worktimes.note_failure(work.service, upstream.id)
                 self._chooser.learning.note_unreached(work, choice)
                 self._eject(upstream)
                 return Outcome.UNREACHED, None, str(error)
@@ -92,7 +93,6 @@
             exchange, self._names, upstream.id, left_s - choice.distance_s / 2
         )
         self._occupancy.begin(upstream.id)
-        overdue = self._chooser.learning.watch(work, choice)
         whole = False
         try:
             answer = await connection.send(
@@ -100,12 +100,11 @@
             )
             whole = True
         except UpstreamError as error:
-            self._chooser.learning.note_failure(work, upstream.id)
+            self._worktimes.note_failure(work.service, upstream.id)
             if error.failure is Failure.RESET:
                 self._spawn(self._check_crash(upstream, work.fingerprint))
             return Outcome.UNKNOWN, None, str(error)
         finally:
-            overdue.cancel()
             self._occupancy.end(upstream.id)
             if not whole:
                 connection.abort()
@@ -125,7 +124,7 @@
         elif outcome is Outcome.MOVED:
             self._eject_moved(upstream)
         else:
-            self._chooser.learning.note_failure(work, upstream.id)
+            self._worktimes.note_failure(work.service, upstream.id)
 
     def _note_report(self, upstream, answer, now):
         report = answer.get_header(self._names.load_report)
--- a/godwitlanding/gateway/learning.py
+++ b/godwitlanding/gateway/learning.py
@@ -1,24 +1,13 @@
 """Joins what answers tell of upstreams: work times, objects, memory."""
 
-import asyncio
-
-from eliot import log_message
-
 from godwitlanding.decisions.memorysize import MemorySize
 from godwitlanding.decisions.objectmap import Meeting, get_object_number
-from godwitlanding.decisions.observation import FAILED, TOLD_TIMES
-from godwitlanding.decisions.worktime import OVERDUE_TIMES, Warmth
+from godwitlanding.decisions.worktime import Warmth
 
 # Work times tell whether an upstream knew an object where both differ this
 # many times, at upstreams that are not this much slower than others.
 TELLING_TIMES = 1.5
 TELLING_FACTOR = 1.5
-# An upstream whose failures or factor are past these is one of which peers
-# are told also what is well.
-BAD_FAILURE_SHARE = 0.2
-# A request is overdue when it lasts longer than expected by this many times
-# the usual work: 0.75 s of 0.3, which is still inside most target latencies.
-OVERDUE_WORKS = 2.5
 
 
 class Learning:
@@ -30,9 +19,6 @@
         self._worktimes = worktimes
         self._object_map = object_map
         self._memory = MemorySize()
-        # Those that were slow when something was last heard of them.
-        self._slow = set()
-        peers.on_observation = self.hear
 
     def get_remembered(self, service):
         """Return how many objects an upstream of a service remembers."""
@@ -71,82 +57,16 @@
         """An upstream has answered after ``work_s`` seconds."""
         waited = choice.occupied >= choice.upstream.slots
         self._learn_memory(work.service, choice, work_s, waited)
-        upstream_id = choice.upstream.id
-        was_bad = self._is_bad(upstream_id)
-        seen = self._worktimes.note_answer(
-            work.service, upstream_id, work_s, choice.warmth, waited
+        self._worktimes.note_answer(
+            work.service, choice.upstream.id, work_s, choice.warmth, waited
         )
-        if seen is not None:
-            self._log_change(upstream_id, "")
-            self._tell(upstream_id, seen, was_bad)
         if work.key and self._is_listed(choice):
             meeting = self._make_meeting(work, choice.upstream.id)
             self._object_map.note_answer(meeting)
 
-    def note_failure(self, work, upstream_id):
-        """An upstream failed a request, shed it or did not answer."""
-        self._worktimes.note_failure(work.service, upstream_id)
-        self._tell(upstream_id, FAILED, True)
-
-    def watch(self, work, choice):
-        """Return a timer for when a request that is sent now is overdue.
-
-        Whoever gets the answer cancels it.
-        """
-        loop = asyncio.get_running_loop()
-        usual_s = self._worktimes.get_warm_s(work.service)
-        delay_s = choice.finish_s + OVERDUE_WORKS * usual_s
-        return loop.call_later(delay_s, self._note_overdue, work, choice.upstream.id)
-
-    def _note_overdue(self, work, upstream_id):
-        log_message(
-            "learning:overdue",
-            request=work.request_id.decode("latin-1"),
-            upstream=upstream_id,
-            factor=round(self._worktimes.get_factor(upstream_id), 2),
-        )
-        self._worktimes.note_overdue(upstream_id)
-        self._log_change(upstream_id, "")
-        self._tell(upstream_id, OVERDUE_TIMES, True)
-
-    def hear(self, peer, observation):
-        """Take a peer's word of an upstream."""
-        upstream_id = self._registry.id_by_number.get(observation.upstream)
-        if upstream_id is None:
-            return
-        upstream = self._registry.upstream_by_id[upstream_id]
-        if observation.seen == FAILED:
-            self._worktimes.hear_failure(upstream.id)
-        else:
-            self._worktimes.hear_times(upstream.id, observation.seen)
-            self._log_change(upstream.id, peer)
-
-    def _log_change(self, upstream_id, peer):
-        is_slow = self._worktimes.is_slow(upstream_id)
-        if is_slow == (upstream_id in self._slow):
-            return
-        self._slow ^= {upstream_id}
-        log_message(
-            "learning:slow" if is_slow else "learning:well",
-            upstream=upstream_id,
-            factor=round(self._worktimes.get_factor(upstream_id), 2),
-            peer=peer,
-        )
-
-    def _is_bad(self, upstream_id):
-        if self._worktimes.get_factor(upstream_id) >= TOLD_TIMES:
-            return True
-        return self._worktimes.get_failure_share(upstream_id) >= BAD_FAILURE_SHARE
-
-    def _tell(self, upstream_id, seen, was_bad):
-        number = self._registry.number_by_id.get(upstream_id)
-        if number is not None:
-            self._peers.note_observation(number, seen, was_bad)
-
     def forget(self, upstream_id):
         """Drop what is held of an upstream that is gone or new again."""
         self._worktimes.forget(upstream_id)
-        self._slow.discard(upstream_id)
         number = self._registry.number_by_id.get(upstream_id)
         if number is not None:
             self._object_map.forget(number)
@@ -157,8 +77,6 @@
         Called once a second.
         """
         self._worktimes.recover()
-        for upstream_id in list(self._slow):
-            self._log_change(upstream_id, "")
         if self._registry.has_upstreams:
             self._object_map.keep_only(self._registry.id_by_number.keys())
 
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -33,10 +33,6 @@
   met @15 :Data;
   # Whether the VM tells its whole region that it lives.
   active @16 :Bool;
-  # Triples of two 32-bit numbers and a 32-bit float, little-endian: which of
-  # the VM's observations, the upstream's number as above, and how many times
-  # the usual time it took, or less than 0 where it failed.
-  observations @17 :Data;
 }
 
 # Requests for a service that callers sent to this VM, each second.
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -29,7 +29,6 @@
     pick_representatives,
 )
 from godwitlanding.decisions.fleet import get_carriers, is_busy, make_own_peer
-from godwitlanding.decisions.observation import Observations
 from godwitlanding.gateway.arrivals import Arrivals
 from godwitlanding.gateway.bulletin import (
     MAX_DATAGRAM_BYTES,
@@ -79,8 +78,6 @@
     def __init__(self, identity, fleet, occupancy, on_crash, object_map):
         self._identity = identity
         self._object_news = ObjectNews(object_map)
-        self._observations = Observations()
-        self.on_observation = lambda peer, observation: None
         self._fleet = fleet
         self._occupancy = occupancy
         self._on_crash = on_crash
@@ -148,11 +145,6 @@
         """An upstream is sent an object; the peers may not know."""
         self._object_news.note(meeting)
 
-    def note_observation(self, upstream, seen, is_known_bad):
-        """Take what an answer told of an upstream (by its number)."""
-        now = asyncio.get_running_loop().time()
-        self._observations.note(upstream, seen, is_known_bad, now)
-
     def note_crash(self, crash):
         """Tell the peers that a request was running on a crashed upstream."""
         loop = asyncio.get_running_loop()
@@ -201,10 +193,6 @@
         self._take_digests(bulletin, host, is_near, now)
         for crash in bulletin.crashes:
             self._on_crash(crash)
-        for observation in self._observations.hear(
-            bulletin.vm, bulletin.incarnation, bulletin.observations
-        ):
-            self.on_observation(bulletin.vm, observation)
         for meeting in bulletin.met:
             self._object_news.hear(meeting, is_near)
         is_new = known is None or known.incarnation != bulletin.incarnation
@@ -408,7 +396,6 @@
             crashes=self._get_crashes(),
             digests=digests,
             met=met,
-            observations=self._observations.get_told(asyncio.get_running_loop().time()),
             **self.get_store_state()._asdict(),
         )
 
@@ -425,7 +412,6 @@
     def _drop_silent(self):
         now = asyncio.get_running_loop().time()
         for peer in self._fleet.drop_silent(now):
-            self._observations.forget(peer.vm, peer.incarnation)
             # VMs of other regions, and those that carry nothing, are heard
             # now and then only.
             if peer.region == self._identity.region and peer.active:
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -98,7 +98,7 @@
         )
         pool = UpstreamPool(HEADER_NAMES.request_id, counters)
         self.courier = Courier(
-            HEADER_NAMES, pool, self.occupancy, counters, self.poison
+            HEADER_NAMES, pool, self.occupancy, self.worktimes, counters, self.poison
         )
         self.carrier = Carrier(
             HEADER_NAMES, self.budget, self.poison, counters, self._is_config_fresh
