Send a region's digest to who has told one, and seldom to others beside

Cause: since digests go to carriers, nearly all nine of a region got one from outside within a second, and passed both on to 64 neighbours with each of their bulletins, 22 times a second; that is most of what an idle VM reads.

Change: who has told something from there is told each time, one more VM each fourth time. The two representatives of a region have each their own teller, so that the loss of any one still leaves a way.

--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -48,6 +48,11 @@
 FAR_TIMES = 4
 # A VM without requests of callers looks this often whether it has some.
 IDLE_LOOK_S = 0.2
+# Who has told something from another region is told each time, one more VM
+# there every this many times. Whoever is told passes it on to its neighbours:
+# with one more each time, nine VMs told each of 64 others the same two digests
+# 22 times a second.
+SPREAD_EVERY = 4
 # Crashes are told for this long, so that datagrams that are lost do no harm.
 TELL_CRASH_S = 3.0
 MAX_CRASHES = 20
@@ -93,6 +98,7 @@
         self._is_active = True
         self._was_ready = False
         self._host_by_far_teller = {}
+        self._digest_turn = 0
         self.digests = Digests(identity.region)
         self.is_ready = lambda: False
         self.get_store_state = lambda: StoreState(False, False, ())
@@ -330,6 +336,7 @@
         peers = self._get_region()
         if self._identity.vm not in pick_representatives(peers):
             return
+        self._digest_turn += 1
         met = self._object_news.get_newest_of_region()
         crashes = self._get_crashes()
         digest = make_digest(self._identity.region, peers, crashes, met)
@@ -358,7 +365,9 @@
             chosen = {random.choice(hosts) for _ in range(TARGETS)}
             teller = self._host_by_far_teller.get(region)
             if teller in hosts:
-                chosen = {teller, random.choice(hosts)}
+                chosen = {teller}
+                if self._digest_turn % SPREAD_EVERY == 0:
+                    chosen.add(random.choice(hosts))
             targets.extend(chosen)
         return targets
 
--- a/godwitlanding/tests/gateway/test_peers.py
+++ b/godwitlanding/tests/gateway/test_peers.py
@@ -195,6 +195,28 @@
         assert told[-1].digests[0].vms == 2
 
 
+async def test_few_pass_a_digest_on(monkeypatch):
+    # Whoever gets a digest from outside passes it on to all its neighbours.
+    # Sent to others each time, it is passed on by all of them, and most of
+    # what an idle VM reads is the same digest again.
+    async with Setting(monkeypatch) as setting:
+        for number in range(9):
+            setting.peers.note_vm(f"far-{number}", f"10.0.9.{number}", "b1")
+        digest = Digest(
+            "b", 9, tuple(f"10.0.9.{n}:80" for n in range(9)), {}, (), "", ()
+        )
+        for sequence in range(1, 9):
+            far = make_bulletin(
+                "far-3", region="b", sequence=sequence, digests=(digest,)
+            )
+            setting.peers.hear(encode_bulletin(far), "10.0.9.3")
+            await asyncio.sleep(0.5)
+        sent = setting.wire.count_by_host()
+        others = {host for host in sent if host.startswith("10.0.9.")} - {"10.0.9.3"}
+        assert sent["10.0.9.3"] >= 6
+        assert 1 <= len(others) <= 3
+
+
 async def test_sharers_of_an_upstream_elsewhere_are_told(monkeypatch):
     # A region sends away what it has no room for. The VMs there share the
     # upstreams with it, and would take them for idle.
