--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -23,19 +23,15 @@
 )
 from godwitlanding.decisions.digest import (
     DIGEST_PAUSE_S,
-    TARGETS,
     Digests,
     make_digest,
     pick_representatives,
 )
 from godwitlanding.decisions.fleet import get_carriers, is_busy, make_own_peer
 from godwitlanding.gateway.arrivals import Arrivals
-from godwitlanding.gateway.bulletin import (
-    MAX_DATAGRAM_BYTES,
-    Bulletin,
-    decode_bulletin,
-    encode_bulletin,
-)
+from godwitlanding.gateway.bulletin import Bulletin, decode_bulletin
+from godwitlanding.gateway.datagrams import Datagrams
+from godwitlanding.gateway.fartargets import FarTargets, get_hosts
 from godwitlanding.gateway.objectnews import ObjectNews
 
 # Work lasts a quarter of a second at the least; in a tenth of that little
@@ -48,11 +44,6 @@
 FAR_TIMES = 4
 # A VM without requests of callers looks this often whether it has some.
 IDLE_LOOK_S = 0.2
-# Who has told something from another region is told each time, one more VM
-# there every this many times. Whoever is told passes it on to its neighbours:
-# with one more each time, nine VMs told each of 64 others the same two digests
-# 22 times a second.
-SPREAD_EVERY = 4
 # Crashes are told for this long, so that datagrams that are lost do no harm.
 TELL_CRASH_S = 3.0
 MAX_CRASHES = 20
@@ -88,7 +79,7 @@
         self._on_crash = on_crash
         self._incarnation = random.getrandbits(63)
         self._sequence = 0
-        self._transport = None
+        self._datagrams = Datagrams(identity.ip, identity.peer_port, self.hear)
         self._tasks = []
         self._registry = None
         self._listed_by_vm = {}
@@ -97,9 +88,8 @@
         self._was_busy = False
         self._is_active = True
         self._was_ready = False
-        self._host_by_far_teller = {}
-        self._digest_turn = 0
         self.digests = Digests(identity.region)
+        self._far_targets = FarTargets(self.digests)
         self.is_ready = lambda: False
         self.get_store_state = lambda: StoreState(False, False, ())
         self.leaving = False
@@ -107,11 +97,7 @@
     async def start(self, kernel):
         """Listen for datagrams and begin to send."""
         self._registry = kernel.get("registry")
-        loop = asyncio.get_running_loop()
-        address = (self._identity.ip, self._identity.peer_port)
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Listener(self), local_addr=address
-        )
+        await self._datagrams.open()
         self._tasks = [
             asyncio.create_task(self._tell_counts_often()),
             asyncio.create_task(self._tell_state_often()),
@@ -123,7 +109,7 @@
         """Send no more."""
         for task in self._tasks:
             task.cancel()
-        self._transport.close()
+        self._datagrams.close()
 
     def get_status(self):
         """Return the peers that are heard."""
@@ -178,7 +164,7 @@
         self.leaving = True
         for _ in range(2):
             self._send(self._get_near_hosts())
-            self._send(self._get_hosts(self.digests.get_carriers()))
+            self._send(get_hosts(self.digests.get_carriers()))
 
     def hear(self, data, host):
         """Take a datagram from a peer."""
@@ -227,7 +213,7 @@
             for meeting in digest.met:
                 self._object_news.hear(meeting, False)
         if bulletin.digests and not is_near:
-            self._host_by_far_teller[bulletin.region] = host
+            self._far_targets.note_teller(bulletin.region, host)
 
     async def _tell_counts_often(self):
         turn = 0
@@ -306,21 +292,13 @@
             if upstream:
                 regions.add(self._registry.get_region(upstream.availability_zone))
         regions.discard(self._identity.region)
-        return self._get_hosts(self.digests.get_carriers(regions))
-
-    def _get_hosts(self, addresses):
-        return [address.partition(":")[0] for address in addresses]
+        return get_hosts(self.digests.get_carriers(regions))
 
     def _send(self, hosts, digests=None, met=None):
         hosts = list(hosts)
-        if not hosts or self._transport is None:
-            return
-        data = encode_bulletin(self._make_bulletin(digests, met))
-        if len(data) > MAX_DATAGRAM_BYTES:
-            log_message("peers:too_long", level="error", bytes=len(data))
+        if not hosts or not self._datagrams.is_open():
             return
-        for host in hosts:
-            self._transport.sendto(data, (host, self._identity.peer_port))
+        self._datagrams.send(self._make_bulletin(digests, met), hosts)
 
     def speaks_first(self):
         """Tell whether this VM is the first that speaks for its region."""
@@ -336,7 +314,6 @@
         peers = self._get_region()
         if self._identity.vm not in pick_representatives(peers):
             return
-        self._digest_turn += 1
         met = self._object_news.get_newest_of_region()
         crashes = self._get_crashes()
         digest = make_digest(self._identity.region, peers, crashes, met)
@@ -349,27 +326,11 @@
         )
 
     def _pick_targets(self):
-        """Return the hosts of a few VMs of each other region.
-
-        They are its carriers, as far as they are known: those tell all their
-        neighbours.
-        """
         hosts_by_region = {}
         for listed in self._listed_by_vm.values():
             if listed.region != self._identity.region:
                 hosts_by_region.setdefault(listed.region, []).append(listed.host)
-        targets = []
-        for region, hosts in hosts_by_region.items():
-            carriers = self._get_hosts(self.digests.get_carriers({region}))
-            hosts = [host for host in carriers if host in hosts] or hosts
-            chosen = {random.choice(hosts) for _ in range(TARGETS)}
-            teller = self._host_by_far_teller.get(region)
-            if teller in hosts:
-                chosen = {teller}
-                if self._digest_turn % SPREAD_EVERY == 0:
-                    chosen.add(random.choice(hosts))
-            targets.extend(chosen)
-        return targets
+        return self._far_targets.pick(hosts_by_region)
 
     def _get_crashes(self):
         now = asyncio.get_running_loop().time()
@@ -428,16 +389,3 @@
         for region in self.digests.drop_silent(now):
             log_message("peers:region_silent", level="warning", region=region)
         self._occupancy.drop_silent(now)
-
-
-class _Listener(asyncio.DatagramProtocol):
-    def __init__(self, peers):
-        self._peers = peers
-
-    def datagram_received(self, data, address):
-        self._peers.hear(data, address[0])
-
-    def error_received(self, error):
-        # A peer whose process is down answers that its port is closed; that
-        # it is silent is noticed anyway.
-        pass
