--- a/godwitlanding/decisions/digest.py
+++ b/godwitlanding/decisions/digest.py
@@ -17,8 +17,8 @@
 from godwitlanding.decisions.objectmap import Meeting
 
 REPRESENTATIVES = 2
-# VMs of another region that a representative tells each time: one that has
-# told it something, and one at random, so that a new one is found.
+# VMs of another region that a representative tells each time while none there
+# has told it anything; then that one, and another at random now and then.
 TARGETS = 2
 # Between two digests; shares of regions move by 4 in 100 a second.
 DIGEST_PAUSE_S = 0.5
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -252,14 +252,11 @@
         )
 
     def _find_active(self):
-        own = self._make_own() if self._takes_callers() else None
-        carriers = get_carriers(own, self._fleet, self._identity.region)
+        region = self._identity.region
+        carriers = get_carriers(self._get_own(), self._fleet, region)
         names = [peer.vm for peer in carriers]
         return is_active(self._identity.vm, self._arrivals.get_total(), names)
 
-    def _takes_callers(self):
-        return self.is_ready() and not self.leaving
-
     async def _tell_digest_often(self):
         while True:
             await asyncio.sleep(DIGEST_PAUSE_S)
@@ -305,10 +302,8 @@
         return pick_representatives(self._get_region())[:1] == [self._identity.vm]
 
     def _get_region(self):
-        peers = self._get_near()
-        if self._takes_callers():
-            peers.append(self._make_own())
-        return peers
+        own = self._get_own()
+        return [*self._get_near(), own] if own else self._get_near()
 
     def _send_digest(self):
         peers = self._get_region()
@@ -319,7 +314,10 @@
         digest = make_digest(self._identity.region, peers, crashes, met)
         self._send(self._pick_targets(), (digest,))
 
-    def _make_own(self):
+    def _get_own(self):
+        """Return this VM as a ``Peer``, ``None`` if it takes no callers."""
+        if not self.is_ready() or self.leaving:
+            return None
         return make_own_peer(self._identity)._replace(
             rate_by_service=self._arrivals.rate_by_service,
             **self.get_store_state()._asdict(),
--- a/godwitlanding/tests/gateway/test_peers.py
+++ b/godwitlanding/tests/gateway/test_peers.py
@@ -85,6 +85,11 @@
         bulletin = make_bulletin(vm, region="a", **changes)
         self.peers.hear(encode_bulletin(bulletin), host)
 
+    def list_region(self, count):
+        """The store lists VMs of the own region."""
+        for number in range(count):
+            self.peers.note_vm(f"vm-{number}", f"10.0.2.{number}", "a1")
+
     def hear_strong(self, count, **changes):
         """Hear of VMs that are so strong that this one carries nothing."""
         for number in range(count):
@@ -109,8 +114,7 @@
     # Sixty VMs of a region without a request told each other all the time,
     # which was nearly all that they did.
     async with Setting(monkeypatch) as setting:
-        for number in range(60):
-            setting.peers.note_vm(f"vm-{number}", f"10.0.2.{number}", "a1")
+        setting.list_region(60)
         for sequence in range(1, 6):
             setting.hear_strong(3, sequence=sequence)
             sent = await setting.count_sent(1.0)
@@ -123,8 +127,7 @@
     # keep their connections. Each of sixty that carry nothing else would tell
     # the others of it thirty times a second.
     async with Setting(monkeypatch) as setting:
-        for number in range(60):
-            setting.peers.note_vm(f"vm-{number}", f"10.0.2.{number}", "a1")
+        setting.list_region(60)
         for sequence in range(1, 6):
             setting.hear_strong(3, sequence=sequence)
             setting.peers.note_arrival("s")
