--- a/godwitlanding/base/codes.py
+++ b/godwitlanding/base/codes.py
@@ -27,6 +27,7 @@
     BAD_TICKET = 1005
     TICKET_MISMATCH = 1006
     TICKET_EXPIRED = 1007
+    UNKNOWN_KEY = 1008
 
     QUEUE_FULL = 2001
     DEADLINE_UNREACHABLE = 2002
@@ -37,6 +38,8 @@
     POISON_REQUEST = 2007
     DISPLACED = 2008
     ZONE_DRAINED = 2009
+    ALLOTMENT_SPENT = 2010
+    NO_REGION = 2011
 
     UPSTREAM_FAILED = 3001
     UPSTREAM_TIMEOUT = 3002
@@ -62,6 +65,7 @@
     PEER_UNREACHABLE = 5010
     UNEXPECTED_MESSAGE = 5011
     HANDLER_FAILED = 5012
+    OUT_OF_TOUCH = 5013
 
     PLATFORM_UNAVAILABLE = 6001
     VERSION_CONFLICT = 6002
@@ -102,6 +106,7 @@
     Code.TICKET_EXPIRED: CodeRow(
         410, RUN_UNKNOWN, "The ticket's record is no longer kept."
     ),
+    Code.UNKNOWN_KEY: CodeRow(401, RUN_NO, "No workspace has this key."),
     Code.QUEUE_FULL: CodeRow(503, RUN_NO, "The queue for the service is full."),
     Code.DEADLINE_UNREACHABLE: CodeRow(
         503, RUN_NO, "The request cannot finish before its deadline."
@@ -121,6 +126,12 @@
         503, RUN_NO, "More important work took the place in the queue."
     ),
     Code.ZONE_DRAINED: CodeRow(503, RUN_NO, "The availability zone is drained."),
+    Code.ALLOTMENT_SPENT: CodeRow(
+        429, RUN_NO, "The workspace has sent what it may send for now."
+    ),
+    Code.NO_REGION: CodeRow(
+        503, RUN_NO, "No region is allowed by both route and workspace."
+    ),
     Code.UPSTREAM_FAILED: CodeRow(
         502, RUN_UNKNOWN, "The upstream failed while it had the request."
     ),
@@ -161,6 +172,9 @@
     Code.PEER_UNREACHABLE: CodeRow(503, RUN_NO, "The peer cannot be reached."),
     Code.UNEXPECTED_MESSAGE: CodeRow(400, RUN_NO, "The message is not served here."),
     Code.HANDLER_FAILED: CodeRow(500, RUN_UNKNOWN, "The handler failed."),
+    Code.OUT_OF_TOUCH: CodeRow(
+        503, RUN_NO, "Keys may have been taken away without this VM's knowing."
+    ),
     Code.PLATFORM_UNAVAILABLE: CodeRow(
         503, RUN_UNKNOWN, "The platform's object API does not answer."
     ),
--- /dev/null
+++ b/godwitlanding/decisions/allotment.py
@@ -0,0 +1,412 @@
+"""How many requests of a workspace a VM may send, of all that it may ask for.
+
+A workspace may send ``rate_per_s`` requests a second and ``burst`` at once
+over all VMs, also over those that are cut off from each other. Nothing is
+asked of the store, and no VM decides for the others.
+
+Load pattern: most workspaces stay far below their limit, each with a handful
+of callers that may all use one VM. Cut into equal parts for a dozen VMs, the
+burst of a small one is one request each, and a tenth of what it is owed is
+refused. Now and then one sends many times its limit, at every VM at once.
+
+So a region has one bucket for a workspace, and each of its VMs works out its
+level by itself from what all tell each other many times a second: how many
+requests each has sent so far. What a VM has not been told yet is kept back
+(``SEEN_S``). The region's part of the rate follows what its callers ask for,
+by ``decisions.sharing``, and every region is told what the others ask for.
+
+A region's part shrinks to the share of its VMs that are heard, and what is in
+its bucket with it: the others may be serving with the rest (``quorum``). A
+region that is not heard keeps an even part. So parts never add up to more
+than the whole for long, whoever is cut off from whom, and a lost message
+costs nothing but time.
+"""
+
+import math
+from typing import NamedTuple
+
+import xxhash
+
+from godwitlanding.decisions.quorum import HOLD_S, QUIET_S
+from godwitlanding.decisions.sharing import share_fairly
+
+# Longest time until a VM of the region knows what another has sent.
+SEEN_S = 0.05
+# About the requests of this time tell what a region's callers ask for.
+ASKED_OVER_S = 3.0
+# A region raises its part only when the others know what it asks for, and
+# lowers it at once.
+RAISE_AFTER_S = 1.5
+# A workspace that has sent nothing for this long, and whose bucket is full,
+# is forgotten.
+IDLE_S = 10.0
+# Below this pace nobody asks for a workspace any more.
+LEAST_PER_S = 0.01
+# Of what users tolerate beyond the limit, the part that is spent on larger
+# buckets: cut in three, the burst of a small workspace is one request.
+SPARE_SHARE = 0.4
+# Callers that were told when to come back are expected until this much later.
+LATE_S = 0.5
+# Rows in one datagram, so that it stays within a few packets.
+MAX_ROWS = 256
+_COUNTS = 1 << 32
+
+
+class Tolerance(NamedTuple):
+    """What users tolerate beyond a limit, in a window of ``window_s``."""
+
+    window_s: float = 5.0
+    over_share: float = 0.1
+    over_requests: float = 20.0
+
+    def get_spare(self, workspace):
+        """Return the requests by which all buckets together are larger."""
+        allowed = workspace.rate_per_s * self.window_s + workspace.burst
+        return SPARE_SHARE * (self.over_share * allowed + self.over_requests)
+
+
+class Tally(NamedTuple):
+    """What a VM has had of a workspace since it started."""
+
+    number: int
+    sent: int
+    asked: int
+
+
+class Asked(NamedTuple):
+    """Requests a second that a region's callers ask for."""
+
+    number: int
+    per_s: float
+
+
+def get_workspace_number(name):
+    """Return the number that stands for a workspace between VMs.
+
+    Of thousands hardly two share one; those that do are counted together,
+    which refuses too much rather than too little.
+    """
+    return xxhash.xxh32_intdigest(name.encode())
+
+
+class _Count:
+    """What this VM has had of a workspace since it started."""
+
+    def __init__(self):
+        self.sent = 0
+        self.asked = 0
+
+
+class _Bucket:
+    """A region's bucket of one workspace, as this VM sees it."""
+
+    def __init__(self, workspace, count, now):
+        self.workspace = workspace
+        self.count = count
+        self.level = 0.0
+        self.filled_at = now
+        self.part_per_s = 0.0
+        self.capacity = 0.0
+        self.born_at = now
+        self.changed_at = now
+        # Requests for it in the region since the last update, and a second.
+        self.asked_lately = 0
+        self.asked_per_s = 0.0
+        # Parts that were worked out lately, with the time of each.
+        self.parts = []
+        # When those that were refused were told to come back.
+        self.returns = []
+
+    def fill(self, now):
+        """Add what has accrued."""
+        self.level += self.part_per_s * max(0.0, now - self.filled_at)
+        self.level = min(self.capacity, self.level)
+        self.filled_at = now
+
+    def set_part(self, part_per_s, capacity, now):
+        """Let it fill at another pace from now on."""
+        self.fill(now)
+        self.part_per_s = part_per_s
+        self.capacity = capacity
+        self.level = min(self.level, capacity)
+
+    def measure(self, elapsed_s, weight, now):
+        """Work out what its callers ask for; at first the mean so far."""
+        seen_per_s = self.asked_lately / elapsed_s
+        self.asked_lately = 0
+        weight = max(weight, min(1.0, elapsed_s / (now - self.born_at + elapsed_s)))
+        self.asked_per_s += weight * (seen_per_s - self.asked_per_s)
+
+    def get_margin(self):
+        """Return what is kept back for requests that are not known yet."""
+        return min((self.capacity - 1.0) / 2, self.asked_per_s * SEEN_S)
+
+    def count_due(self, now):
+        """Return how many were told to come back about now."""
+        self.returns = [at for at in self.returns if at >= now - LATE_S]
+        return sum(1 for at in self.returns if at <= now)
+
+
+class _Peer:
+    """What a VM of the same region has told."""
+
+    def __init__(self, incarnation, counts_from_zero):
+        self.incarnation = incarnation
+        self.counts_from_zero = counts_from_zero
+        self.heard_at = 0.0
+        self.tally_by_number = {}
+
+
+class Allotments:
+    """What this VM may send of each workspace; ``now`` is one clock's."""
+
+    def __init__(self, region, regions, tolerance, now):
+        self._region = region
+        self._regions = frozenset(regions) | {region}
+        self._tolerance = tolerance
+        self._started_at = now
+        self._updated_at = now
+        self._workspace_by_number = {}
+        self._number_by_name = {}
+        self._bucket_by_number = {}
+        # Kept when a bucket is forgotten: peers see only by how much they grow.
+        self._count_by_number = {}
+        self._peer_by_vm = {}
+        # What the others ask for, and when they were heard last.
+        self._asked_by_region = {}
+        self._heard_at_by_region = {}
+        self._quorum = 1.0
+
+    def set_bounds(self, regions, tolerance):
+        """Take other settings."""
+        self._regions = frozenset(regions) | {self._region}
+        self._tolerance = tolerance
+
+    def set_workspaces(self, workspaces, now):
+        """Take the workspaces of a new configuration."""
+        limited = [workspace for workspace in workspaces if workspace.rate_per_s > 0]
+        self._number_by_name = {w.name: get_workspace_number(w.name) for w in limited}
+        self._workspace_by_number = {self._number_by_name[w.name]: w for w in limited}
+        for number in list(self._bucket_by_number):
+            workspace = self._workspace_by_number.get(number)
+            if workspace is None:
+                del self._bucket_by_number[number]
+            else:
+                bucket = self._bucket_by_number[number]
+                if bucket.workspace != workspace:
+                    bucket.workspace = workspace
+                    bucket.parts.clear()
+                    self._set_part(number, bucket, now)
+
+    def take(self, workspace, now, came_back=False):
+        """Return 0 if a request may be sent, else when to come back, in s.
+
+        Who was told to come back goes before those who come for the first
+        time: they would otherwise be refused again and again.
+        """
+        bucket = self._find(workspace, now)
+        if bucket is None:
+            return 0.0
+        bucket.count.asked += 1
+        bucket.asked_lately += 1
+        bucket.changed_at = now
+        bucket.fill(now)
+        due = bucket.count_due(now)
+        needed = 1.0
+        if not came_back:
+            needed += bucket.get_margin() + due
+        if bucket.level >= needed:
+            if came_back and due:
+                bucket.returns.remove(min(bucket.returns))
+            self._spend(bucket, 1)
+            return 0.0
+        missing = needed + len(bucket.returns) - due - bucket.level
+        wait_s = max(missing, 1.0) / bucket.part_per_s
+        bucket.returns.append(now + wait_s)
+        return wait_s
+
+    def charge(self, workspace, now):
+        """Count a request that is sent once more, whatever is left."""
+        self._add(workspace, 1, now)
+
+    def give_back(self, workspace, now):
+        """A request that was granted has certainly not arrived."""
+        self._add(workspace, -1, now)
+
+    def get_tallies(self, since):
+        """Return the counts that have changed since ``since``."""
+        rows = [
+            Tally(number, bucket.count.sent, bucket.count.asked)
+            for number, bucket in self._bucket_by_number.items()
+            if bucket.changed_at >= since and bucket.count.asked
+        ]
+        rows.sort(key=lambda tally: tally.asked, reverse=True)
+        return tuple(rows[:MAX_ROWS])
+
+    def hear(self, vm, incarnation, tallies, now):
+        """A VM of the region tells its counts, or nothing new."""
+        peer = self._peer_by_vm.get(vm)
+        if peer is None or peer.incarnation != incarnation:
+            # One that starts anew counts from nothing. Of one that was not
+            # heard before it is not known what of its counts is new.
+            is_restart = peer is not None
+            peer = self._peer_by_vm[vm] = _Peer(incarnation, is_restart)
+        elif now - peer.heard_at > QUIET_S:
+            # It has spent the part of its own side meanwhile.
+            peer.tally_by_number.clear()
+            peer.counts_from_zero = False
+        peer.heard_at = now
+        for tally in tallies:
+            self._note_tally(peer, tally, now)
+
+    def hear_region(self, region, asked, now):
+        """Another region tells what its callers ask for."""
+        if region == self._region:
+            return
+        self._asked_by_region[region] = {row.number: row.per_s for row in asked}
+        self._heard_at_by_region[region] = now
+
+    def get_asked(self):
+        """Return what this region's callers ask for.
+
+        Where a part of the region's VMs is not heard, the others can use
+        that much less of its part, so they ask for more. A region that asks
+        for nothing says so, since one that says nothing is taken for lost.
+        """
+        if not self._workspace_by_number:
+            return ()
+        rows = [
+            Asked(number, bucket.asked_per_s / self._quorum)
+            for number, bucket in self._bucket_by_number.items()
+            if bucket.asked_per_s > LEAST_PER_S
+        ]
+        rows.sort(key=lambda asked: asked.per_s, reverse=True)
+        return tuple(rows[:MAX_ROWS]) or (Asked(0, 0.0),)
+
+    def update(self, quorum, now):
+        """Work out the region's parts again.
+
+        ``quorum`` is the share of the region's VMs that are heard.
+        """
+        elapsed_s = now - self._updated_at
+        if elapsed_s <= 0:
+            return
+        self._updated_at = now
+        self._set_quorum(quorum, now)
+        self._forget_silent(now)
+        weight = 1.0 - math.exp(-elapsed_s / ASKED_OVER_S)
+        for number, bucket in list(self._bucket_by_number.items()):
+            bucket.measure(elapsed_s, weight, now)
+            self._set_part(number, bucket, now)
+            if self._is_idle(bucket, now):
+                del self._bucket_by_number[number]
+
+    def _set_quorum(self, quorum, now):
+        if quorum < self._quorum:
+            # The others may spend the rest of what had been saved up.
+            for bucket in self._bucket_by_number.values():
+                bucket.fill(now)
+                if bucket.level > 0:
+                    bucket.level *= quorum / self._quorum
+        self._quorum = quorum
+
+    def get_status(self):
+        """Return level, part and demand of each workspace that is in use."""
+        return {
+            bucket.workspace.name: {
+                "level": round(bucket.level, 1),
+                "part_per_s": round(bucket.part_per_s, 2),
+                "asked_per_s": round(bucket.asked_per_s, 2),
+                "sent": bucket.count.sent,
+            }
+            for bucket in self._bucket_by_number.values()
+        }
+
+    def get_state(self, workspace):
+        """Return the level and part of a workspace, for a log line."""
+        bucket = self._bucket_by_number.get(self._number_by_name.get(workspace.name))
+        return (bucket.level, bucket.part_per_s) if bucket else (0.0, 0.0)
+
+    def _find(self, workspace, now):
+        number = workspace and self._number_by_name.get(workspace.name)
+        return None if number is None else self._get(number, now)
+
+    def _get(self, number, now):
+        bucket = self._bucket_by_number.get(number)
+        if bucket is None:
+            workspace = self._workspace_by_number[number]
+            count = self._count_by_number.setdefault(number, _Count())
+            bucket = _Bucket(workspace, count, now)
+            self._bucket_by_number[number] = bucket
+            self._set_part(number, bucket, now)
+            # A VM that has just started does not know what was sent before.
+            accrued = bucket.part_per_s * (now - self._started_at)
+            bucket.level = min(bucket.capacity, accrued)
+        return bucket
+
+    def _add(self, workspace, requests, now):
+        bucket = self._find(workspace, now)
+        if bucket is not None:
+            bucket.fill(now)
+            bucket.changed_at = now
+            self._spend(bucket, requests)
+
+    def _spend(self, bucket, requests):
+        bucket.level -= requests
+        bucket.count.sent = (bucket.count.sent + requests) % _COUNTS
+
+    def _note_tally(self, peer, tally, now):
+        if tally.number not in self._workspace_by_number:
+            return
+        held = peer.tally_by_number.get(tally.number)
+        peer.tally_by_number[tally.number] = tally
+        if held is None:
+            nothing = Tally(tally.number, 0, 0)
+            held = nothing if peer.counts_from_zero else tally
+        sent = _get_difference(tally.sent, held.sent)
+        asked = _get_difference(tally.asked, held.asked)
+        if not sent and not asked:
+            return
+        bucket = self._get(tally.number, now)
+        bucket.fill(now)
+        bucket.level -= sent
+        bucket.asked_lately += max(0, asked)
+
+    def _forget_silent(self, now):
+        for vm, peer in list(self._peer_by_vm.items()):
+            if now - peer.heard_at > HOLD_S:
+                del self._peer_by_vm[vm]
+
+    def _set_part(self, number, bucket, now):
+        workspace = bucket.workspace
+        part = self._get_part(number, bucket, now)
+        bucket.parts.append((now, part))
+        bucket.parts = [row for row in bucket.parts if row[0] >= now - RAISE_AFTER_S]
+        part = self._quorum * min(part for _, part in bucket.parts)
+        capacity = workspace.burst * part / workspace.rate_per_s
+        capacity += self._tolerance.get_spare(workspace) / len(self._regions)
+        bucket.set_part(part, max(1.0, capacity), now)
+
+    def _get_part(self, number, bucket, now):
+        """Return the requests a second of which this region may dispose."""
+        rate = bucket.workspace.rate_per_s
+        asked_by_region = {self._region: bucket.asked_per_s / self._quorum}
+        for region in self._regions - {self._region}:
+            heard_at = self._heard_at_by_region.get(region, -math.inf)
+            if now - heard_at <= HOLD_S:
+                asked = self._asked_by_region[region].get(number, 0.0)
+                asked_by_region[region] = asked
+        known = len(asked_by_region) / len(self._regions)
+        return share_fairly(rate * known, asked_by_region)[self._region]
+
+    def _is_idle(self, bucket, now):
+        if now - bucket.changed_at < IDLE_S or bucket.asked_per_s > LEAST_PER_S:
+            return False
+        bucket.fill(now)
+        return bucket.level >= bucket.capacity
+
+
+def _get_difference(count, former):
+    """Return by how much a 32-bit count has grown; it may have shrunk."""
+    difference = (count - former) % _COUNTS
+    return difference - _COUNTS if difference >= _COUNTS // 2 else difference
--- a/godwitlanding/decisions/comeback.py
+++ b/godwitlanding/decisions/comeback.py
@@ -16,3 +16,15 @@
     latest = MAX_SHARE_OF_TIME_LEFT * time_left_s
     earliest = min(latest, max(MIN_S, work_s))
     return round(earliest + draw * (latest - earliest), 3)
+
+
+def get_token_retry_s(wait_s, time_left_s, draw):
+    """Return when to come back for a token that is there after ``wait_s``.
+
+    Who cannot wait that long hardly gets one; those callers are spread, so
+    that they do not all ask at once what they are told again.
+    """
+    latest = MAX_SHARE_OF_TIME_LEFT * time_left_s
+    if wait_s <= latest:
+        return round(max(MIN_S, wait_s), 3)
+    return round(latest * (1.0 + draw) / 2, 3)
--- a/godwitlanding/decisions/digest.py
+++ b/godwitlanding/decisions/digest.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from godwitlanding.base.rendezvous import rank
+from godwitlanding.decisions.allotment import Asked
 from godwitlanding.decisions.fleet import find_strong, pick_carriers
 from godwitlanding.decisions.objectmap import Meeting
 
@@ -55,6 +56,8 @@
     changed_at: tuple[int, ...]
     # Which upstreams got which objects lately.
     met: tuple[Meeting, ...] = ()
+    # What the region's callers ask for, by workspace; in every other digest.
+    asked: tuple[Asked, ...] = ()
 
 
 def pick_representatives(peers):
@@ -68,7 +71,7 @@
     return rank("representative", names)[:REPRESENTATIVES]
 
 
-def make_digest(region, peers, crashes, met=()):
+def make_digest(region, peers, crashes, met=(), asked=()):
     """Return the digest of a region, given its VMs, one at the least."""
     usable = [peer for peer in peers if peer.ready and not peer.leaving]
     rate_by_service = {}
@@ -87,6 +90,7 @@
         source=source.host,
         changed_at=source.changed_at,
         met=tuple(met),
+        asked=tuple(asked),
     )
 
 
--- a/godwitlanding/decisions/routes.py
+++ b/godwitlanding/decisions/routes.py
@@ -49,6 +49,23 @@
     max_attempts: int
     sticky: bool
     allowed_regions: frozenset[str]
+    # Whether requests without a workspace's key are served as well.
+    allow_anonymous: bool = False
+
+
+class Workspace(NamedTuple):
+    """A workspace: who its callers are and how much they may ask for.
+
+    Its allotment is ``rate_per_s`` requests a second and ``burst`` at once,
+    over all VMs together; a rate of 0 sets no limit. ``priority`` ``None``
+    leaves a route's, and an empty ``allowed_regions`` allows every region.
+    """
+
+    name: str
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 class Service(NamedTuple):
@@ -71,12 +88,17 @@
 
 
 class RouteConfig(NamedTuple):
-    """One version of the configuration, as the gateway uses it."""
+    """One version of the configuration, as the gateway uses it.
+
+    ``workspace_by_key`` is ``None`` where the configuration has no
+    workspaces, so that nobody needs a key.
+    """
 
     version: int
     route_by_prefix: dict[tuple[str, str], Route]
     service_by_name: dict[str, Service]
     limits: Limits
+    workspace_by_key: dict[bytes, Workspace] | None = None
 
 
 def find_route(config, host, path):
--- /dev/null
+++ b/godwitlanding/gateway/allotmentnews.py
@@ -0,0 +1,75 @@
+"""What VMs tell each other of workspaces, and what this one makes of it.
+
+Counts that have changed go with the bulletins of VMs that carry requests,
+several times a second, and once more for a while with those that say that a
+VM lives: a datagram that is lost is made good by the next. What a region's
+callers ask for goes with its digests to the other regions.
+"""
+
+import asyncio
+
+from godwitlanding.decisions.quorum import Quorum
+
+# Counts that changed within these times are told, in seconds: by those who
+# carry requests, by all who live, and now and then for who missed the others.
+TELL_OFTEN_S = 0.25
+TELL_S = 1.0
+TELL_ALL_S = 6.0
+TELL_ALL_EVERY = 4
+# Parts of regions change within seconds.
+TELL_ASKED_EVERY = 2
+
+
+class AllotmentNews:
+    """Passes on what ``allotments`` counts, and hears what others count."""
+
+    def __init__(self, allotments):
+        self._allotments = allotments
+        self._quorum = Quorum()
+        self._state_turn = 0
+        self._asked_turn = 0
+
+    def get_newest(self):
+        """Return the counts that have just changed."""
+        return self._allotments.get_tallies(_now() - TELL_OFTEN_S)
+
+    def get_state(self):
+        """Return what has changed for those who hear less often."""
+        self._state_turn += 1
+        tells_all = self._state_turn % TELL_ALL_EVERY == 0
+        return self._allotments.get_tallies(
+            _now() - (TELL_ALL_S if tells_all else TELL_S)
+        )
+
+    def get_asked(self):
+        """Return what this region's callers ask for, each second time."""
+        self._asked_turn += 1
+        if self._asked_turn % TELL_ASKED_EVERY:
+            return ()
+        return self._allotments.get_asked()
+
+    def hear(self, bulletin):
+        """Take a bulletin from a VM of this region."""
+        now = _now()
+        carries = bulletin.active and bulletin.ready and not bulletin.leaving
+        self._quorum.note(bulletin.vm, carries, bulletin.heard, now)
+        self._allotments.hear(bulletin.vm, bulletin.incarnation, bulletin.tallies, now)
+
+    def hear_digest(self, digest):
+        """Take another region's digest."""
+        if digest.asked:
+            self._allotments.hear_region(digest.region, digest.asked, _now())
+
+    def count_heard(self):
+        """Return how many VMs of the region are heard, this one included."""
+        return self._quorum.count_heard(_now())
+
+    def update(self, listed_vms, own_carries):
+        """Work out this region's parts; ``listed_vms`` names its other VMs."""
+        now = _now()
+        share = self._quorum.get_share(listed_vms, own_carries, now)
+        self._allotments.update(share, now)
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- a/godwitlanding/gateway/bulletin.py
+++ b/godwitlanding/gateway/bulletin.py
@@ -1,17 +1,21 @@
 """What VMs tell each other: typed form and Cap'n Proto encoding."""
 
+import math
 import struct
 from pathlib import Path
 from typing import NamedTuple
 
 import capnp
 
+from godwitlanding.decisions.allotment import Asked, Tally
 from godwitlanding.decisions.digest import Crash, Digest
 from godwitlanding.decisions.fleet import Capacity
 from godwitlanding.decisions.objectmap import Meeting
 
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 _PAIR = struct.Struct("<II")
+_TALLY = struct.Struct("<III")
+_ASKED = struct.Struct("<If")
 # The longest datagram there is; one that is longer than a packet is lost
 # with any of its packets.
 MAX_DATAGRAM_BYTES = 60_000
@@ -39,6 +43,10 @@
     changed_at: tuple[int, ...]
     # Which upstreams got which objects, as the VM saw lately.
     met: tuple[Meeting, ...] = ()
+    # What the VM has had of workspaces, and how many VMs of its region it
+    # hears, itself included.
+    tallies: tuple[Tally, ...] = ()
+    heard: int = 1
 
 
 def encode_bulletin(bulletin):
@@ -61,6 +69,8 @@
         failed=bulletin.failed,
         changedAt=list(bulletin.changed_at),
         met=_pack(bulletin.met),
+        tallies=b"".join(_TALLY.pack(*tally) for tally in bulletin.tallies),
+        heard=bulletin.heard,
     )
     return message.to_bytes_packed()
 
@@ -90,6 +100,7 @@
         "source": digest.source,
         "changedAt": list(digest.changed_at),
         "met": _pack(digest.met),
+        "asked": b"".join(_ASKED.pack(*asked) for asked in digest.asked),
     }
 
 
@@ -114,6 +125,8 @@
             failed=message.failed,
             changed_at=tuple(message.changedAt),
             met=_read_met(message.met),
+            tallies=tuple(Tally(*row) for row in _TALLY.iter_unpack(message.tallies)),
+            heard=message.heard,
         )
     except (capnp.KjException, UnicodeDecodeError, struct.error) as error:
         raise ValueError(f"not a bulletin: {error}") from None
@@ -137,4 +150,12 @@
         source=row.source,
         changed_at=tuple(row.changedAt),
         met=_read_met(row.met),
+        asked=_read_asked(row.asked),
     )
+
+
+def _read_asked(data):
+    rows = tuple(Asked(*row) for row in _ASKED.iter_unpack(data))
+    if not all(0.0 <= row.per_s < math.inf for row in rows):
+        raise ValueError("a rate that is none")
+    return rows
--- a/godwitlanding/gateway/caller.py
+++ b/godwitlanding/gateway/caller.py
@@ -132,7 +132,9 @@
         self._check_header(len(self._reading.target))
 
     def on_header(self, name, value):
-        if self._closing:
+        # What stands behind a body is no header: as one, it could bring a
+        # second key or request id past those that were looked at.
+        if self._closing or not self._in_header:
             return
         self._reading.headers.append((name.lower(), value))
         self._header_bytes += len(name) + len(value) + _HEADER_LINE_EXTRA_BYTES
--- a/godwitlanding/gateway/carrier.py
+++ b/godwitlanding/gateway/carrier.py
@@ -8,52 +8,44 @@
 from godwitlanding.base.codes import ROW_BY_CODE, Code
 from godwitlanding.base.kernel import Service
 from godwitlanding.decisions.comeback import get_retry_after_s
-from godwitlanding.decisions.patience import Patience
-from godwitlanding.decisions.routes import Splitter, find_route
-from godwitlanding.gateway.attempt import Outcome, Work, make_fingerprint
+from godwitlanding.gateway.attempt import Charge, Outcome
 from godwitlanding.gateway.chooser import Rejection
 from godwitlanding.gateway.exchange import select_headers
 from godwitlanding.gateway.stream import StreamSink
 
-# The way between caller and VM and back, 8 ms each, and our own work.
-CALLER_DISTANCE_S = 0.02
 # Upstreams that refuse or cannot be reached are passed over this often; the
 # promise of at most one run does not hang on it.
 MAX_SENDS = 4
-# Callers that come back have waited for longer than this.
-MIN_WAITED_S = 0.03
-# A caller that is told nothing better comes back after this time.
-NOT_READY_RETRY_S = 0.5
 _DROPPED = frozenset((b"content-length",))
+# With a refusal for want of a key HTTP asks for the scheme.
+_ASK_FOR_KEY = ((b"www-authenticate", b"Bearer"),)
 
 
 class Carrier(Service):
     """Takes requests from callers' connections and answers each once."""
 
     name = "carrier"
-    needs = ("registry", "chooser", "courier", "peers")
+    needs = ("registry", "admission", "chooser", "courier")
 
-    def __init__(self, names, budget, poison, counters, config_fresh):
+    def __init__(self, names, budget, poison, allotments, counters):
         self._names = names
         self._budget = budget
         self._poison = poison
+        self._allotments = allotments
         self._counters = counters
-        self._config_fresh = config_fresh
-        self._splitter = Splitter()
-        self._patience_by_route = {}
         self._tasks = set()
         self._registry = None
+        self._admission = None
         self._chooser = None
         self._courier = None
-        self._peers = None
         self.get_vms = lambda: 1
 
     async def start(self, kernel):
         """Learn where the other services are."""
         self._registry = kernel.get("registry")
+        self._admission = kernel.get("admission")
         self._chooser = kernel.get("chooser")
         self._courier = kernel.get("courier")
-        self._peers = kernel.get("peers")
 
     def get_in_progress(self):
         """Return the number of requests without an answer."""
@@ -81,77 +73,27 @@
                 self._refuse(exchange, Code.HANDLER_FAILED, 502)
 
     async def _carry(self, exchange):
-        work = self._read(exchange)
-        if work is None:
+        admitted = self._admission.admit(exchange)
+        if admitted.is_err():
+            self._deny(exchange, admitted.unwrap_err())
             return
+        work = admitted.unwrap()
+        charge = Charge(self._allotments, work.workspace)
         if work.is_idempotent:
             # Nobody waits for the answer, so the slot is for somebody else.
             exchange.on_gone = asyncio.current_task().cancel
         try:
             async with asyncio.timeout_at(work.answer_by):
-                await self._attempt_until_answered(exchange, work)
+                await self._attempt_until_answered(exchange, work, charge)
         except TimeoutError:
             if exchange.answered:
                 exchange.break_off()
             else:
                 self._refuse(exchange, Code.UPSTREAM_TIMEOUT, 504, work)
+        finally:
+            charge.release(asyncio.get_running_loop().time())
 
-    def _read(self, exchange):
-        """Return the ``Work`` of a request, or refuse it."""
-        config = self._registry.config
-        if config is None or not self._registry.has_upstreams:
-            self._refuse_later(exchange, Code.NOT_READY, NOT_READY_RETRY_S)
-            return None
-        names = self._names
-        request_id = exchange.get_header(names.request_id)
-        host = exchange.get_header(b"host")
-        if not request_id or not host:
-            self._refuse(exchange, Code.MALFORMED_REQUEST, 400)
-            return None
-        host_name = host.decode("latin-1").lower().partition(":")[0]
-        target = exchange.target.decode("latin-1")
-        route = find_route(config, host_name, target)
-        if route is None:
-            if self._config_fresh():
-                self._refuse(exchange, Code.UNKNOWN_SERVICE, 404)
-            else:
-                # A newer configuration may have the route.
-                self._refuse_later(exchange, Code.NOT_READY, NOT_READY_RETRY_S)
-            return None
-        return self._make_work(exchange, route, request_id, host)
-
-    def _make_work(self, exchange, route, request_id, host):
-        begun = exchange.begun_at
-        wait_s = route.timeout_s
-        deadline = exchange.get_header(self._names.deadline_ms)
-        if deadline.isdigit():
-            wait_s = int(deadline) / 1000
-        service = self._splitter.pick(route)
-        self._peers.note_arrival(service)
-        self._budget.note_request(service, asyncio.get_running_loop().time())
-        key = exchange.get_header(self._names.affinity_key) if route.sticky else b""
-        waited_s = self._get_waited_s(route, wait_s)
-        return Work(
-            request_id=request_id,
-            route=route,
-            service=service,
-            key=key.decode("latin-1"),
-            fingerprint=make_fingerprint(exchange, host),
-            deadline_at=begun + wait_s,
-            target_at=begun + route.target_latency_s - waited_s - CALLER_DISTANCE_S,
-            answer_by=begun + min(wait_s, route.timeout_s),
-            came_back=waited_s > MIN_WAITED_S,
-        )
-
-    def _get_waited_s(self, route, wait_s):
-        # The target of a caller that came back is that much nearer.
-        patience = self._patience_by_route.get(route.name)
-        if patience is None:
-            patience = self._patience_by_route[route.name] = Patience()
-        patience.note(wait_s)
-        return patience.get_waited_s(wait_s)
-
-    async def _attempt_until_answered(self, exchange, work):
+    async def _attempt_until_answered(self, exchange, work, charge):
         loop = asyncio.get_running_loop()
         tried = set()
         runs = 0
@@ -163,6 +105,9 @@
                 return
             if runs >= work.route.max_attempts:
                 break
+            if sends and not self._admission.still_holds(work):
+                self._refuse_key(exchange, work, runs)
+                return
             choice = self._chooser.choose(work, tried, now)
             if isinstance(choice, Rejection):
                 self._note_rejection(work, choice)
@@ -171,6 +116,7 @@
                 break
             tried.add(choice.upstream.id)
             sink = StreamSink(exchange, self._make_headers)
+            charge.begin(now)
             try:
                 outcome, answer, detail = await self._courier.send(
                     exchange, work, choice, sink
@@ -178,11 +124,13 @@
             except asyncio.CancelledError:
                 # The caller has left or the time is over; which upstream had
                 # the request is known only here.
+                charge.note_outcome(Outcome.GIVEN_UP)
                 took_s = loop.time() - now
                 self._note_attempt(work, choice, Outcome.GIVEN_UP, None, "", took_s)
                 raise
             took_s = loop.time() - now
             self._note_attempt(work, choice, outcome, answer, detail, took_s)
+            charge.note_outcome(outcome)
             last = (outcome, answer)
             if outcome is Outcome.ANSWERED:
                 self._pass_on(exchange, work, answer, sink)
@@ -227,6 +175,19 @@
             code = Code.DEADLINE_UNREACHABLE if last is None else Code.UPSTREAM_SHED
             self._refuse_after(exchange, work, code, last)
 
+    def _refuse_key(self, exchange, work, runs):
+        """The key was taken away while the request was on its way."""
+        if runs:
+            self._refuse(exchange, Code.UPSTREAM_FAILED, 502, work)
+        else:
+            self._refuse(exchange, Code.UNKNOWN_KEY, 401, work, _ASK_FOR_KEY)
+
+    def _deny(self, exchange, denial):
+        extra = _ASK_FOR_KEY if denial.status == 401 else ()
+        if denial.retry_after_s:
+            extra = _make_retry_after(denial.retry_after_s)
+        self._refuse(exchange, denial.code, denial.status, extra=extra)
+
     def _refuse_after(self, exchange, work, code, last):
         if last and last[0] in (Outcome.FAILED, Outcome.UNKNOWN):
             self._refuse(exchange, code, 502, work)
@@ -249,7 +210,7 @@
 
     def _refuse_later(self, exchange, code, retry_after_s, work=None):
         """Refuse what has not run, with when to come back."""
-        extra = [(b"retry-after", b"%.3f" % retry_after_s)]
+        extra = _make_retry_after(retry_after_s)
         self._refuse(exchange, code, 503, work, extra)
 
     def _refuse(self, exchange, code, status, work=None, extra=()):
@@ -289,6 +250,7 @@
             "carrier:rejected",
             request=work.request_id.decode("latin-1"),
             service=work.service,
+            workspace=work.workspace_name,
             key=work.key,
             reason=rejection.reason,
             to_target_s=round(rejection.to_target_s, 3),
@@ -313,6 +275,7 @@
             depth=choice.depth,
             config=self._registry.config.version,
             key=work.key,
+            workspace=work.workspace_name,
             took_s=round(took_s, 4),
             outcome=outcome.value,
             status=answer.status if answer else 0,
@@ -334,5 +297,9 @@
         )
 
 
+def _make_retry_after(seconds):
+    return ((b"retry-after", b"%.3f" % seconds),)
+
+
 def _round(seconds):
     return None if seconds is None else round(seconds, 3)
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -175,7 +175,7 @@
 
         ``tried`` are the upstreams that had the request before.
         """
-        regions = self._get_regions(work.route, work.service)
+        regions = self._get_regions(work)
         if not regions:
             return Rejection("no upstream", None, work.target_at - now)
         if work.key:
@@ -278,12 +278,13 @@
             placement, work.target_at - now, work.answer_by - now, work.came_back
         )
 
-    def _get_regions(self, route, service):
+    def _get_regions(self, work):
         regions = []
+        allowed = work.allowed_regions
         for region in self._plan.regions:
-            if route.allowed_regions and region not in route.allowed_regions:
+            if allowed is not None and region not in allowed:
                 continue
-            if self._registry.get_usable_ids(service, region):
+            if self._registry.get_usable_ids(work.service, region):
                 regions.append(region)
         return regions
 
--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -90,7 +90,7 @@
         sent_at = loop.time()
         left_s = min(work.deadline_at, work.answer_by) - sent_at
         data = make_request_bytes(
-            exchange, self._names, upstream.id, left_s - choice.distance_s / 2
+            exchange, work, self._names, upstream.id, left_s - choice.distance_s / 2
         )
         self._occupancy.begin(upstream.id)
         whole = False
--- a/godwitlanding/gateway/dialect.py
+++ b/godwitlanding/gateway/dialect.py
@@ -14,6 +14,10 @@
     request_id: bytes
     # The object that a request is about.
     affinity_key: bytes
+    # A caller's key, which upstreams do not get.
+    authorization: bytes
+    # The workspace that holds the caller's key, as upstreams get it.
+    workspace: bytes
     # Milliseconds that the sender still waits.
     deadline_ms: bytes
     # The only upstream that may run the request.
--- a/godwitlanding/gateway/exchange.py
+++ b/godwitlanding/gateway/exchange.py
@@ -6,6 +6,7 @@
 _REASON_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
@@ -60,6 +61,10 @@
                 return value
         return b""
 
+    def get_headers(self, name):
+        """Return every value of a header."""
+        return [value for held, value in self.headers if held == name]
+
     def answer(self, status, headers, body):
         """Answer in full; ``headers`` are pairs of bytes."""
         self.begin_answer(status, [*headers, (b"content-length", b"%d" % len(body))])
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -33,6 +33,11 @@
   met @15 :Data;
   # Whether the VM tells its whole region that it lives.
   active @16 :Bool;
+  # Triples of 32-bit little-endian numbers: a workspace's, and how many of
+  # its requests the VM has sent and has been asked for since its start.
+  tallies @17 :Data;
+  # VMs of the own region that this one hears, itself included.
+  heard @18 :UInt32;
 }
 
 # Requests for a service that callers sent to this VM, each second.
@@ -62,4 +67,7 @@
   changedAt @6 :List(UInt64);
   # As in the bulletin, what the VMs of the region told lately.
   met @7 :Data;
+  # Pairs of a workspace's number and a 32-bit little-endian float: requests a
+  # second that the region's callers ask for. In every other digest.
+  asked @8 :Data;
 }
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -71,8 +71,11 @@
     name = "peers"
     needs = ("registry",)
 
-    def __init__(self, identity, fleet, occupancy, on_crash, object_map):
+    def __init__(
+        self, identity, fleet, occupancy, on_crash, object_map, allotment_news
+    ):
         self._identity = identity
+        self._allotment_news = allotment_news
         self._object_news = ObjectNews(object_map)
         self._fleet = fleet
         self._occupancy = occupancy
@@ -182,6 +185,8 @@
             return
         self._occupancy.note_peer(bulletin.vm, bulletin.count_by_number, now)
         is_near = bulletin.region == self._identity.region
+        if is_near:
+            self._allotment_news.hear(bulletin)
         self._take_digests(bulletin, host, is_near, now)
         for crash in bulletin.crashes:
             self._on_crash(crash)
@@ -208,6 +213,7 @@
         for digest in bulletin.digests:
             is_direct = digest.region == bulletin.region
             self.digests.hear(digest, is_direct, now)
+            self._allotment_news.hear_digest(digest)
             for crash in digest.crashes:
                 self._on_crash(crash)
             for meeting in digest.met:
@@ -226,8 +232,12 @@
             turn += 1
             near = self._get_busy_hosts()
             far = self._get_sharing_hosts()
-            # Digests go with what is sent more seldom.
-            self._send(near if turn % FAR_TIMES else near + far, ())
+            # Digests go with what is sent more seldom, and other regions have
+            # no use for counts.
+            if turn % FAR_TIMES:
+                self._send(near, (), tallies=self._allotment_news.get_newest())
+            else:
+                self._send(near + far, ())
             peers = len(near) + len(far) / FAR_TIMES
             await asyncio.sleep(max(MIN_PAUSE_S, PAUSE_EACH_PEER_S * peers))
 
@@ -243,7 +253,8 @@
             everybody = self._is_active or was_active
             active_hosts = {peer.host for peer in self._get_near() if peer.active}
             self._send(
-                pick_listeners(everybody, self._get_near_hosts(), active_hosts, turn)
+                pick_listeners(everybody, self._get_near_hosts(), active_hosts, turn),
+                tallies=self._allotment_news.get_state(),
             )
 
     def _is_busy(self):
@@ -281,6 +292,10 @@
         hosts.update(peer.host for peer in self._get_near())
         return hosts
 
+    def _get_near_names(self):
+        region = self._identity.region
+        return {vm for vm, row in self._listed_by_vm.items() if row.region == region}
+
     def _get_sharing_hosts(self):
         """Return the carriers of the regions whose upstreams this VM uses."""
         regions = set()
@@ -291,11 +306,11 @@
         regions.discard(self._identity.region)
         return get_hosts(self.digests.get_carriers(regions))
 
-    def _send(self, hosts, digests=None, met=None):
+    def _send(self, hosts, digests=None, met=None, tallies=()):
         hosts = list(hosts)
         if not hosts or not self._datagrams.is_open():
             return
-        self._datagrams.send(self._make_bulletin(digests, met), hosts)
+        self._datagrams.send(self._make_bulletin(digests, met, tallies), hosts)
 
     def speaks_first(self):
         """Tell whether this VM is the first that speaks for its region."""
@@ -311,7 +326,8 @@
             return
         met = self._object_news.get_newest_of_region()
         crashes = self._get_crashes()
-        digest = make_digest(self._identity.region, peers, crashes, met)
+        asked = self._allotment_news.get_asked()
+        digest = make_digest(self._identity.region, peers, crashes, met, asked)
         self._send(self._pick_targets(), (digest,))
 
     def _get_own(self):
@@ -335,7 +351,7 @@
         self._crashes = [row for row in self._crashes if row[0] > now]
         return tuple(crash for _, crash in self._crashes)
 
-    def _make_bulletin(self, digests, met):
+    def _make_bulletin(self, digests, met, tallies):
         self._sequence += 1
         ready = self.is_ready()
         if ready != self._was_ready:
@@ -364,6 +380,8 @@
             crashes=self._get_crashes(),
             digests=digests,
             met=met,
+            tallies=tallies,
+            heard=self._allotment_news.count_heard(),
             **self.get_store_state()._asdict(),
         )
 
@@ -373,6 +391,7 @@
             await asyncio.sleep(LOOK_PAUSE_S)
             self._drop_silent()
             turn += 1
+            self._allotment_news.update(self._get_near_names(), self._is_active)
             if turn % round(1 / LOOK_PAUSE_S) == 0:
                 self._arrivals.update()
                 self._fleet.own_rate_per_s = self._arrivals.get_total()
--- a/godwitlanding/gateway/reader.py
+++ b/godwitlanding/gateway/reader.py
@@ -46,6 +46,7 @@
         self._may_read = False
         self._failed_until = 0.0
         self._read_at = 0.0
+        self._in_touch_at = 0.0
         self._behind_since = None
         self._catches_up = False
         self._distrusted_until_by_host = {}
@@ -54,6 +55,7 @@
         """Begin to decide."""
         self._feed.reads = self.reads
         self._read_at = _now()
+        self._in_touch_at = _now()
         self._tasks = [
             asyncio.create_task(self._read_lists()),
             asyncio.create_task(self._decide_often()),
@@ -84,6 +86,10 @@
             mirror.begins_old or mirror.is_just_listed() for mirror in self._mirrors
         )
 
+    def get_out_of_touch_s(self):
+        """Return the seconds for which no change can have reached this VM."""
+        return _now() - self._in_touch_at
+
     def get_store_state(self):
         """Return what the peers are told."""
         failed = self._has_failed() or self._is_lost()
@@ -111,6 +117,8 @@
 
     def _decide(self):
         now = _now()
+        if self.reads() or self._is_fed_by_reader():
+            self._in_touch_at = now
         neighbour_by_vm = self._get_neighbours()
         if any(neighbour.reads for neighbour in neighbour_by_vm.values()):
             self._read_at = now
@@ -120,6 +128,12 @@
             self._decide_reading(order, neighbour_by_vm, now)
         self._decide_source(order, neighbour_by_vm, now)
 
+    def _is_fed_by_reader(self):
+        peers = self._fleet.peer_by_vm.values()
+        return self._feed.has_source() and any(
+            peer.reads for peer in peers if peer.host == self._feed.source
+        )
+
     def _get_neighbours(self):
         return {
             peer.vm: Neighbour(peer.vm, peer.reads, peer.failed)
--- a/godwitlanding/gateway/registry.py
+++ b/godwitlanding/gateway/registry.py
@@ -131,11 +131,13 @@
         if held and config.version == held.version:
             return
         self.config = config
+        self.config_seen_at = _now()
         log_message(
             "registry:config",
             version=config.version,
             former=held.version if held else 0,
             routes=len(config.route_by_prefix),
+            keys=len(config.workspace_by_key or ()),
         )
         for tell in self.on_config:
             tell(config)
--- a/godwitlanding/platform/entries.py
+++ b/godwitlanding/platform/entries.py
@@ -1,6 +1,7 @@
 """Decodes what the operator and the upstreams keep in the platform's store."""
 
 import ipaddress
+import math
 
 from godwitlanding.decisions.routes import (
     Limits,
@@ -9,6 +10,7 @@
     RouteKind,
     Service,
     SplitPart,
+    Workspace,
 )
 from godwitlanding.gateway.registry import Upstream
 from godwitlanding.platform.units import read_seconds, read_version
@@ -56,9 +58,53 @@
         max_attempts=int(row.get("max_attempts", 1)),
         sticky=bool(row.get("sticky", False)),
         allowed_regions=frozenset(row.get("allowed_regions") or ()),
+        allow_anonymous=bool(row.get("allow_anonymous", False)),
     )
 
 
+def _read_workspaces(table):
+    workspace_by_key = {}
+    names = set()
+    for row in _read_rows(table):
+        workspace = _read_workspace(row)
+        if workspace.name in names:
+            raise ValueError(f"workspace {workspace.name!r} stands twice")
+        names.add(workspace.name)
+        for key in row.get("api_keys") or ():
+            # The message names the workspace: keys stand in no log line.
+            if not isinstance(key, str) or not key:
+                raise ValueError(f"workspace {workspace.name!r} has an odd key")
+            holder = workspace_by_key.setdefault(key.encode(), workspace)
+            if holder is not workspace:
+                raise ValueError(
+                    f"workspaces {holder.name!r} and {workspace.name!r} share a key"
+                )
+    return workspace_by_key
+
+
+def _read_workspace(row):
+    name = row["name"]
+    if not isinstance(name, str) or not (name.isascii() and name.isprintable()):
+        raise ValueError(f"{name!r} is no name of a workspace")
+    if not name:
+        raise ValueError("a workspace has no name")
+    priority = row.get("priority")
+    return Workspace(
+        name=name,
+        rate_per_s=_read_amount(name, row.get("rate_per_s", 0)),
+        burst=_read_amount(name, row.get("burst", 0)),
+        priority=None if priority is None else int(priority),
+        allowed_regions=frozenset(row.get("allowed_regions") or ()),
+    )
+
+
+def _read_amount(name, value):
+    amount = float(value)
+    if not 0.0 <= amount < math.inf:
+        raise ValueError(f"workspace {name!r} may send {value!r}")
+    return amount
+
+
 def _read_service(row):
     return Service(
         name=row["name"],
@@ -86,11 +132,13 @@
     """
     routes = [_read_route(row) for row in _read_rows(spec["routes"])]
     services = [_read_service(row) for row in _read_rows(spec["services"])]
+    tenants = spec.get("tenants")
     return RouteConfig(
         version=read_version(spec["version"]),
         route_by_prefix={(r.host, r.path_prefix): r for r in routes},
         service_by_name={service.name: service for service in services},
         limits=_read_limits(spec.get("limits") or {}),
+        workspace_by_key=None if tenants is None else _read_workspaces(tenants),
     )
 
 
--- a/godwitlanding/platform/settings.py
+++ b/godwitlanding/platform/settings.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 from result import Err, Ok
 
+from godwitlanding.decisions.allotment import Tolerance
 from godwitlanding.decisions.fleet import Capacity
 from godwitlanding.platform.units import read_seconds
 
@@ -26,6 +27,12 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    # What is tolerated beyond a workspace's allotment.
+    allotment: Tolerance
+    # Whether a VM that no change reaches must stop believing keys, and after
+    # which time.
+    strict_revoke: bool
+    revoke_s: float
     # Longest time for which callers keep an answer of the directory.
     directory_ttl_s: float
 
@@ -143,5 +150,12 @@
         retry_ratio=reader.take(bounds + "budget_ratio", float, 0.2),
         retry_window_s=reader.take(bounds + "budget_window", read_seconds, 10.0),
         retry_slack=reader.take(bounds + "budget_slack", float, 60.0),
+        allotment=Tolerance(
+            window_s=reader.take(bounds + "quota_window", read_seconds, 5.0),
+            over_share=reader.take(bounds + "quota_over", float, 0.1),
+            over_requests=reader.take(bounds + "quota_slack", float, 20.0),
+        ),
+        strict_revoke=reader.take(bounds + "strict_revoke", bool, False),
+        revoke_s=reader.take(bounds + "revoke", read_seconds, 5.0),
         directory_ttl_s=reader.take(bounds + "ttl_max", read_seconds, 5.0),
     )
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -14,6 +14,7 @@
 from godwitlanding.base.kernel import Kernel
 from godwitlanding.base.logstream import set_up_log_stream
 from godwitlanding.base.metrics import Counters, make_meter, render_metrics
+from godwitlanding.decisions.allotment import Allotments
 from godwitlanding.decisions.fleet import Fleet
 from godwitlanding.decisions.lapse import LapseGuard
 from godwitlanding.decisions.objectmap import ObjectMap
@@ -21,6 +22,8 @@
 from godwitlanding.decisions.poison import PoisonLedger
 from godwitlanding.decisions.retrybudget import RetryBudget
 from godwitlanding.decisions.worktime import WorkTimes
+from godwitlanding.gateway.admission import Admission, Reach
+from godwitlanding.gateway.allotmentnews import AllotmentNews
 from godwitlanding.gateway.carrier import Carrier
 from godwitlanding.gateway.chooser import Chooser
 from godwitlanding.gateway.courier import Courier
@@ -81,12 +84,19 @@
         self.store = ObjectStore(settings.store_address, counters)
         self.registry = Registry(settings.region_by_zone)
         self.object_map = ObjectMap()
+        self.allotments = Allotments(
+            settings.region,
+            settings.region_by_zone.values(),
+            bounds.allotment,
+            loop.time(),
+        )
         self.peers = Peers(
             settings,
             self.fleet,
             self.occupancy,
             self._take_crash,
             self.object_map,
+            AllotmentNews(self.allotments),
         )
         self.peers.is_ready = self.is_ready
         self.directory = Directory(
@@ -100,8 +110,14 @@
         self.courier = Courier(
             HEADER_NAMES, pool, self.occupancy, self.worktimes, counters, self.poison
         )
+        self.admission = Admission(
+            HEADER_NAMES,
+            self.budget,
+            self.allotments,
+            Reach(self._is_config_fresh, self._may_trust_keys),
+        )
         self.carrier = Carrier(
-            HEADER_NAMES, self.budget, self.poison, counters, self._is_config_fresh
+            HEADER_NAMES, self.budget, self.poison, self.allotments, counters
         )
         self.carrier.get_vms = self.peers.count_vms
         self._now = loop.time
@@ -151,6 +167,7 @@
             self.presence,
             self.chooser,
             self.courier,
+            self.admission,
             self.carrier,
             *self.mirrors,
             self.feed,
@@ -179,10 +196,12 @@
 
     def take_settings(self, settings):
         """Put changed settings in force; addresses change by a restart."""
+        self._settings = settings
         bounds = settings.bounds
         self.budget.set_bounds(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
         )
+        self.allotments.set_bounds(settings.region_by_zone.values(), bounds.allotment)
         self.registry.set_regions(settings.region_by_zone)
         self.front.stop_s = bounds.stop_s
 
@@ -195,6 +214,12 @@
     def _is_config_fresh(self):
         return self.reader.is_fresh()
 
+    def _may_trust_keys(self):
+        bounds = self._settings.bounds
+        if not bounds.strict_revoke:
+            return True
+        return self.reader.get_out_of_touch_s() <= bounds.revoke_s
+
     def _take_crash(self, crash):
         self.poison.note_report(crash.fingerprint, crash.upstream, 1, self._now())
 
--- /dev/null
+++ b/godwitlanding/tests/decisions/test_access.py
@@ -0,0 +1,106 @@
+"""Whose a request is, and where it may run."""
+
+import pytest
+
+from godwitlanding.decisions.access import (
+    Verdict,
+    find_access,
+    join_regions,
+    read_key,
+)
+from godwitlanding.decisions.routes import (
+    Limits,
+    Route,
+    RouteConfig,
+    RouteKind,
+    SplitPart,
+    Workspace,
+)
+
+OFFICE = Workspace("office")
+
+
+def make_route(allow_anonymous=False, allowed_regions=()):
+    return Route(
+        name="look",
+        host="h",
+        path_prefix="/look/",
+        kind=RouteKind.SAFE,
+        timeout_s=2.0,
+        target_latency_s=0.4,
+        priority=2,
+        parts=(SplitPart("looks", 1.0),),
+        max_attempts=2,
+        sticky=True,
+        allowed_regions=frozenset(allowed_regions),
+        allow_anonymous=allow_anonymous,
+    )
+
+
+def make_config(workspace_by_key):
+    return RouteConfig(1, {}, {}, Limits(), workspace_by_key)
+
+
+@pytest.mark.parametrize(
+    ("values", "key"),
+    [
+        pytest.param([], b"", id="none"),
+        pytest.param([b"Bearer abc"], b"abc", id="one"),
+        pytest.param([b" bearer  abc "], b"abc", id="scheme in other case"),
+        pytest.param([b"Basic abc"], b"", id="another scheme"),
+        pytest.param([b"abc"], b"", id="no scheme"),
+        pytest.param([b"Bearer"], b"", id="no key"),
+        pytest.param([b"Bearer abc", b"Bearer abc"], b"", id="twice"),
+        pytest.param([b"Bearer abc", b"Bearer other"], b"", id="two keys"),
+    ],
+)
+def test_key_is_read(values, key):
+    assert read_key(values) == key
+
+
+@pytest.mark.parametrize(
+    ("workspace_by_key", "anonymous", "key", "verdict", "workspace"),
+    [
+        pytest.param(None, False, b"x", Verdict.GRANTED, None, id="no workspaces"),
+        pytest.param({b"k": OFFICE}, False, b"k", Verdict.GRANTED, OFFICE, id="known"),
+        pytest.param(
+            {b"k": OFFICE}, False, b"x", Verdict.UNKNOWN_KEY, None, id="unknown"
+        ),
+        pytest.param(
+            {b"k": OFFICE}, False, b"", Verdict.UNKNOWN_KEY, None, id="without a key"
+        ),
+        pytest.param({}, False, b"x", Verdict.UNKNOWN_KEY, None, id="all keys gone"),
+        pytest.param(
+            {b"k": OFFICE}, True, b"x", Verdict.GRANTED, None, id="anonymous route"
+        ),
+        pytest.param(
+            {b"k": OFFICE},
+            True,
+            b"k",
+            Verdict.GRANTED,
+            OFFICE,
+            id="known on an anonymous route",
+        ),
+    ],
+)
+def test_key_opens(workspace_by_key, anonymous, key, verdict, workspace):
+    config = make_config(workspace_by_key)
+    access = find_access(config, make_route(anonymous), key)
+    assert access == (verdict, workspace)
+
+
+@pytest.mark.parametrize(
+    ("of_route", "of_workspace", "joined"),
+    [
+        pytest.param((), (), None, id="everywhere"),
+        pytest.param(("a",), (), {"a"}, id="the route's"),
+        pytest.param((), ("a", "b"), {"a", "b"}, id="the workspace's"),
+        pytest.param(("a", "c"), ("a", "b"), {"a"}, id="both bind"),
+        pytest.param(("a",), ("b",), set(), id="nothing is left"),
+    ],
+)
+def test_regions_of_route_and_workspace_both_bind(of_route, of_workspace, joined):
+    workspace = OFFICE._replace(allowed_regions=frozenset(of_workspace))
+    route = make_route(allowed_regions=of_route)
+    assert join_regions(route, workspace) == joined
+    assert join_regions(route, None) == (set(of_route) or None)
--- a/godwitlanding/tests/gateway/test_peers.py
+++ b/godwitlanding/tests/gateway/test_peers.py
@@ -6,10 +6,12 @@
 
 import pytest
 
+from godwitlanding.decisions.allotment import Allotments, Tolerance
 from godwitlanding.decisions.digest import REPRESENTATIVES, Crash, Digest, make_digest
 from godwitlanding.decisions.fleet import SILENT_S, Capacity, Fleet
 from godwitlanding.decisions.objectmap import Meeting, ObjectMap
 from godwitlanding.decisions.occupancy import Occupancy
+from godwitlanding.gateway.allotmentnews import AllotmentNews
 from godwitlanding.gateway.bulletin import decode_bulletin, encode_bulletin
 from godwitlanding.gateway.objectnews import TELL_S
 from godwitlanding.gateway.peers import Peers
@@ -57,12 +59,14 @@
         self.registry = Registry(REGION_BY_ZONE)
         self.crashes = []
         self.object_map = ObjectMap()
+        self.allotments = Allotments("a", ("a", "b"), Tolerance(), 0.0)
         self.peers = Peers(
             identity,
             self.fleet,
             self.occupancy,
             self.crashes.append,
             self.object_map,
+            AllotmentNews(self.allotments),
         )
         self.peers.is_ready = lambda: True
         self.wire = Wire()
