--- a/godwitlanding/decisions/allotment.py
+++ b/godwitlanding/decisions/allotment.py
@@ -169,7 +169,7 @@
         self._workspace_by_number = {}
         self._number_by_name = {}
         self._bucket_by_number = {}
-        # Kept when a bucket is forgotten: peers see only by how much they grow.
+        # Kept when a bucket is forgotten: peers see by how much they grow.
         self._count_by_number = {}
         self._peer_by_vm = {}
         # What the others ask for, and when they were heard last.
