--- a/godwitlanding/tests/gateway/test_entries.py
+++ b/godwitlanding/tests/gateway/test_entries.py
@@ -5,8 +5,10 @@
 
 from godwitlanding.base.codes import Code
 from godwitlanding.base.metrics import Counters
-from godwitlanding.platform.entries import read_upstream, read_vm
+from godwitlanding.decisions.routes import Workspace
+from godwitlanding.platform.entries import read_config, read_upstream, read_vm
 from godwitlanding.platform.store import ObjectStore
+from godwitlanding.tests.gateway.world import make_config
 from godwitlanding.tests.standins.standin_store import StandinStore
 from godwitlanding.tests.tools.network import claim_world_prefix
 
@@ -76,6 +78,55 @@
         read_vm(spec)
 
 
+OFFICE_ROW = ["office", ["k1", "k2"], 0, 184, 90.5, ["a"]]
+PLAIN_ROW = ["plain", ["k3"], None, None, None, None]
+
+
+def test_workspaces_are_read():
+    config = read_config(make_config(workspaces=[OFFICE_ROW, PLAIN_ROW]))
+    office = Workspace("office", 184.0, 90.5, 0, frozenset({"a"}))
+    assert config.workspace_by_key == {
+        b"k1": office,
+        b"k2": office,
+        # What is not said sets no limit, rank or region.
+        b"k3": Workspace("plain", 0.0, 0.0, None, frozenset()),
+    }
+
+
+@pytest.mark.parametrize(
+    ("workspaces", "keys"),
+    [
+        pytest.param(None, None, id="nobody needs a key"),
+        pytest.param([], {}, id="no key opens anything"),
+        pytest.param([["office", [], 0, 1, 1, []]], {}, id="all keys taken away"),
+    ],
+)
+def test_configuration_without_keys(workspaces, keys):
+    assert read_config(make_config(workspaces=workspaces)).workspace_by_key == keys
+
+
+@pytest.mark.parametrize(
+    "rows",
+    [
+        pytest.param([[None, ["k"], 0, 1, 1, []]], id="no name"),
+        pytest.param([["", ["k"], 0, 1, 1, []]], id="empty name"),
+        pytest.param([["a\r\nx: y", ["k"], 0, 1, 1, []]], id="name of two lines"),
+        pytest.param([["w", ["k"], 0, -1, 1, []]], id="below nothing"),
+        pytest.param([["w", ["k"], 0, "many", 1, []]], id="no number"),
+        pytest.param([["w", [7], 0, 1, 1, []]], id="key is no text"),
+        pytest.param([["w", [""], 0, 1, 1, []]], id="empty key"),
+        pytest.param([["w", ["k"], 0, 1, 1]], id="short row"),
+        pytest.param([OFFICE_ROW, OFFICE_ROW], id="twice"),
+        pytest.param([OFFICE_ROW, ["w", ["k1"], 0, 1, 1, []]], id="shared key"),
+    ],
+)
+def test_broken_workspace_is_refused_without_its_key(rows):
+    # An operator's mistake must not let anybody in, nor print a key.
+    with pytest.raises(UNREADABLE) as raised:
+        read_config(make_config(workspaces=rows))
+    assert "k1" not in str(raised.value)
+
+
 def test_vm_at_a_name_is_no_vm():
     # Datagrams to a name would wait for the resolver and hold up everything.
     with pytest.raises(ValueError):
--- /dev/null
+++ b/godwitlanding/tests/gateway/test_workspaces.py
@@ -0,0 +1,174 @@
+"""Workspaces on the whole path: keys, regions and allotments."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from godwitlanding.tests.gateway.world import World, make_config
+
+OFFICE = ["office", ["office-key", "spare-key"], 0, 0, 0, []]
+SMALL = ["small", ["small-key"], None, 4, 8, []]
+ABROAD = ["abroad", ["abroad-key"], None, 0, 0, ["b"]]
+OPEN_ROUTE = [
+    *("open", "h", "/open/", "safe", "2s", "400ms", 2, None, 2, True, [], "looks"),
+    True,
+]
+AT_HOME = ["home", "h", "/home/", "safe", "2s", "400ms", 2, None, 2, True, ["a"]]
+AT_HOME = [*AT_HOME, "looks", None]
+TENANT = "Godwitlanding-Tenant"
+
+
+def make_workspaces(version="r7", office=OFFICE, small=SMALL):
+    return make_config(version, [OPEN_ROUTE, AT_HOME], [office, small, ABROAD])
+
+
+def bearer(key):
+    return {"Authorization": f"Bearer {key}"}
+
+
+@pytest.fixture
+async def world(tmp_path):
+    async with World(tmp_path) as world:
+        await world.store.put("config", "main", make_workspaces())
+        await world.start()
+        yield world
+
+
+def find_headers(world, request_id):
+    """Return the headers that a request came with at its upstream."""
+    for worker_id in ("look-1", "look-2", "pay-1", "pay-2"):
+        worker = world.get_worker(worker_id)
+        if request_id in worker.headers_by_request:
+            return worker.headers_by_request[request_id]
+    return None
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status", "workspace"),
+    [
+        pytest.param("/look/1", bearer("office-key"), 200, b"office", id="known"),
+        pytest.param("/look/1", bearer("spare-key"), 200, b"office", id="second key"),
+        pytest.param(
+            "/look/1",
+            {**bearer("office-key"), "GODWITLANDING-TENANT": "small"},
+            200,
+            b"office",
+            id="claims to be another",
+        ),
+        pytest.param("/look/1", bearer("lost-key"), 401, None, id="unknown"),
+        pytest.param("/look/1", {}, 401, None, id="without a key"),
+        pytest.param("/open/1", {TENANT: "office"}, 200, None, id="anonymous"),
+        pytest.param("/open/1", bearer("lost-key"), 200, None, id="anonymous, odd key"),
+        pytest.param("/home/1", bearer("abroad-key"), 503, None, id="no region"),
+        pytest.param("/none/1", bearer("office-key"), 404, None, id="no route"),
+    ],
+)
+async def test_upstream_learns_whose_request_it_is(
+    world, path, headers, status, workspace
+):
+    # An upstream bills what it runs to a workspace. It must not have to
+    # believe the caller, and the caller's key is nothing that it may see.
+    answer, _ = await world.ask(world.vms[0], path, request_id="r", **headers)
+    assert answer.status == status
+    seen = find_headers(world, "r")
+    assert (seen is not None) is (status == 200)
+    if seen:
+        assert b"authorization" not in seen
+        assert seen.get(TENANT.lower().encode()) == workspace
+    if status == 401:
+        assert answer.headers["WWW-Authenticate"] == "Bearer"
+    await asyncio.sleep(0.2)
+    logs = "".join(vm.read_log() for vm in world.vms)
+    assert not any(key in logs for key in ("office-key", "spare-key", "lost-key"))
+
+
+async def test_header_behind_a_body_names_no_workspace(world):
+    # A caller writes a second key, and the name of a workspace, behind its
+    # body, where headers that were looked at have long been read.
+    vm = world.vms[0]
+    host, port = vm.address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        b"POST /pay/1 HTTP/1.1\r\nHost: h\r\nGodwitlanding-Request-Id: r\r\n"
+        b"Authorization: Bearer office-key\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"1\r\nx\r\n0\r\nGodwitlanding-Tenant: small\r\n"
+        b"Authorization: Bearer small-key\r\nGodwitlanding-Request-Id: s\r\n\r\n"
+    )
+    assert b" 200 " in await reader.readline()
+    writer.close()
+    seen = find_headers(world, "r")
+    assert seen[TENANT.lower().encode()] == b"office"
+    assert b"authorization" not in seen
+
+
+async def test_key_that_is_taken_away_opens_nothing_on_open_connections(world):
+    # A clerk leaves the office and her key is taken away. Her browser keeps
+    # its connection and goes on asking.
+    async with aiohttp.TCPConnector(limit=1) as connector:
+        async with aiohttp.ClientSession(connector=connector) as session:
+            world.session, kept = session, world.session
+            answer, _ = await world.ask(world.vms[0], **bearer("office-key"))
+            assert answer.status == 200
+            without = ["office", ["spare-key"], 0, 0, 0, []]
+            changed = make_workspaces("r9", office=without)
+            await world.store.put("config", "main", changed)
+            await asyncio.sleep(0.5)
+            answer, _ = await world.ask(world.vms[0], **bearer("office-key"))
+            assert answer.status == 401
+            answer, _ = await world.ask(world.vms[0], **bearer("spare-key"))
+            assert answer.status == 200
+            world.session = kept
+
+
+async def test_key_that_a_cut_off_vm_does_not_know_may_be_a_new_one(world):
+    # The store is away and a caller comes with a key that nobody knows. It may
+    # have been given out just now, so the caller hears when to come back.
+    world.store.crash()
+    await asyncio.sleep(6.0)
+    answer, _ = await world.ask(world.vms[0], **bearer("lost-key"))
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    answer, _ = await world.ask(world.vms[0], **bearer("office-key"))
+    assert answer.status == 200
+
+
+async def test_allotment_is_one_for_all_vms(world):
+    # A workspace of 4 requests a second and 8 at once sends forty to all VMs.
+    # Each VM by itself would let its whole burst through.
+    async def ask(number):
+        vm = world.vms[number % 2]
+        return await world.ask(vm, f"/look/{number}", **bearer("small-key"))
+
+    answers = []
+    for number in range(40):
+        answers.append((await ask(number))[0])
+        await asyncio.sleep(0.01)
+    statuses = [answer.status for answer in answers]
+    assert set(statuses) == {200, 429}
+    # 8, what accrues, and what stands in for the parts of two regions.
+    assert 4 <= statuses.count(200) <= 14
+    waits = [
+        float(answer.headers["Retry-After"])
+        for answer in answers
+        if answer.status == 429
+    ]
+    assert all(0.0 < wait <= 0.7 for wait in waits)
+    others = await world.ask(world.vms[0], **bearer("office-key"))
+    assert others[0].status == 200
+
+
+async def test_request_that_no_upstream_takes_costs_no_allotment(world):
+    # Both upstreams shed everything for a moment. What was refused then has not
+    # run, and its callers find their allotment untouched.
+    for worker_id in ("look-1", "look-2"):
+        world.get_worker(worker_id).fault = "shed"
+    for number in range(20):
+        answer, _ = await world.ask(
+            world.vms[0], f"/look/{number}", **bearer("small-key")
+        )
+        assert answer.status == 503
+    for worker_id in ("look-1", "look-2"):
+        world.get_worker(worker_id).fault = ""
+    answer, _ = await world.ask(world.vms[0], **bearer("small-key"))
+    assert answer.status == 200
--- a/godwitlanding/tests/gateway/world.py
+++ b/godwitlanding/tests/gateway/world.py
@@ -38,25 +38,70 @@
     "sticky",
     "allowed_regions",
     "service",
+    "allow_anonymous",
 ]
+_TENANT_COLUMNS = [
+    "name",
+    "api_keys",
+    "priority",
+    "rate_per_s",
+    "burst",
+    "allowed_regions",
+]
+
 
+def make_config(version="r7", extra=(), workspaces=None):
+    """Return a configuration of a safe and an unsafe route.
 
-def make_config(version="r7", extra=()):
-    """Return a configuration of a safe and an unsafe route."""
+    ``workspaces`` are rows of name, keys, priority, rate, burst and regions.
+    """
     rows = [
-        ["look", "h", "/look/", "safe", "2s", "400ms", 2, None, 2, True, [], "looks"],
-        ["pay", "h", "/pay/", "unsafe", "2s", "400ms", 1, None, 2, True, [], "pays"],
+        [
+            "look",
+            "h",
+            "/look/",
+            "safe",
+            "2s",
+            "400ms",
+            2,
+            None,
+            2,
+            True,
+            [],
+            "looks",
+            None,
+        ],
+        [
+            "pay",
+            "h",
+            "/pay/",
+            "unsafe",
+            "2s",
+            "400ms",
+            1,
+            None,
+            2,
+            True,
+            [],
+            "pays",
+            None,
+        ],
         *extra,
     ]
+    for row in rows:
+        row.extend([None] * (len(_ROUTE_COLUMNS) - len(row)))
     services = [["looks", "/healthz", 390, "h1", False, "3s", 6.4]]
     services.append(["pays", *services[0][1:]])
     columns = "name health_path max_conns protocol tls warmup cold_per_s".split()
-    return {
+    config = {
         "version": version,
         "routes": {"columns": _ROUTE_COLUMNS, "rows": rows},
         "services": {"columns": columns, "rows": services},
         "limits": _LIMITS,
     }
+    if workspaces is not None:
+        config["tenants"] = {"columns": _TENANT_COLUMNS, "rows": workspaces}
+    return config
 
 
 class Vm:
--- a/godwitlanding/tests/standins/standin_worker.py
+++ b/godwitlanding/tests/standins/standin_worker.py
@@ -45,6 +45,8 @@
         # Whether answers hold the request's id, many times.
         self.echoes = False
         self.bodies = {}
+        # The headers that each request came with, by its id.
+        self.headers_by_request = {}
         self.dropped = 0
         self.connections = set()
         self._slots = asyncio.Semaphore(_SLOTS)
@@ -111,6 +113,7 @@
                 self.ran.append(request_id.decode())
                 self.ran_at.append(asyncio.get_running_loop().time())
                 self.bodies[request_id.decode()] = body
+                self.headers_by_request[request_id.decode()] = headers
                 left = headers.get(b"godwitlanding-deadline-ms", b"0")
                 self.deadlines_ms.append(int(left))
                 if self.deadly_path and self._path == self.deadly_path:
