--- a/godwitlanding/decisions/allotment.py
+++ b/godwitlanding/decisions/allotment.py
@@ -40,6 +40,9 @@
 # A workspace that has sent nothing for this long, and whose bucket is full,
 # is forgotten.
 IDLE_S = 10.0
+# Every region counts as asking for this share of a limit at the least, so that
+# the first caller who comes to one finds a part there.
+LEAST_SHARE = 0.02
 # Below this pace nobody asks for a workspace any more.
 LEAST_PER_S = 0.01
 # Of what users tolerate beyond the limit, the part that is spent on larger
@@ -390,12 +393,14 @@
     def _get_part(self, number, bucket, now):
         """Return the requests a second of which this region may dispose."""
         rate = bucket.workspace.rate_per_s
-        asked_by_region = {self._region: bucket.asked_per_s / self._quorum}
+        least = LEAST_SHARE * rate
+        asked = max(least, bucket.asked_per_s / self._quorum)
+        asked_by_region = {self._region: asked}
         for region in self._regions - {self._region}:
             heard_at = self._heard_at_by_region.get(region, -math.inf)
             if now - heard_at <= HOLD_S:
                 asked = self._asked_by_region[region].get(number, 0.0)
-                asked_by_region[region] = asked
+                asked_by_region[region] = max(least, asked)
         known = len(asked_by_region) / len(self._regions)
         return share_fairly(rate * known, asked_by_region)[self._region]
 
--- a/godwitlanding/tests/decisions/test_allotment.py
+++ b/godwitlanding/tests/decisions/test_allotment.py
@@ -148,6 +148,16 @@
     assert allotments.get_state(OFFICE)[1] > 5.0
 
 
+def test_first_caller_of_a_region_finds_a_part_there():
+    # All that a workspace may send is asked for in one region, many times over.
+    # Its first caller in another region is told a time like everybody else.
+    allotments = make_allotments(regions=("a", "b"))
+    allotments.hear_region("b", (Asked(OFFICE_NUMBER, 75.0),), 100.0)
+    waits = [allotments.take(OFFICE, 100.0) for _ in range(3)]
+    assert waits[0] == 0.0
+    assert 0.0 < waits[-1] < 60.0
+
+
 def test_workspace_that_is_idle_costs_nothing():
     allotments = make_allotments()
     allotments.take(OFFICE, 100.0)
