--- a/godwitlanding/tests/decisions/test_allotment.py
+++ b/godwitlanding/tests/decisions/test_allotment.py
@@ -149,8 +149,8 @@
 
 
 def test_first_caller_of_a_region_finds_a_part_there():
-    # All that a workspace may send is asked for in one region, many times over.
-    # Its first caller in another region is told a time like everybody else.
+    # All that a workspace may send is asked for in one region, many times
+    # over. Its first caller in another one is told a time like everybody.
     allotments = make_allotments(regions=("a", "b"))
     allotments.hear_region("b", (Asked(OFFICE_NUMBER, 75.0),), 100.0)
     waits = [allotments.take(OFFICE, 100.0) for _ in range(3)]
--- a/godwitlanding/tests/gateway/test_workspaces.py
+++ b/godwitlanding/tests/gateway/test_workspaces.py
@@ -134,7 +134,7 @@
 
 
 async def test_allotment_is_one_for_all_vms(world):
-    # A workspace of 4 requests a second and 8 at once sends forty to all VMs.
+    # A workspace of 4 requests a second and 8 at once sends forty to both VMs.
     # Each VM by itself would let its whole burst through.
     async def ask(number):
         vm = world.vms[number % 2]
@@ -159,8 +159,8 @@
 
 
 async def test_request_that_no_upstream_takes_costs_no_allotment(world):
-    # Both upstreams shed everything for a moment. What was refused then has not
-    # run, and its callers find their allotment untouched.
+    # Both upstreams shed everything for a moment. What was refused then has
+    # not run, and its callers find their allotment untouched.
     for worker_id in ("look-1", "look-2"):
         world.get_worker(worker_id).fault = "shed"
     for number in range(20):
