Counts of allotments: all is told now and then, late words of a former start count nothing, debts are bounded

Found by the exhaustive check of two VMs with two tokens (679 states) and three with one (365): what a VM had sent before its first word on a workspace was counted by nobody.

--- a/godwitlanding/decisions/allotment.py
+++ b/godwitlanding/decisions/allotment.py
@@ -98,6 +98,7 @@
     def __init__(self):
         self.sent = 0
         self.asked = 0
+        self.changed_at = 0.0
 
 
 class _Bucket:
@@ -111,7 +112,6 @@
         self.part_per_s = 0.0
         self.capacity = 0.0
         self.born_at = now
-        self.changed_at = now
         # Requests for it in the region since the last update, and a second.
         self.asked_lately = 0
         self.asked_per_s = 0.0
@@ -121,7 +121,12 @@
         self.returns = []
 
     def fill(self, now):
-        """Add what has accrued."""
+        """Add what has accrued.
+
+        The debt is bounded, so that a count that is wrong keeps nobody out
+        for longer than the bucket takes to fill.
+        """
+        self.level = max(self.level, -self.capacity)
         self.level += self.part_per_s * max(0.0, now - self.filled_at)
         self.level = min(self.capacity, self.level)
         self.filled_at = now
@@ -153,9 +158,11 @@
 class _Peer:
     """What a VM of the same region has told."""
 
-    def __init__(self, incarnation, counts_from_zero):
+    def __init__(self, incarnation, former):
         self.incarnation = incarnation
-        self.counts_from_zero = counts_from_zero
+        # Its start before, as far as that was heard.
+        self.former = former
+        self.counts_from_zero = former is not None
         self.heard_at = 0.0
         self.tally_by_number = {}
 
@@ -212,7 +219,7 @@
             return 0.0
         bucket.count.asked += 1
         bucket.asked_lately += 1
-        bucket.changed_at = now
+        bucket.count.changed_at = now
         bucket.fill(now)
         due = bucket.count_due(now)
         needed = 1.0
@@ -236,24 +243,31 @@
         """A request that was granted has certainly not arrived."""
         self._add(workspace, -1, now)
 
-    def get_tallies(self, since):
-        """Return the counts that have changed since ``since``."""
+    def get_tallies(self, since=0.0):
+        """Return the counts that have changed since then, or ever."""
         rows = [
-            Tally(number, bucket.count.sent, bucket.count.asked)
-            for number, bucket in self._bucket_by_number.items()
-            if bucket.changed_at >= since and bucket.count.asked
+            Tally(number, count.sent, count.asked)
+            for number, count in self._count_by_number.items()
+            if count.asked and count.changed_at >= since
         ]
         rows.sort(key=lambda tally: tally.asked, reverse=True)
         return tuple(rows[:MAX_ROWS])
 
-    def hear(self, vm, incarnation, tallies, now):
-        """A VM of the region tells its counts, or nothing new."""
+    def hear(self, vm, incarnation, tallies, now, tells_all=False):
+        """A VM of the region tells its counts, or nothing new.
+
+        Once it has told all, what it tells of another workspace is all new.
+        """
         peer = self._peer_by_vm.get(vm)
-        if peer is None or peer.incarnation != incarnation:
-            # One that starts anew counts from nothing. Of one that was not
-            # heard before it is not known what of its counts is new.
-            is_restart = peer is not None
-            peer = self._peer_by_vm[vm] = _Peer(incarnation, is_restart)
+        if peer is None:
+            # What of its counts is new is not known.
+            peer = self._peer_by_vm[vm] = _Peer(incarnation, None)
+        elif peer.former == incarnation:
+            # A late word of before: its counts would be taken for all new.
+            return
+        elif peer.incarnation != incarnation:
+            # One that starts anew counts from nothing.
+            peer = self._peer_by_vm[vm] = _Peer(incarnation, peer.incarnation)
         elif now - peer.heard_at > QUIET_S:
             # It has spent the part of its own side meanwhile.
             peer.tally_by_number.clear()
@@ -261,6 +275,7 @@
         peer.heard_at = now
         for tally in tallies:
             self._note_tally(peer, tally, now)
+        peer.counts_from_zero |= tells_all and len(tallies) < MAX_ROWS
 
     def hear_region(self, region, asked, now):
         """Another region tells what its callers ask for."""
@@ -351,7 +366,7 @@
         bucket = self._find(workspace, now)
         if bucket is not None:
             bucket.fill(now)
-            bucket.changed_at = now
+            bucket.count.changed_at = now
             self._spend(bucket, requests)
 
     def _spend(self, bucket, requests):
@@ -405,7 +420,7 @@
         return share_fairly(rate * known, asked_by_region)[self._region]
 
     def _is_idle(self, bucket, now):
-        if now - bucket.changed_at < IDLE_S or bucket.asked_per_s > LEAST_PER_S:
+        if now - bucket.count.changed_at < IDLE_S or bucket.asked_per_s > LEAST_PER_S:
             return False
         bucket.fill(now)
         return bucket.level >= bucket.capacity
--- a/godwitlanding/gateway/allotmentnews.py
+++ b/godwitlanding/gateway/allotmentnews.py
@@ -11,10 +11,10 @@
 from godwitlanding.decisions.quorum import Quorum
 
 # Counts that changed within these times are told, in seconds: by those who
-# carry requests, by all who live, and now and then for who missed the others.
+# carry requests, and by all who live; and now and then all, for who has missed
+# the others.
 TELL_OFTEN_S = 0.25
 TELL_S = 1.0
-TELL_ALL_S = 6.0
 TELL_ALL_EVERY = 4
 # Parts of regions change within seconds.
 TELL_ASKED_EVERY = 2
@@ -34,12 +34,11 @@
         return self._allotments.get_tallies(_now() - TELL_OFTEN_S)
 
     def get_state(self):
-        """Return what has changed for those who hear less often."""
+        """Return counts for who hears less often, and whether it is all."""
         self._state_turn += 1
-        tells_all = self._state_turn % TELL_ALL_EVERY == 0
-        return self._allotments.get_tallies(
-            _now() - (TELL_ALL_S if tells_all else TELL_S)
-        )
+        if self._state_turn % TELL_ALL_EVERY == 0:
+            return self._allotments.get_tallies(), True
+        return self._allotments.get_tallies(_now() - TELL_S), False
 
     def get_asked(self):
         """Return what this region's callers ask for, each second time."""
@@ -53,7 +52,13 @@
         now = _now()
         carries = bulletin.active and bulletin.ready and not bulletin.leaving
         self._quorum.note(bulletin.vm, carries, bulletin.heard, now)
-        self._allotments.hear(bulletin.vm, bulletin.incarnation, bulletin.tallies, now)
+        self._allotments.hear(
+            bulletin.vm,
+            bulletin.incarnation,
+            bulletin.tallies,
+            now,
+            bulletin.tells_all,
+        )
 
     def hear_digest(self, digest):
         """Take another region's digest."""
--- a/godwitlanding/gateway/bulletin.py
+++ b/godwitlanding/gateway/bulletin.py
@@ -46,6 +46,7 @@
     # What the VM has had of workspaces, and how many VMs of its region it
     # hears, itself included.
     tallies: tuple[Tally, ...] = ()
+    tells_all: bool = False
     heard: int = 1
 
 
@@ -70,6 +71,7 @@
         changedAt=list(bulletin.changed_at),
         met=_pack(bulletin.met),
         tallies=b"".join(_TALLY.pack(*tally) for tally in bulletin.tallies),
+        tellsAll=bulletin.tells_all,
         heard=bulletin.heard,
     )
     return message.to_bytes_packed()
@@ -126,6 +128,7 @@
             changed_at=tuple(message.changedAt),
             met=_read_met(message.met),
             tallies=tuple(Tally(*row) for row in _TALLY.iter_unpack(message.tallies)),
+            tells_all=message.tellsAll,
             heard=message.heard,
         )
     except (capnp.KjException, UnicodeDecodeError, struct.error) as error:
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -38,6 +38,8 @@
   tallies @17 :Data;
   # VMs of the own region that this one hears, itself included.
   heard @18 :UInt32;
+  # Whether the tallies are all that the VM has.
+  tellsAll @19 :Bool;
 }
 
 # Requests for a service that callers sent to this VM, each second.
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -252,9 +252,11 @@
             # for dead when it is heard less often.
             everybody = self._is_active or was_active
             active_hosts = {peer.host for peer in self._get_near() if peer.active}
+            tallies, tells_all = self._allotment_news.get_state()
             self._send(
                 pick_listeners(everybody, self._get_near_hosts(), active_hosts, turn),
-                tallies=self._allotment_news.get_state(),
+                tallies=tallies,
+                tells_all=tells_all,
             )
 
     def _is_busy(self):
@@ -306,11 +308,12 @@
         regions.discard(self._identity.region)
         return get_hosts(self.digests.get_carriers(regions))
 
-    def _send(self, hosts, digests=None, met=None, tallies=()):
+    def _send(self, hosts, digests=None, met=None, **counts):
         hosts = list(hosts)
         if not hosts or not self._datagrams.is_open():
             return
-        self._datagrams.send(self._make_bulletin(digests, met, tallies), hosts)
+        bulletin = self._make_bulletin(digests, met)._replace(**counts)
+        self._datagrams.send(bulletin, hosts)
 
     def speaks_first(self):
         """Tell whether this VM is the first that speaks for its region."""
@@ -351,7 +354,7 @@
         self._crashes = [row for row in self._crashes if row[0] > now]
         return tuple(crash for _, crash in self._crashes)
 
-    def _make_bulletin(self, digests, met, tallies):
+    def _make_bulletin(self, digests, met):
         self._sequence += 1
         ready = self.is_ready()
         if ready != self._was_ready:
@@ -380,7 +383,6 @@
             crashes=self._get_crashes(),
             digests=digests,
             met=met,
-            tallies=tallies,
             heard=self._allotment_news.count_heard(),
             **self.get_store_state()._asdict(),
         )
--- a/godwitlanding/tests/decisions/test_allotment.py
+++ b/godwitlanding/tests/decisions/test_allotment.py
@@ -97,6 +97,32 @@
     assert take_all(allotments, 102.0) == 7
 
 
+def test_first_count_of_a_workspace_is_all_new_once_all_was_told():
+    allotments = make_allotments()
+    allotments.hear("vm", 1, (), 100.0, tells_all=True)
+    allotments.hear("vm", 1, (Tally(OFFICE_NUMBER, 5, 5),), 100.1)
+    assert take_all(allotments, 100.1) == 15
+
+
+def test_late_word_of_a_former_start_counts_nothing():
+    # A VM is killed and is back at once. A datagram of before has waited on a
+    # full link and comes now; its counts are those of a whole day.
+    allotments = make_allotments()
+    allotments.hear("vm", 1, (Tally(OFFICE_NUMBER, 5000, 5000),), 100.0)
+    allotments.hear("vm", 2, (Tally(OFFICE_NUMBER, 1, 1),), 100.5)
+    allotments.hear("vm", 1, (Tally(OFFICE_NUMBER, 5001, 5001),), 100.6)
+    allotments.hear("vm", 2, (Tally(OFFICE_NUMBER, 2, 2),), 100.7)
+    assert take_all(allotments, 101.0) >= 17
+
+
+def test_wrong_count_keeps_nobody_out_for_long():
+    allotments = make_allotments()
+    allotments.hear("vm", 1, (Tally(OFFICE_NUMBER, 0, 0),), 100.0)
+    allotments.hear("vm", 1, (Tally(OFFICE_NUMBER, 10**6, 0),), 100.1)
+    assert take_all(allotments, 100.2) == 0
+    assert take_all(allotments, 105.0) >= 10
+
+
 @pytest.mark.parametrize("word", [Tally(7, 9, 9), Tally(OFFICE_NUMBER, 2**32 - 1, 0)])
 def test_odd_word_of_a_peer_does_no_harm(word):
     allotments = make_allotments()
--- a/godwitlanding/tests/load/allotment_ways.py
+++ b/godwitlanding/tests/load/allotment_ways.py
@@ -39,10 +39,10 @@
         return self._held.take(self._workspace, now) == 0.0
 
     def tell(self, now):
-        return self._held.get_tallies(now - 1.0)
+        return self._held.get_tallies()
 
     def hear(self, vm, incarnation, told, now):
-        self._held.hear(vm, incarnation, told, now)
+        self._held.hear(vm, incarnation, told, now, tells_all=True)
 
     def digest(self):
         return self._held.get_asked()
