--- a/godwitlanding/gateway/allotmentnews.py
+++ b/godwitlanding/gateway/allotmentnews.py
@@ -8,6 +8,8 @@
 
 import asyncio
 
+from eliot import log_message
+
 from godwitlanding.decisions.quorum import Quorum
 
 # Counts that changed within these times are told, in seconds: by those who
@@ -16,6 +18,8 @@
 TELL_OFTEN_S = 0.25
 TELL_S = 1.0
 TELL_ALL_EVERY = 4
+# The share of the region is logged when it has changed by more than this.
+TOLD_CHANGE = 0.05
 # Parts of regions change within seconds.
 TELL_ASKED_EVERY = 2
 
@@ -26,6 +30,7 @@
     def __init__(self, allotments):
         self._allotments = allotments
         self._quorum = Quorum()
+        self._told_share = 1.0
         self._state_turn = 0
         self._asked_turn = 0
 
@@ -73,6 +78,14 @@
         """Work out this region's parts; ``listed_vms`` names its other VMs."""
         now = _now()
         share = self._quorum.get_share(listed_vms, own_carries, now)
+        if abs(share - self._told_share) > TOLD_CHANGE:
+            self._told_share = share
+            log_message(
+                "allotments:quorum",
+                share=round(share, 3),
+                heard=self.count_heard(),
+                listed=len(listed_vms),
+            )
         self._allotments.update(share, now)
 
 
