A VM that starts learns from its neighbours what is left of allotments

Cause: buckets that forgot start empty, so after a power cut or a kill the callers who come back at once were told 429 though they had sent little.

--- a/godwitlanding/decisions/allotment.py
+++ b/godwitlanding/decisions/allotment.py
@@ -40,6 +40,11 @@
 # A workspace that has sent nothing for this long, and whose bucket is full,
 # is forgotten.
 IDLE_S = 10.0
+# A VM that has just started asks its neighbours for this long what is left.
+LEARN_S = 2.0
+# Of the larger buckets' surplus a VM counts on this part when it starts and no
+# neighbour knows what is left: after a power cut all callers come at once.
+START_SHARE = 0.5
 # Every region counts as asking for this share of a limit at the least, so that
 # the first caller who comes to one finds a part there.
 LEAST_SHARE = 0.02
@@ -76,6 +81,13 @@
     asked: int
 
 
+class Level(NamedTuple):
+    """What a VM believes to be left in its region's bucket."""
+
+    number: int
+    requests: float
+
+
 class Asked(NamedTuple):
     """Requests a second that a region's callers ask for."""
 
@@ -182,6 +194,8 @@
         # Kept when a bucket is forgotten: peers see by how much they grow.
         self._count_by_number = {}
         self._peer_by_vm = {}
+        # Workspaces of which a neighbour has told what is left.
+        self._learnt_numbers = set()
         # What the others ask for, and when they were heard last.
         self._asked_by_region = {}
         self._heard_at_by_region = {}
@@ -277,6 +291,36 @@
             self._note_tally(peer, tally, now)
         peer.counts_from_zero |= tells_all and len(tallies) < MAX_ROWS
 
+    def get_levels(self, now):
+        """Return what is left of the workspaces in use, for a new VM.
+
+        One that has just started itself knows no better.
+        """
+        if self._is_young(now):
+            return ()
+        buckets = list(self._bucket_by_number.items())[:MAX_ROWS]
+        for _, bucket in buckets:
+            bucket.fill(now)
+        return tuple(Level(number, bucket.level) for number, bucket in buckets)
+
+    def learn(self, levels, now):
+        """A neighbour tells a VM that has just started what is left.
+
+        What it says is taken once, and only where it is more: it counts what
+        this VM itself sends a moment later.
+        """
+        if not self._is_young(now):
+            return
+        for level in levels:
+            if level.number not in self._workspace_by_number:
+                continue
+            if level.number in self._learnt_numbers:
+                continue
+            self._learnt_numbers.add(level.number)
+            bucket = self._get(level.number, now)
+            bucket.fill(now)
+            bucket.level = min(bucket.capacity, max(bucket.level, level.requests))
+
     def hear_region(self, region, asked, now):
         """Another region tells what its callers ask for."""
         if region == self._region:
@@ -357,11 +401,20 @@
             bucket = _Bucket(workspace, count, now)
             self._bucket_by_number[number] = bucket
             self._set_part(number, bucket, now)
-            # A VM that has just started does not know what was sent before.
-            accrued = bucket.part_per_s * (now - self._started_at)
-            bucket.level = min(bucket.capacity, accrued)
+            bucket.level = min(bucket.capacity, self._get_first_level(bucket, now))
         return bucket
 
+    def _get_first_level(self, bucket, now):
+        # A VM that has just started does not know what was sent before.
+        accrued = bucket.part_per_s * (now - self._started_at)
+        return accrued + START_SHARE * self._get_spare(bucket.workspace)
+
+    def _get_spare(self, workspace):
+        return self._tolerance.get_spare(workspace) / len(self._regions)
+
+    def _is_young(self, now):
+        return now - self._started_at < LEARN_S
+
     def _add(self, workspace, requests, now):
         bucket = self._find(workspace, now)
         if bucket is not None:
@@ -402,7 +455,7 @@
         bucket.parts = [row for row in bucket.parts if row[0] >= now - RAISE_AFTER_S]
         part = self._quorum * min(part for _, part in bucket.parts)
         capacity = workspace.burst * part / workspace.rate_per_s
-        capacity += self._tolerance.get_spare(workspace) / len(self._regions)
+        capacity += self._get_spare(workspace)
         bucket.set_part(part, max(1.0, capacity), now)
 
     def _get_part(self, number, bucket, now):
--- a/godwitlanding/gateway/allotmentnews.py
+++ b/godwitlanding/gateway/allotmentnews.py
@@ -45,6 +45,14 @@
             return self._allotments.get_tallies(), True
         return self._allotments.get_tallies(_now() - TELL_S), False
 
+    def get_greeting(self):
+        """Return what a VM that has just started is told, by field."""
+        return {
+            "tallies": self._allotments.get_tallies(),
+            "tells_all": True,
+            "levels": self._allotments.get_levels(_now()),
+        }
+
     def get_asked(self):
         """Return what this region's callers ask for, each second time."""
         self._asked_turn += 1
@@ -64,6 +72,7 @@
             now,
             bulletin.tells_all,
         )
+        self._allotments.learn(bulletin.levels, now)
 
     def hear_digest(self, digest):
         """Take another region's digest."""
--- a/godwitlanding/gateway/bulletin.py
+++ b/godwitlanding/gateway/bulletin.py
@@ -7,7 +7,7 @@
 
 import capnp
 
-from godwitlanding.decisions.allotment import Asked, Tally
+from godwitlanding.decisions.allotment import Asked, Level, Tally
 from godwitlanding.decisions.digest import Crash, Digest
 from godwitlanding.decisions.fleet import Capacity
 from godwitlanding.decisions.objectmap import Meeting
@@ -15,7 +15,7 @@
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 _PAIR = struct.Struct("<II")
 _TALLY = struct.Struct("<III")
-_ASKED = struct.Struct("<If")
+_AMOUNT = struct.Struct("<If")
 # The longest datagram there is; one that is longer than a packet is lost
 # with any of its packets.
 MAX_DATAGRAM_BYTES = 60_000
@@ -47,6 +47,8 @@
     # hears, itself included.
     tallies: tuple[Tally, ...] = ()
     tells_all: bool = False
+    # What is left of their allotments, for a VM that has just started.
+    levels: tuple[Level, ...] = ()
     heard: int = 1
 
 
@@ -72,6 +74,7 @@
         met=_pack(bulletin.met),
         tallies=b"".join(_TALLY.pack(*tally) for tally in bulletin.tallies),
         tellsAll=bulletin.tells_all,
+        levels=_pack_amounts(bulletin.levels),
         heard=bulletin.heard,
     )
     return message.to_bytes_packed()
@@ -102,7 +105,7 @@
         "source": digest.source,
         "changedAt": list(digest.changed_at),
         "met": _pack(digest.met),
-        "asked": b"".join(_ASKED.pack(*asked) for asked in digest.asked),
+        "asked": _pack_amounts(digest.asked),
     }
 
 
@@ -129,6 +132,7 @@
             met=_read_met(message.met),
             tallies=tuple(Tally(*row) for row in _TALLY.iter_unpack(message.tallies)),
             tells_all=message.tellsAll,
+            levels=_read_amounts(Level, message.levels),
             heard=message.heard,
         )
     except (capnp.KjException, UnicodeDecodeError, struct.error) as error:
@@ -153,12 +157,16 @@
         source=row.source,
         changed_at=tuple(row.changedAt),
         met=_read_met(row.met),
-        asked=_read_asked(row.asked),
+        asked=_read_amounts(Asked, row.asked),
     )
 
 
-def _read_asked(data):
-    rows = tuple(Asked(*row) for row in _ASKED.iter_unpack(data))
-    if not all(0.0 <= row.per_s < math.inf for row in rows):
-        raise ValueError("a rate that is none")
+def _pack_amounts(rows):
+    return b"".join(_AMOUNT.pack(*row) for row in rows)
+
+
+def _read_amounts(kind, data):
+    rows = tuple(kind(*row) for row in _AMOUNT.iter_unpack(data))
+    if not all(math.isfinite(amount) for _, amount in rows):
+        raise ValueError("an amount that is none")
     return rows
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -40,6 +40,9 @@
   heard @18 :UInt32;
   # Whether the tallies are all that the VM has.
   tellsAll @19 :Bool;
+  # Pairs of a workspace's number and a 32-bit little-endian float: what is
+  # left of its allotment in the region, as the VM sees it.
+  levels @20 :Data;
 }
 
 # Requests for a service that callers sent to this VM, each second.
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -196,7 +196,8 @@
         if is_new and is_near:
             log_message("peers:heard", peer=bulletin.vm)
             # It knows as little of this VM, and need not wait for its turn.
-            self._send([host], met=self._get_greeting())
+            greeting = self._allotment_news.get_greeting()
+            self._send([host], met=self._get_greeting(), **greeting)
 
     def _get_greeting(self):
         """Return what a VM that has just started is told of objects.
--- a/godwitlanding/tests/decisions/test_allotment.py
+++ b/godwitlanding/tests/decisions/test_allotment.py
@@ -8,6 +8,7 @@
     RAISE_AFTER_S,
     Allotments,
     Asked,
+    Level,
     Tally,
     Tolerance,
     get_workspace_number,
@@ -63,6 +64,33 @@
     assert take_all(allotments, 0.5) == 5
 
 
+@pytest.mark.parametrize(
+    ("at", "told", "taken"),
+    [
+        pytest.param(0.5, 15.0, 15, id="more is left than accrued"),
+        pytest.param(0.5, -3.0, 5, id="others are in debt"),
+        pytest.param(0.5, 500.0, 20, id="no more than fits"),
+        pytest.param(5.0, 500.0, 20, id="not young any more"),
+    ],
+)
+def test_vm_that_starts_learns_what_is_left(at, told, taken):
+    # Half of the VMs are killed and are back after two seconds. Their callers
+    # all come at once, and those that lived know that hardly anything was sent.
+    allotments = make_allotments()
+    allotments.learn((Level(OFFICE_NUMBER, told),), at)
+    assert take_all(allotments, at) == taken
+    # What is told a second time counts what this VM has sent since.
+    allotments.learn((Level(OFFICE_NUMBER, told),), at)
+    assert take_all(allotments, at) == 0
+
+
+def test_who_has_just_started_tells_nothing_of_what_is_left():
+    allotments = make_allotments()
+    allotments.take(OFFICE, 1.0)
+    assert allotments.get_levels(1.0) == ()
+    assert [row.requests for row in allotments.get_levels(10.0)] == [20.0]
+
+
 def test_request_that_never_arrived_is_given_back():
     allotments = make_allotments()
     take_all(allotments, 100.0)
