--- a/godwitlanding/tests/decisions/test_allotment.py
+++ b/godwitlanding/tests/decisions/test_allotment.py
@@ -75,7 +75,7 @@
 )
 def test_vm_that_starts_learns_what_is_left(at, told, taken):
     # Half of the VMs are killed and are back after two seconds. Their callers
-    # all come at once, and those that lived know that hardly anything was sent.
+    # all come at once, and those that lived know that hardly any was sent.
     allotments = make_allotments()
     allotments.learn((Level(OFFICE_NUMBER, told),), at)
     assert take_all(allotments, at) == taken
