--- a/godwitlanding/decisions/allotment.py
+++ b/godwitlanding/decisions/allotment.py
@@ -40,10 +40,14 @@
 # A workspace that has sent nothing for this long, and whose bucket is full,
 # is forgotten.
 IDLE_S = 10.0
-# A VM that has just started asks its neighbours for this long what is left.
+# A VM that has just started takes its neighbours' word for this long on what
+# is left.
 LEARN_S = 2.0
-# Of the larger buckets' surplus a VM counts on this part when it starts and no
-# neighbour knows what is left: after a power cut all callers come at once.
+# Where no neighbour knows, all were ended at once: nobody has sent anything
+# for this long, since a process is started again after half a second at the
+# soonest and then loads its libraries.
+DOWN_S = 0.8
+# And a VM that starts counts on this part of the larger buckets' surplus.
 START_SHARE = 0.5
 # Every region counts as asking for this share of a limit at the least, so that
 # the first caller who comes to one finds a part there.
@@ -306,8 +310,8 @@
     def learn(self, levels, now):
         """A neighbour tells a VM that has just started what is left.
 
-        What it says is taken once, and only where it is more: it counts what
-        this VM itself sends a moment later.
+        What it says is taken once: it counts what this VM itself sends a
+        moment later.
         """
         if not self._is_young(now):
             return
@@ -319,7 +323,7 @@
             self._learnt_numbers.add(level.number)
             bucket = self._get(level.number, now)
             bucket.fill(now)
-            bucket.level = min(bucket.capacity, max(bucket.level, level.requests))
+            bucket.level = min(bucket.capacity, level.requests)
 
     def hear_region(self, region, asked, now):
         """Another region tells what its callers ask for."""
@@ -405,8 +409,10 @@
         return bucket
 
     def _get_first_level(self, bucket, now):
-        # A VM that has just started does not know what was sent before.
-        accrued = bucket.part_per_s * (now - self._started_at)
+        # A VM that has just started does not know what was sent before. With
+        # nothing to begin with it would refuse those who come back all at
+        # once after a power cut; with a full bucket they could send all twice.
+        accrued = bucket.part_per_s * (now - self._started_at + DOWN_S)
         return accrued + START_SHARE * self._get_spare(bucket.workspace)
 
     def _get_spare(self, workspace):
--- a/godwitlanding/gateway/allotmentnews.py
+++ b/godwitlanding/gateway/allotmentnews.py
@@ -18,6 +18,10 @@
 TELL_OFTEN_S = 0.25
 TELL_S = 1.0
 TELL_ALL_EVERY = 4
+# Looks between two times at which parts are cut anew, a quarter of a second
+# each.
+CARRIER_LOOKS = 2
+IDLE_LOOKS = 8
 # The share of the region is logged when it has changed by more than this.
 TOLD_CHANGE = 0.05
 # Parts of regions change within seconds.
@@ -31,6 +35,8 @@
         self._allotments = allotments
         self._quorum = Quorum()
         self._told_share = 1.0
+        self._used_share = 1.0
+        self._looks = 0
         self._state_turn = 0
         self._asked_turn = 0
 
@@ -95,7 +101,12 @@
                 heard=self.count_heard(),
                 listed=len(listed_vms),
             )
-        self._allotments.update(share, now)
+        # VMs that carry nothing have next to nothing to cut, and are many.
+        self._looks += 1
+        every = CARRIER_LOOKS if own_carries else IDLE_LOOKS
+        if self._looks % every == 0 or share < self._used_share:
+            self._used_share = share
+            self._allotments.update(share, now)
 
 
 def _now():
