--- a/godwitlanding/decisions/allotment.py
+++ b/godwitlanding/decisions/allotment.py
@@ -59,6 +59,9 @@
 SPARE_SHARE = 0.4
 # Callers that were told when to come back are expected until this much later.
 LATE_S = 0.5
+# Of those that are refused in the same seconds, more than this many could not
+# be served in time anyway.
+MAX_RETURNS = 64
 # Rows in one datagram, so that it stays within a few packets.
 MAX_ROWS = 256
 _COUNTS = 1 << 32
@@ -250,7 +253,8 @@
             return 0.0
         missing = needed + len(bucket.returns) - due - bucket.level
         wait_s = max(missing, 1.0) / bucket.part_per_s
-        bucket.returns.append(now + wait_s)
+        if len(bucket.returns) < MAX_RETURNS:
+            bucket.returns.append(now + wait_s)
         return wait_s
 
     def charge(self, workspace, now):
--- a/godwitlanding/gateway/allotmentnews.py
+++ b/godwitlanding/gateway/allotmentnews.py
@@ -12,11 +12,10 @@
 
 from godwitlanding.decisions.quorum import Quorum
 
-# Counts that changed within these times are told, in seconds: by those who
-# carry requests, and by all who live; and now and then all, for who has missed
-# the others.
+# Those who carry requests tell each other what changed within this time. All
+# who live tell all with each so many words, for who missed it or carries
+# nothing.
 TELL_OFTEN_S = 0.25
-TELL_S = 1.0
 TELL_ALL_EVERY = 4
 # Looks between two times at which parts are cut anew, a quarter of a second
 # each.
@@ -45,11 +44,11 @@
         return self._allotments.get_tallies(_now() - TELL_OFTEN_S)
 
     def get_state(self):
-        """Return counts for who hears less often, and whether it is all."""
+        """Return counts for all who live, and whether those are all."""
         self._state_turn += 1
-        if self._state_turn % TELL_ALL_EVERY == 0:
-            return self._allotments.get_tallies(), True
-        return self._allotments.get_tallies(_now() - TELL_S), False
+        if self._state_turn % TELL_ALL_EVERY:
+            return (), False
+        return self._allotments.get_tallies(), True
 
     def get_greeting(self):
         """Return what a VM that has just started is told, by field."""
