--- a/godwitlanding/decisions/allotment.py
+++ b/godwitlanding/decisions/allotment.py
@@ -372,7 +372,7 @@
                 del self._bucket_by_number[number]
 
     def _set_quorum(self, quorum, now):
-        if quorum < self._quorum:
+        if quorum < self._quorum and not self._is_young(now):
             # The others may spend the rest of what had been saved up.
             for bucket in self._bucket_by_number.values():
                 bucket.fill(now)
@@ -463,10 +463,14 @@
         part = self._get_part(number, bucket, now)
         bucket.parts.append((now, part))
         bucket.parts = [row for row in bucket.parts if row[0] >= now - RAISE_AFTER_S]
-        part = self._quorum * min(part for _, part in bucket.parts)
+        part = min(part for _, part in bucket.parts)
         capacity = workspace.burst * part / workspace.rate_per_s
+        if not self._is_young(now):
+            # One that has just started hears nobody yet, and has no more in
+            # its bucket than what it may count on whoever else is there.
+            capacity *= self._quorum
         capacity += self._get_spare(workspace)
-        bucket.set_part(part, max(1.0, capacity), now)
+        bucket.set_part(part * self._quorum, max(1.0, capacity), now)
 
     def _get_part(self, number, bucket, now):
         """Return the requests a second of which this region may dispose."""
--- a/godwitlanding/tests/decisions/test_allotment.py
+++ b/godwitlanding/tests/decisions/test_allotment.py
@@ -84,6 +84,16 @@
     assert take_all(allotments, at) == 0
 
 
+def test_vm_that_hears_nobody_yet_keeps_what_it_counts_on():
+    # All VMs start at once, and in the first moment each hears hardly any.
+    # Its share of the region would be next to nothing, and so would be what it
+    # grants to those who come back first.
+    allotments = make_allotments()
+    allotments.take(OFFICE, 0.2)
+    allotments.update(0.1, 0.25)
+    assert take_all(allotments, 0.25) >= 8
+
+
 def test_who_has_just_started_tells_nothing_of_what_is_left():
     allotments = make_allotments()
     allotments.take(OFFICE, 1.0)
