--- a/godwitlanding/decisions/fleet.py
+++ b/godwitlanding/decisions/fleet.py
@@ -10,8 +10,7 @@
 links of 5 it takes 144, twice, and small answers wait behind it. Callers
 pick evenly among the VMs that are named, so the strong VMs are named first,
 and the weak ones only where the strong ones that are left cannot carry the
-load. (Measured on 18 strong and 41 weak VMs: an attempt took 0.16 s by the
-strong ones and 0.29 s by the others.)
+load.
 
 VMs are many: of 195 each would get six requests a second, see an upstream
 once a minute, and have to be told by 64 others what those have in progress.
--- a/godwitlanding/decisions/homes.py
+++ b/godwitlanding/decisions/homes.py
@@ -13,10 +13,9 @@
 upstream with ``OBJECTS_EACH`` objects. A request goes to no other upstream
 while one of them is sound, however long it has to wait there: past full,
 requests that overflow elsewhere take three times as long and push out what
-was known there, so that the overload feeds itself. (Played with overflow on
-a day past full, three answers in ten took cold work and 45 of 54 slots were
-busy with what 21 could carry.) An upstream that is slow or fails is passed
-over, and the next in the order is a home in its place.
+was known there, so that the overload feeds itself: one sees slots full of
+first runs of objects that others know. An upstream that is slow or fails is
+passed over, and the next in the order is a home in its place.
 """
 
 import math
@@ -24,11 +23,9 @@
 
 from godwitlanding.base.rendezvous import rank
 
-# Measured over 2,200 answers: after up to 11 other objects an upstream knew
-# an object in 99 of 100 cases, after 12 to 15 in 86, after 16 to 19 in 39.
+# After this many other objects an upstream still knows most that it met.
 REMEMBERED_OBJECTS = 14
 # Hashing deals unevenly: with 8 in the mean an upstream in twenty gets 14.
-# A day past full was worth 0.514 with this figure and 0.493 with 14.
 OBJECTS_EACH = 8
 MAX_HOMES = 4
 # A service is taken to have this many at the least, about the number of the
--- a/godwitlanding/decisions/patience.py
+++ b/godwitlanding/decisions/patience.py
@@ -10,8 +10,7 @@
 have the same patience, on others it differs by 15 in 100. Callers that come
 back have a part of theirs left, spread over all that is below. Taking the
 longest time that was ever seen for everybody's patience makes nearly every
-first attempt look late: on a day of 59 VMs seven requests in a hundred were
-refused for it, and half were answered late.
+first attempt look late, and many are refused that could be in time.
 
 So the times left on a route are counted, and the band reaches down from the
 longest as far as the counts stay near those above. Who has less left than
--- a/godwitlanding/decisions/placing.py
+++ b/godwitlanding/decisions/placing.py
@@ -34,9 +34,8 @@
 UNSURE_TIMES = 1.25
 
 # Waits of requests that will be late, in works of one request: at three
-# slots, nobody may wait before it, or one. Three times as long each served
-# more callers (0.948 in place of 0.906 of a day past full), but 0.12 fewer
-# of them in time.
+# slots, nobody may wait before it, or one. Waiting longer, they make those
+# behind them late as well: more callers get an answer, and fewer in time.
 LATE_WAIT = 0.3
 CAME_BACK_WAIT = 0.75
 
--- a/godwitlanding/decisions/worktime.py
+++ b/godwitlanding/decisions/worktime.py
@@ -1,9 +1,8 @@
 """How long the work of a service takes, and which upstreams are slow or fail.
 
 An upstream that handled an object lately does the work in about a third of
-the time (0.11 against 0.36 s in look-ups, measured over 4,600 answers), so
-two running means are kept for a service: *warm* for objects that an upstream
-knows, *cold* for those it does not.
+the time, so two running means are kept for a service: *warm* for objects that
+an upstream knows, *cold* for those it does not.
 
 Load pattern: one upstream takes five times as long as its peers or fails
 half of its requests while its health endpoint says that all is well. Failing
@@ -25,9 +24,8 @@
 # An upstream that fails half of its requests is worse than one that does
 # not know the object (three times as long for each), but only where others
 # fail less: when all upstreams of a service shed half of their requests,
-# passing over each that just did so sends every object everywhere. (Played:
-# upstreams met 36 objects each in place of 10, and the work on objects that
-# they did not know filled the slots.)
+# passing over each that just did so sends every object everywhere, and first
+# runs fill the slots.
 FAILING_SHARE = 0.5
 OUTLIER_MARGIN = 0.25
 # Before the first answer: the usual work of both users lies near these.
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -20,13 +20,13 @@
 # region has room now; twice that is still below what users allow.
 OVERFLOW_SHARE = 0.05
 # An object whose homes are full is learnt by one more upstream for this share
-# of the requests. Without a bound, wherever half of the slots were free, first
-# runs took the slots that the known objects needed: the days with trouble were
-# worth 0.593 in the mean in place of 0.631.
+# of the requests. Without a bound, first runs take the slots that the known
+# objects need, their requests find those full and are learnt elsewhere in
+# turn: callers of every object are late, though upstreams know them all.
 MOVE_SHARE = 0.02
 # An upstream with this part of its slots in use can learn an object without
-# making those that it knows wait. Learnt wherever a slot was free, a day past
-# full was worth 0.55 in place of 0.60.
+# making those that it knows wait. Past full there is hardly ever a slot free,
+# and one that is taken for a first run is missing for three known ones.
 IDLE_SHARE = 1 / 3
 # About the last fifty requests count.
 _SHARE_WEIGHT = 0.02
--- a/godwitlanding/gateway/registry.py
+++ b/godwitlanding/gateway/registry.py
@@ -238,8 +238,8 @@
     def _refresh(self):
         """Sort the upstreams by place again if any has changed.
 
-        A VM that starts learns 450 of them at once. Sorted after each, that
-        took 0.05 s of its first second, 0.19 s beside a profiler.
+        A VM that starts learns hundreds of them at once; sorted after each,
+        they would hold up its first callers.
         """
         if not self._is_stale:
             return
