Counts of VMs that carry nothing are heard whenever they come; allotment, bucket and tally in a module each

Found in reading: a VM that is heard once in 1.6 s was taken for one that had been cut off each time, and what its stray callers sent counted nowhere.

--- a/godwitlanding/decisions/allotment.py
+++ b/godwitlanding/decisions/allotment.py
@@ -11,9 +11,10 @@
 
 So a region has one bucket for a workspace, and each of its VMs works out its
 level by itself from what all tell each other many times a second: how many
-requests each has sent so far. What a VM has not been told yet is kept back
-(``SEEN_S``). The region's part of the rate follows what its callers ask for,
-by ``decisions.sharing``, and every region is told what the others ask for.
+requests each has sent so far (``decisions.tally``). What a VM may not have
+been told yet is kept back (``decisions.bucket``). The region's part of the
+rate follows what its callers ask for, by ``decisions.sharing``, and every
+region is told what the others ask for.
 
 A region's part shrinks to the share of its VMs that are heard, and what is in
 its bucket with it: the others may be serving with the rest (``quorum``). A
@@ -25,13 +26,19 @@
 import math
 from typing import NamedTuple
 
-import xxhash
-
+from godwitlanding.decisions.bucket import Bucket, Count
 from godwitlanding.decisions.quorum import HOLD_S, QUIET_S
 from godwitlanding.decisions.sharing import share_fairly
+from godwitlanding.decisions.tally import (
+    COUNTS,
+    Asked,
+    Level,
+    PeerTallies,
+    Tally,
+    get_difference,
+    get_workspace_number,
+)
 
-# Longest time until a VM of the region knows what another has sent.
-SEEN_S = 0.05
 # About the requests of this time tell what a region's callers ask for.
 ASKED_OVER_S = 3.0
 # A region raises its part only when the others know what it asks for, and
@@ -57,14 +64,8 @@
 # Of what users tolerate beyond the limit, the part that is spent on larger
 # buckets: cut in three, the burst of a small workspace is one request.
 SPARE_SHARE = 0.4
-# Callers that were told when to come back are expected until this much later.
-LATE_S = 0.5
-# Of those that are refused in the same seconds, more than this many could not
-# be served in time anyway.
-MAX_RETURNS = 64
 # Rows in one datagram, so that it stays within a few packets.
 MAX_ROWS = 256
-_COUNTS = 1 << 32
 
 
 class Tolerance(NamedTuple):
@@ -80,112 +81,6 @@
         return SPARE_SHARE * (self.over_share * allowed + self.over_requests)
 
 
-class Tally(NamedTuple):
-    """What a VM has had of a workspace since it started."""
-
-    number: int
-    sent: int
-    asked: int
-
-
-class Level(NamedTuple):
-    """What a VM believes to be left in its region's bucket."""
-
-    number: int
-    requests: float
-
-
-class Asked(NamedTuple):
-    """Requests a second that a region's callers ask for."""
-
-    number: int
-    per_s: float
-
-
-def get_workspace_number(name):
-    """Return the number that stands for a workspace between VMs.
-
-    Of thousands hardly two share one; those that do are counted together,
-    which refuses too much rather than too little.
-    """
-    return xxhash.xxh32_intdigest(name.encode())
-
-
-class _Count:
-    """What this VM has had of a workspace since it started."""
-
-    def __init__(self):
-        self.sent = 0
-        self.asked = 0
-        self.changed_at = 0.0
-
-
-class _Bucket:
-    """A region's bucket of one workspace, as this VM sees it."""
-
-    def __init__(self, workspace, count, now):
-        self.workspace = workspace
-        self.count = count
-        self.level = 0.0
-        self.filled_at = now
-        self.part_per_s = 0.0
-        self.capacity = 0.0
-        self.born_at = now
-        # Requests for it in the region since the last update, and a second.
-        self.asked_lately = 0
-        self.asked_per_s = 0.0
-        # Parts that were worked out lately, with the time of each.
-        self.parts = []
-        # When those that were refused were told to come back.
-        self.returns = []
-
-    def fill(self, now):
-        """Add what has accrued.
-
-        The debt is bounded, so that a count that is wrong keeps nobody out
-        for longer than the bucket takes to fill.
-        """
-        self.level = max(self.level, -self.capacity)
-        self.level += self.part_per_s * max(0.0, now - self.filled_at)
-        self.level = min(self.capacity, self.level)
-        self.filled_at = now
-
-    def set_part(self, part_per_s, capacity, now):
-        """Let it fill at another pace from now on."""
-        self.fill(now)
-        self.part_per_s = part_per_s
-        self.capacity = capacity
-        self.level = min(self.level, capacity)
-
-    def measure(self, elapsed_s, weight, now):
-        """Work out what its callers ask for; at first the mean so far."""
-        seen_per_s = self.asked_lately / elapsed_s
-        self.asked_lately = 0
-        weight = max(weight, min(1.0, elapsed_s / (now - self.born_at + elapsed_s)))
-        self.asked_per_s += weight * (seen_per_s - self.asked_per_s)
-
-    def get_margin(self):
-        """Return what is kept back for requests that are not known yet."""
-        return min((self.capacity - 1.0) / 2, self.asked_per_s * SEEN_S)
-
-    def count_due(self, now):
-        """Return how many were told to come back about now."""
-        self.returns = [at for at in self.returns if at >= now - LATE_S]
-        return sum(1 for at in self.returns if at <= now)
-
-
-class _Peer:
-    """What a VM of the same region has told."""
-
-    def __init__(self, incarnation, former):
-        self.incarnation = incarnation
-        # Its start before, as far as that was heard.
-        self.former = former
-        self.counts_from_zero = former is not None
-        self.heard_at = 0.0
-        self.tally_by_number = {}
-
-
 class Allotments:
     """What this VM may send of each workspace; ``now`` is one clock's."""
 
@@ -248,13 +143,12 @@
             needed += bucket.get_margin() + due
         if bucket.level >= needed:
             if came_back and due:
-                bucket.returns.remove(min(bucket.returns))
+                bucket.forget_return()
             self._spend(bucket, 1)
             return 0.0
         missing = needed + len(bucket.returns) - due - bucket.level
         wait_s = max(missing, 1.0) / bucket.part_per_s
-        if len(bucket.returns) < MAX_RETURNS:
-            bucket.returns.append(now + wait_s)
+        bucket.note_return(now + wait_s)
         return wait_s
 
     def charge(self, workspace, now):
@@ -275,26 +169,28 @@
         rows.sort(key=lambda tally: tally.asked, reverse=True)
         return tuple(rows[:MAX_ROWS])
 
-    def hear(self, vm, incarnation, tallies, now, tells_all=False):
+    def hear(self, vm, incarnation, tallies, now, tells_all=False, carries=True):
         """A VM of the region tells its counts, or nothing new.
 
         Once it has told all, what it tells of another workspace is all new.
+        One that carries no requests is heard seldom.
         """
         peer = self._peer_by_vm.get(vm)
         if peer is None:
             # What of its counts is new is not known.
-            peer = self._peer_by_vm[vm] = _Peer(incarnation, None)
+            peer = self._peer_by_vm[vm] = PeerTallies(incarnation, None)
         elif peer.former == incarnation:
             # A late word of before: its counts would be taken for all new.
             return
         elif peer.incarnation != incarnation:
             # One that starts anew counts from nothing.
-            peer = self._peer_by_vm[vm] = _Peer(incarnation, peer.incarnation)
-        elif now - peer.heard_at > QUIET_S:
+            peer = self._peer_by_vm[vm] = PeerTallies(incarnation, peer.incarnation)
+        elif now - peer.heard_at > (QUIET_S if peer.carries else HOLD_S):
             # It has spent the part of its own side meanwhile.
             peer.tally_by_number.clear()
             peer.counts_from_zero = False
         peer.heard_at = now
+        peer.carries = carries
         for tally in tallies:
             self._note_tally(peer, tally, now)
         peer.counts_from_zero |= tells_all and len(tallies) < MAX_ROWS
@@ -405,8 +301,8 @@
         bucket = self._bucket_by_number.get(number)
         if bucket is None:
             workspace = self._workspace_by_number[number]
-            count = self._count_by_number.setdefault(number, _Count())
-            bucket = _Bucket(workspace, count, now)
+            count = self._count_by_number.setdefault(number, Count())
+            bucket = Bucket(workspace, count, now)
             self._bucket_by_number[number] = bucket
             self._set_part(number, bucket, now)
             bucket.level = min(bucket.capacity, self._get_first_level(bucket, now))
@@ -434,7 +330,7 @@
 
     def _spend(self, bucket, requests):
         bucket.level -= requests
-        bucket.count.sent = (bucket.count.sent + requests) % _COUNTS
+        bucket.count.sent = (bucket.count.sent + requests) % COUNTS
 
     def _note_tally(self, peer, tally, now):
         if tally.number not in self._workspace_by_number:
@@ -444,8 +340,8 @@
         if held is None:
             nothing = Tally(tally.number, 0, 0)
             held = nothing if peer.counts_from_zero else tally
-        sent = _get_difference(tally.sent, held.sent)
-        asked = _get_difference(tally.asked, held.asked)
+        sent = get_difference(tally.sent, held.sent)
+        asked = get_difference(tally.asked, held.asked)
         if not sent and not asked:
             return
         bucket = self._get(tally.number, now)
@@ -491,9 +387,3 @@
             return False
         bucket.fill(now)
         return bucket.level >= bucket.capacity
-
-
-def _get_difference(count, former):
-    """Return by how much a 32-bit count has grown; it may have shrunk."""
-    difference = (count - former) % _COUNTS
-    return difference - _COUNTS if difference >= _COUNTS // 2 else difference
--- a/godwitlanding/decisions/digest.py
+++ b/godwitlanding/decisions/digest.py
@@ -13,9 +13,9 @@
 from typing import NamedTuple
 
 from godwitlanding.base.rendezvous import rank
-from godwitlanding.decisions.allotment import Asked
 from godwitlanding.decisions.fleet import find_strong, pick_carriers
 from godwitlanding.decisions.objectmap import Meeting
+from godwitlanding.decisions.tally import Asked
 
 REPRESENTATIVES = 2
 # VMs of another region that a representative tells each time while none there
--- a/godwitlanding/gateway/allotmentnews.py
+++ b/godwitlanding/gateway/allotmentnews.py
@@ -76,6 +76,7 @@
             bulletin.tallies,
             now,
             bulletin.tells_all,
+            carries,
         )
         self._allotments.learn(bulletin.levels, now)
 
--- a/godwitlanding/gateway/bulletin.py
+++ b/godwitlanding/gateway/bulletin.py
@@ -7,10 +7,10 @@
 
 import capnp
 
-from godwitlanding.decisions.allotment import Asked, Level, Tally
 from godwitlanding.decisions.digest import Crash, Digest
 from godwitlanding.decisions.fleet import Capacity
 from godwitlanding.decisions.objectmap import Meeting
+from godwitlanding.decisions.tally import Asked, Level, Tally
 
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 _PAIR = struct.Struct("<II")
--- a/godwitlanding/tests/decisions/test_allotment.py
+++ b/godwitlanding/tests/decisions/test_allotment.py
@@ -7,14 +7,11 @@
     IDLE_S,
     RAISE_AFTER_S,
     Allotments,
-    Asked,
-    Level,
-    Tally,
     Tolerance,
-    get_workspace_number,
 )
 from godwitlanding.decisions.routes import Workspace
 from godwitlanding.decisions.sharing import share_fairly
+from godwitlanding.decisions.tally import Asked, Level, Tally, get_workspace_number
 
 NO_TOLERANCE = Tolerance(over_share=0.0, over_requests=0.0)
 OFFICE = Workspace("office", rate_per_s=10.0, burst=20.0)
@@ -142,6 +139,24 @@
     assert take_all(allotments, 100.1) == 15
 
 
+@pytest.mark.parametrize(
+    ("carries", "left"),
+    [
+        pytest.param(False, 15, id="one that is heard seldom"),
+        pytest.param(True, 20, id="one that was cut off"),
+    ],
+)
+def test_counts_after_a_pause(carries, left):
+    # A VM that carries nothing speaks once in two seconds, and its callers'
+    # requests count like all others. One that carries and was silent as long
+    # was cut off, and has spent what was its own side's.
+    allotments = make_allotments()
+    told = Tally(OFFICE_NUMBER, 5, 5)
+    allotments.hear("vm", 1, (), 100.0, tells_all=True, carries=carries)
+    allotments.hear("vm", 1, (told,), 101.6, carries=carries)
+    assert take_all(allotments, 101.6) == left
+
+
 def test_late_word_of_a_former_start_counts_nothing():
     # A VM is killed and is back at once. A datagram of before has waited on a
     # full link and comes now; its counts are those of a whole day.
