--- a/godwitlanding/gateway/fartargets.py
+++ b/godwitlanding/gateway/fartargets.py
@@ -48,4 +48,5 @@
             return {random.choice(hosts) for _ in range(TARGETS)}
         if self._turn % SPREAD_EVERY:
             return {teller}
-        return {teller, random.choice(hosts)}
+        others = [host for host in hosts if host != teller]
+        return {teller, random.choice(others)} if others else {teller}
--- a/godwitlanding/tests/gateway/test_peers.py
+++ b/godwitlanding/tests/gateway/test_peers.py
@@ -7,12 +7,19 @@
 import pytest
 
 from godwitlanding.decisions.allotment import Allotments, Tolerance
-from godwitlanding.decisions.digest import REPRESENTATIVES, Crash, Digest, make_digest
+from godwitlanding.decisions.digest import (
+    REPRESENTATIVES,
+    Crash,
+    Digest,
+    Digests,
+    make_digest,
+)
 from godwitlanding.decisions.fleet import SILENT_S, Capacity, Fleet
 from godwitlanding.decisions.objectmap import Meeting, ObjectMap
 from godwitlanding.decisions.occupancy import Occupancy
 from godwitlanding.gateway.allotmentnews import AllotmentNews
 from godwitlanding.gateway.bulletin import decode_bulletin, encode_bulletin
+from godwitlanding.gateway.fartargets import SPREAD_EVERY, FarTargets
 from godwitlanding.gateway.objectnews import TELL_S
 from godwitlanding.gateway.peers import Peers
 from godwitlanding.gateway.registry import Registry, Upstream
@@ -202,6 +209,19 @@
         assert told[-1].digests[0].vms == 2
 
 
+def test_one_more_is_another_one():
+    # Now and then one more VM of a region is told, in case the one that is told
+    # each time is about to be lost. Chance may not pick that one again.
+    targets = FarTargets(Digests("a"))
+    targets.note_teller("b", "h0")
+    numbers = []
+    for _ in range(400):
+        picked = targets.pick({"b": ["h0", "h1"]})
+        assert set(picked) in ({"h0"}, {"h0", "h1"})
+        numbers.append(len(picked))
+    assert numbers.count(2) == len(numbers) // SPREAD_EVERY
+
+
 async def test_few_pass_a_digest_on(monkeypatch):
     # Whoever gets a digest from outside passes it on to all its neighbours.
     # Sent to others each time, it is passed on by all of them, and most of
