--- a/godwitlanding/tests/gateway/test_peers.py
+++ b/godwitlanding/tests/gateway/test_peers.py
@@ -210,8 +210,8 @@
 
 
 def test_one_more_is_another_one():
-    # Now and then one more VM of a region is told, in case the one that is told
-    # each time is about to be lost. Chance may not pick that one again.
+    # Now and then one more VM of a region is told, as the one that is told
+    # each time may be lost. Chance may not pick that one again.
     targets = FarTargets(Digests("a"))
     targets.note_teller("b", "h0")
     numbers = []
