A count of requests asked begins again when it is full, as that of requests sent does

Found in reading the change: in 32 bits it could not be packed once full, and the VM would tell its peers nothing more. The new test fails without. A docstring said more often than is true how counts are told.

--- a/godwitlanding/decisions/allotment.py
+++ b/godwitlanding/decisions/allotment.py
@@ -135,7 +135,7 @@
         bucket = self._find(workspace, now)
         if bucket is None:
             return 0.0
-        bucket.count.asked += 1
+        bucket.count.asked = (bucket.count.asked + 1) % COUNTS
         bucket.asked_lately += 1
         bucket.count.changed_at = now
         bucket.fill(now)
--- a/godwitlanding/gateway/allotmentnews.py
+++ b/godwitlanding/gateway/allotmentnews.py
@@ -1,7 +1,7 @@
 """What VMs tell each other of workspaces, and what this one makes of it.
 
 Counts that have changed go with the bulletins of VMs that carry requests,
-several times a second, and once more for a while with those that say that a
+several times a second, and all counts now and then with those that say that a
 VM lives: a datagram that is lost is made good by the next. What a region's
 callers ask for goes with its digests to the other regions.
 """
--- a/godwitlanding/tests/decisions/test_allotment.py
+++ b/godwitlanding/tests/decisions/test_allotment.py
@@ -168,6 +168,18 @@
     assert take_all(allotments, 101.0) >= 17
 
 
+def test_count_that_is_full_begins_again():
+    # A VM runs for years. A count that no longer fits in a datagram would end
+    # all that it tells its peers.
+    allotments = make_allotments()
+    allotments.take(OFFICE, 100.0)
+    (count,) = allotments._count_by_number.values()
+    count.asked = count.sent = 2**32 - 1
+    allotments.take(OFFICE, 101.0)
+    allotments.take(OFFICE, 102.0)
+    assert allotments.get_tallies() == (Tally(OFFICE_NUMBER, 1, 1),)
+
+
 def test_wrong_count_keeps_nobody_out_for_long():
     allotments = make_allotments()
     allotments.hear("vm", 1, (Tally(OFFICE_NUMBER, 0, 0),), 100.0)
