Log and count what upstreams say of a request rate; decode what they say of themselves in one place

The logs could not tell whether VMs saw the limit that an upstream named: no line told what an answer said beside its status. courier:limit tells each change of it, upstream_limits counts them. What an upstream says of itself is decoded once, into a typed SelfReport, in the platform's folder. No choice hangs on the limit yet.

--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -30,8 +30,11 @@
     name = "courier"
     needs = ("registry", "chooser", "peers")
 
-    def __init__(self, names, pool, occupancy, worktimes, counters, poison):
+    def __init__(
+        self, names, read_self_report, pool, occupancy, worktimes, counters, poison
+    ):
         self._names = names
+        self._read_self_report = read_self_report
         self._pool = pool
         self._occupancy = occupancy
         self._worktimes = worktimes
@@ -41,6 +44,7 @@
         self._registry = None
         self._peers = None
         self._tasks = set()
+        self._limit_by_upstream = {}
 
     async def start(self, kernel):
         """Learn of upstreams that are gone."""
@@ -127,15 +131,29 @@
             self._worktimes.note_failure(work.service, upstream.id)
 
     def _note_report(self, upstream, answer, now):
-        report = answer.get_header(self._names.load_report)
-        if report:
-            parts = report.split(b",")
-            if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
-                total = int(parts[0]) + int(parts[1])
-                self._occupancy.note_report(upstream.id, total, now)
-        cold = answer.get_header(self._names.cold_ms)
-        if cold.isdigit():
-            self._registry.note_cold(upstream.id, int(cold) / 1000, now)
+        report = self._read_self_report(answer.headers)
+        if report.in_progress is not None:
+            self._occupancy.note_report(upstream.id, report.in_progress, now)
+        if report.cold_s is not None:
+            self._registry.note_cold(upstream.id, report.cold_s, now)
+        self._note_limit(upstream, report.limit_per_s)
+
+    def _note_limit(self, upstream, limit_per_s):
+        former = self._limit_by_upstream.get(upstream.id)
+        if limit_per_s == former:
+            return
+        if limit_per_s is None:
+            del self._limit_by_upstream[upstream.id]
+        else:
+            self._limit_by_upstream[upstream.id] = limit_per_s
+        self._counters.add("upstream_limits")
+        log_message(
+            "courier:limit",
+            level="warning",
+            upstream=upstream.id,
+            limit_per_s=limit_per_s,
+            former_per_s=former,
+        )
 
     async def _check_crash(self, upstream, fingerprint):
         await asyncio.sleep(CRASH_CHECK_S)
@@ -203,6 +221,7 @@
 
     def _forget(self, upstream_id):
         self._pool.forget(upstream_id)
+        self._limit_by_upstream.pop(upstream_id, None)
         self._chooser.forget(upstream_id)
         self._occupancy.forget(upstream_id)
 
--- a/godwitlanding/gateway/dialect.py
+++ b/godwitlanding/gateway/dialect.py
@@ -1,7 +1,7 @@
-"""The names of headers that the gateway reads and sets, by what they hold.
+"""The headers that the gateway reads and sets, by what they hold.
 
-The platform gives the names; the gateway knows only what they mean. All are
-lower case bytes, as the parsers here hand headers on.
+The platform gives their names and formats; the gateway knows only what they
+mean. Names are lower case bytes, as the parsers here hand headers on.
 """
 
 from typing import NamedTuple
@@ -28,7 +28,14 @@
     signature: bytes
     # Present where the upstream has not run the request and will not.
     not_executed: bytes
-    # Running, waiting and slots, with commas between.
-    load_report: bytes
-    # Milliseconds for which the upstream stays cold.
-    cold_ms: bytes
+
+
+class SelfReport(NamedTuple):
+    """What an upstream says of itself in an answer; ``None``: nothing."""
+
+    # Requests that it runs, and that wait there.
+    in_progress: int | None = None
+    # Seconds for which it stays cold.
+    cold_s: float | None = None
+    # Requests a second that it takes from all VMs together.
+    limit_per_s: float | None = None
--- a/godwitlanding/platform/headers.py
+++ b/godwitlanding/platform/headers.py
@@ -1,6 +1,10 @@
-"""The platform's names for the headers that the gateway reads and sets."""
+"""The platform's names and formats of the headers that the gateway uses."""
 
-from godwitlanding.gateway.dialect import HeaderNames
+import math
+
+from eliot import log_message
+
+from godwitlanding.gateway.dialect import HeaderNames, SelfReport
 
 HEADER_NAMES = HeaderNames(
     request_id=b"godwitlanding-request-id",
@@ -12,6 +16,64 @@
     upstream_id=b"godwitlanding-instance-id",
     signature=b"godwitlanding-response-signature",
     not_executed=b"godwitlanding-not-executed",
-    load_report=b"godwitlanding-load-report",
-    cold_ms=b"godwitlanding-cold-ms",
 )
+
+_LOAD = b"godwitlanding-load-report"
+_COLD_MS = b"godwitlanding-cold-ms"
+_LIMIT = b"server-limit"
+
+
+def read_self_report(headers):
+    """Return the ``SelfReport`` in an answer's headers, pairs of bytes.
+
+    What cannot be read is logged and left out.
+
+    >>> read_self_report([(b"server-limit", b"2.5")]).limit_per_s
+    2.5
+    """
+    fields = {}
+    for name, value in headers:
+        if name not in _FIELD_BY_HEADER:
+            continue
+        field, read = _FIELD_BY_HEADER[name]
+        try:
+            fields[field] = read(value)
+        except ValueError:
+            log_message(
+                "headers:unreadable",
+                level="warning",
+                name=name.decode("latin-1"),
+                value=value.decode("latin-1"),
+            )
+    return SelfReport(**fields)
+
+
+def _read_in_progress(value):
+    # Running, waiting and slots.
+    running, waiting, _ = map(_read_count, value.split(b","))
+    return running + waiting
+
+
+def _read_count(value):
+    number = int(value)
+    if number < 0:
+        raise ValueError(f"{value!r} is no number of things")
+    return number
+
+
+def _read_cold_s(value):
+    return _read_count(value) / 1000
+
+
+def _read_rate(value):
+    rate = float(value)
+    if not 0.0 <= rate < math.inf:
+        raise ValueError(f"{value!r} is no rate")
+    return rate
+
+
+_FIELD_BY_HEADER = {
+    _LOAD: ("in_progress", _read_in_progress),
+    _COLD_MS: ("cold_s", _read_cold_s),
+    _LIMIT: ("limit_per_s", _read_rate),
+}
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -50,7 +50,7 @@
     read_upstream,
     read_vm,
 )
-from godwitlanding.platform.headers import HEADER_NAMES
+from godwitlanding.platform.headers import HEADER_NAMES, read_self_report
 from godwitlanding.platform.settings import get_change_time, read_settings
 from godwitlanding.platform.store import ObjectStore
 
@@ -108,7 +108,13 @@
         )
         pool = UpstreamPool(HEADER_NAMES.request_id, counters)
         self.courier = Courier(
-            HEADER_NAMES, pool, self.occupancy, self.worktimes, counters, self.poison
+            HEADER_NAMES,
+            read_self_report,
+            pool,
+            self.occupancy,
+            self.worktimes,
+            counters,
+            self.poison,
         )
         self.admission = Admission(
             HEADER_NAMES,
--- a/godwitlanding/tests/gateway/test_courier.py
+++ b/godwitlanding/tests/gateway/test_courier.py
@@ -12,7 +12,7 @@
 from godwitlanding.gateway.courier import MOVED_EJECT_S, Courier
 from godwitlanding.gateway.registry import Upstream
 from godwitlanding.gateway.upstream import Answer
-from godwitlanding.platform.headers import HEADER_NAMES
+from godwitlanding.platform.headers import HEADER_NAMES, read_self_report
 from godwitlanding.tests.gateway.test_chooser import make_work
 
 pytestmark = pytest.mark.looptime
@@ -49,8 +49,15 @@
             trim=lambda: None,
             close=lambda: None,
         )
+        self.counters = Counters()
         self.courier = Courier(
-            HEADER_NAMES, self.pool, Occupancy(), self.worktimes, Counters(), None
+            HEADER_NAMES,
+            read_self_report,
+            self.pool,
+            Occupancy(),
+            self.worktimes,
+            self.counters,
+            None,
         )
 
     async def __aenter__(self):
--- /dev/null
+++ b/godwitlanding/tests/gateway/test_headers.py
@@ -0,0 +1,30 @@
+"""What the platform's headers say, decoded."""
+
+import pytest
+
+from godwitlanding.gateway.dialect import SelfReport
+from godwitlanding.platform.headers import read_self_report
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "report"),
+    [
+        (b"content-type", b"text/plain", SelfReport()),
+        (b"godwitlanding-load-report", b"2,5,3", SelfReport(in_progress=7)),
+        (b"godwitlanding-load-report", b"2, 5, 3", SelfReport(in_progress=7)),
+        (b"godwitlanding-load-report", b"2,5", SelfReport()),
+        (b"godwitlanding-load-report", b"2,-5,3", SelfReport()),
+        (b"godwitlanding-cold-ms", b"1500", SelfReport(cold_s=1.5)),
+        (b"godwitlanding-cold-ms", b"soon", SelfReport()),
+        (b"server-limit", b"2.7", SelfReport(limit_per_s=2.7)),
+        (b"server-limit", b"12", SelfReport(limit_per_s=12.0)),
+        (b"server-limit", b"0", SelfReport(limit_per_s=0.0)),
+        (b"server-limit", b"-1", SelfReport()),
+        (b"server-limit", b"nan", SelfReport()),
+        (b"server-limit", b"inf", SelfReport()),
+        (b"server-limit", b"", SelfReport()),
+        (b"server-limit", b"2.7 a second", SelfReport()),
+    ],
+)
+def test_headers_say_what_an_upstream_says_of_itself(name, value, report):
+    assert read_self_report([(name, value)]) == report
