--- /dev/null
+++ b/godwitlanding/gateway/neighbours.py
@@ -0,0 +1,88 @@
+"""Which VMs there are, by the store's list and by what is heard of them.
+
+*Near* are those of this VM's own region. A VM that has just been added may
+be listed and not yet heard, one that was removed may be heard still.
+"""
+
+from typing import NamedTuple
+
+from godwitlanding.decisions.fleet import get_carriers
+from godwitlanding.gateway.fartargets import FarTargets, get_hosts
+
+
+class ListedVm(NamedTuple):
+    """A VM as the store lists it."""
+
+    host: str
+    region: str
+
+
+class Neighbours:
+    """The VMs that this one may tell something; hosts are IP numbers."""
+
+    def __init__(self, region, fleet, digests):
+        self._region = region
+        self._fleet = fleet
+        self._digests = digests
+        self._far_targets = FarTargets(digests)
+        self._listed_by_vm = {}
+
+    def put(self, vm, listed):
+        """The store lists a VM; return whether that is new."""
+        if self._listed_by_vm.get(vm) == listed:
+            return False
+        self._listed_by_vm[vm] = listed
+        return True
+
+    def remove(self, vm):
+        """The store lists a VM no longer."""
+        self._listed_by_vm.pop(vm, None)
+
+    def count(self):
+        """Return how many VMs there are beside this one, or more."""
+        return len(self._listed_by_vm.keys() | self._fleet.peer_by_vm.keys())
+
+    def get_near(self):
+        """Return the near VMs that are heard, as ``Peer``."""
+        peers = self._fleet.peer_by_vm.values()
+        return [peer for peer in peers if peer.region == self._region]
+
+    def get_near_names(self):
+        """Return the names of the near VMs that the store lists."""
+        listed = self._listed_by_vm.items()
+        return {vm for vm, row in listed if row.region == self._region}
+
+    def get_near_hosts(self):
+        """Return the hosts of all near VMs."""
+        listed = self._listed_by_vm.values()
+        hosts = {vm.host for vm in listed if vm.region == self._region}
+        hosts.update(peer.host for peer in self.get_near())
+        return hosts
+
+    def get_active_hosts(self):
+        """Return the hosts of near VMs that tell their region they live."""
+        return {peer.host for peer in self.get_near() if peer.active}
+
+    def get_busy_hosts(self):
+        """Return the hosts of near VMs that carry requests of callers."""
+        # Those that callers are sent to may be busy the next moment.
+        carriers = get_carriers(None, self._fleet, self._region)
+        hosts = {peer.host for peer in carriers}
+        hosts.update(peer.host for peer in self.get_near() if peer.busy)
+        return list(hosts)
+
+    def get_far_carriers(self, regions=None):
+        """Return the hosts that carry requests in ``regions``, or in all."""
+        return get_hosts(self._digests.get_carriers(regions))
+
+    def note_teller(self, region, host):
+        """A VM of another region has told this one a digest."""
+        self._far_targets.note_teller(region, host)
+
+    def pick_far_targets(self):
+        """Return the hosts that are sent this region's digest."""
+        hosts_by_region = {}
+        for listed in self._listed_by_vm.values():
+            if listed.region != self._region:
+                hosts_by_region.setdefault(listed.region, []).append(listed.host)
+        return self._far_targets.pick(hosts_by_region)
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -31,7 +31,7 @@
 from godwitlanding.gateway.arrivals import Arrivals
 from godwitlanding.gateway.bulletin import Bulletin, decode_bulletin
 from godwitlanding.gateway.datagrams import Datagrams
-from godwitlanding.gateway.fartargets import FarTargets, get_hosts
+from godwitlanding.gateway.neighbours import ListedVm, Neighbours
 from godwitlanding.gateway.objectnews import ObjectNews
 
 # Work lasts a quarter of a second at the least; in a tenth of that little
@@ -50,13 +50,6 @@
 LOOK_PAUSE_S = 0.25
 
 
-class ListedVm(NamedTuple):
-    """A VM as the store lists it."""
-
-    host: str
-    region: str
-
-
 class StoreState(NamedTuple):
     """What a VM says of itself and the store; see ``fleet.Peer``."""
 
@@ -85,14 +78,13 @@
         self._datagrams = Datagrams(identity.ip, identity.peer_port, self.hear)
         self._tasks = []
         self._registry = None
-        self._listed_by_vm = {}
         self._crashes = []
         self._arrivals = Arrivals()
         self._was_busy = False
         self._is_active = True
         self._was_ready = False
         self.digests = Digests(identity.region)
-        self._far_targets = FarTargets(self.digests)
+        self._neighbours = Neighbours(identity.region, fleet, self.digests)
         self.is_ready = lambda: False
         self.get_store_state = lambda: StoreState(False, False, ())
         self.leaving = False
@@ -123,14 +115,12 @@
         if vm == self._identity.vm:
             return
         if host is None:
-            self._listed_by_vm.pop(vm, None)
+            self._neighbours.remove(vm)
             return
         region = self._registry.get_region(availability_zone)
-        listed = ListedVm(host, region)
-        if self._listed_by_vm.get(vm) != listed:
-            self._listed_by_vm[vm] = listed
-            if region == self._identity.region:
-                self._send([host])
+        is_new = self._neighbours.put(vm, ListedVm(host, region))
+        if is_new and region == self._identity.region:
+            self._send([host])
 
     def note_arrival(self, service):
         """Count a caller's request for a service."""
@@ -145,18 +135,20 @@
         loop = asyncio.get_running_loop()
         self._crashes.append((loop.time() + TELL_CRASH_S, crash))
         del self._crashes[:-MAX_CRASHES]
-        self._send(self._get_near_hosts())
+        self._send(self._neighbours.get_near_hosts())
         self._send_digest()
 
     def count_vms(self):
         """Return how many VMs there are, this one included, or more."""
-        heard = self._fleet.peer_by_vm.keys() - self._listed_by_vm.keys()
-        return 1 + len(self._listed_by_vm) + len(heard)
+        return 1 + self._neighbours.count()
 
     def get_rates(self, service):
         """Return the requests a second for a service by region."""
         own = self._arrivals.rate_by_service.get(service, 0.0)
-        rates = [peer.rate_by_service.get(service, 0.0) for peer in self._get_near()]
+        rates = [
+            peer.rate_by_service.get(service, 0.0)
+            for peer in self._neighbours.get_near()
+        ]
         rate_by_region = {self._identity.region: own + sum(rates)}
         for region, digest in self.digests.digest_by_region.items():
             rate_by_region[region] = digest.rate_by_service.get(service, 0.0)
@@ -166,8 +158,8 @@
         """Tell every peer at once that this VM takes no more callers."""
         self.leaving = True
         for _ in range(2):
-            self._send(self._get_near_hosts())
-            self._send(get_hosts(self.digests.get_carriers()))
+            self._send(self._neighbours.get_near_hosts())
+            self._send(self._neighbours.get_far_carriers())
 
     def hear(self, data, host):
         """Take a datagram from a peer."""
@@ -220,7 +212,7 @@
             for meeting in digest.met:
                 self._object_news.hear(meeting, False)
         if bulletin.digests and not is_near:
-            self._far_targets.note_teller(bulletin.region, host)
+            self._neighbours.note_teller(bulletin.region, host)
 
     async def _tell_counts_often(self):
         turn = 0
@@ -231,7 +223,7 @@
                 continue
             self._was_busy = busy
             turn += 1
-            near = self._get_busy_hosts()
+            near = self._neighbours.get_busy_hosts()
             far = self._get_sharing_hosts()
             # Digests go with what is sent more seldom, and other regions have
             # no use for counts.
@@ -252,10 +244,14 @@
             # One that is active no longer says so to all, who would take it
             # for dead when it is heard less often.
             everybody = self._is_active or was_active
-            active_hosts = {peer.host for peer in self._get_near() if peer.active}
             tallies, tells_all = self._allotment_news.get_state()
             self._send(
-                pick_listeners(everybody, self._get_near_hosts(), active_hosts, turn),
+                pick_listeners(
+                    everybody,
+                    self._neighbours.get_near_hosts(),
+                    self._neighbours.get_active_hosts(),
+                    turn,
+                ),
                 tallies=tallies,
                 tells_all=tells_all,
             )
@@ -276,29 +272,6 @@
             await asyncio.sleep(DIGEST_PAUSE_S)
             self._send_digest()
 
-    def _get_near(self):
-        region = self._identity.region
-        peers = self._fleet.peer_by_vm.values()
-        return [peer for peer in peers if peer.region == region]
-
-    def _get_busy_hosts(self):
-        # Those that callers are sent to may be busy the next moment.
-        carriers = get_carriers(None, self._fleet, self._identity.region)
-        hosts = {peer.host for peer in carriers}
-        hosts.update(peer.host for peer in self._get_near() if peer.busy)
-        return list(hosts)
-
-    def _get_near_hosts(self):
-        region = self._identity.region
-        listed = self._listed_by_vm.values()
-        hosts = {vm.host for vm in listed if vm.region == region}
-        hosts.update(peer.host for peer in self._get_near())
-        return hosts
-
-    def _get_near_names(self):
-        region = self._identity.region
-        return {vm for vm, row in self._listed_by_vm.items() if row.region == region}
-
     def _get_sharing_hosts(self):
         """Return the carriers of the regions whose upstreams this VM uses."""
         regions = set()
@@ -307,7 +280,7 @@
             if upstream:
                 regions.add(self._registry.get_region(upstream.availability_zone))
         regions.discard(self._identity.region)
-        return get_hosts(self.digests.get_carriers(regions))
+        return self._neighbours.get_far_carriers(regions)
 
     def _send(self, hosts, digests=None, met=None, **counts):
         hosts = list(hosts)
@@ -321,8 +294,9 @@
         return pick_representatives(self._get_region())[:1] == [self._identity.vm]
 
     def _get_region(self):
+        near = self._neighbours.get_near()
         own = self._get_own()
-        return [*self._get_near(), own] if own else self._get_near()
+        return [*near, own] if own else near
 
     def _send_digest(self):
         peers = self._get_region()
@@ -332,7 +306,7 @@
         crashes = self._get_crashes()
         asked = self._allotment_news.get_asked()
         digest = make_digest(self._identity.region, peers, crashes, met, asked)
-        self._send(self._pick_targets(), (digest,))
+        self._send(self._neighbours.pick_far_targets(), (digest,))
 
     def _get_own(self):
         """Return this VM as a ``Peer``, ``None`` if it takes no callers."""
@@ -343,13 +317,6 @@
             **self.get_store_state()._asdict(),
         )
 
-    def _pick_targets(self):
-        hosts_by_region = {}
-        for listed in self._listed_by_vm.values():
-            if listed.region != self._identity.region:
-                hosts_by_region.setdefault(listed.region, []).append(listed.host)
-        return self._far_targets.pick(hosts_by_region)
-
     def _get_crashes(self):
         now = asyncio.get_running_loop().time()
         self._crashes = [row for row in self._crashes if row[0] > now]
@@ -394,7 +361,9 @@
             await asyncio.sleep(LOOK_PAUSE_S)
             self._drop_silent()
             turn += 1
-            self._allotment_news.update(self._get_near_names(), self._is_active)
+            self._allotment_news.update(
+                self._neighbours.get_near_names(), self._is_active
+            )
             if turn % round(1 / LOOK_PAUSE_S) == 0:
                 self._arrivals.update()
                 self._fleet.own_rate_per_s = self._arrivals.get_total()
