--- a/godwitlanding/decisions/allotment.py
+++ b/godwitlanding/decisions/allotment.py
@@ -149,7 +149,7 @@
             self._spend(bucket, 1)
             return 0.0
         missing = needed + len(bucket.returns) - due - bucket.level
-        wait_s = max(missing, 1.0) / bucket.part_per_s
+        wait_s = max(missing, 1.0) / bucket.per_s
         bucket.note_return(now + wait_s)
         return wait_s
 
@@ -285,7 +285,7 @@
         return {
             bucket.workspace.name: {
                 "level": round(bucket.level, 1),
-                "part_per_s": round(bucket.part_per_s, 2),
+                "part_per_s": round(bucket.per_s, 2),
                 "asked_per_s": round(bucket.asked_per_s, 2),
                 "sent": bucket.count.sent,
             }
@@ -295,7 +295,7 @@
     def get_state(self, workspace):
         """Return the level and part of a workspace, for a log line."""
         bucket = self._bucket_by_number.get(self._number_by_name.get(workspace.name))
-        return (bucket.level, bucket.part_per_s) if bucket else (0.0, 0.0)
+        return (bucket.level, bucket.per_s) if bucket else (0.0, 0.0)
 
     def _find(self, workspace, now):
         number = workspace and self._number_by_name.get(workspace.name)
@@ -316,7 +316,7 @@
         # A VM that has just started does not know what was sent before. With
         # nothing to begin with it would refuse those who come back all at
         # once after a power cut; with a full bucket they could send all twice.
-        accrued = bucket.part_per_s * (now - self._started_at + DOWN_S)
+        accrued = bucket.per_s * (now - self._started_at + DOWN_S)
         return accrued + START_SHARE * self._get_spare(bucket.workspace)
 
     def _get_spare(self, workspace):
@@ -370,7 +370,7 @@
             # its bucket than what it may count on whoever else is there.
             capacity *= self._quorum
         capacity += self._get_spare(workspace)
-        bucket.set_part(part * self._quorum, max(1.0, capacity), now)
+        bucket.set_pace(part * self._quorum, max(1.0, capacity), now)
 
     def _get_part(self, number, bucket, now):
         """Return the requests a second of which this region may dispose."""
--- a/godwitlanding/decisions/bucket.py
+++ b/godwitlanding/decisions/bucket.py
@@ -1,10 +1,10 @@
-"""A token bucket whose contents are followed from what others say.
+"""A region's token bucket of a workspace, with places for who comes back.
 
-Unlike a bucket of one process it may be in debt, since what others have sent
-is heard a moment later, and its pace and size change while it is in use.
 Callers that were refused and told when to come back find a place kept.
 """
 
+from godwitlanding.decisions.tokenbucket import TokenBucket
+
 # Longest time until a VM of the region knows what another has sent.
 SEEN_S = 0.05
 # Callers that were told when to come back are expected until this much later.
@@ -23,16 +23,13 @@
         self.changed_at = 0.0
 
 
-class Bucket:
+class Bucket(TokenBucket):
     """A region's bucket of one workspace, as this VM sees it."""
 
     def __init__(self, workspace, count, now):
+        super().__init__(now)
         self.workspace = workspace
         self.count = count
-        self.level = 0.0
-        self.filled_at = now
-        self.part_per_s = 0.0
-        self.capacity = 0.0
         self.born_at = now
         # Requests for it in the region since the last update, and a second.
         self.asked_lately = 0
@@ -42,24 +39,6 @@
         # When those that were refused were told to come back.
         self.returns = []
 
-    def fill(self, now):
-        """Add what has accrued.
-
-        The debt is bounded, so that a count that is wrong keeps nobody out
-        for longer than the bucket takes to fill.
-        """
-        self.level = max(self.level, -self.capacity)
-        self.level += self.part_per_s * max(0.0, now - self.filled_at)
-        self.level = min(self.capacity, self.level)
-        self.filled_at = now
-
-    def set_part(self, part_per_s, capacity, now):
-        """Let it fill at another pace from now on."""
-        self.fill(now)
-        self.part_per_s = part_per_s
-        self.capacity = capacity
-        self.level = min(self.level, capacity)
-
     def measure(self, elapsed_s, weight, now):
         """Work out what its callers ask for; at first the mean so far."""
         seen_per_s = self.asked_lately / elapsed_s
