--- a/godwitlanding/gateway/allotmentnews.py
+++ b/godwitlanding/gateway/allotmentnews.py
@@ -8,10 +8,6 @@
 
 import asyncio
 
-from eliot import log_message
-
-from godwitlanding.decisions.quorum import Quorum
-
 # Those who carry requests tell each other what changed within this time. All
 # who live tell all with each so many words, for who missed it or carries
 # nothing.
@@ -21,8 +17,6 @@
 # each.
 CARRIER_LOOKS = 2
 IDLE_LOOKS = 8
-# The share of the region is logged when it has changed by more than this.
-TOLD_CHANGE = 0.05
 # Parts of regions change within seconds.
 TELL_ASKED_EVERY = 2
 
@@ -32,8 +26,6 @@
 
     def __init__(self, allotments):
         self._allotments = allotments
-        self._quorum = Quorum()
-        self._told_share = 1.0
         self._used_share = 1.0
         self._looks = 0
         self._state_turn = 0
@@ -68,15 +60,13 @@
     def hear(self, bulletin):
         """Take a bulletin from a VM of this region."""
         now = _now()
-        carries = bulletin.active and bulletin.ready and not bulletin.leaving
-        self._quorum.note(bulletin.vm, carries, bulletin.heard, now)
         self._allotments.hear(
             bulletin.vm,
             bulletin.incarnation,
             bulletin.tallies,
             now,
             bulletin.tells_all,
-            carries,
+            bulletin.carries,
         )
         self._allotments.learn(bulletin.levels, now)
 
@@ -85,28 +75,14 @@
         if digest.asked:
             self._allotments.hear_region(digest.region, digest.asked, _now())
 
-    def count_heard(self):
-        """Return how many VMs of the region are heard, this one included."""
-        return self._quorum.count_heard(_now())
-
-    def update(self, listed_vms, own_carries):
-        """Work out this region's parts; ``listed_vms`` names its other VMs."""
-        now = _now()
-        share = self._quorum.get_share(listed_vms, own_carries, now)
-        if abs(share - self._told_share) > TOLD_CHANGE:
-            self._told_share = share
-            log_message(
-                "allotments:quorum",
-                share=round(share, 3),
-                heard=self.count_heard(),
-                listed=len(listed_vms),
-            )
+    def update(self, share, own_carries):
+        """Work out this region's parts; ``share`` of its VMs is heard."""
         # VMs that carry nothing have next to nothing to cut, and are many.
         self._looks += 1
         every = CARRIER_LOOKS if own_carries else IDLE_LOOKS
         if self._looks % every == 0 or share < self._used_share:
             self._used_share = share
-            self._allotments.update(share, now)
+            self._allotments.update(share, _now())
 
 
 def _now():
--- a/godwitlanding/gateway/bulletin.py
+++ b/godwitlanding/gateway/bulletin.py
@@ -54,6 +54,11 @@
     levels: tuple[Level, ...] = ()
     heard: int = 1
 
+    @property
+    def carries(self):
+        """Tell whether callers may be sent to the VM, and are."""
+        return self.active and self.ready and not self.leaving
+
 
 def encode_bulletin(bulletin):
     """Return a bulletin as bytes."""
--- a/godwitlanding/gateway/neighbours.py
+++ b/godwitlanding/gateway/neighbours.py
@@ -4,11 +4,18 @@
 be listed and not yet heard, one that was removed may be heard still.
 """
 
+import asyncio
 from typing import NamedTuple
 
+from eliot import log_message
+
 from godwitlanding.decisions.fleet import get_carriers
+from godwitlanding.decisions.quorum import Quorum
 from godwitlanding.gateway.fartargets import FarTargets, get_hosts
 
+# The share of the region is logged when it has changed by more than this.
+TOLD_CHANGE = 0.05
+
 
 class ListedVm(NamedTuple):
     """A VM as the store lists it."""
@@ -26,6 +33,8 @@
         self._digests = digests
         self._far_targets = FarTargets(digests)
         self._listed_by_vm = {}
+        self._quorum = Quorum()
+        self._told_share = 1.0
 
     def put(self, vm, listed):
         """The store lists a VM; return whether that is new."""
@@ -42,6 +51,31 @@
         """Return how many VMs there are beside this one, or more."""
         return len(self._listed_by_vm.keys() | self._fleet.peer_by_vm.keys())
 
+    def hear(self, bulletin):
+        """Take a bulletin from a near VM."""
+        self._quorum.note(bulletin.vm, bulletin.carries, bulletin.heard, _now())
+
+    def count_heard(self):
+        """Return how many near VMs are heard, this one included."""
+        return self._quorum.count_heard(_now())
+
+    def find_share(self, own_carries):
+        """Return the share of the region's VMs that is heard.
+
+        ``own_carries`` tells whether this VM carries requests itself.
+        """
+        listed = self.get_near_names()
+        share = self._quorum.get_share(listed, own_carries, _now())
+        if abs(share - self._told_share) > TOLD_CHANGE:
+            self._told_share = share
+            log_message(
+                "neighbours:quorum",
+                share=round(share, 3),
+                heard=self.count_heard(),
+                listed=len(listed),
+            )
+        return share
+
     def get_near(self):
         """Return the near VMs that are heard, as ``Peer``."""
         peers = self._fleet.peer_by_vm.values()
@@ -86,3 +120,7 @@
             if listed.region != self._region:
                 hosts_by_region.setdefault(listed.region, []).append(listed.host)
         return self._far_targets.pick(hosts_by_region)
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -178,6 +178,7 @@
         self._occupancy.note_peer(bulletin.vm, bulletin.count_by_number, now)
         is_near = bulletin.region == self._identity.region
         if is_near:
+            self._neighbours.hear(bulletin)
             self._allotment_news.hear(bulletin)
         self._take_digests(bulletin, host, is_near, now)
         for crash in bulletin.crashes:
@@ -351,7 +352,7 @@
             crashes=self._get_crashes(),
             digests=digests,
             met=met,
-            heard=self._allotment_news.count_heard(),
+            heard=self._neighbours.count_heard(),
             **self.get_store_state()._asdict(),
         )
 
@@ -361,9 +362,8 @@
             await asyncio.sleep(LOOK_PAUSE_S)
             self._drop_silent()
             turn += 1
-            self._allotment_news.update(
-                self._neighbours.get_near_names(), self._is_active
-            )
+            share = self._neighbours.find_share(self._is_active)
+            self._allotment_news.update(share, self._is_active)
             if turn % round(1 / LOOK_PAUSE_S) == 0:
                 self._arrivals.update()
                 self._fleet.own_rate_per_s = self._arrivals.get_total()
