Keep to the limit that an upstream in need names, from all VMs together

What callers saw: nothing yet. Two upstreams that had named 2.9 and 2.4 requests a second got 40 and 35 in 4 s, 22 and 19 were allowed.

VMs learnt of an upstream's state from its entry in the store, which has no field for it.

Evidence: with the limit logged, each of three VMs logs it with its first answer and sends on as before; 55 requests in 4 s where 17 are allowed.

Now the VMs of the upstream's region that carry requests draw from one bucket, which each follows by what all tell each other with their bulletins; other regions leave the upstream alone while that region is heard. What it has left goes to objects that it knows, the others are learnt elsewhere, so that callers need not be refused.

Why this works: counts that only grow make good what is lost, a VM that hears a part of its region takes that part, and one that carries nothing sends nothing.

--- a/godwitlanding/decisions/digest.py
+++ b/godwitlanding/decisions/digest.py
@@ -15,6 +15,7 @@
 from godwitlanding.base.rendezvous import rank
 from godwitlanding.decisions.fleet import find_strong, pick_carriers
 from godwitlanding.decisions.objectmap import Meeting
+from godwitlanding.decisions.ratelimit import LimitedUpstream
 from godwitlanding.decisions.tally import Asked
 
 REPRESENTATIVES = 2
@@ -58,6 +59,8 @@
     met: tuple[Meeting, ...] = ()
     # What the region's callers ask for, by workspace; in every other digest.
     asked: tuple[Asked, ...] = ()
+    # Its upstreams that have named a limit.
+    limited: tuple[LimitedUpstream, ...] = ()
 
 
 def pick_representatives(peers):
@@ -71,7 +74,7 @@
     return rank("representative", names)[:REPRESENTATIVES]
 
 
-def make_digest(region, peers, crashes, met=(), asked=()):
+def make_digest(region, peers, crashes, met=(), asked=(), limited=()):
     """Return the digest of a region, given its VMs, one at the least."""
     usable = [peer for peer in peers if peer.ready and not peer.leaving]
     rate_by_service = {}
@@ -91,6 +94,7 @@
         changed_at=source.changed_at,
         met=tuple(met),
         asked=tuple(asked),
+        limited=tuple(limited),
     )
 
 
--- a/godwitlanding/gateway/bulletin.py
+++ b/godwitlanding/gateway/bulletin.py
@@ -11,12 +11,17 @@
 from godwitlanding.decisions.digest import Crash, Digest
 from godwitlanding.decisions.fleet import Capacity
 from godwitlanding.decisions.objectmap import Meeting
+from godwitlanding.decisions.ratelimit import LimitedUpstream, LimitRow
 from godwitlanding.decisions.tally import Asked, Level, Tally
 
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 _PAIR = struct.Struct("<II")
 _TALLY = struct.Struct("<III")
 _AMOUNT = struct.Struct("<If")
+_LIMIT = struct.Struct("<IfHI")
+_NO_LIMIT = -1.0
+_NO_AGE = 0xFFFF
+_COUNTS = 1 << 32
 # Digests whose rows are not read or packed again while they go round.
 _DIGESTS_HELD = 16
 # The longest datagram there is; one that is longer than a packet is lost
@@ -53,6 +58,8 @@
     # What is left of their allotments, for a VM that has just started.
     levels: tuple[Level, ...] = ()
     heard: int = 1
+    # Upstreams that have named a limit, and what the VM has sent there.
+    limits: tuple[LimitRow, ...] = ()
 
     @property
     def carries(self):
@@ -84,10 +91,27 @@
         tellsAll=bulletin.tells_all,
         levels=_pack_amounts(bulletin.levels),
         heard=bulletin.heard,
+        limits=b"".join(map(_pack_limit, bulletin.limits)),
     )
     return message.to_bytes_packed()
 
 
+def _pack_limit(row):
+    per_s = _NO_LIMIT if row.per_s is None else row.per_s
+    age_ms = _NO_AGE
+    if row.age_s is not None:
+        age_ms = min(_NO_AGE - 1, round(row.age_s * 1000))
+    return _LIMIT.pack(row.upstream, per_s, age_ms, row.sent % _COUNTS)
+
+
+def _read_limit(upstream, per_s, age_ms, sent):
+    if not math.isfinite(per_s):
+        raise ValueError("a limit that is none")
+    named = None if per_s < 0 else per_s
+    age_s = None if age_ms == _NO_AGE else age_ms / 1000
+    return LimitRow(upstream, named, age_s, sent)
+
+
 def _pack(pairs):
     return b"".join(_PAIR.pack(*pair) for pair in pairs)
 
@@ -114,6 +138,7 @@
         "changedAt": list(digest.changed_at),
         "met": _pack(digest.met),
         "asked": _pack_amounts(digest.asked),
+        "limited": _pack_amounts(digest.limited),
     }
 
 
@@ -142,6 +167,9 @@
             tells_all=message.tellsAll,
             levels=_read_amounts(Level, message.levels),
             heard=message.heard,
+            limits=tuple(
+                _read_limit(*row) for row in _LIMIT.iter_unpack(message.limits)
+            ),
         )
     except (capnp.KjException, UnicodeDecodeError, struct.error) as error:
         raise ValueError(f"not a bulletin: {error}") from None
@@ -166,6 +194,7 @@
         changed_at=tuple(row.changedAt),
         met=_read_met(row.met),
         asked=_read_amounts(Asked, row.asked),
+        limited=_read_amounts(LimitedUpstream, row.limited),
     )
 
 
--- a/godwitlanding/gateway/candidates.py
+++ b/godwitlanding/gateway/candidates.py
@@ -38,6 +38,7 @@
         homes,
         distances,
         learning,
+        limits,
         ejected,
     ):
         self._identity = identity
@@ -49,6 +50,7 @@
         self._homes = homes
         self._distances = distances
         self._learning = learning
+        self._limits = limits
         self._ejected = ejected
         self._own_peer = make_own_peer(identity)
         self._cold_next_by_upstream = {}
@@ -74,7 +76,7 @@
                 continue
             if self._object_map.get_depth(number, key) >= remembered:
                 continue
-            if self._may_take_cold(upstream_id, now):
+            if self._may_take(upstream_id, now):
                 known_by_region.setdefault(region, []).append(upstream_id)
         return known_by_region
 
@@ -92,6 +94,8 @@
             return None
         if self._registry.get_cold_left_s(order[0], now) > 0:
             return None
+        if self._limits.is_limited(order[0]):
+            return None
         return place([self._make_candidate(work, order[0], 0, False, now)])
 
     def place_known(self, work, ids, now):
@@ -110,9 +114,12 @@
         def is_usable(upstream_id):
             if upstream_id in tried or upstream_id in self._ejected:
                 return False
-            return self._may_take_cold(upstream_id, now)
+            return self._may_take(upstream_id, now)
 
         def is_sound(upstream_id):
+            # What one that is limited may still get is for what it knows.
+            if self._limits.is_limited(upstream_id):
+                return False
             return self._is_sound(work.service, upstream_id)
 
         order = ids
@@ -137,6 +144,7 @@
 
     def note_sent(self, upstream_id, now):
         """An upstream is sent a request; while it is cold it gets a pause."""
+        self._limits.note_sent(upstream_id, now)
         if self._registry.get_cold_left_s(upstream_id, now) <= 0:
             return
         upstream = self._registry.upstream_by_id[upstream_id]
@@ -190,6 +198,11 @@
             rank=places,
         )
 
+    def _may_take(self, upstream_id, now):
+        if not self._limits.may_send(upstream_id, now):
+            return False
+        return self._may_take_cold(upstream_id, now)
+
     def _may_take_cold(self, upstream_id, now):
         # A cold upstream crashes when it gets much more than its rate from
         # all VMs together. So one VM alone sends to it, the same in every
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -85,8 +85,9 @@
     name = "chooser"
     needs = ("registry", "peers")
 
-    def __init__(self, identity, occupancy, worktimes, fleet, object_map):
+    def __init__(self, identity, occupancy, worktimes, fleet, object_map, limits):
         self._identity = identity
+        self._limits = limits
         self._occupancy = occupancy
         self._worktimes = worktimes
         self._fleet = fleet
@@ -137,6 +138,7 @@
             self._homes,
             self.distances,
             self.learning,
+            self._limits,
             self.ejected,
         )
 
--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -22,6 +22,9 @@
 # The entry of an upstream whose address another one has lapses after three
 # heartbeats of 1.5 s, and a little more in an outage of the store.
 MOVED_EJECT_S = 6.0
+# Answers that tell everything; one that turns a request away may leave out
+# what the upstream said before.
+_RAN = frozenset((Outcome.ANSWERED, Outcome.FAILED))
 
 
 class Courier(Service):
@@ -31,20 +34,28 @@
     needs = ("registry", "chooser", "peers")
 
     def __init__(
-        self, names, read_self_report, pool, occupancy, worktimes, counters, poison
+        self,
+        names,
+        read_self_report,
+        pool,
+        occupancy,
+        worktimes,
+        limits,
+        counters,
+        poison,
     ):
         self._names = names
         self._read_self_report = read_self_report
         self._pool = pool
         self._occupancy = occupancy
         self._worktimes = worktimes
+        self._limits = limits
         self._counters = counters
         self._poison = poison
         self._chooser = None
         self._registry = None
         self._peers = None
         self._tasks = set()
-        self._limit_by_upstream = {}
 
     async def start(self, kernel):
         """Learn of upstreams that are gone."""
@@ -120,7 +131,8 @@
 
     def _learn(self, upstream, work, choice, answer, outcome, took_s):
         now = asyncio.get_running_loop().time()
-        self._note_report(upstream, answer, now)
+        if outcome is not Outcome.MOVED:
+            self._note_report(upstream, answer, outcome, now)
         if outcome is Outcome.ANSWERED:
             work_s = max(0.001, took_s - choice.distance_s)
             self._chooser.learning.note_answer(work, choice, work_s)
@@ -130,30 +142,14 @@
         else:
             self._worktimes.note_failure(work.service, upstream.id)
 
-    def _note_report(self, upstream, answer, now):
+    def _note_report(self, upstream, answer, outcome, now):
         report = self._read_self_report(answer.headers)
         if report.in_progress is not None:
             self._occupancy.note_report(upstream.id, report.in_progress, now)
         if report.cold_s is not None:
             self._registry.note_cold(upstream.id, report.cold_s, now)
-        self._note_limit(upstream, report.limit_per_s)
-
-    def _note_limit(self, upstream, limit_per_s):
-        former = self._limit_by_upstream.get(upstream.id)
-        if limit_per_s == former:
-            return
-        if limit_per_s is None:
-            del self._limit_by_upstream[upstream.id]
-        else:
-            self._limit_by_upstream[upstream.id] = limit_per_s
-        self._counters.add("upstream_limits")
-        log_message(
-            "courier:limit",
-            level="warning",
-            upstream=upstream.id,
-            limit_per_s=limit_per_s,
-            former_per_s=former,
-        )
+        if report.limit_per_s is not None or outcome in _RAN:
+            self._limits.note_answer(upstream, report.limit_per_s)
 
     async def _check_crash(self, upstream, fingerprint):
         await asyncio.sleep(CRASH_CHECK_S)
@@ -221,7 +217,7 @@
 
     def _forget(self, upstream_id):
         self._pool.forget(upstream_id)
-        self._limit_by_upstream.pop(upstream_id, None)
+        self._limits.forget(upstream_id)
         self._chooser.forget(upstream_id)
         self._occupancy.forget(upstream_id)
 
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -43,6 +43,11 @@
   # Pairs of a workspace's number and a 32-bit little-endian float: what is
   # left of its allotment in the region, as the VM sees it.
   levels @20 :Data;
+  # Upstreams that have named a limit, each as 14 bytes: its number, a 32-bit
+  # float of what it said to the VM itself (negative: no limit any more), 16
+  # bits of how many milliseconds ago (all set: it said nothing), and 32 bits
+  # of how many requests the VM has sent there.
+  limits @21 :Data;
 }
 
 # Requests for a service that callers sent to this VM, each second.
@@ -75,4 +80,7 @@
   # Pairs of a workspace's number and a 32-bit little-endian float: requests a
   # second that the region's callers ask for. In every other digest.
   asked @8 :Data;
+  # Pairs of an upstream's number and a 32-bit little-endian float: the limit
+  # that it has named.
+  limited @9 :Data;
 }
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -65,10 +65,19 @@
     needs = ("registry",)
 
     def __init__(
-        self, identity, fleet, occupancy, on_crash, object_map, allotment_news
+        self,
+        identity,
+        fleet,
+        occupancy,
+        on_crash,
+        object_map,
+        allotment_news,
+        limit_news,
     ):
         self._identity = identity
         self._allotment_news = allotment_news
+        self._limit_news = limit_news
+        limit_news.on_far_limit = self._tell_far_limit
         self._object_news = ObjectNews(object_map)
         self._fleet = fleet
         self._occupancy = occupancy
@@ -180,6 +189,7 @@
         if is_near:
             self._neighbours.hear(bulletin)
             self._allotment_news.hear(bulletin)
+        self._limit_news.hear(bulletin)
         self._take_digests(bulletin, host, is_near, now)
         for crash in bulletin.crashes:
             self._on_crash(crash)
@@ -190,7 +200,8 @@
             log_message("peers:heard", peer=bulletin.vm)
             # It knows as little of this VM, and need not wait for its turn.
             greeting = self._allotment_news.get_greeting()
-            self._send([host], met=self._get_greeting(), **greeting)
+            limits = self._limit_news.get_all()
+            self._send([host], met=self._get_greeting(), limits=limits, **greeting)
 
     def _get_greeting(self):
         """Return what a VM that has just started is told of objects.
@@ -208,6 +219,7 @@
             is_direct = digest.region == bulletin.region
             self.digests.hear(digest, is_direct, now)
             self._allotment_news.hear_digest(digest)
+            self._limit_news.hear_digest(digest)
             for crash in digest.crashes:
                 self._on_crash(crash)
             for meeting in digest.met:
@@ -226,12 +238,14 @@
             turn += 1
             near = self._neighbours.get_busy_hosts()
             far = self._get_sharing_hosts()
+            limits = self._limit_news.get_newest()
             # Digests go with what is sent more seldom, and other regions have
             # no use for counts.
             if turn % FAR_TIMES:
-                self._send(near, (), tallies=self._allotment_news.get_newest())
+                tallies = self._allotment_news.get_newest()
+                self._send(near, (), tallies=tallies, limits=limits)
             else:
-                self._send(near + far, ())
+                self._send(near + far, (), limits=limits)
             peers = len(near) + len(far) / FAR_TIMES
             await asyncio.sleep(max(MIN_PAUSE_S, PAUSE_EACH_PEER_S * peers))
 
@@ -255,6 +269,7 @@
                 ),
                 tallies=tallies,
                 tells_all=tells_all,
+                limits=self._limit_news.get_all(),
             )
 
     def _is_busy(self):
@@ -306,9 +321,14 @@
         met = self._object_news.get_newest_of_region()
         crashes = self._get_crashes()
         asked = self._allotment_news.get_asked()
-        digest = make_digest(self._identity.region, peers, crashes, met, asked)
+        limited = self._limit_news.get_limited()
+        digest = make_digest(self._identity.region, peers, crashes, met, asked, limited)
         self._send(self._neighbours.pick_far_targets(), (digest,))
 
+    def _tell_far_limit(self, region):
+        hosts = self._neighbours.get_far_carriers({region})
+        self._send(hosts, (), limits=self._limit_news.get_newest())
+
     def _get_own(self):
         """Return this VM as a ``Peer``, ``None`` if it takes no callers."""
         if not self.is_ready() or self.leaving:
@@ -364,6 +384,7 @@
             turn += 1
             share = self._neighbours.find_share(self._is_active)
             self._allotment_news.update(share, self._is_active)
+            self._limit_news.update(share, self._is_active)
             if turn % round(1 / LOOK_PAUSE_S) == 0:
                 self._arrivals.update()
                 self._fleet.own_rate_per_s = self._arrivals.get_total()
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -30,6 +30,7 @@
 from godwitlanding.gateway.directory import Directory
 from godwitlanding.gateway.feed import Feed
 from godwitlanding.gateway.front import Front
+from godwitlanding.gateway.limitnews import LimitNews
 from godwitlanding.gateway.mirror import Mirror
 from godwitlanding.gateway.pages import Page, PageServer
 from godwitlanding.gateway.peers import Peers
@@ -90,6 +91,9 @@
             bounds.allotment,
             loop.time(),
         )
+        self.limits = LimitNews(
+            self.registry, settings.region, settings.region_by_zone.values(), counters
+        )
         self.peers = Peers(
             settings,
             self.fleet,
@@ -97,6 +101,7 @@
             self._take_crash,
             self.object_map,
             AllotmentNews(self.allotments),
+            self.limits,
         )
         self.peers.is_ready = self.is_ready
         self.directory = Directory(
@@ -104,7 +109,12 @@
         )
         self.presence = Presence(self.store, VM_KIND, settings)
         self.chooser = Chooser(
-            settings, self.occupancy, self.worktimes, self.fleet, self.object_map
+            settings,
+            self.occupancy,
+            self.worktimes,
+            self.fleet,
+            self.object_map,
+            self.limits,
         )
         pool = UpstreamPool(HEADER_NAMES.request_id, counters)
         self.courier = Courier(
@@ -113,6 +123,7 @@
             pool,
             self.occupancy,
             self.worktimes,
+            self.limits,
             counters,
             self.poison,
         )
@@ -208,6 +219,7 @@
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
         )
         self.allotments.set_bounds(settings.region_by_zone.values(), bounds.allotment)
+        self.limits.set_regions(settings.region_by_zone.values())
         self.registry.set_regions(settings.region_by_zone)
         self.front.stop_s = bounds.stop_s
 
--- a/godwitlanding/tests/gateway/test_bulletin.py
+++ b/godwitlanding/tests/gateway/test_bulletin.py
@@ -4,6 +4,7 @@
 
 from godwitlanding.decisions.digest import Crash, Digest
 from godwitlanding.decisions.fleet import Capacity
+from godwitlanding.decisions.ratelimit import LimitedUpstream, LimitRow
 from godwitlanding.gateway.bulletin import (
     Bulletin,
     decode_bulletin,
@@ -31,11 +32,17 @@
             crashes=(Crash(9, "v"),),
             source="10.0.0.2",
             changed_at=(1, 2**40),
+            limited=(LimitedUpstream(2**32 - 1, 2.5),),
         ),
     ),
     reads=True,
     failed=True,
     changed_at=(0, 2**63),
+    limits=(
+        LimitRow(2**32 - 1, 0.0, 0.25, 2**32 - 1),
+        LimitRow(1, None, 0.0, 0),
+        LimitRow(2, None, None, 7),
+    ),
 )
 
 
--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from godwitlanding.base.metrics import Counters
 from godwitlanding.decisions.objectmap import (
     Meeting,
     ObjectMap,
@@ -24,6 +25,7 @@
 from godwitlanding.decisions.worktime import Warmth, WorkTimes
 from godwitlanding.gateway.attempt import Work
 from godwitlanding.gateway.chooser import OVERFLOW_SHARE, Chooser, Rejection
+from godwitlanding.gateway.limitnews import LimitNews
 from godwitlanding.gateway.registry import Registry, Upstream
 from godwitlanding.tests.support_fleet import CAPACITY, make_bulletin, make_fleet
 
@@ -83,8 +85,14 @@
             caller_address=("127.0.0.1", 1),
             capacity=CAPACITY,
         )
+        self.limits = LimitNews(self.registry, "a", REGION_BY_ZONE.values(), Counters())
         self.chooser = Chooser(
-            identity, self.occupancy, self.worktimes, fleet, self.object_map
+            identity,
+            self.occupancy,
+            self.worktimes,
+            fleet,
+            self.object_map,
+            self.limits,
         )
         self._rates = rates or {}
         for name, zone, cold_s in upstreams:
@@ -415,3 +423,48 @@
             setting.chooser.learning.note_answer(work, choice, 0.4)
         assert setting.worktimes.get_factor("u0") < 2.0
         assert setting.chooser.learning.get_remembered("s") < 12
+
+
+async def count_sent(setting, upstream, seconds, keys):
+    """Ask twenty times a second; return how often an upstream was chosen."""
+    sent = 0
+    for number in range(round(20 * seconds)):
+        choice = setting.choose(make_work(key=keys[number % len(keys)]))
+        sent += not isinstance(choice, Rejection) and choice.upstream.id == upstream
+        await asyncio.sleep(0.05)
+    return sent
+
+
+async def test_upstream_in_need_gets_its_rate_and_others_learn_what_it_knew():
+    # Guards against callers who are refused since their upstream is limited.
+    async with Setting(WARM) as setting:
+        keys = [f"k{number}" for number in range(8)]
+        for key in keys:
+            setting.choose(make_work(key=key))
+        known = setting.choose(make_work(key=keys[0])).upstream
+        setting.limits.note_answer(known, 2.0)
+        refused = 0
+        for _ in range(80):
+            refused += isinstance(setting.choose(make_work(key=keys[0])), Rejection)
+            await asyncio.sleep(0.05)
+        assert refused == 0
+        assert 6 <= await count_sent(setting, known.id, 4.0, keys) <= 10
+
+
+async def test_upstream_in_need_gets_nothing_that_it_does_not_know():
+    async with Setting(WARM) as setting:
+        limited = setting.registry.upstream_by_id["u0"]
+        setting.limits.note_answer(limited, 5.0)
+        keys = [f"k{number}" for number in range(40)]
+        assert await count_sent(setting, "u0", 2.0, keys) == 0
+
+
+async def test_where_all_are_in_need_each_gets_its_rate():
+    async with Setting(WARM) as setting:
+        for upstream in list(setting.registry.upstream_by_id.values()):
+            setting.limits.note_answer(upstream, 1.0)
+        sent = 0
+        for _ in range(100):
+            sent += not isinstance(setting.choose(make_work(key="")), Rejection)
+            await asyncio.sleep(0.05)
+        assert 16 <= sent <= 24
--- a/godwitlanding/tests/gateway/test_courier.py
+++ b/godwitlanding/tests/gateway/test_courier.py
@@ -7,10 +7,12 @@
 
 from godwitlanding.base.metrics import Counters
 from godwitlanding.decisions.occupancy import Occupancy
+from godwitlanding.decisions.poison import PoisonLedger
 from godwitlanding.decisions.worktime import WorkTimes
 from godwitlanding.gateway.attempt import Outcome
 from godwitlanding.gateway.courier import MOVED_EJECT_S, Courier
-from godwitlanding.gateway.registry import Upstream
+from godwitlanding.gateway.limitnews import LimitNews
+from godwitlanding.gateway.registry import Registry, Upstream
 from godwitlanding.gateway.upstream import Answer
 from godwitlanding.platform.headers import HEADER_NAMES, read_self_report
 from godwitlanding.tests.gateway.test_chooser import make_work
@@ -23,12 +25,13 @@
 class Connection:
     """Answers each request with one status."""
 
-    def __init__(self, status):
+    def __init__(self, status, headers):
         self._status = status
+        self._headers = headers
 
     def send(self, data, request_id, without_body, sink):
         answered = asyncio.get_running_loop().create_future()
-        answered.set_result(Answer(self._status, [], b"", False))
+        answered.set_result(Answer(self._status, self._headers, b"", False))
         return answered
 
     def abort(self):
@@ -38,31 +41,36 @@
 class Setting:
     """A courier whose connections answer with ``status``."""
 
-    def __init__(self, status):
+    def __init__(self, status, headers=()):
+        self.status = status
+        self.headers = list(headers)
         self.forgotten = []
         self.worktimes = WorkTimes()
-        self.chooser = SimpleNamespace(ejected=set())
+        learning = SimpleNamespace(note_answer=lambda *answer: None)
+        self.chooser = SimpleNamespace(ejected=set(), learning=learning)
+        self.registry = Registry({"a1": "a"})
+        self.registry.put_upstream(UPSTREAM)
+        self.limits = LimitNews(self.registry, "a", ("a",), Counters())
         self.pool = SimpleNamespace(
-            take=lambda upstream, idempotent: Connection(status),
+            take=lambda upstream, idempotent: Connection(self.status, self.headers),
             give_back=lambda upstream, connection: None,
             forget=self.forgotten.append,
             trim=lambda: None,
             close=lambda: None,
         )
-        self.counters = Counters()
         self.courier = Courier(
             HEADER_NAMES,
             read_self_report,
             self.pool,
             Occupancy(),
             self.worktimes,
-            self.counters,
-            None,
+            self.limits,
+            Counters(),
+            PoisonLedger(),
         )
 
     async def __aenter__(self):
-        registry = SimpleNamespace(on_upstream_gone=[])
-        services = {"chooser": self.chooser, "registry": registry, "peers": None}
+        services = {"chooser": self.chooser, "registry": self.registry}
         await self.courier.start(SimpleNamespace(get=services.get))
         return self
 
@@ -94,3 +102,44 @@
         await setting.send()
         assert setting.chooser.ejected == set()
         assert setting.worktimes.get_failure_share("u0") > 0
+
+
+SIGNED = (HEADER_NAMES.signature, b"proof")
+LIMIT = (b"server-limit", b"2.5")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [(200, [SIGNED]), (500, [SIGNED]), (503, [(HEADER_NAMES.not_executed, b"1")])],
+)
+async def test_limit_is_taken_from_every_answer(status, headers):
+    # Guards against a limit that is told with a refusal only and not heard.
+    async with Setting(status, [*headers, LIMIT]) as setting:
+        await setting.send()
+        assert setting.limits.is_limited("u0")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "stands"),
+    [
+        (200, [SIGNED], False),
+        (500, [SIGNED], False),
+        (503, [(HEADER_NAMES.not_executed, b"1")], True),
+        (503, [], True),
+    ],
+)
+async def test_limit_stands_until_an_answer_names_none(status, headers, stands):
+    async with Setting(200, [SIGNED, LIMIT]) as setting:
+        await setting.send()
+        setting.status = status
+        setting.headers = headers
+        await asyncio.sleep(0.1)
+        await setting.send()
+        assert setting.limits.is_limited("u0") is stands
+
+
+async def test_another_upstream_at_the_address_limits_nobody():
+    # Guards against the word of one upstream being taken for another's.
+    async with Setting(421, [LIMIT]) as setting:
+        await setting.send()
+        assert not setting.limits.is_limited("u0")
