Regions' shares: an upstream that has named a limit carries no more than that

What callers would see: where the upstreams of a region are in need, its share went on as if all their slots were there.

--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -120,6 +120,7 @@
             peers,
             self._worktimes,
             self._homes,
+            self._limits,
             self.ejected,
         )
         self._tasks = [
--- a/godwitlanding/gateway/limitnews.py
+++ b/godwitlanding/gateway/limitnews.py
@@ -49,10 +49,13 @@
         if region != self._region:
             self.on_far_limit(region)
 
+    def get(self, upstream_id):
+        """Return the limit that an upstream has named, or ``None``."""
+        return self._limits.get(self._registry.number_by_id.get(upstream_id))
+
     def is_limited(self, upstream_id):
         """Tell whether an upstream has named a limit."""
-        number = self._registry.number_by_id.get(upstream_id)
-        return self._limits.get(number) is not None
+        return self.get(upstream_id) is not None
 
     def may_send(self, upstream_id, now):
         """Tell whether a request may be sent to an upstream at once."""
--- a/godwitlanding/gateway/regionplan.py
+++ b/godwitlanding/gateway/regionplan.py
@@ -33,12 +33,13 @@
     ``ejected`` is the set of upstreams that cannot be reached.
     """
 
-    def __init__(self, identity, registry, peers, worktimes, homes, ejected):
+    def __init__(self, identity, registry, peers, worktimes, homes, limits, ejected):
         self._region = identity.region
         self._registry = registry
         self._peers = peers
         self._worktimes = worktimes
         self._homes = homes
+        self._limits = limits
         self._ejected = ejected
         self._told_by_service = {}
         self._slots_by_service = {}
@@ -96,7 +97,9 @@
                 for upstream in self._registry.get_usable(service, region)
                 if upstream.id not in self._ejected
             ]
-            slots_by_region[region] = sum(map(self._count_slots, upstreams))
+            slots_by_region[region] = sum(
+                self._count_slots(upstream, work_s) for upstream in upstreams
+            )
             known_by_region[region] = get_known_share(
                 len(upstreams), objects, KEPT_OBJECTS
             )
@@ -123,9 +126,11 @@
             ahead_by_region[region] = forecast.get()
         return ahead_by_region
 
-    def _count_slots(self, upstream):
+    def _count_slots(self, upstream, work_s):
         # One that is four times as slow carries a quarter.
-        return upstream.slots / max(1.0, self._worktimes.get_factor(upstream.id))
+        slots = upstream.slots / max(1.0, self._worktimes.get_factor(upstream.id))
+        limit_per_s = self._limits.get(upstream.id)
+        return slots if limit_per_s is None else min(slots, limit_per_s * work_s)
 
     def _move(self, service, wanted, load_by_region):
         jump = self._has_jumped(service, load_by_region)
--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -102,6 +102,7 @@
 
     async def __aenter__(self):
         peers = SimpleNamespace(
+            count_vms=lambda: 1,
             get_rates=lambda service: dict(self._rates),
             note_meeting=lambda meeting: self.object_map.note(
                 meeting, asyncio.get_running_loop().time()
@@ -468,3 +469,26 @@
             sent += not isinstance(setting.choose(make_work(key="")), Rejection)
             await asyncio.sleep(0.05)
         assert 16 <= sent <= 24
+
+
+async def test_region_in_need_sends_its_callers_elsewhere():
+    # Guards against a region that is planned for all its slots while its
+    # upstreams are limited: half of its callers were refused.
+    near = [(f"u{number}", "a1", 0.0) for number in range(4)]
+    far = [(f"f{number}", "b1", 0.0) for number in range(4)]
+    rates = {"a": 20.0, "b": 0.0}
+    async with Setting([*near, *far], rates=rates) as setting:
+        loop = asyncio.get_running_loop()
+        for upstream_id, _, _ in near:
+            upstream = setting.registry.upstream_by_id[upstream_id]
+            setting.limits.note_answer(upstream, 1.0)
+        refused = []
+        for number in range(600):
+            choice = setting.choose(make_work(key=""))
+            if isinstance(choice, Rejection):
+                refused.append(number)
+            else:
+                setting.occupancy.begin(choice.upstream.id)
+                loop.call_later(0.15, setting.occupancy.end, choice.upstream.id)
+            await asyncio.sleep(0.05)
+        assert sum(number >= 400 for number in refused) <= 20
