Log that an upstream says in an answer that it leaves

No line told whether a VM had seen the word, so a word that is not read and one that is undone again looked alike. registry:leaving is logged once for each start of an upstream, with what its entry said. No choice hangs on it yet.

--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -148,6 +148,8 @@
             self._occupancy.note_report(upstream.id, report.in_progress, now)
         if report.cold_s is not None:
             self._registry.note_cold(upstream.id, report.cold_s, now)
+        if report.leaving:
+            self._registry.note_leaving(upstream.id)
         if report.limit_per_s is not None or outcome in _RAN:
             self._limits.note_answer(upstream, report.limit_per_s)
 
--- a/godwitlanding/gateway/dialect.py
+++ b/godwitlanding/gateway/dialect.py
@@ -39,3 +39,5 @@
     cold_s: float | None = None
     # Requests a second that it takes from all VMs together.
     limit_per_s: float | None = None
+    # Whether it is about to end and wants no new work.
+    leaving: bool = False
--- a/godwitlanding/gateway/registry.py
+++ b/godwitlanding/gateway/registry.py
@@ -56,6 +56,8 @@
         self._is_stale = False
         self._cold_until_by_upstream = {}
         self._unsure_until_by_upstream = {}
+        # Those that said in an answer that they leave, by incarnation.
+        self._left = set()
         # Numbers stand for the present starts of upstreams among VMs.
         self.number_by_id = {}
         self.id_by_number = {}
@@ -117,6 +119,18 @@
             held = self._cold_until_by_upstream.get(upstream_id, 0.0)
             self._cold_until_by_upstream[upstream_id] = max(held, now + cold_s)
 
+    def note_leaving(self, upstream_id):
+        """An upstream has said in an answer that it leaves."""
+        upstream = self.upstream_by_id.get(upstream_id)
+        if upstream is None or upstream.incarnation in self._left:
+            return
+        self._left.add(upstream.incarnation)
+        log_message(
+            "registry:leaving",
+            upstream=upstream_id,
+            entry_leaving=upstream.leaving,
+        )
+
     def set_config(self, config):
         """Take a configuration unless it is older than the one in force."""
         held = self.config
--- a/godwitlanding/platform/headers.py
+++ b/godwitlanding/platform/headers.py
@@ -21,6 +21,7 @@
 _LOAD = b"godwitlanding-load-report"
 _COLD_MS = b"godwitlanding-cold-ms"
 _LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
 
 
 def read_self_report(headers):
@@ -72,8 +73,15 @@
     return rate
 
 
+def _read_flag(value):
+    if value not in (b"0", b"1"):
+        raise ValueError(f"{value!r} is neither 0 nor 1")
+    return value == b"1"
+
+
 _FIELD_BY_HEADER = {
     _LOAD: ("in_progress", _read_in_progress),
     _COLD_MS: ("cold_s", _read_cold_s),
     _LIMIT: ("limit_per_s", _read_rate),
+    _LEAVING: ("leaving", _read_flag),
 }
--- a/godwitlanding/tests/gateway/test_headers.py
+++ b/godwitlanding/tests/gateway/test_headers.py
@@ -24,6 +24,9 @@
         (b"server-limit", b"inf", SelfReport()),
         (b"server-limit", b"", SelfReport()),
         (b"server-limit", b"2.7 a second", SelfReport()),
+        (b"server-leaving", b"1", SelfReport(leaving=True)),
+        (b"server-leaving", b"0", SelfReport()),
+        (b"server-leaving", b"yes", SelfReport()),
     ],
 )
 def test_headers_say_what_an_upstream_says_of_itself(name, value, report):
