Two tests of DRAIN that fail: what an upstream says of its leaving is not heard

With the store away an upstream whose answers say that it leaves gets 21 requests in 1.5 s, later than 2.5 s after the first such answer; none is allowed. The VMs send on evenly, without the pause that a word taken and undone would leave.

--- a/godwitlanding/tests/gateway/test_upstream_words.py
+++ b/godwitlanding/tests/gateway/test_upstream_words.py
@@ -13,6 +13,8 @@
 # What users tolerate in a window.
 MOST_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5
 CALLS_PER_S = 8
+# Within this time a VM stops sending to an upstream that leaves.
+DRAIN_S = 2.5
 OBJECTS = 20
 
 
@@ -52,3 +54,28 @@
     arrived = [at for at in limited.arrived_at if at >= settled_at]
     assert count_in_worst_window(arrived, WINDOW_S) <= MOST_IN_WINDOW
     assert set(statuses) == {200}
+
+
+async def test_leaving_upstream_gets_no_new_work_while_the_store_is_away(world):
+    # Guards against a VM that believes the store's entry against the answers.
+    world.store.crash()
+    leaving = world.get_worker("look-1")
+    leaving.leaving = True
+    statuses = await call_for(world, DRAIN_S)
+    assert leaving.arrived_at
+    before = len(leaving.arrived_at)
+    statuses += await call_for(world, 1.5)
+    assert len(leaving.arrived_at) == before
+    assert set(statuses) == {200}
+
+
+async def test_store_that_comes_back_does_not_undo_that_an_upstream_leaves(world):
+    # Guards against an older entry that is read after the upstream's answer.
+    leaving = world.get_worker("look-1")
+    leaving.leaving = True
+    await call_for(world, 1.0)
+    before = len(leaving.arrived_at)
+    await world.register(leaving)
+    await asyncio.sleep(0.5)
+    await call_for(world, 1.0)
+    assert len(leaving.arrived_at) == before
--- a/godwitlanding/tests/standins/standin_worker.py
+++ b/godwitlanding/tests/standins/standin_worker.py
@@ -37,6 +37,10 @@
         self.fault = ""
         # Requests a second that it says it takes, as its answers spell it.
         self.limit = ""
+        # Whether its answers say that it leaves.
+        self.leaving = False
+        # Seconds that it wants nothing after it has turned a request away.
+        self.retry_after = ""
         # When each request reached it, on the loop's clock.
         self.arrived_at = []
         self.ran = []
@@ -110,6 +114,8 @@
         self.arrived_at.append(asyncio.get_running_loop().time())
         if self.fault == "shed" or self._inside >= _SLOTS + _QUEUE:
             extra = b"Godwitlanding-Not-Executed: 1\r\n"
+            if self.retry_after:
+                extra += b"Retry-After: %b\r\n" % self.retry_after.encode()
             self._write(writer, b"503 Service Unavailable", request_id, b"", extra)
             return
         self._inside += 1
@@ -162,6 +168,8 @@
     def _write(self, writer, status, request_id, body, extra=b""):
         if self.limit:
             extra += b"Server-Limit: %b\r\n" % self.limit.encode()
+        if self.leaving:
+            extra += b"Server-Leaving: 1\r\n"
         writer.write(
             b"HTTP/1.1 %b\r\nGodwitlanding-Request-Id: %b\r\n"
             b"Godwitlanding-Load-Report: %d,0,3\r\n%bContent-Length: %d\r\n\r\n%b"
