Believe an upstream that says in its answers that it leaves, whatever its entry says

What callers saw: nothing yet; a request that reaches an upstream as it ends is lost.

Cause: only the entry in the store told that an upstream leaves. Its answers said so too, in a header that nobody read, while the store could not be written.

Now the word counts for that start of the upstream, whatever entries are read later; VMs tell each other until the store says so itself. Why it works: the word is the upstream's own and is never taken back, only its next start is another upstream.

--- a/godwitlanding/decisions/digest.py
+++ b/godwitlanding/decisions/digest.py
@@ -61,6 +61,8 @@
     asked: tuple[Asked, ...] = ()
     # Its upstreams that have named a limit.
     limited: tuple[LimitedUpstream, ...] = ()
+    # Numbers of upstreams that leave, though the store does not say so.
+    leaving_upstreams: tuple[int, ...] = ()
 
 
 def pick_representatives(peers):
@@ -74,7 +76,7 @@
     return rank("representative", names)[:REPRESENTATIVES]
 
 
-def make_digest(region, peers, crashes, met=(), asked=(), limited=()):
+def make_digest(region, peers, crashes, met=(), asked=()):
     """Return the digest of a region, given its VMs, one at the least."""
     usable = [peer for peer in peers if peer.ready and not peer.leaving]
     rate_by_service = {}
@@ -94,7 +96,6 @@
         changed_at=source.changed_at,
         met=tuple(met),
         asked=tuple(asked),
-        limited=tuple(limited),
     )
 
 
--- a/godwitlanding/gateway/bulletin.py
+++ b/godwitlanding/gateway/bulletin.py
@@ -18,6 +18,7 @@
 _PAIR = struct.Struct("<II")
 _TALLY = struct.Struct("<III")
 _AMOUNT = struct.Struct("<If")
+_NUMBER = struct.Struct("<I")
 _LIMIT = struct.Struct("<IfHI")
 _NO_LIMIT = -1.0
 _NO_AGE = 0xFFFF
@@ -60,6 +61,8 @@
     heard: int = 1
     # Upstreams that have named a limit, and what the VM has sent there.
     limits: tuple[LimitRow, ...] = ()
+    # Numbers of upstreams that leave, though the store does not say so.
+    leaving_upstreams: tuple[int, ...] = ()
 
     @property
     def carries(self):
@@ -92,10 +95,19 @@
         levels=_pack_amounts(bulletin.levels),
         heard=bulletin.heard,
         limits=b"".join(map(_pack_limit, bulletin.limits)),
+        leavingUpstreams=_pack_numbers(bulletin.leaving_upstreams),
     )
     return message.to_bytes_packed()
 
 
+def _pack_numbers(numbers):
+    return b"".join(map(_NUMBER.pack, numbers))
+
+
+def _read_numbers(data):
+    return tuple(number for number, in _NUMBER.iter_unpack(data))
+
+
 def _pack_limit(row):
     per_s = _NO_LIMIT if row.per_s is None else row.per_s
     age_ms = _NO_AGE
@@ -139,6 +151,7 @@
         "met": _pack(digest.met),
         "asked": _pack_amounts(digest.asked),
         "limited": _pack_amounts(digest.limited),
+        "leavingUpstreams": _pack_numbers(digest.leaving_upstreams),
     }
 
 
@@ -170,6 +183,7 @@
             limits=tuple(
                 _read_limit(*row) for row in _LIMIT.iter_unpack(message.limits)
             ),
+            leaving_upstreams=_read_numbers(message.leavingUpstreams),
         )
     except (capnp.KjException, UnicodeDecodeError, struct.error) as error:
         raise ValueError(f"not a bulletin: {error}") from None
@@ -195,6 +209,7 @@
         met=_read_met(row.met),
         asked=_read_amounts(Asked, row.asked),
         limited=_read_amounts(LimitedUpstream, row.limited),
+        leaving_upstreams=_read_numbers(row.leavingUpstreams),
     )
 
 
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -48,6 +48,9 @@
   # bits of how many milliseconds ago (all set: it said nothing), and 32 bits
   # of how many requests the VM has sent there.
   limits @21 :Data;
+  # Numbers, as above, of upstreams that have said that they leave, though
+  # their entries in the store do not say so.
+  leavingUpstreams @22 :Data;
 }
 
 # Requests for a service that callers sent to this VM, each second.
@@ -83,4 +86,6 @@
   # Pairs of an upstream's number and a 32-bit little-endian float: the limit
   # that it has named.
   limited @9 :Data;
+  # As in the bulletin.
+  leavingUpstreams @10 :Data;
 }
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -190,6 +190,7 @@
             self._neighbours.hear(bulletin)
             self._allotment_news.hear(bulletin)
         self._limit_news.hear(bulletin)
+        self._take_leaving(bulletin.leaving_upstreams, bulletin.vm)
         self._take_digests(bulletin, host, is_near, now)
         for crash in bulletin.crashes:
             self._on_crash(crash)
@@ -220,6 +221,7 @@
             self.digests.hear(digest, is_direct, now)
             self._allotment_news.hear_digest(digest)
             self._limit_news.hear_digest(digest)
+            self._take_leaving(digest.leaving_upstreams, bulletin.vm)
             for crash in digest.crashes:
                 self._on_crash(crash)
             for meeting in digest.met:
@@ -227,6 +229,11 @@
         if bulletin.digests and not is_near:
             self._neighbours.note_teller(bulletin.region, host)
 
+    def _take_leaving(self, numbers, told_by):
+        for number in numbers:
+            upstream_id = self._registry.id_by_number.get(number)
+            self._registry.note_leaving(upstream_id, told_by)
+
     async def _tell_counts_often(self):
         turn = 0
         while True:
@@ -321,8 +328,11 @@
         met = self._object_news.get_newest_of_region()
         crashes = self._get_crashes()
         asked = self._allotment_news.get_asked()
-        limited = self._limit_news.get_limited()
-        digest = make_digest(self._identity.region, peers, crashes, met, asked, limited)
+        digest = make_digest(self._identity.region, peers, crashes, met, asked)
+        digest = digest._replace(
+            limited=self._limit_news.get_limited(),
+            leaving_upstreams=self._registry.get_leaving_numbers(),
+        )
         self._send(self._neighbours.pick_far_targets(), (digest,))
 
     def _tell_far_limit(self, region):
@@ -373,6 +383,7 @@
             digests=digests,
             met=met,
             heard=self._neighbours.count_heard(),
+            leaving_upstreams=self._registry.get_leaving_numbers(),
             **self.get_store_state()._asdict(),
         )
 
--- a/godwitlanding/gateway/registry.py
+++ b/godwitlanding/gateway/registry.py
@@ -1,6 +1,7 @@
 """What this VM knows of the configuration, the upstreams and evacuations."""
 
 import asyncio
+from collections import OrderedDict
 from typing import NamedTuple
 
 from eliot import log_message
@@ -10,6 +11,11 @@
 
 # Upstreams renew their entries every 1.5 s; a change needs 0.25 s to get here.
 ENTRY_WITHIN_S = 2.0
+# Starts of upstreams that have said that they leave. Each is gone within a
+# minute, however long the store keeps its entry.
+MAX_LEFT = 4096
+# What a datagram has room for beside the rest.
+MAX_TOLD = 64
 
 
 class Upstream(NamedTuple):
@@ -56,8 +62,10 @@
         self._is_stale = False
         self._cold_until_by_upstream = {}
         self._unsure_until_by_upstream = {}
-        # Those that said in an answer that they leave, by incarnation.
-        self._left = set()
+        # Those that said in an answer that they leave, by incarnation, and of
+        # them those whose entry says otherwise, by number.
+        self._left = OrderedDict()
+        self._id_by_untold_number = {}
         # Numbers stand for the present starts of upstreams among VMs.
         self.number_by_id = {}
         self.id_by_number = {}
@@ -119,17 +127,25 @@
             held = self._cold_until_by_upstream.get(upstream_id, 0.0)
             self._cold_until_by_upstream[upstream_id] = max(held, now + cold_s)
 
-    def note_leaving(self, upstream_id):
-        """An upstream has said in an answer that it leaves."""
+    def note_leaving(self, upstream_id, told_by=""):
+        """An upstream says that it leaves, to this VM or to ``told_by``.
+
+        Its entry may say for long that it is ready, where the store is away
+        or the upstream does not reach it; so the entries of this start of it
+        are not believed any more.
+        """
         upstream = self.upstream_by_id.get(upstream_id)
-        if upstream is None or upstream.incarnation in self._left:
+        if upstream is None or upstream.leaving:
             return
-        self._left.add(upstream.incarnation)
-        log_message(
-            "registry:leaving",
-            upstream=upstream_id,
-            entry_leaving=upstream.leaving,
-        )
+        log_message("registry:leaving", upstream=upstream_id, told_by=told_by)
+        self._left[upstream.incarnation] = None
+        if len(self._left) > MAX_LEFT:
+            self._left.popitem(last=False)
+        self.put_upstream(upstream)
+
+    def get_leaving_numbers(self):
+        """Return those that leave though the store does not say so."""
+        return tuple(self._id_by_untold_number)[-MAX_TOLD:]
 
     def set_config(self, config):
         """Take a configuration unless it is older than the one in force."""
@@ -172,8 +188,9 @@
         reborn = held is not None and upstream.born_ms > held.born_ms > 0
         if reborn:
             self._forget_start(upstream, held)
-        self.upstream_by_id[upstream.id] = upstream
         self._give_number(upstream)
+        upstream = self._mark_leaving(upstream)
+        self.upstream_by_id[upstream.id] = upstream
         self._unsure_until_by_upstream.pop(upstream.id, None)
         self.note_cold(upstream.id, upstream.cold_s, _now())
         if held and held._replace(cold_s=upstream.cold_s) == upstream:
@@ -191,6 +208,14 @@
         if upstream.leaving:
             self._tell_gone(upstream.id)
 
+    def _mark_leaving(self, upstream):
+        number = self.number_by_id[upstream.id]
+        if upstream.leaving or upstream.incarnation not in self._left:
+            self._id_by_untold_number.pop(number, None)
+            return upstream
+        self._id_by_untold_number[number] = upstream.id
+        return upstream._replace(leaving=True)
+
     def _forget_start(self, upstream, held):
         log_message(
             "registry:upstream_reborn",
@@ -210,13 +235,16 @@
         self._unsure_until_by_upstream.pop(upstream_id, None)
         self._is_stale = True
         self._tell_gone(upstream_id)
-        self.id_by_number.pop(self.number_by_id.pop(upstream_id), None)
+        number = self.number_by_id.pop(upstream_id)
+        self.id_by_number.pop(number, None)
+        self._id_by_untold_number.pop(number, None)
 
     def _give_number(self, upstream):
         number = get_upstream_number(upstream.incarnation)
         former = self.number_by_id.get(upstream.id)
         if former != number:
             self.id_by_number.pop(former, None)
+            self._id_by_untold_number.pop(former, None)
             self.number_by_id[upstream.id] = number
             self.id_by_number[number] = upstream.id
 
--- a/godwitlanding/tests/gateway/test_bulletin.py
+++ b/godwitlanding/tests/gateway/test_bulletin.py
@@ -33,6 +33,7 @@
             source="10.0.0.2",
             changed_at=(1, 2**40),
             limited=(LimitedUpstream(2**32 - 1, 2.5),),
+            leaving_upstreams=(5,),
         ),
     ),
     reads=True,
@@ -43,6 +44,7 @@
         LimitRow(1, None, 0.0, 0),
         LimitRow(2, None, None, 7),
     ),
+    leaving_upstreams=(2**32 - 1, 0),
 )
 
 
--- a/godwitlanding/tests/gateway/test_peers.py
+++ b/godwitlanding/tests/gateway/test_peers.py
@@ -423,7 +423,8 @@
         upstream = Upstream("far", "s", ("127.0.0.1", 1), "b1", 3, False, 0.0)
         setting.registry.put_upstream(upstream)
         limited = (LimitedUpstream(setting.registry.number_by_id["far"], 2.5),)
-        digest = make_digest("b", [make_peer("q", region="b")], (), limited=limited)
+        digest = make_digest("b", [make_peer("q", region="b")], ())
+        digest = digest._replace(limited=limited)
         setting.hear("vm-2", "10.0.0.2", digests=(digest,))
         await asyncio.sleep(1.0)
         now = asyncio.get_running_loop().time()
@@ -444,3 +445,35 @@
         ((host, told),) = setting.wire.sent
         assert host == "10.9.9.9"
         assert told.limits[0].per_s == 2.5
+
+
+async def test_upstream_that_leaves_is_told_until_the_store_says_so(monkeypatch):
+    # Guards against VMs that must be told by the upstream itself.
+    async with Setting(monkeypatch) as setting:
+        upstream = Upstream("u", "s", ("127.0.0.1", 1), "a1", 3, False, 0.0)
+        setting.registry.put_upstream(upstream)
+        setting.registry.note_leaving("u")
+        number = setting.registry.number_by_id["u"]
+        setting.peers.note_vm("vm-2", "10.0.0.2", "a1")
+        setting.wire.sent.clear()
+        await asyncio.sleep(1.0)
+        assert {told.leaving_upstreams for _, told in setting.wire.sent} == {(number,)}
+        setting.registry.put_upstream(upstream._replace(leaving=True))
+        setting.wire.sent.clear()
+        await asyncio.sleep(1.0)
+        assert {told.leaving_upstreams for _, told in setting.wire.sent} == {()}
+
+
+@pytest.mark.parametrize("far", [False, True])
+async def test_upstream_that_leaves_by_a_peers_word_gets_nothing_new(monkeypatch, far):
+    async with Setting(monkeypatch) as setting:
+        upstream = Upstream("u", "s", ("127.0.0.1", 1), "a1", 3, False, 0.0)
+        setting.registry.put_upstream(upstream)
+        numbers = (setting.registry.number_by_id["u"], 7)
+        digest = make_digest("b", [make_peer("q", region="b")], ())
+        if far:
+            digests = (digest._replace(leaving_upstreams=numbers),)
+            setting.hear("vm-2", "10.0.0.2", digests=digests)
+        else:
+            setting.hear("vm-2", "10.0.0.2", leaving_upstreams=numbers)
+        assert setting.registry.get_usable_ids("s", "a") == ()
--- a/godwitlanding/tests/gateway/test_registry.py
+++ b/godwitlanding/tests/gateway/test_registry.py
@@ -1,4 +1,4 @@
-"""Upstreams that start again under the id that they had."""
+"""Upstreams that start again, or say themselves that they leave."""
 
 import asyncio
 
@@ -72,3 +72,49 @@
     # would be one crash, and the request would go on to the next upstream.
     first, second = make_upstream(100), make_upstream(200)
     assert first.incarnation != second.incarnation
+
+
+@pytest.mark.parametrize(
+    "entries",
+    [
+        pytest.param([], id="entry stays as it was"),
+        pytest.param([make_upstream(100)], id="older entry is read again"),
+        pytest.param([None, make_upstream(100)], id="entry lapses and comes back"),
+        pytest.param([make_upstream(50)], id="entry of an earlier start"),
+    ],
+)
+async def test_upstream_that_says_it_leaves_gets_nothing_whatever_entries_say(entries):
+    # Guards against entries that are older than the upstream's own answer.
+    registry, gone = make_registry(make_upstream(100))
+    registry.note_leaving("u")
+    assert gone == ["u"]
+    for entry in entries:
+        if entry:
+            registry.put_upstream(entry)
+        else:
+            registry.remove_upstream("u")
+    assert registry.get_usable_ids("s", "a") == ()
+    # Its next start is another upstream.
+    registry.put_upstream(make_upstream(200))
+    assert registry.get_usable_ids("s", "a") == ("u",)
+    assert registry.get_leaving_numbers() == ()
+
+
+async def test_leaving_is_told_while_entries_say_otherwise():
+    registry, _ = make_registry(make_upstream(100))
+    registry.note_leaving("u")
+    number = registry.number_by_id["u"]
+    assert registry.get_leaving_numbers() == (number,)
+    registry.put_upstream(make_upstream(100, leaving=True))
+    assert registry.get_leaving_numbers() == ()
+    registry.put_upstream(make_upstream(100))
+    assert registry.get_leaving_numbers() == (number,)
+    registry.remove_upstream("u")
+    assert registry.get_leaving_numbers() == ()
+
+
+async def test_unknown_upstream_that_leaves_is_nobody():
+    registry, _ = make_registry()
+    registry.note_leaving("u")
+    registry.note_leaving(None)
+    assert registry.get_leaving_numbers() == ()
