--- a/godwitlanding/tests/gateway/test_upstream_words.py
+++ b/godwitlanding/tests/gateway/test_upstream_words.py
@@ -18,6 +18,11 @@
 OBJECTS = 20
 
 
+# What may still be under way as an upstream asks for a pause, and after that.
+SETTLE_PAUSE_S = 0.5
+MOST_IN_PAUSE = 2
+
+
 @pytest.fixture
 async def world(tmp_path):
     async with World(tmp_path) as world:
@@ -25,15 +30,16 @@
         yield world
 
 
-async def call_for(world, seconds):
-    """Let callers ask every VM; return the statuses of their answers."""
+async def call_for(world, seconds, vms=None):
+    """Let callers ask VMs, or all; return the statuses of their answers."""
+    vms = vms or world.vms
     loop = asyncio.get_running_loop()
     begun = loop.time()
     calls = []
     for number in range(round(seconds * CALLS_PER_S)):
         await asyncio.sleep(max(0.0, begun + number / CALLS_PER_S - loop.time()))
-        for turn, vm in enumerate(world.vms):
-            path = f"/look/{(number * len(world.vms) + turn) % OBJECTS}"
+        for turn, vm in enumerate(vms):
+            path = f"/look/{(number * len(vms) + turn) % OBJECTS}"
             calls.append(asyncio.create_task(world.ask(vm, path)))
     return [answer.status for answer, _ in await asyncio.gather(*calls)]
 
@@ -79,3 +85,31 @@
     await asyncio.sleep(0.5)
     await call_for(world, 1.0)
     assert len(leaving.arrived_at) == before
+
+
+async def test_upstreams_that_want_a_pause_get_it(world):
+    # Guards against a VM that keeps asking upstreams which turned it away.
+    workers = [world.get_worker(worker_id) for worker_id in ("look-1", "look-2")]
+    for worker in workers:
+        worker.fault = "shed"
+        worker.retry_after = "3.0"
+    await call_for(world, 3.0, world.vms[:1])
+    for worker in workers:
+        since = [at - worker.arrived_at[0] for at in worker.arrived_at]
+        paused = [after_s for after_s in since if after_s > SETTLE_PAUSE_S]
+        assert len(paused) <= MOST_IN_PAUSE
+        worker.fault = ""
+    assert set(await call_for(world, 1.5, world.vms[:1])) >= {200}
+    assert workers[0].ran
+
+
+async def test_refused_callers_are_told_when_the_pause_is_over(world):
+    # Guards against callers who come back while nobody may be asked.
+    for worker_id in ("look-1", "look-2"):
+        world.get_worker(worker_id).fault = "shed"
+        world.get_worker(worker_id).retry_after = "2.5"
+    await call_for(world, 0.5, world.vms[:1])
+    patient = {"Godwitlanding-Deadline-Ms": "9000"}
+    answers = [await world.ask(world.vms[0], **patient) for _ in range(10)]
+    assert {answer.status for answer, _ in answers} == {503}
+    assert min(float(answer.headers["Retry-After"]) for answer, _ in answers) >= 1.5
