--- /dev/null
+++ b/godwitlanding/gateway/availability.py
@@ -0,0 +1,71 @@
+"""Whether an upstream may be sent a request now, whatever it would take."""
+
+from godwitlanding.base.rendezvous import choose
+from godwitlanding.decisions.fleet import get_carriers, make_own_peer
+
+
+class Availability:
+    """Upstreams that cannot be reached, are cold, or want less for a while.
+
+    ``ejected`` is the set of those that cannot be reached.
+    """
+
+    def __init__(self, identity, registry, fleet, limits):
+        self._vm = identity.vm
+        self._own_peer = make_own_peer(identity)
+        self._registry = registry
+        self._fleet = fleet
+        self._limits = limits
+        self._cold_next_by_upstream = {}
+        self.ejected = set()
+
+    def may_take(self, upstream_id, now):
+        """Tell whether a request may be sent there at once."""
+        if upstream_id in self.ejected:
+            return False
+        if not self._limits.may_send(upstream_id, now):
+            return False
+        return self._may_take_cold(upstream_id, now)
+
+    def may_learn(self, upstream_id, now):
+        """Tell whether it may be given objects that it does not know yet.
+
+        What one that is limited may still get is for what it knows.
+        """
+        if self._limits.is_limited(upstream_id):
+            return False
+        return self._registry.get_cold_left_s(upstream_id, now) <= 0
+
+    def is_limited(self, upstream_id):
+        """Tell whether it has named a limit on its requests."""
+        return self._limits.is_limited(upstream_id)
+
+    def note_sent(self, upstream_id, now):
+        """An upstream is sent a request; while it is cold it gets a pause."""
+        self._limits.note_sent(upstream_id, now)
+        if self._registry.get_cold_left_s(upstream_id, now) <= 0:
+            return
+        upstream = self._registry.upstream_by_id[upstream_id]
+        service = self._registry.config.service_by_name.get(upstream.service)
+        rate = service.cold_per_s if service else 0.0
+        pause_s = 1.0 / rate if rate > 0 else 1.0
+        self._cold_next_by_upstream[upstream_id] = now + pause_s
+
+    def forget(self, upstream_id):
+        """Drop what is held of an upstream that is gone or new again."""
+        self.ejected.discard(upstream_id)
+        self._cold_next_by_upstream.pop(upstream_id, None)
+
+    def _may_take_cold(self, upstream_id, now):
+        # A cold upstream crashes when it gets much more than its rate from
+        # all VMs together. So one VM alone sends to it, the same in every
+        # VM's eyes while they hear the same peers, and spaces its requests.
+        if self._registry.get_cold_left_s(upstream_id, now) <= 0:
+            return True
+        upstream = self._registry.upstream_by_id[upstream_id]
+        region = self._registry.get_region(upstream.availability_zone)
+        carriers = get_carriers(self._own_peer, self._fleet, region)
+        vms = [peer.vm for peer in carriers]
+        if choose(upstream.id, vms) != self._vm:
+            return False
+        return now >= self._cold_next_by_upstream.get(upstream.id, 0.0)
--- a/godwitlanding/gateway/candidates.py
+++ b/godwitlanding/gateway/candidates.py
@@ -1,7 +1,6 @@
 """Upstreams that may take a request, as they stand now."""
 
-from godwitlanding.base.rendezvous import choose, rank
-from godwitlanding.decisions.fleet import get_carriers, make_own_peer
+from godwitlanding.base.rendezvous import rank
 from godwitlanding.decisions.homes import pick_homes
 from godwitlanding.decisions.objectmap import get_object_number
 from godwitlanding.decisions.placing import Candidate, mix_work_s, place
@@ -22,38 +21,27 @@
 
 
 class Candidates:
-    """Finds upstreams for a request and tells which would finish first.
-
-    ``ejected`` is the set of those that cannot be reached.
-    """
+    """Finds upstreams for a request and tells which would finish first."""
 
     def __init__(
         self,
-        identity,
         registry,
-        fleet,
         occupancy,
         worktimes,
         object_map,
         homes,
         distances,
         learning,
-        limits,
-        ejected,
+        availability,
     ):
-        self._identity = identity
         self._registry = registry
-        self._fleet = fleet
         self._occupancy = occupancy
         self._worktimes = worktimes
         self._object_map = object_map
         self._homes = homes
         self._distances = distances
         self._learning = learning
-        self._limits = limits
-        self._ejected = ejected
-        self._own_peer = make_own_peer(identity)
-        self._cold_next_by_upstream = {}
+        self._availability = availability
 
     def find_known(self, work, regions, tried, now):
         """Return the ids of the upstreams that know the object, by region.
@@ -70,13 +58,13 @@
             if upstream_id is None or upstream_id in tried:
                 continue
             region = self._registry.get_usable_region(upstream_id)
-            if region not in regions or upstream_id in self._ejected:
+            if region not in regions:
                 continue
             if not self._is_sound(work.service, upstream_id):
                 continue
             if self._object_map.get_depth(number, key) >= remembered:
                 continue
-            if self._may_take(upstream_id, now):
+            if self._availability.may_take(upstream_id, now):
                 known_by_region.setdefault(region, []).append(upstream_id)
         return known_by_region
 
@@ -88,13 +76,11 @@
         """
         ids = self._registry.get_usable_ids(work.service, region)
         order = self._homes.get_order((work.service, region), work.key, ids)
-        if not order or order[0] in tried or order[0] in self._ejected:
-            return None
-        if not self._is_left_out(order[0], ids):
+        if not order or order[0] in tried or not self._is_left_out(order[0], ids):
             return None
-        if self._registry.get_cold_left_s(order[0], now) > 0:
+        if not self._availability.may_take(order[0], now):
             return None
-        if self._limits.is_limited(order[0]):
+        if not self._availability.may_learn(order[0], now):
             return None
         return place([self._make_candidate(work, order[0], 0, False, now)])
 
@@ -112,13 +98,12 @@
         ids = self._registry.get_usable_ids(work.service, region)
 
         def is_usable(upstream_id):
-            if upstream_id in tried or upstream_id in self._ejected:
-                return False
-            return self._may_take(upstream_id, now)
+            return upstream_id not in tried and self._availability.may_take(
+                upstream_id, now
+            )
 
         def is_sound(upstream_id):
-            # What one that is limited may still get is for what it knows.
-            if self._limits.is_limited(upstream_id):
+            if self._availability.is_limited(upstream_id):
                 return False
             return self._is_sound(work.service, upstream_id)
 
@@ -138,25 +123,10 @@
     def has_upstream(self, service, region, tried):
         """Tell whether a region has an upstream that can be reached."""
         return any(
-            upstream.id not in tried and upstream.id not in self._ejected
+            upstream.id not in tried and upstream.id not in self._availability.ejected
             for upstream in self._registry.get_usable(service, region)
         )
 
-    def note_sent(self, upstream_id, now):
-        """An upstream is sent a request; while it is cold it gets a pause."""
-        self._limits.note_sent(upstream_id, now)
-        if self._registry.get_cold_left_s(upstream_id, now) <= 0:
-            return
-        upstream = self._registry.upstream_by_id[upstream_id]
-        service = self._registry.config.service_by_name.get(upstream.service)
-        rate = service.cold_per_s if service else 0.0
-        pause_s = 1.0 / rate if rate > 0 else 1.0
-        self._cold_next_by_upstream[upstream_id] = now + pause_s
-
-    def forget(self, upstream_id):
-        """Drop what is held of an upstream that is gone or new again."""
-        self._cold_next_by_upstream.pop(upstream_id, None)
-
     def _is_left_out(self, upstream_id, ids):
         """Tell whether it knows nothing while the others know a lot."""
         numbers = self._registry.number_by_id
@@ -197,22 +167,3 @@
             failure_share=self._worktimes.get_failure_share(upstream_id),
             rank=places,
         )
-
-    def _may_take(self, upstream_id, now):
-        if not self._limits.may_send(upstream_id, now):
-            return False
-        return self._may_take_cold(upstream_id, now)
-
-    def _may_take_cold(self, upstream_id, now):
-        # A cold upstream crashes when it gets much more than its rate from
-        # all VMs together. So one VM alone sends to it, the same in every
-        # VM's eyes while they hear the same peers, and spaces its requests.
-        if self._registry.get_cold_left_s(upstream_id, now) <= 0:
-            return True
-        upstream = self._registry.upstream_by_id[upstream_id]
-        region = self._registry.get_region(upstream.availability_zone)
-        carriers = get_carriers(self._own_peer, self._fleet, region)
-        vms = [peer.vm for peer in carriers]
-        if choose(upstream.id, vms) != self._identity.vm:
-            return False
-        return now >= self._cold_next_by_upstream.get(upstream.id, 0.0)
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -9,6 +9,7 @@
 from godwitlanding.decisions.placing import Placement, is_worth_taking
 from godwitlanding.decisions.shiftguard import ShiftGuard
 from godwitlanding.decisions.worktime import Warmth
+from godwitlanding.gateway.availability import Availability
 from godwitlanding.gateway.candidates import Candidates
 from godwitlanding.gateway.distances import Distances
 from godwitlanding.gateway.learning import Learning
@@ -103,7 +104,7 @@
         # What else of the gateway tells and asks about upstreams.
         self.distances = None
         self.learning = None
-        self.ejected = set()
+        self.availability = None
 
     async def start(self, kernel):
         """Begin to plan the regions' shares."""
@@ -113,6 +114,9 @@
         self.learning = Learning(
             self._registry, peers, self._worktimes, self._object_map
         )
+        self.availability = Availability(
+            self._identity, self._registry, self._fleet, self._limits
+        )
         self._candidates = self._make_candidates()
         self._plan = RegionPlan(
             self._identity,
@@ -121,7 +125,7 @@
             self._worktimes,
             self._homes,
             self._limits,
-            self.ejected,
+            self.availability.ejected,
         )
         self._tasks = [
             asyncio.create_task(self._plan.run()),
@@ -130,17 +134,14 @@
 
     def _make_candidates(self):
         return Candidates(
-            self._identity,
             self._registry,
-            self._fleet,
             self._occupancy,
             self._worktimes,
             self._object_map,
             self._homes,
             self.distances,
             self.learning,
-            self._limits,
-            self.ejected,
+            self.availability,
         )
 
     async def stop(self):
@@ -151,7 +152,7 @@
     def get_status(self):
         """Return the regions' shares by service."""
         shares = self._plan.shares_by_service
-        return {"shares": shares, "ejected": sorted(self.ejected)}
+        return {"shares": shares, "ejected": sorted(self.availability.ejected)}
 
     def may_try_again(self, service, upstream, now):
         """Tell whether an upstream that shed a request may be asked again.
@@ -169,8 +170,7 @@
 
     def forget(self, upstream_id):
         """Drop what is held of an upstream that is gone or new again."""
-        self.ejected.discard(upstream_id)
-        self._candidates.forget(upstream_id)
+        self.availability.forget(upstream_id)
         self.learning.forget(upstream_id)
 
     def choose(self, work, tried, now):
@@ -295,7 +295,7 @@
         candidate = placement.candidate
         upstream = self._registry.upstream_by_id[candidate.upstream]
         now = _now()
-        self._candidates.note_sent(upstream.id, now)
+        self.availability.note_sent(upstream.id, now)
         region = self._registry.get_region(upstream.availability_zone)
         self._shift_guard.note(region, now)
         warmth, depth = self.learning.begin(work, upstream.id)
--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -176,9 +176,9 @@
         self._pool.give_back(upstream.id, connection)
 
     def _eject(self, upstream):
-        if upstream.id in self._chooser.ejected:
+        if upstream.id in self._chooser.availability.ejected:
             return
-        self._chooser.ejected.add(upstream.id)
+        self._chooser.availability.ejected.add(upstream.id)
         self._counters.add("upstreams_ejected")
         log_message("courier:ejected", level="warning", upstream=upstream.id)
         self._spawn(self._try_again(upstream))
@@ -187,9 +187,9 @@
         # Connections open there as before, and its entry stands until it
         # lapses. Each request for an object that it knew would make the trip
         # for nothing and spend a retry, and be refused once those are spent.
-        if upstream.id in self._chooser.ejected:
+        if upstream.id in self._chooser.availability.ejected:
             return
-        self._chooser.ejected.add(upstream.id)
+        self._chooser.availability.ejected.add(upstream.id)
         self._counters.add("upstreams_ejected")
         log_message("courier:moved", level="warning", upstream=upstream.id)
         self._pool.forget(upstream.id)
@@ -197,7 +197,7 @@
 
     async def _readmit(self, upstream_id, after_s):
         await asyncio.sleep(after_s)
-        self._chooser.ejected.discard(upstream_id)
+        self._chooser.availability.ejected.discard(upstream_id)
 
     async def _try_again(self, upstream):
         pause_s = FIRST_EJECT_S
@@ -213,7 +213,7 @@
             self._pool.give_back(upstream.id, connection)
             now = asyncio.get_running_loop().time()
             self._registry.note_reached_again(upstream.id, now)
-            self._chooser.ejected.discard(upstream.id)
+            self._chooser.availability.ejected.discard(upstream.id)
             log_message("courier:reachable", upstream=upstream.id)
             return
 
--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -211,7 +211,7 @@
         home = setting.choose().upstream.id
         assert {setting.choose().upstream.id for _ in range(20)} == {home}
         assert setting.choose(tried=[home]).upstream.id != home
-        setting.chooser.ejected.add(home)
+        setting.chooser.availability.ejected.add(home)
         assert setting.choose().upstream.id != home
 
 
@@ -325,7 +325,7 @@
         for key in KEYS:
             meeting = Meeting(far, get_object_number("s", key))
             setting.object_map.hear(meeting, 0.0)
-        setting.chooser.ejected.update(name for name, _, _ in WARM)
+        setting.chooser.availability.ejected.update(name for name, _, _ in WARM)
         assert set(learn(setting, KEYS[:10]).values()) == {"far"}
 
 
--- a/godwitlanding/tests/gateway/test_courier.py
+++ b/godwitlanding/tests/gateway/test_courier.py
@@ -47,7 +47,10 @@
         self.forgotten = []
         self.worktimes = WorkTimes()
         learning = SimpleNamespace(note_answer=lambda *answer: None)
-        self.chooser = SimpleNamespace(ejected=set(), learning=learning)
+        self.ejected = set()
+        self.chooser = SimpleNamespace(
+            availability=SimpleNamespace(ejected=self.ejected), learning=learning
+        )
         self.registry = Registry({"a1": "a"})
         self.registry.put_upstream(UPSTREAM)
         self.limits = LimitNews(self.registry, "a", ("a",), Counters())
@@ -90,17 +93,17 @@
     # there, came back not run, and was refused once the retries were spent.
     async with Setting(421) as setting:
         assert await setting.send() is Outcome.MOVED
-        assert setting.chooser.ejected == {"u0"}
+        assert setting.ejected == {"u0"}
         assert setting.forgotten == ["u0"]
         await asyncio.sleep(MOVED_EJECT_S + 0.1)
-        assert setting.chooser.ejected == set()
+        assert setting.ejected == set()
 
 
 @pytest.mark.parametrize("status", [500, 503])
 async def test_upstream_that_failed_once_is_asked_again(status):
     async with Setting(status) as setting:
         await setting.send()
-        assert setting.chooser.ejected == set()
+        assert setting.ejected == set()
         assert setting.worktimes.get_failure_share("u0") > 0
 
 
