Give an upstream the pause that it asks for as it turns a request away

What callers saw: refused requests that had made the trip for nothing, and a time to come back at which nobody might be asked.

Evidence: 10 or 11 requests of one VM in 2.5 s of a pause, two are allowed.

Now such an upstream gets nothing from this VM until its time is over, and callers who are refused while all want a pause are told to come back when the first is over.

--- a/godwitlanding/decisions/comeback.py
+++ b/godwitlanding/decisions/comeback.py
@@ -11,10 +11,13 @@
 MIN_S = 0.05
 
 
-def get_retry_after_s(time_left_s, work_s, draw):
-    """Return the seconds to wait; ``draw`` is an even draw from 0 to 1."""
+def get_retry_after_s(time_left_s, turnover_s, draw):
+    """Return the seconds to wait; ``draw`` is an even draw from 0 to 1.
+
+    ``turnover_s`` is the time before which nothing can have changed.
+    """
     latest = MAX_SHARE_OF_TIME_LEFT * time_left_s
-    earliest = min(latest, max(MIN_S, work_s))
+    earliest = min(latest, max(MIN_S, turnover_s))
     return round(earliest + draw * (latest - earliest), 3)
 
 
--- a/godwitlanding/gateway/availability.py
+++ b/godwitlanding/gateway/availability.py
@@ -2,12 +2,14 @@
 
 from godwitlanding.base.rendezvous import choose
 from godwitlanding.decisions.fleet import get_carriers, make_own_peer
+from godwitlanding.decisions.pause import Pauses
 
 
 class Availability:
     """Upstreams that cannot be reached, are cold, or want less for a while.
 
-    ``ejected`` is the set of those that cannot be reached.
+    ``ejected`` is the set of those that cannot be reached, ``pauses`` knows
+    those that want nothing from this VM for a while.
     """
 
     def __init__(self, identity, registry, fleet, limits):
@@ -18,10 +20,11 @@
         self._limits = limits
         self._cold_next_by_upstream = {}
         self.ejected = set()
+        self.pauses = Pauses()
 
     def may_take(self, upstream_id, now):
         """Tell whether a request may be sent there at once."""
-        if upstream_id in self.ejected:
+        if upstream_id in self.ejected or self.pauses.get_left_s(upstream_id, now) > 0:
             return False
         if not self._limits.may_send(upstream_id, now):
             return False
@@ -54,6 +57,7 @@
     def forget(self, upstream_id):
         """Drop what is held of an upstream that is gone or new again."""
         self.ejected.discard(upstream_id)
+        self.pauses.forget(upstream_id)
         self._cold_next_by_upstream.pop(upstream_id, None)
 
     def _may_take_cold(self, upstream_id, now):
--- a/godwitlanding/gateway/carrier.py
+++ b/godwitlanding/gateway/carrier.py
@@ -192,9 +192,10 @@
         if last and last[0] in (Outcome.FAILED, Outcome.UNKNOWN):
             self._refuse(exchange, code, 502, work)
             return
-        left_s = work.deadline_at - asyncio.get_running_loop().time()
-        work_s = self._chooser.get_work_s(work.service)
-        retry_after_s = get_retry_after_s(left_s, work_s, random.random())
+        now = asyncio.get_running_loop().time()
+        turnover_s = self._chooser.get_turnover_s(work, now)
+        left_s = work.deadline_at - now
+        retry_after_s = get_retry_after_s(left_s, turnover_s, random.random())
         self._refuse_later(exchange, code, retry_after_s, work)
 
     def _pass_on(self, exchange, work, answer, sink):
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -164,9 +164,19 @@
             return False
         return self._occupancy.get(upstream.id, now) < upstream.slots
 
-    def get_work_s(self, service):
-        """Return the usual work time of a service."""
-        return self._worktimes.get_warm_s(service)
+    def get_turnover_s(self, work, now):
+        """Return the seconds after which a refused request may fare better.
+
+        A slot has turned over then, and of the upstreams that have asked for
+        a pause one at least may be asked again.
+        """
+        ids = [
+            upstream_id
+            for region in self._get_regions(work)
+            for upstream_id in self._registry.get_usable_ids(work.service, region)
+        ]
+        pause_s = self.availability.pauses.get_least_left_s(ids, now)
+        return max(pause_s, self._worktimes.get_warm_s(work.service))
 
     def forget(self, upstream_id):
         """Drop what is held of an upstream that is gone or new again."""
--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -143,16 +143,23 @@
             self._worktimes.note_failure(work.service, upstream.id)
 
     def _note_report(self, upstream, answer, outcome, now):
-        report = self._read_self_report(answer.headers)
+        report = self._read_self_report(answer.status, answer.headers)
         if report.in_progress is not None:
             self._occupancy.note_report(upstream.id, report.in_progress, now)
         if report.cold_s is not None:
             self._registry.note_cold(upstream.id, report.cold_s, now)
+        if report.pause_s is not None:
+            self._note_pause(upstream, report.pause_s, now)
         if report.leaving:
             self._registry.note_leaving(upstream.id)
         if report.limit_per_s is not None or outcome in _RAN:
             self._limits.note_answer(upstream, report.limit_per_s)
 
+    def _note_pause(self, upstream, pause_s, now):
+        self._chooser.availability.pauses.note(upstream.id, pause_s, now)
+        self._counters.add("upstream_pauses")
+        log_message("courier:pause", upstream=upstream.id, pause_s=pause_s)
+
     async def _check_crash(self, upstream, fingerprint):
         await asyncio.sleep(CRASH_CHECK_S)
         if upstream.id not in self._registry.upstream_by_id:
--- a/godwitlanding/gateway/dialect.py
+++ b/godwitlanding/gateway/dialect.py
@@ -41,3 +41,5 @@
     limit_per_s: float | None = None
     # Whether it is about to end and wants no new work.
     leaving: bool = False
+    # Seconds for which it wants nothing from this VM.
+    pause_s: float | None = None
--- a/godwitlanding/platform/headers.py
+++ b/godwitlanding/platform/headers.py
@@ -22,14 +22,16 @@
 _COLD_MS = b"godwitlanding-cold-ms"
 _LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
+_TURNED_AWAY = 503
 
 
-def read_self_report(headers):
+def read_self_report(status, headers):
     """Return the ``SelfReport`` in an answer's headers, pairs of bytes.
 
     What cannot be read is logged and left out.
 
-    >>> read_self_report([(b"server-limit", b"2.5")]).limit_per_s
+    >>> read_self_report(200, [(b"server-limit", b"2.5")]).limit_per_s
     2.5
     """
     fields = {}
@@ -46,6 +48,9 @@
                 name=name.decode("latin-1"),
                 value=value.decode("latin-1"),
             )
+    if status != _TURNED_AWAY:
+        # What an answer of the work itself says there is for the caller.
+        fields.pop("pause_s", None)
     return SelfReport(**fields)
 
 
@@ -66,11 +71,11 @@
     return _read_count(value) / 1000
 
 
-def _read_rate(value):
-    rate = float(value)
-    if not 0.0 <= rate < math.inf:
-        raise ValueError(f"{value!r} is no rate")
-    return rate
+def _read_amount(value):
+    amount = float(value)
+    if not 0.0 <= amount < math.inf:
+        raise ValueError(f"{value!r} is no amount")
+    return amount
 
 
 def _read_flag(value):
@@ -82,6 +87,7 @@
 _FIELD_BY_HEADER = {
     _LOAD: ("in_progress", _read_in_progress),
     _COLD_MS: ("cold_s", _read_cold_s),
-    _LIMIT: ("limit_per_s", _read_rate),
+    _LIMIT: ("limit_per_s", _read_amount),
     _LEAVING: ("leaving", _read_flag),
+    _RETRY_AFTER: ("pause_s", _read_amount),
 }
--- a/godwitlanding/tests/gateway/test_headers.py
+++ b/godwitlanding/tests/gateway/test_headers.py
@@ -30,4 +30,20 @@
     ],
 )
 def test_headers_say_what_an_upstream_says_of_itself(name, value, report):
-    assert read_self_report([(name, value)]) == report
+    assert read_self_report(200, [(name, value)]) == report
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "pause_s"),
+    [
+        (503, b"2", 2.0),
+        (503, b"0.25", 0.25),
+        (503, b"-1", None),
+        (503, b"nan", None),
+        (503, b"Fri, 04 Dec 2026 00:00:00 GMT", None),
+        (200, b"2", None),
+        (429, b"2", None),
+    ],
+)
+def test_pause_is_asked_for_where_a_request_is_turned_away(status, value, pause_s):
+    assert read_self_report(status, [(b"retry-after", value)]).pause_s == pause_s
