Soak: upstreams that name a limit, say that they leave, or ask for a pause

Drawn with the other faults, so also while the store is away or a VM starts; the judge counts what each upstream got from VMs that it had told.

--- a/godwitlanding/tests/soak/judge.py
+++ b/godwitlanding/tests/soak/judge.py
@@ -3,6 +3,7 @@
 from godwitlanding.decisions.allotment import Tolerance
 from godwitlanding.tests.soak.caller import DEADLINE_S
 from godwitlanding.tests.soak.schedule import PLANNED_KINDS
+from godwitlanding.tests.soak.strike import PAUSE_S, UPSTREAM_LIMIT_PER_S
 from godwitlanding.tests.soak.world import LIMIT_BURST, LIMIT_PER_S
 from godwitlanding.tests.standins.standin_worker import make_echo
 
@@ -11,13 +12,19 @@
 EVACUATE_S = 5.0
 STABLE_S = 4.0
 SLACK_S = 0.7
+# Of upstreams that name a limit: from the first time on, in any window.
+LIMIT_WINDOW_S = 4.0
+LIMIT_ALLOWED = 1.5 * UPSTREAM_LIMIT_PER_S * LIMIT_WINDOW_S + 5
+# Of those that turn a request away with a pause.
+PAUSE_BEGINS_S = 0.5
+MOST_IN_PAUSE = 2
 PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
 # The one workspace that has a limit.
 LIMITED = "small"
 TOLERANCE = Tolerance()
 SERVICE_BY_ROUTE = {"look": "looks", "pay": "pays"}
 # Faults that leave a VM's own duties as they are.
-HARMLESS = frozenset((*PLANNED_KINDS, "shed", "fail", "slow"))
+HARMLESS = frozenset((*PLANNED_KINDS, "shed", "fail", "slow", "limit", "pause_asked"))
 
 
 class Judge:
@@ -28,6 +35,7 @@
         self._striker = striker
         self._vms = world.vms
         self._workers = world.get_all_workers()
+        self._tried_by_request = {row.request_id: row for row in tried}
         self._runs_by_request = {}
         for worker in self._workers:
             for request_id, at in zip(worker.ran, worker.ran_at):
@@ -44,6 +52,9 @@
         problems.extend(self._judge_allotments())
         problems.extend(self._judge_drains())
         problems.extend(self._judge_evacuations())
+        problems.extend(self._judge_leaves())
+        problems.extend(self._judge_limits())
+        problems.extend(self._judge_pauses())
         problems.extend(self._judge_logs())
         return problems
 
@@ -127,6 +138,65 @@
                     late_s = at - drained_at
                     yield f"DRAIN {request_id}: {worker.id} after {late_s:.1f} s"
 
+    def _judge_leaves(self):
+        """What an upstream answered binds the VM that passed it on."""
+        for worker in self._workers:
+            left_at = self._striker.left_at_by_worker.get(worker.id)
+            if left_at is None:
+                continue
+            told_at_by_vm = {}
+            for request_id, at in worker.arrivals:
+                tried = self._tried_by_request.get(request_id)
+                if tried is None or at < left_at:
+                    continue
+                told_at = told_at_by_vm.get(tried.vm, tried.ended_at)
+                if tried.status == 200:
+                    told_at_by_vm[tried.vm] = min(told_at, tried.ended_at)
+                if at > told_at + DRAIN_S and self._runs_on(tried.vm, told_at, at):
+                    yield (
+                        f"DRAIN {request_id}: {worker.id} {at - told_at:.1f} s "
+                        f"after it had told {tried.vm}"
+                    )
+
+    def _judge_limits(self):
+        for worker, begun, ended in self._striker.limited:
+            first = begun + STABLE_S
+            times = [at for at in worker.arrived_at if first <= at < ended]
+            for at in times:
+                window = [t for t in times if at <= t < at + LIMIT_WINDOW_S]
+                if len(window) > LIMIT_ALLOWED and self._is_calm(begun, window[-1]):
+                    yield (
+                        f"LIMIT {worker.id}: {len(window)} requests in "
+                        f"{LIMIT_WINDOW_S} s, {LIMIT_ALLOWED:.0f} allowed"
+                    )
+                    break
+
+    def _judge_pauses(self):
+        for worker in self._workers:
+            for request_id, asked_at in worker.paused:
+                tried = self._tried_by_request.get(request_id)
+                if tried is None:
+                    continue
+                late = [
+                    at
+                    for other, at in worker.arrivals
+                    if asked_at + PAUSE_BEGINS_S < at < asked_at + PAUSE_S
+                    and other in self._tried_by_request
+                    and self._tried_by_request[other].vm == tried.vm
+                ]
+                if len(late) > MOST_IN_PAUSE and self._is_calm(asked_at, late[-1]):
+                    yield f"BUDGET {worker.id}: {len(late)} in a pause, by {tried.vm}"
+
+    def _runs_on(self, address, begun, ended):
+        """Tell whether a VM was not stopped, killed or paused meanwhile."""
+        for fault, at, mended in self._striker.log:
+            if fault.family != "vm" or at > ended or (mended or ended) < begun:
+                continue
+            struck = self._vms[fault.target % len(self._vms)]
+            if fault.kind == "herd" or struck.address == address:
+                return False
+        return True
+
     def _judge_evacuations(self):
         for zone, begun, ended in self._striker.evacuations:
             for worker in self._workers:
--- a/godwitlanding/tests/soak/schedule.py
+++ b/godwitlanding/tests/soak/schedule.py
@@ -15,13 +15,16 @@
 # Kinds by what they strike; ``planned`` ones promise that nobody notices.
 VM_KINDS = ("term", "kill", "pause", "hangup", "herd")
 UPSTREAM_KINDS = ("crash", "shed", "fail", "reset", "cut", "slow", "drain")
+# What an upstream says of itself in its answers alone.
+WORD_KINDS = ("limit", "leave", "pause_asked")
 STORE_KINDS = ("down", "busy", "hang", "slow", "lose_answers", "forget")
 LINK_KINDS = ("delayed", "silent", "deaf_up", "deaf_down", "reset_link")
 OPERATOR_KINDS = ("config", "evacuate")
-PLANNED_KINDS = frozenset(("term", "hangup", "drain", *OPERATOR_KINDS))
+PLANNED_KINDS = frozenset(("term", "hangup", "drain", "leave", *OPERATOR_KINDS))
 _FAMILIES = (
     ("vm", VM_KINDS, 4),
     ("upstream", UPSTREAM_KINDS, 3),
+    ("word", WORD_KINDS, 3),
     ("store", STORE_KINDS, 2),
     ("store_link", LINK_KINDS, 2),
     ("upstream_link", LINK_KINDS, 2),
--- a/godwitlanding/tests/soak/strike.py
+++ b/godwitlanding/tests/soak/strike.py
@@ -11,6 +11,12 @@
 SLOW_S = 0.6
 DELAY_S = 0.4
 STORE_DELAY_S = 0.7
+# An upstream in need takes this from all VMs, for so much longer than drawn.
+UPSTREAM_LIMIT_PER_S = 1.5
+LIMIT_MORE_S = 6.0
+PAUSE_S = 1.5
+# It serves on for a while after it has told that it leaves.
+LEAVE_S = 5.0
 
 
 class Striker:
@@ -26,6 +32,9 @@
         self._loop = asyncio.get_running_loop()
         self.log = []
         self.drained_at_by_worker = {}
+        # When an upstream began to say so, and stopped.
+        self.limited = []
+        self.left_at_by_worker = {}
         self.evacuations = []
         self.stopped = []
         self.problems = []
@@ -104,6 +113,41 @@
             await asyncio.sleep(fault.for_s)
             worker.fault = ""
 
+    async def _strike_word(self, fault):
+        workers = self._world.get_workers()
+        worker = workers[fault.target % len(workers)]
+        if fault.kind == "limit":
+            await self._limit(worker, fault.for_s + LIMIT_MORE_S)
+        elif fault.kind == "leave":
+            await self._leave(worker)
+        else:
+            worker.fault, worker.retry_after = "shed", str(PAUSE_S)
+            await asyncio.sleep(fault.for_s)
+            worker.fault, worker.retry_after = "", ""
+
+    async def _limit(self, worker, for_s):
+        if worker.limit:
+            return
+        worker.limit = str(UPSTREAM_LIMIT_PER_S)
+        begun = self._loop.time()
+        await asyncio.sleep(for_s)
+        worker.limit = ""
+        self.limited.append((worker, begun, self._loop.time()))
+
+    async def _leave(self, worker):
+        if worker.leaving:
+            return
+        worker.leaving = True
+        self.left_at_by_worker[worker.id] = self._loop.time()
+        await asyncio.sleep(LEAVE_S)
+        await self._end(worker)
+
+    async def _end(self, worker):
+        if worker in self._world.get_workers():
+            await self._world.store.remove("servers", worker.id)
+            worker.stop()
+            await self._world.replace_worker(worker)
+
     async def _crash(self, worker, for_s):
         worker.stop()
         await asyncio.sleep(min(for_s, LAPSE_S))
@@ -117,10 +161,7 @@
         await self._world.register(worker, "draining")
         self.drained_at_by_worker[worker.id] = self._loop.time()
         await asyncio.sleep(DRAIN_S)
-        if worker in self._world.get_workers():
-            await self._world.store.remove("servers", worker.id)
-            worker.stop()
-            await self._world.replace_worker(worker)
+        await self._end(worker)
 
     async def _strike_store(self, fault):
         faults = self._world.store.faults
--- a/godwitlanding/tests/soak/test_soak.py
+++ b/godwitlanding/tests/soak/test_soak.py
@@ -57,26 +57,41 @@
 OF_SMALL = {b"godwitlanding-tenant": b"small"}
 
 
-def make_worker(*runs, service="pays", zone="a1", headers=OF_OFFICE):
+def make_worker(*runs, service="pays", zone="a1", headers=OF_OFFICE, paused=()):
+    arrivals = [("c01-1", at) for at in runs]
     return SimpleNamespace(
         id="w",
         service=service,
         zone=zone,
+        arrivals=arrivals,
+        arrived_at=list(runs),
+        paused=paused,
         ran=["c01-1"] * len(runs),
         ran_at=list(runs),
         headers_by_request={"c01-1": headers} if runs else {},
     )
 
 
-def judge(tried, *workers, faults=(), drained=None, evacuations=(), log=""):
+def judge(
+    tried,
+    *workers,
+    faults=(),
+    drained=None,
+    left=None,
+    limited=None,
+    evacuations=(),
+    log="",
+):
     striker = SimpleNamespace(
         problems=[],
         log=[[fault, fault.at_s, fault.at_s + fault.for_s] for fault in faults],
         drained_at_by_worker=drained or {},
+        left_at_by_worker=left or {},
+        limited=[(workers[0], *limited)] if limited else [],
         evacuations=evacuations,
         stopped=[],
     )
-    vm = SimpleNamespace(name="vm-0", read_log=lambda: log)
+    vm = SimpleNamespace(name="vm-0", address="10.0.0.1:80", read_log=lambda: log)
     world = SimpleNamespace(vms=[vm], get_all_workers=lambda: workers)
     found = Judge([tried], world, striker).find_problems()
     return [problem.split()[0] for problem in found]
@@ -84,6 +99,8 @@
 
 KILL = Fault(9.0, 0.5, "vm", "kill", 0)
 TERM = Fault(9.9, 0.5, "vm", "term", 0)
+STORE = Fault(9.0, 9.0, "store", "down", 0)
+PAUSE = Fault(10.5, 1.0, "vm", "pause", 0)
 LATE_S = DRAIN_S + SLACK_S + 0.1
 BROKEN = (
     pytest.param(make_tried(), (make_worker(10.0),), {}, [], id="served"),
@@ -184,6 +201,48 @@
     pytest.param(
         make_tried(), (make_worker(10.0),), {"log": "Traceback"}, ["CRASH"], id="crash"
     ),
+    pytest.param(
+        make_tried(unsafe=False),
+        (make_worker(10.0, 10.2 + DRAIN_S),),
+        {"left": {"w": 9.0}, "faults": [STORE]},
+        ["DRAIN"],
+        id="told that it leaves, with the store away",
+    ),
+    pytest.param(
+        make_tried(unsafe=False),
+        (make_worker(10.0, 10.2 + DRAIN_S),),
+        {"left": {"w": 9.0}, "faults": [PAUSE]},
+        [],
+        id="told that it leaves and then paused",
+    ),
+    pytest.param(
+        make_tried(unsafe=False),
+        (make_worker(*[20.0] * 20),),
+        {"limited": (10.0, 30.0)},
+        ["LIMIT"],
+        id="over a limit",
+    ),
+    pytest.param(
+        make_tried(unsafe=False),
+        (make_worker(*[20.0] * 10),),
+        {"limited": (10.0, 30.0)},
+        [],
+        id="within a limit",
+    ),
+    pytest.param(
+        make_tried(unsafe=False),
+        (make_worker(10.0, 10.6, 10.7, 10.8, paused=[("c01-1", 10.0)]),),
+        {},
+        ["BUDGET"],
+        id="asked in a pause",
+    ),
+    pytest.param(
+        make_tried(unsafe=False),
+        (make_worker(10.0, 10.6, 10.7, 11.8, paused=[("c01-1", 10.0)]),),
+        {},
+        [],
+        id="hardly asked in a pause",
+    ),
 )
 
 
--- a/godwitlanding/tests/standins/standin_worker.py
+++ b/godwitlanding/tests/standins/standin_worker.py
@@ -41,8 +41,10 @@
         self.leaving = False
         # Seconds that it wants nothing after it has turned a request away.
         self.retry_after = ""
-        # When each request reached it, on the loop's clock.
-        self.arrived_at = []
+        # When each request reached it, on the loop's clock, by its id, and of
+        # those that it turned away with a pause.
+        self.arrivals = []
+        self.paused = []
         self.ran = []
         # When each request began to run, on the loop's clock.
         self.ran_at = []
@@ -62,6 +64,11 @@
         self._path = ""
         self._server = None
 
+    @property
+    def arrived_at(self):
+        """Return when each request reached it."""
+        return [at for _, at in self.arrivals]
+
     def make_entry(self, state="ready"):
         """Return its entry in the store."""
         host, port = self.address
@@ -111,11 +118,13 @@
         if expected != self.id:
             self._write(writer, b"421 Misdirected Request", request_id, b"")
             return
-        self.arrived_at.append(asyncio.get_running_loop().time())
+        arrival = (request_id.decode(), asyncio.get_running_loop().time())
+        self.arrivals.append(arrival)
         if self.fault == "shed" or self._inside >= _SLOTS + _QUEUE:
             extra = b"Godwitlanding-Not-Executed: 1\r\n"
             if self.retry_after:
                 extra += b"Retry-After: %b\r\n" % self.retry_after.encode()
+                self.paused.append(arrival)
             self._write(writer, b"503 Service Unavailable", request_id, b"", extra)
             return
         self._inside += 1
