--- a/godwitlanding/base/tasks.py
+++ b/godwitlanding/base/tasks.py
@@ -24,6 +24,23 @@
         _, pending = await asyncio.wait(pending, timeout=_CANCEL_AGAIN_S)
 
 
+def start_task(coroutine):
+    """Run a coroutine in the background and return its task.
+
+    A failure is logged. asyncio tells of it only once nobody holds the task
+    any more, and a service holds its own until it stops: a loop that has
+    ended would be missed by its effects alone.
+    """
+    task = asyncio.ensure_future(coroutine)
+    task.add_done_callback(_log_failure)
+    return task
+
+
+def _log_failure(task):
+    if not task.cancelled() and task.exception():
+        log_error("task:failed", error=repr(task.exception()))
+
+
 class Tasks:
     """Background coroutines of a service, ended together."""
 
@@ -32,9 +49,9 @@
 
     def run(self, coroutine):
         """Run a coroutine in the background; a failure is logged."""
-        task = asyncio.ensure_future(coroutine)
+        task = start_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._end)
+        task.add_done_callback(self._tasks.discard)
         return task
 
     def repeat(self, interval_s, function):
@@ -50,11 +67,6 @@
         """Cancel what still runs and wait for its end."""
         await end_tasks(self._tasks)
 
-    def _end(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception():
-            log_error("task:failed", error=repr(task.exception()))
-
 
 async def _repeat(interval_s, function):
     # One failure must not end the loop: a heartbeat that stops for good
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from godwitlanding.base.kernel import Service
+from godwitlanding.base.tasks import start_task
 from godwitlanding.decisions.homes import Homes
 from godwitlanding.decisions.placing import Placement, is_worth_taking
 from godwitlanding.decisions.shiftguard import ShiftGuard
@@ -128,8 +129,8 @@
             self.availability.ejected,
         )
         self._tasks = [
-            asyncio.create_task(self._plan.run()),
-            asyncio.create_task(self._recover_often()),
+            start_task(self._plan.run()),
+            start_task(self._recover_often()),
         ]
 
     def _make_candidates(self):
--- a/godwitlanding/gateway/courier.py
+++ b/godwitlanding/gateway/courier.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 
 from godwitlanding.base.kernel import Service
+from godwitlanding.base.tasks import start_task
 from godwitlanding.decisions.digest import Crash
 from godwitlanding.gateway.attempt import Outcome, judge, make_request_bytes
 from godwitlanding.gateway.upstream import Failure, UpstreamError
@@ -236,6 +237,6 @@
             self._pool.trim()
 
     def _spawn(self, coroutine):
-        task = asyncio.get_running_loop().create_task(coroutine)
+        task = start_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/godwitlanding/gateway/feed.py
+++ b/godwitlanding/gateway/feed.py
@@ -26,6 +26,7 @@
     Update,
 )
 from godwitlanding.base.stored import StoredObject
+from godwitlanding.base.tasks import start_task
 from godwitlanding.base.wire import Pool, Server
 from godwitlanding.decisions.reading import SIGN_PAUSE_S, SIGN_SILENT_S
 from godwitlanding.gateway.mirror import Change
@@ -68,7 +69,7 @@
     async def start(self, kernel):
         """Listen for VMs that want to be fed."""
         await self._server.start(self._identity.ip, self._identity.peer_port)
-        self._sign_task = asyncio.create_task(self._sign_often())
+        self._sign_task = start_task(self._sign_often())
 
     async def stop(self):
         """Feed nobody, and take nothing."""
@@ -92,7 +93,7 @@
         self._channel = None
         self.source = host
         self.source_reads = False
-        self._task = asyncio.create_task(self._follow(host)) if host else None
+        self._task = start_task(self._follow(host)) if host else None
 
     def has_source(self):
         """Tell whether a source is heard that reads the store itself."""
--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -25,6 +25,7 @@
 from godwitlanding.base.codes import Code
 from godwitlanding.base.kernel import Service
 from godwitlanding.base.stored import StoredObject
+from godwitlanding.base.tasks import start_task
 
 # A call that the store took in an outage may never be answered, and its
 # connection lives on; a watch that hangs so is noticed when its time is over.
@@ -121,7 +122,7 @@
             return
         if self._guard and lost_at is not None:
             self._guard.note_lost(lost_at)
-        self._task = asyncio.create_task(self._follow())
+        self._task = start_task(self._follow())
 
     def rest(self):
         """Follow the store no longer; what is held stands."""
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -16,6 +16,7 @@
 from eliot import log_message
 
 from godwitlanding.base.kernel import Service
+from godwitlanding.base.tasks import start_task
 from godwitlanding.decisions.audience import (
     STATE_PAUSE_S,
     is_active,
@@ -103,10 +104,10 @@
         self._registry = kernel.get("registry")
         await self._datagrams.open()
         self._tasks = [
-            asyncio.create_task(self._tell_counts_often()),
-            asyncio.create_task(self._tell_state_often()),
-            asyncio.create_task(self._tell_digest_often()),
-            asyncio.create_task(self._look_often()),
+            start_task(self._tell_counts_often()),
+            start_task(self._tell_state_often()),
+            start_task(self._tell_digest_often()),
+            start_task(self._look_often()),
         ]
 
     async def stop(self):
--- a/godwitlanding/gateway/presence.py
+++ b/godwitlanding/gateway/presence.py
@@ -8,6 +8,7 @@
 
 from godwitlanding.base.codes import Code
 from godwitlanding.base.kernel import Service
+from godwitlanding.base.tasks import start_task
 
 _FIRST_PAUSE_S = 0.2
 _MAX_PAUSE_S = 2.0
@@ -44,7 +45,7 @@
         self._is_written = False
         if self._task is None or self._task.done():
             version = stored.version if stored else 0
-            self._task = asyncio.create_task(self._write_until_done(version))
+            self._task = start_task(self._write_until_done(version))
 
     async def _write_until_done(self, version):
         pause_s = _FIRST_PAUSE_S
--- a/godwitlanding/gateway/reader.py
+++ b/godwitlanding/gateway/reader.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 
 from godwitlanding.base.kernel import Service
+from godwitlanding.base.tasks import start_task
 from godwitlanding.decisions.fleet import make_own_peer
 from godwitlanding.decisions.reading import (
     BEHIND_S,
@@ -57,8 +58,8 @@
         self._read_at = _now()
         self._in_touch_at = _now()
         self._tasks = [
-            asyncio.create_task(self._read_lists()),
-            asyncio.create_task(self._decide_often()),
+            start_task(self._read_lists()),
+            start_task(self._decide_often()),
         ]
 
     async def stop(self):
--- a/godwitlanding/gateway/savedmap.py
+++ b/godwitlanding/gateway/savedmap.py
@@ -20,6 +20,7 @@
 
 from godwitlanding.base.codes import Code
 from godwitlanding.base.kernel import Service
+from godwitlanding.base.tasks import start_task
 from godwitlanding.decisions.objectmap import Meeting
 
 # Objects are learnt within the first seconds of a day, and few after that;
@@ -71,7 +72,7 @@
         """Begin to read, then to write."""
         self._registry = kernel.get("registry")
         self._peers = kernel.get("peers")
-        self._task = asyncio.create_task(self._run())
+        self._task = start_task(self._run())
 
     async def stop(self):
         """Write no more."""
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -14,6 +14,7 @@
 from godwitlanding.base.kernel import Kernel
 from godwitlanding.base.logstream import set_up_log_stream
 from godwitlanding.base.metrics import Counters, make_meter, render_metrics
+from godwitlanding.base.tasks import start_task
 from godwitlanding.decisions.allotment import Allotments
 from godwitlanding.decisions.fleet import Fleet
 from godwitlanding.decisions.lapse import LapseGuard
@@ -311,8 +312,8 @@
     program = Program(settings, arguments.metrics_port, counters)
     kernel = Kernel(program.make_services())
     tasks = [
-        asyncio.create_task(_flush_often(stream)),
-        asyncio.create_task(_reload_when_changed(program, path, changed_at)),
+        start_task(_flush_often(stream)),
+        start_task(_reload_when_changed(program, path, changed_at)),
     ]
     try:
         await kernel.run(lambda: reload(program, path, "hangup"))
--- a/godwitlanding/tests/base/test_tasks.py
+++ b/godwitlanding/tests/base/test_tasks.py
@@ -3,8 +3,9 @@
 import asyncio
 
 import pytest
+from eliot import add_destinations, remove_destination
 
-from godwitlanding.base.tasks import Tasks, end_tasks
+from godwitlanding.base.tasks import Tasks, end_tasks, start_task
 
 
 async def wait_in_turns(answered, rounds):
@@ -56,3 +57,22 @@
 async def test_ending_nothing_ends_at_once():
     await end_tasks([])
     await Tasks().stop()
+
+
+@pytest.mark.parametrize("fails", [True, False])
+async def test_background_failure_is_logged_while_its_task_is_held(fails):
+    # Guards against a loop that ends unnoticed.
+    async def run():
+        if fails:
+            raise ValueError("odd")
+
+    logged = []
+    add_destinations(logged.append)
+    try:
+        task = start_task(run())
+        await asyncio.wait([task])
+        await asyncio.sleep(0)
+    finally:
+        remove_destination(logged.append)
+    types = [line["message_type"] for line in logged]
+    assert types == (["task:failed"] if fails else [])
--- a/godwitlanding/tests/soak/judge.py
+++ b/godwitlanding/tests/soak/judge.py
@@ -18,6 +18,7 @@
 # Of those that turn a request away with a pause.
 PAUSE_BEGINS_S = 0.5
 MOST_IN_PAUSE = 2
+SIGNS_OF_A_CRASH = ("Traceback", '"carrier:failed"', '"task:failed"')
 PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
 # The one workspace that has a limit.
 LIMITED = "small"
@@ -210,7 +211,7 @@
     def _judge_logs(self):
         for vm in self._vms:
             log = vm.read_log()
-            if "Traceback" in log or '"carrier:failed"' in log:
+            if any(sign in log for sign in SIGNS_OF_A_CRASH):
                 yield f"CRASH {vm.name}: an error that nobody expected"
 
     def _is_calm(self, begun, ended, allowed=HARMLESS):
