Workspaces for operators: gauges of those that ask for most, and godwitctl workspaces

What an on-call engineer had of a workspace that is told 429 were log lines of single requests. The VMs' metrics tell limit, part, demand, level and what was sent of the eight workspaces that ask for most and of the others together; one command joins them.

--- a/godwitlanding/ctl.py
+++ b/godwitlanding/ctl.py
@@ -22,6 +22,7 @@
     run_validate,
 )
 from godwitlanding.operator.terminal import EXIT_FAILED, EXIT_INTERRUPTED
+from godwitlanding.operator.workspaces import run_workspaces
 
 DEFAULT_PLATFORM = "http://127.0.0.9:8000"
 
@@ -44,6 +45,7 @@
         _add_explain,
         _add_drain,
         _add_shift,
+        _add_workspaces,
     ):
         add(commands)
     return parser.parse_args(argv)
@@ -206,6 +208,21 @@
     _add_ports(parser)
 
 
+def _add_workspaces(commands):
+    parser = _add_command(
+        commands,
+        "workspaces",
+        run_workspaces,
+        "Show what workspaces may send, ask for and have sent.",
+    )
+    parser.add_argument(
+        "vms",
+        nargs="+",
+        metavar="VM",
+        help="IP:port of a VM's metrics, as 10.1.0.34:9464",
+    )
+
+
 def _add_drain(commands):
     parser = _add_command(
         commands, "drain", run_drain, "Edit the text so that something is drained."
--- a/godwitlanding/decisions/allotment.py
+++ b/godwitlanding/decisions/allotment.py
@@ -281,9 +281,10 @@
         self._quorum = quorum
 
     def get_status(self):
-        """Return level, part and demand of each workspace that is in use."""
+        """Return limit, level, part and demand of each workspace in use."""
         return {
             bucket.workspace.name: {
+                "rate_per_s": bucket.workspace.rate_per_s,
                 "level": round(bucket.level, 1),
                 "part_per_s": round(bucket.per_s, 2),
                 "asked_per_s": round(bucket.asked_per_s, 2),
--- /dev/null
+++ b/godwitlanding/gateway/workspacegauges.py
@@ -0,0 +1,32 @@
+"""What the largest workspaces ask for and have, as gauges.
+
+A label for each of thousands of workspaces would cost more than all other
+metrics; whoever is refused is most often among those that ask for most.
+"""
+
+MOST_SHOWN = 8
+OTHERS = "others"
+
+
+class WorkspaceGauges:
+    """Shows ``allotments`` among the metrics of ``counters``."""
+
+    def __init__(self, allotments, counters):
+        self._allotments = allotments
+        counters.observe("workspace_limit_per_s", self._make_reader("rate_per_s"))
+        counters.observe("workspace_part_per_s", self._make_reader("part_per_s"))
+        counters.observe("workspace_level", self._make_reader("level"))
+        counters.observe("workspace_asked_per_s", self._make_reader("asked_per_s"))
+        counters.observe("workspace_sent", self._make_reader("sent"))
+
+    def read(self, field):
+        """Return a field of each workspace that is shown, by its name."""
+        status = self._allotments.get_status()
+        order = sorted(status, key=lambda name: -status[name]["asked_per_s"])
+        shown = {name: status[name][field] for name in order[:MOST_SHOWN]}
+        if len(order) > MOST_SHOWN:
+            shown[OTHERS] = sum(status[name][field] for name in order[MOST_SHOWN:])
+        return shown
+
+    def _make_reader(self, field):
+        return lambda: self.read(field)
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -40,6 +40,7 @@
 from godwitlanding.gateway.registry import Registry
 from godwitlanding.gateway.savedmap import SavedMap
 from godwitlanding.gateway.upstream import UpstreamPool
+from godwitlanding.gateway.workspacegauges import WorkspaceGauges
 from godwitlanding.platform.doors import make_directory, make_readiness
 from godwitlanding.platform.entries import (
     CONFIG_KIND,
@@ -92,6 +93,7 @@
             bounds.allotment,
             loop.time(),
         )
+        WorkspaceGauges(self.allotments, counters)
         self.limits = LimitNews(
             self.registry, settings.region, settings.region_by_zone.values(), counters
         )
--- a/godwitlanding/tests/gateway/test_workspaces.py
+++ b/godwitlanding/tests/gateway/test_workspaces.py
@@ -5,6 +5,7 @@
 import aiohttp
 import pytest
 
+from godwitlanding.operator.workspaces import read_rows
 from godwitlanding.tests.gateway.world import World, make_config
 
 OFFICE = ["office", ["office-key", "spare-key"], 0, 0, 0, []]
@@ -172,3 +173,11 @@
         world.get_worker(worker_id).fault = ""
     answer, _ = await world.ask(world.vms[0], **bearer("small-key"))
     assert answer.status == 200
+
+
+async def test_operators_see_what_a_workspace_has_sent(world):
+    for number in range(3):
+        await world.ask(world.vms[0], f"/look/{number}", **bearer("small-key"))
+    async with world.session.get(world.vms[0].metrics) as answer:
+        (row,) = read_rows("vm-0", await answer.text())
+    assert (row.workspace, row.limit_per_s, row.sent) == ("small", 4.0, 3.0)
