--- a/godwitlanding/gateway/bulletin.py
+++ b/godwitlanding/gateway/bulletin.py
@@ -30,6 +30,14 @@
 MAX_DATAGRAM_BYTES = 60_000
 
 
+class StoreState(NamedTuple):
+    """What a VM says of itself and the store; see ``fleet.Peer``."""
+
+    reads: bool
+    failed: bool
+    changed_at: tuple[int, ...]
+
+
 class Bulletin(NamedTuple):
     """The state of one VM; rates are requests a second by service."""
 
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import random
-from typing import NamedTuple
 
 from eliot import log_message
 
@@ -30,7 +29,8 @@
 )
 from godwitlanding.decisions.fleet import get_carriers, is_busy, make_own_peer
 from godwitlanding.gateway.arrivals import Arrivals
-from godwitlanding.gateway.bulletin import Bulletin, decode_bulletin
+from godwitlanding.gateway.bulletin import Bulletin, StoreState, decode_bulletin
+from godwitlanding.gateway.crashnews import CrashNews
 from godwitlanding.gateway.datagrams import Datagrams
 from godwitlanding.gateway.neighbours import ListedVm, Neighbours
 from godwitlanding.gateway.objectnews import ObjectNews
@@ -45,20 +45,9 @@
 FAR_TIMES = 4
 # A VM without requests of callers looks this often whether it has some.
 IDLE_LOOK_S = 0.2
-# Crashes are told for this long, so that datagrams that are lost do no harm.
-TELL_CRASH_S = 3.0
-MAX_CRASHES = 20
 LOOK_PAUSE_S = 0.25
 
 
-class StoreState(NamedTuple):
-    """What a VM says of itself and the store; see ``fleet.Peer``."""
-
-    reads: bool
-    failed: bool
-    changed_at: tuple[int, ...]
-
-
 class Peers(Service):
     """Sends and hears bulletins; holds ``fleet`` and ``occupancy`` in step."""
 
@@ -88,7 +77,7 @@
         self._datagrams = Datagrams(identity.ip, identity.peer_port, self.hear)
         self._tasks = []
         self._registry = None
-        self._crashes = []
+        self._crash_news = CrashNews()
         self._arrivals = Arrivals()
         self._was_busy = False
         self._is_active = True
@@ -142,9 +131,7 @@
 
     def note_crash(self, crash):
         """Tell the peers that a request was running on a crashed upstream."""
-        loop = asyncio.get_running_loop()
-        self._crashes.append((loop.time() + TELL_CRASH_S, crash))
-        del self._crashes[:-MAX_CRASHES]
+        self._crash_news.note(crash)
         self._send(self._neighbours.get_near_hosts())
         self._send_digest()
 
@@ -327,7 +314,7 @@
         if self._identity.vm not in pick_representatives(peers):
             return
         met = self._object_news.get_newest_of_region()
-        crashes = self._get_crashes()
+        crashes = self._crash_news.get_newest()
         asked = self._allotment_news.get_asked()
         digest = make_digest(self._identity.region, peers, crashes, met, asked)
         digest = digest._replace(
@@ -349,11 +336,6 @@
             **self.get_store_state()._asdict(),
         )
 
-    def _get_crashes(self):
-        now = asyncio.get_running_loop().time()
-        self._crashes = [row for row in self._crashes if row[0] > now]
-        return tuple(crash for _, crash in self._crashes)
-
     def _make_bulletin(self, digests, met):
         self._sequence += 1
         ready = self.is_ready()
@@ -380,7 +362,7 @@
                 self._occupancy.get_own_by_number() if self._is_active else {}
             ),
             rate_by_service=self._arrivals.rate_by_service,
-            crashes=self._get_crashes(),
+            crashes=self._crash_news.get_newest(),
             digests=digests,
             met=met,
             heard=self._neighbours.count_heard(),
--- a/godwitlanding/gateway/reader.py
+++ b/godwitlanding/gateway/reader.py
@@ -21,7 +21,7 @@
     may_rest,
     should_read,
 )
-from godwitlanding.gateway.peers import StoreState
+from godwitlanding.gateway.bulletin import StoreState
 
 LOOK_PAUSE_S = 0.2
 
--- a/godwitlanding/tests/gateway/test_peers.py
+++ b/godwitlanding/tests/gateway/test_peers.py
@@ -18,7 +18,6 @@
 from godwitlanding.decisions.fleet import SILENT_S, Capacity, Fleet
 from godwitlanding.decisions.objectmap import Meeting, ObjectMap
 from godwitlanding.decisions.occupancy import Occupancy
-from godwitlanding.decisions.ratelimit import LimitedUpstream, LimitRow
 from godwitlanding.gateway.allotmentnews import AllotmentNews
 from godwitlanding.gateway.bulletin import decode_bulletin, encode_bulletin
 from godwitlanding.gateway.fartargets import SPREAD_EVERY, FarTargets
@@ -389,91 +388,3 @@
             setting.hear("new", "10.0.0.2")
             greeted += bool(setting.wire.sent[0][1].met)
     assert greeted <= REPRESENTATIVES
-
-
-async def test_neighbours_hear_of_a_limit_and_of_what_was_sent(monkeypatch):
-    # Guards against VMs that send as if they were alone.
-    async with Setting(monkeypatch) as setting:
-        upstream = Upstream("u", "s", ("127.0.0.1", 1), "a1", 3, False, 0.0)
-        setting.registry.put_upstream(upstream)
-        setting.hear("vm-2", "10.0.0.2", rate_by_service={"s": 20.0})
-        setting.occupancy.begin("u")
-        setting.limits.note_answer(upstream, 2.5)
-        setting.limits.note_sent("u", asyncio.get_running_loop().time())
-        setting.wire.sent.clear()
-        await asyncio.sleep(0.3)
-        told = [b for host, b in setting.wire.sent if host == "10.0.0.2"]
-        assert {(row.per_s, row.sent) for b in told for row in b.limits} == {(2.5, 1)}
-
-
-async def test_limit_that_a_neighbour_tells_of_binds(monkeypatch):
-    # Guards against a VM that must be told by each upstream itself.
-    async with Setting(monkeypatch) as setting:
-        upstream = Upstream("u", "s", ("127.0.0.1", 1), "a1", 3, False, 0.0)
-        setting.registry.put_upstream(upstream)
-        number = setting.registry.number_by_id["u"]
-        rows = (LimitRow(number, 2.5, 0.1, 0), LimitRow(1, 2.5, 0.1, 0))
-        setting.hear("vm-2", "10.0.0.2", limits=rows)
-        assert setting.limits.is_limited("u")
-        assert not setting.limits.may_send("u", asyncio.get_running_loop().time())
-
-
-async def test_other_region_hears_of_limits_and_leaves_them_alone(monkeypatch):
-    async with Setting(monkeypatch) as setting:
-        upstream = Upstream("far", "s", ("127.0.0.1", 1), "b1", 3, False, 0.0)
-        setting.registry.put_upstream(upstream)
-        limited = (LimitedUpstream(setting.registry.number_by_id["far"], 2.5),)
-        digest = make_digest("b", [make_peer("q", region="b")], ())
-        digest = digest._replace(limited=limited)
-        setting.hear("vm-2", "10.0.0.2", digests=(digest,))
-        await asyncio.sleep(1.0)
-        now = asyncio.get_running_loop().time()
-        assert not setting.limits.may_send("far", now)
-
-
-async def test_region_is_told_at_once_what_its_upstream_said(monkeypatch):
-    # Guards against a limit that its own region does not know of.
-    async with Setting(monkeypatch) as setting:
-        upstream = Upstream("far", "s", ("127.0.0.1", 1), "b1", 3, False, 0.0)
-        setting.registry.put_upstream(upstream)
-        digest = make_digest(
-            "b", [make_peer("q", region="b", address="10.9.9.9:1")], ()
-        )
-        setting.hear("vm-2", "10.0.0.2", digests=(digest,))
-        setting.wire.sent.clear()
-        setting.limits.note_answer(upstream, 2.5)
-        ((host, told),) = setting.wire.sent
-        assert host == "10.9.9.9"
-        assert told.limits[0].per_s == 2.5
-
-
-async def test_upstream_that_leaves_is_told_until_the_store_says_so(monkeypatch):
-    # Guards against VMs that must be told by the upstream itself.
-    async with Setting(monkeypatch) as setting:
-        upstream = Upstream("u", "s", ("127.0.0.1", 1), "a1", 3, False, 0.0)
-        setting.registry.put_upstream(upstream)
-        setting.registry.note_leaving("u")
-        number = setting.registry.number_by_id["u"]
-        setting.peers.note_vm("vm-2", "10.0.0.2", "a1")
-        setting.wire.sent.clear()
-        await asyncio.sleep(1.0)
-        assert {told.leaving_upstreams for _, told in setting.wire.sent} == {(number,)}
-        setting.registry.put_upstream(upstream._replace(leaving=True))
-        setting.wire.sent.clear()
-        await asyncio.sleep(1.0)
-        assert {told.leaving_upstreams for _, told in setting.wire.sent} == {()}
-
-
-@pytest.mark.parametrize("far", [False, True])
-async def test_upstream_that_leaves_by_a_peers_word_gets_nothing_new(monkeypatch, far):
-    async with Setting(monkeypatch) as setting:
-        upstream = Upstream("u", "s", ("127.0.0.1", 1), "a1", 3, False, 0.0)
-        setting.registry.put_upstream(upstream)
-        numbers = (setting.registry.number_by_id["u"], 7)
-        digest = make_digest("b", [make_peer("q", region="b")], ())
-        if far:
-            digests = (digest._replace(leaving_upstreams=numbers),)
-            setting.hear("vm-2", "10.0.0.2", digests=digests)
-        else:
-            setting.hear("vm-2", "10.0.0.2", leaving_upstreams=numbers)
-        assert setting.registry.get_usable_ids("s", "a") == ()
