Limited upstreams' turns go to what they know; their objects find a home elsewhere

(2) An object whose home here was limited and that was known in another region, which took no more callers, was refused unless an upstream stood nearly idle. (3) The regions' shares counted a limited upstream as one that can keep all its objects.

Now an object that a limited upstream knows waits for its turn there or goes to one that is not limited, and is learnt here wherever that is worth it.

--- a/godwitlanding/gateway/candidates.py
+++ b/godwitlanding/gateway/candidates.py
@@ -1,5 +1,7 @@
 """Upstreams that may take a request, as they stand now."""
 
+from typing import NamedTuple
+
 from godwitlanding.base.rendezvous import rank
 from godwitlanding.decisions.homes import pick_homes
 from godwitlanding.decisions.objectmap import get_object_number
@@ -20,6 +22,17 @@
 PLACES_EACH_HOME = 10
 
 
+class Known(NamedTuple):
+    """Where an object is known.
+
+    ``ids_by_region`` are the upstreams that may be asked now; ``limited``
+    are the regions with one that may not, since its limit is spent.
+    """
+
+    ids_by_region: dict[str, list[str]]
+    limited: set[str]
+
+
 class Candidates:
     """Finds upstreams for a request and tells which would finish first."""
 
@@ -44,13 +57,13 @@
         self._availability = availability
 
     def find_known(self, work, regions, tried, now):
-        """Return the ids of the upstreams that know the object, by region.
+        """Return the upstreams that know the object, as ``Known``.
 
         Those that may not be used, are slow or fail are left out.
         """
-        known_by_region = {}
+        known = Known({}, set())
         if not work.key:
-            return known_by_region
+            return known
         key = get_object_number(work.service, work.key)
         remembered = self._learning.get_remembered(work.service)
         for number in self._object_map.get_upstreams(key):
@@ -65,8 +78,10 @@
             if self._object_map.get_depth(number, key) >= remembered:
                 continue
             if self._availability.may_take(upstream_id, now):
-                known_by_region.setdefault(region, []).append(upstream_id)
-        return known_by_region
+                known.ids_by_region.setdefault(region, []).append(upstream_id)
+            elif self._availability.is_limited(upstream_id):
+                known.limited.add(region)
+        return known
 
     def place_empty(self, work, region, tried, now):
         """Return a placement at an upstream that is new and knows nothing.
@@ -93,11 +108,18 @@
             ]
         )
 
-    def place_fresh(self, work, region, tried, now):
-        """Return where an object that is not known would finish first."""
+    def place_fresh(self, work, region, tried, now, known):
+        """Return where an object that is not known would finish first.
+
+        What limited upstreams may still get is for what they know: an object
+        that is known to one of them waits for its turn there, and does not
+        take the turn of another object.
+        """
         ids = self._registry.get_usable_ids(work.service, region)
 
         def is_usable(upstream_id):
+            if known.limited and self._availability.is_limited(upstream_id):
+                return False
             return upstream_id not in tried and self._availability.may_take(
                 upstream_id, now
             )
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -195,20 +195,21 @@
         if work.key:
             self._homes.note_object(work.service, work.key)
         dealt = self._plan.deal(work.service, regions, work.key)
-        known_by_region = self._candidates.find_known(work, regions, tried, now)
-        if known_by_region:
-            return self._choose_known(work, known_by_region, dealt, tried, now)
-        return self._choose_fresh(work, regions, dealt, tried, now)
+        known = self._candidates.find_known(work, regions, tried, now)
+        if known.ids_by_region:
+            return self._choose_known(work, known, dealt, tried, now)
+        return self._choose_fresh(work, regions, dealt, tried, now, known)
 
-    def _choose_known(self, work, known_by_region, dealt, tried, now):
+    def _choose_known(self, work, known, dealt, tried, now):
         """Choose for an object that some upstream knows."""
         empty = self._candidates.place_empty(work, dealt, tried, now)
         if empty:
             return self._take(work, empty, Why.JOINED)
-        here = self._candidates.place_known(work, known_by_region.get(dealt, ()), now)
+        ids_by_region = known.ids_by_region
+        here = self._candidates.place_known(work, ids_by_region.get(dealt, ()), now)
         if here and self._is_in_time(here, work, now):
             return self._take(work, here, Why.KNOWN)
-        others = self._find_others(work, known_by_region, dealt, tried, now)
+        others = self._find_others(work, ids_by_region, dealt, tried, now)
         there = self._candidates.place_known(work, others, now)
         if there and self._is_in_time(there, work, now):
             if here is None:
@@ -218,30 +219,34 @@
         best = _get_sooner(here, there)
         if best and self._is_worth_taking(best, work, now):
             return self._take(work, best, Why.LATE)
-        fresh = self._candidates.place_fresh(work, dealt, tried, now)
+        fresh = self._candidates.place_fresh(work, dealt, tried, now, known)
         if fresh and best is None and self._is_idle(fresh):
             # Known only where it may not be asked, as in another region that
             # has got all the callers that it may get now. Refused, its caller
             # would come back to the same while upstreams here stand idle.
             return self._take(work, fresh, Why.NEW)
+        if fresh and best is None and dealt in known.limited:
+            # Its home here takes less than is asked, so it needs another one.
+            if self._is_worth_taking(fresh, work, now):
+                return self._take(work, fresh, Why.NEW)
         if fresh and self._may_move(work, fresh, now):
             return self._take(work, fresh, Why.ONE_MORE_HOME, move=1.0)
         return self._reject(work, "full", best, now)
 
-    def _find_others(self, work, known_by_region, dealt, tried, now):
+    def _find_others(self, work, ids_by_region, dealt, tried, now):
         """Return the upstreams of other regions that may take the request."""
         crowded = self._candidates.has_upstream(work.service, dealt, tried)
         return [
             upstream_id
-            for region, ids in known_by_region.items()
+            for region, ids in ids_by_region.items()
             if region != dealt
             and (not crowded or self._shift_guard.may_change(region, now))
             for upstream_id in ids
         ]
 
-    def _choose_fresh(self, work, regions, dealt, tried, now):
+    def _choose_fresh(self, work, regions, dealt, tried, now, known):
         """Choose for an object that nobody knows, or for none."""
-        wanted = self._candidates.place_fresh(work, dealt, tried, now)
+        wanted = self._candidates.place_fresh(work, dealt, tried, now, known)
         if wanted and self._is_worth_taking(wanted, work, now):
             return self._take(work, wanted, Why.NEW)
         crowded = self._candidates.has_upstream(work.service, dealt, tried)
@@ -253,7 +258,7 @@
                 continue
             if crowded and not self._may_overflow(work.service, region, now):
                 continue
-            other = self._candidates.place_fresh(work, region, tried, now)
+            other = self._candidates.place_fresh(work, region, tried, now, known)
             if other and self._is_worth_taking(other, work, now):
                 overflow = 1.0 if crowded else 0.0
                 return self._take(work, other, Why.OVERFLOW, overflow)
--- a/godwitlanding/gateway/regionplan.py
+++ b/godwitlanding/gateway/regionplan.py
@@ -100,9 +100,9 @@
             slots_by_region[region] = sum(
                 self._count_slots(upstream, work_s) for upstream in upstreams
             )
-            known_by_region[region] = get_known_share(
-                len(upstreams), objects, KEPT_OBJECTS
-            )
+            # One that may serve a part only can keep a part of its objects.
+            whole = sum(self._get_part(upstream, work_s) for upstream in upstreams)
+            known_by_region[region] = get_known_share(whole, objects, KEPT_OBJECTS)
         if not any(rate_by_region.values()):
             # Nothing was measured yet: as if each region had an equal part
             # of what all slots can serve.
@@ -128,9 +128,15 @@
 
     def _count_slots(self, upstream, work_s):
         # One that is four times as slow carries a quarter.
-        slots = upstream.slots / max(1.0, self._worktimes.get_factor(upstream.id))
+        slow = 1.0 / max(1.0, self._worktimes.get_factor(upstream.id))
+        return upstream.slots * min(slow, self._get_part(upstream, work_s))
+
+    def _get_part(self, upstream, work_s):
+        """Return the part of its slots that an upstream's limit can fill."""
         limit_per_s = self._limits.get(upstream.id)
-        return slots if limit_per_s is None else min(slots, limit_per_s * work_s)
+        if limit_per_s is None:
+            return 1.0
+        return min(1.0, limit_per_s * work_s / upstream.slots)
 
     def _move(self, service, wanted, load_by_region):
         jump = self._has_jumped(service, load_by_region)
--- a/godwitlanding/tests/gateway/test_limits.py
+++ b/godwitlanding/tests/gateway/test_limits.py
@@ -173,3 +173,16 @@
         else:
             setting.hear("vm-2", "10.0.0.2", leaving_upstreams=numbers)
         assert setting.registry.get_usable_ids("s", "a") == ()
+
+
+async def test_turn_of_a_limited_upstream_is_for_what_it_knows():
+    # Guards against an object that takes the turns of others in its need.
+    async with ChooserSetting(WARM) as setting:
+        home = setting.choose(make_work(key="k")).upstream
+        for upstream in list(setting.registry.upstream_by_id.values()):
+            setting.limits.note_answer(upstream, 1.0)
+        await asyncio.sleep(1.05)
+        assert setting.choose(make_work(key="k")).upstream == home
+        assert isinstance(setting.choose(make_work(key="k")), Rejection)
+        # What nobody knows is learnt somewhere.
+        assert setting.choose(make_work(key="new")).upstream != home
