--- a/godwitlanding/base/logstream.py
+++ b/godwitlanding/base/logstream.py
@@ -15,7 +15,7 @@
 import orjson
 from eliot import add_destinations
 
-# Twice the busiest VM's lines today: 60 requests a second, four lines each.
+# A busy VM writes half of this.
 MAX_LINES_PER_S = 500
 KEPT_FOR_WARNINGS = 100
 MAX_PENDING_BYTES = 256 * 1024
--- a/godwitlanding/decisions/audience.py
+++ b/godwitlanding/decisions/audience.py
@@ -1,9 +1,8 @@
 """Whom a VM tells that it lives and what it knows.
 
-Load pattern: of the 65 VMs of a region nine carry the callers' requests. If
-each told each other, a VM without a single request would send and read three
-hundred datagrams a second, which was nearly all that it did, and twelve
-megabytes a second went round among 195.
+Load pattern: a few of the many VMs of a region carry the callers' requests.
+If each told each other, a VM without a single request would do nearly nothing
+but send and read datagrams.
 
 Those that carry requests are *active* and tell the whole region: every VM may
 be asked where to connect, and must know at once when one of them is gone.
@@ -15,9 +14,9 @@
 
 # Pauses between two words of an active VM; it is silent after almost four.
 STATE_PAUSE_S = 0.4
-# A VM that callers are not sent to gets a stray request a second: from those
-# that keep connections, or ask each VM which routes it knows. Told to all, the
-# strays of 168 VMs made each of them send and read as if it carried its part.
+# A VM that callers are not sent to gets a stray request now and then: from
+# those that keep connections, or ask each VM which routes it knows. That does
+# not make it one of those that carry.
 STRAY_PER_S = 3.0
 # Pauses in which a VM that is not active tells each active one once.
 IDLE_ROUND = 4
--- a/godwitlanding/decisions/fleet.py
+++ b/godwitlanding/decisions/fleet.py
@@ -34,11 +34,10 @@
 # Of many alike this many carry at the least: three in each of three
 # availability zones, of which six are left when a zone is lost.
 MIN_CARRIERS = 9
-# What those who carry must be able to carry, in measured loads: waves are up
-# to 1.6 times the mean and bursts 1.7, and a lost zone takes a third.
+# What those who carry must be able to carry, in present loads: for waves, for
+# bursts, and for the loss of a zone.
 SPARE_TIMES = 3.0
-# Of a VM for each request: 12 VMs used 0.9 of a core for 357 requests a
-# second, bulletins included; answers have 12 KB in the mean, each way.
+# What a request takes of a VM, its part of the bulletins included.
 REQUEST_CORE_S = 0.0025
 REQUEST_MBIT = 0.1
 # A VM that callers are not sent to gets a stray request now and then.
--- a/godwitlanding/decisions/forecast.py
+++ b/godwitlanding/decisions/forecast.py
@@ -2,7 +2,7 @@
 
 Load pattern: callers come in waves, those of a small region among others. A
 plan that follows what was measured is always behind: the measured rate is
-that of three seconds ago, and shares of regions move by 4 in 100 a second, so
+that of some seconds ago, and shares of regions may move only slowly, so
 at the top of a wave the small region is full and refuses, while a quarter of
 its callers is sent away in the trough after it.
 
@@ -14,9 +14,9 @@
 from collections import deque
 
 # The slope is that of this time: shorter, and the luck of who calls when is
-# taken for a rise; at 330 requests a second it is 5 in 100 of the rate.
+# taken for a rise.
 SPAN_S = 4.0
-# What is measured is 2 s old, and half of a move by 0.15 takes as long.
+# A measured rate is old already, and a move takes some time to be made.
 LEAD_S = 4.0
 # A burst begins at once and ends as suddenly; it is not carried on for ever.
 MAX_RISE = 1.5
--- a/godwitlanding/decisions/homes.py
+++ b/godwitlanding/decisions/homes.py
@@ -25,7 +25,7 @@
 
 # After this many other objects an upstream still knows most that it met.
 REMEMBERED_OBJECTS = 14
-# Hashing deals unevenly: with 8 in the mean an upstream in twenty gets 14.
+# Hashing deals unevenly: some upstreams get nearly twice as many.
 OBJECTS_EACH = 8
 MAX_HOMES = 4
 # A service is taken to have this many at the least, about the number of the
--- a/godwitlanding/decisions/memorysize.py
+++ b/godwitlanding/decisions/memorysize.py
@@ -2,10 +2,10 @@
 
 Load pattern: upstreams leave until the rest have more objects each than they
 remember. Each run of one that was pushed out pushes out the next, and nearly
-half of the slots work on objects that were known a moment ago (on a day when
-9 of 16 upstreams were left). Nothing tells how many an upstream remembers; it
-differs by service, and a figure that is too high calls what is forgotten
-known, one that is too low spreads objects that are still known.
+half of the slots work on objects that were known a moment ago. Nothing tells
+how many an upstream remembers; it differs by service, and a figure that is
+too high calls what is forgotten known, one that is too low spreads objects
+that are still known.
 
 So each answer about an object that this VM had answered there before says
 something: with ``depth`` other objects handled there since, it ran fast, and
@@ -13,8 +13,7 @@
 settles where both are equally likely.
 """
 
-# Upstreams in use remember from 14 to 32. Wrong by half, the estimate is
-# right within a tenth after some thirty answers that speak against it.
+# Before any answer has told.
 FIRST_OBJECTS = 16.0
 MIN_OBJECTS = 3.0
 MAX_OBJECTS = 64.0
--- a/godwitlanding/decisions/occupancy.py
+++ b/godwitlanding/decisions/occupancy.py
@@ -10,11 +10,8 @@
 cannot be heard (cut off, just started); it is believed for
 ``REPORT_FADES_S`` and fades meanwhile.
 
-How near this comes was worked out from the 20,000 attempts of 18 VMs in 16 s
-of a heavy day, from each one's true beginning and end: counts of peers 0.3 s
-old are off by 1.5 requests, 0.1 s by 1.1, 0.05 s by 0.9, 0.025 s by 0.7 (root
-of the mean square; four times as old between regions). Reports that are
-believed for 1 s add 0.4 requests that are not there, at 0.3 s they add 0.15.
+The older a peer's count, the further it is off; and a report that is believed
+for longer than the work lasts adds requests that are not there any more.
 """
 
 import xxhash
--- a/godwitlanding/decisions/targets.py
+++ b/godwitlanding/decisions/targets.py
@@ -61,8 +61,8 @@
     target_by_row = {}
     for service in config.service_by_name:
         kept = cap_by_origin_by_service.get(service, {})
-        # Once for all origins: found anew for each of 85, the zones of
-        # 8,000 upstreams took a third of a core and held up heartbeats.
+        # Once for all origins: found anew for each, the zones of thousands of
+        # upstreams would hold up heartbeats.
         slots_by_zone = find_zones(config, service)
         upstreams = config.service_by_name[service].upstream_by_id.values()
         homes = {upstream.availability_zone for upstream in upstreams}
--- a/godwitlanding/decisions/worktime.py
+++ b/godwitlanding/decisions/worktime.py
@@ -32,7 +32,7 @@
 FIRST_WARM_S = 0.15
 FIRST_COLD_S = 0.4
 # An upstream this many times slower than usual takes longer for an object
-# that it knows than others for one that they do not (3.3 times).
+# that it knows than others for one that they do not.
 SLOW_FACTOR = 2.5
 _MIN_FACTOR = 0.7
 _MAX_FACTOR = 20.0
--- a/godwitlanding/gateway/fartargets.py
+++ b/godwitlanding/gateway/fartargets.py
@@ -5,9 +5,8 @@
 from godwitlanding.decisions.digest import TARGETS
 
 # Who has told something from another region is told each time, one more VM
-# there every this many times. Whoever is told passes it on to its neighbours:
-# with one more each time, nine VMs told each of 64 others the same two digests
-# 22 times a second.
+# there every this many times. Whoever is told passes it on to its neighbours,
+# so with one more each time they would hear the same from all sides.
 SPREAD_EVERY = 4
 
 
--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -29,15 +29,14 @@
 
 # A call that the store took in an outage may never be answered, and its
 # connection lives on; a watch that hangs so is noticed when its time is over.
-# Callers count on a change 4 s after an outage and the 2.5 s in which it has
-# to be in force. The store would hold a watch for 30 s; the six readers of 59
-# VMs make some 200 calls more for it in 42 s.
+# Callers count on a change soon after an outage; the store would hold a watch
+# far longer, and each watch that ends sooner is a call more.
 WATCH_S = 4.0
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.0
 # Changes that come within this time are fetched by one call: a watch that
-# returned is not repeated sooner. A tenth of the 2.5 s in which a change has
-# to be in force.
+# returned is not repeated sooner. It is a small part of the time in which a
+# change has to be in force.
 GATHER_S = 0.25
 # A VM reads every list at its start and begins to follow soon after.
 FRESH_LIST_S = 1.0
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -35,12 +35,10 @@
 from godwitlanding.gateway.neighbours import ListedVm, Neighbours
 from godwitlanding.gateway.objectnews import ObjectNews
 
-# Work lasts a quarter of a second at the least; in a tenth of that little
-# changes at an upstream.
+# In less than this little changes at an upstream.
 MIN_PAUSE_S = 0.025
-# With this pause for each busy peer a VM sends and reads 150 datagrams a
-# second at the most, about 2 % of a core. At 17 busy peers, 12 of them in
-# other regions, that is one in 0.05 s (see ``decisions.occupancy``).
+# The pause grows with the busy peers, so that what a VM sends and reads in a
+# second stays the same however many they are.
 PAUSE_EACH_PEER_S = 0.0065
 FAR_TIMES = 4
 # A VM without requests of callers looks this often whether it has some.
--- a/godwitlanding/gateway/savedmap.py
+++ b/godwitlanding/gateway/savedmap.py
@@ -23,8 +23,7 @@
 from godwitlanding.base.tasks import start_task
 from godwitlanding.decisions.objectmap import Meeting
 
-# Objects are learnt within the first seconds of a day, and few after that;
-# three regions write 36 times in 48 s at the most, of some 900 calls.
+# Objects are learnt within seconds of a start, and few after that.
 SAVE_PAUSE_S = 4.0
 # 8 bytes each and a third for the encoding: half of the store's largest value.
 MAX_MEETINGS = 40_000
--- a/godwitlanding/gateway/upstream.py
+++ b/godwitlanding/gateway/upstream.py
@@ -32,7 +32,7 @@
 MAX_IDLE = 6
 # An answer is held until it is whole up to this size, so that one which
 # breaks off can be fetched again; longer ones are passed on as they come.
-# Answers today are 90 KB in the mean and 540 KB at the most.
+# Nearly all answers are shorter.
 MAX_HELD_BYTES = 1 << 20
 
 
