--- a/godwitlanding/tests/gateway/test_upstream_words.py
+++ b/godwitlanding/tests/gateway/test_upstream_words.py
@@ -113,3 +113,19 @@
     answers = [await world.ask(world.vms[0], **patient) for _ in range(10)]
     assert {answer.status for answer, _ in answers} == {503}
     assert min(float(answer.headers["Retry-After"]) for answer, _ in answers) >= 1.5
+
+
+async def test_vm_that_starts_hears_that_an_upstream_leaves(world):
+    # Guards against a VM that must learn it by a request of its own.
+    leaving = world.get_worker("look-1")
+    leaving.leaving = True
+    await call_for(world, 1.0)
+    vm = world.vms[0]
+    await vm.end()
+    await vm.start()
+    await world.wait_until_ready(vm)
+    await asyncio.sleep(1.0)
+    before = len(leaving.arrived_at)
+    statuses = await call_for(world, 1.0, [vm])
+    assert len(leaving.arrived_at) == before
+    assert set(statuses) == {200}
