--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -69,9 +69,13 @@
 
 
 class Program:
-    """The services of one process and what they share."""
+    """The services of one process and what they share.
 
-    def __init__(self, settings, metrics_port, counters):
+    ``pool`` opens the connections to upstreams; by default an
+    ``UpstreamPool``.
+    """
+
+    def __init__(self, settings, metrics_port, counters, pool=None):
         loop = asyncio.get_running_loop()
         self._settings = settings
         self._metrics_port = metrics_port
@@ -119,7 +123,7 @@
             self.object_map,
             self.limits,
         )
-        pool = UpstreamPool(HEADER_NAMES.request_id, counters)
+        pool = pool or UpstreamPool(HEADER_NAMES.request_id, counters)
         self.courier = Courier(
             HEADER_NAMES,
             read_self_report,
--- a/godwitlanding/tests/load/gateway_model.py
+++ b/godwitlanding/tests/load/gateway_model.py
@@ -10,7 +10,7 @@
 import asyncio
 import random
 import re
-from collections import Counter, OrderedDict, deque
+from collections import Counter
 from types import SimpleNamespace
 from typing import NamedTuple
 
@@ -27,17 +27,18 @@
 )
 from godwitlanding.gateway.exchange import Exchange
 from godwitlanding.gateway.registry import Upstream
-from godwitlanding.gateway.upstream import Answer, Failure, UpstreamError
 from godwitlanding.platform.headers import HEADER_NAMES
 from godwitlanding.platform.settings import Bounds, VmSettings
 from godwitlanding.program import Program
+from godwitlanding.tests.load.upstream_model import PoolModel, UpstreamModel
 
 ZONE_S = 0.0014
 REGION_S = 0.055
 CALLER_S = 0.008
 SERVICE = "look"
 PORT = 80
-_KEY = re.compile(rb"(?i)godwitlanding-affinity-key: ([^\r]*)")
+# Until all VMs have heard of each other.
+SETTLE_S = 3.0
 _BOUNDS = Bounds(2.5, 6.0, 0.2, 10.0, 60.0, Tolerance(), False, 5.0, 5.0)
 
 
@@ -67,127 +68,25 @@
 )
 
 
-class UpstreamModel:
-    """Slots, a queue, a memory of objects; and what it says of itself."""
-
-    def __init__(self, shape, rng):
-        self._shape = shape
-        self._rng = rng
-        self._known = OrderedDict()
-        self._running = 0
-        self._waiting = deque()
-        self.limit_per_s = None
-        self.leaving = False
-        self.arrived_at = []
-
-    async def handle(self, data):
-        """Return the ``Answer`` to a request."""
-        self.arrived_at.append(_now())
-        if self._running + len(self._waiting) >= 4 * self._shape.slots:
-            extra = [(HEADER_NAMES.not_executed, b"1")]
-            return self._make_answer(503, extra)
-        if self._running >= self._shape.slots:
-            turn = asyncio.get_running_loop().create_future()
-            self._waiting.append(turn)
-            await turn
-        else:
-            self._running += 1
-        try:
-            await asyncio.sleep(self._draw_work_s(data))
-        finally:
-            if self._waiting:
-                self._waiting.popleft().set_result(None)
-            else:
-                self._running -= 1
-        return self._make_answer(200, [(HEADER_NAMES.signature, b"proof")])
-
-    def _draw_work_s(self, data):
-        found = _KEY.search(data)
-        key = found.group(1) if found else b""
-        work_s = self._shape.cold_s
-        if key in self._known:
-            work_s = self._shape.warm_s
-        if key:
-            self._known[key] = None
-            self._known.move_to_end(key)
-            if len(self._known) > self._shape.remembered:
-                self._known.popitem(last=False)
-        return work_s * self._rng.lognormvariate(0.0, 0.15)
-
-    def _make_answer(self, status, headers):
-        report = b"%d,%d,%d" % (self._running, len(self._waiting), self._shape.slots)
-        headers = [*headers, (b"godwitlanding-load-report", report)]
-        if self.limit_per_s is not None:
-            headers.append((b"server-limit", b"%g" % self.limit_per_s))
-        if self.leaving:
-            headers.append((b"server-leaving", b"1"))
-        return Answer(status, headers, b"body", False)
-
-
-class _Pool:
-    """Connections of one VM; each request takes the way there and back."""
-
-    def __init__(self, world, zone):
-        self._world = world
-        self._zone = zone
-        self._idle = Counter()
-
-    def take(self, upstream, is_idempotent):
-        if not self._idle[upstream]:
-            return None
-        self._idle[upstream] -= 1
-        return _Connection(self._world, self._zone, upstream)
-
-    async def connect(self, upstream, address, timeout_s):
-        distance_s = self._world.get_distance_s(self._zone, upstream)
-        if 2 * distance_s > timeout_s:
-            await asyncio.sleep(timeout_s)
-            raise UpstreamError(Failure.CONNECT)
-        await asyncio.sleep(2 * distance_s)
-        return _Connection(self._world, self._zone, upstream)
-
-    def give_back(self, upstream, connection):
-        self._idle[upstream] += 1
-
-    def forget(self, upstream):
-        self._idle.pop(upstream, None)
-
-    def trim(self):
-        pass
-
-    def close(self):
-        self._idle.clear()
-
-
-class _Connection:
-    def __init__(self, world, zone, upstream):
-        self._model = world.upstream_by_id[upstream]
-        self._distance_s = world.get_distance_s(zone, upstream)
-
-    async def send(self, data, request_id, without_body, sink):
-        await asyncio.sleep(self._distance_s)
-        answer = await self._model.handle(data)
-        await asyncio.sleep(self._distance_s)
-        return answer
-
-    def abort(self):
-        pass
-
-
 class _Wire:
     """Carries a VM's datagrams to the others."""
 
-    def __init__(self, world, vm):
+    def __init__(self, world, host):
         self._world = world
-        self._vm = vm
+        self._host = host
 
     def sendto(self, data, address):
-        self._world.deliver(self._vm, address[0], data)
+        self._world.deliver(self._host, address[0], data)
 
     def close(self):
         pass
 
 
+class _Vm(NamedTuple):
+    settings: VmSettings
+    program: Program
+
+
 class _Asked:
     """What stands for a caller's connection: it keeps the answer."""
 
@@ -215,30 +114,28 @@
         self._rng = random.Random(seed)
         self.upstream_by_id = {}
         self.zone_by_upstream = {}
-        self.programs = []
-        self._program_by_host = {}
-        self._wire_by_host = {}
+        self._vm_by_host = {}
         self._tasks = set()
         self.outcomes = {}
-        self.reasons = Counter()
 
     async def __aenter__(self):
         entries = self._make_upstreams()
         config = self._make_config()
+        asyncio.get_running_loop().create_datagram_endpoint = self._open_wire
         for number, (zone, count) in enumerate(self.shape.vms_by_zone.items()):
             for place in range(count):
-                await self._add_vm(zone, f"10.{number}.0.{place + 1}")
-        for program in self.programs:
-            await self._start(program, config, entries)
-        await asyncio.sleep(3.0)
+                self._add_vm(zone, f"10.{number}.0.{place + 1}")
+        for vm in self._vm_by_host.values():
+            await self._start(vm, config, entries)
+        await asyncio.sleep(SETTLE_S)
         return self
 
     async def __aexit__(self, *error):
         for task in list(self._tasks):
             task.cancel()
-        for program in self.programs:
-            for name in ("courier", "chooser", "peers"):
-                await getattr(program, name).stop()
+        for vm in self._vm_by_host.values():
+            for service in (vm.program.courier, vm.program.chooser, vm.program.peers):
+                await service.stop()
 
     def get_distance_s(self, zone, upstream):
         """Return how far an upstream is from a zone, one way."""
@@ -248,15 +145,15 @@
         region_by_zone = self.shape.region_by_zone
         return ZONE_S if region_by_zone[zone] == region_by_zone[other] else REGION_S
 
-    def deliver(self, sender, host, data):
-        """Let a datagram arrive after its way."""
-        receiver = self._program_by_host.get(host)
-        if receiver is None:
+    def deliver(self, sender, receiver, data):
+        """Let a datagram arrive after its way; both are IP numbers."""
+        if receiver not in self._vm_by_host:
             return
-        same = receiver.peers.region == sender.region
+        vm = self._vm_by_host[receiver]
+        same = vm.settings.region == self._vm_by_host[sender].settings.region
         delay_s = ZONE_S if same else REGION_S
         loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, receiver.peers.hear, data, sender.ip)
+        loop.call_later(delay_s, vm.program.peers.hear, data, sender)
 
     async def play(self, seconds, times=1.0):
         """Let callers ask for so long; ``times`` the usual rates."""
@@ -280,20 +177,19 @@
 
     async def _call_from(self, zone, rate, begun, seconds):
         region = self.shape.region_by_zone[zone]
-        hosts = [p for p in self.programs if p.peers.region == region]
+        vms = [vm for vm in self._vm_by_host.values() if vm.settings.region == region]
         while _now() - begun < seconds:
             await asyncio.sleep(self._rng.expovariate(rate))
-            program = self._rng.choice(hosts)
-            self._spawn(self._call(program, hosts, _now() - begun))
+            self._spawn(self._call(vms, _now() - begun))
 
-    async def _call(self, program, hosts, second):
+    async def _call(self, vms, second):
         began = _now()
-        number = min(self._rng.randrange(self.shape.objects), self.shape.objects - 1)
-        key = b"%x" % number
+        key = b"%x" % self._rng.randrange(self.shape.objects)
         outcome = "refused"
         for _ in range(2):
             left_s = self.shape.deadline_s - (_now() - began)
             await asyncio.sleep(CALLER_S)
+            program = self._rng.choice(vms).program
             status, retry_after_s = await self._ask(program, key, left_s)
             await asyncio.sleep(CALLER_S)
             if status == 200:
@@ -304,7 +200,6 @@
                 outcome = "failed"
                 break
             await asyncio.sleep(retry_after_s)
-            program = self._rng.choice(hosts)
         self.outcomes.setdefault(int(second), Counter())[outcome] += 1
 
     async def _ask(self, program, key, left_s):
@@ -361,7 +256,7 @@
         service = Service(SERVICE, "/healthz", 390, 3.0, 6.0)
         return RouteConfig(1, {("h", "/look/"): route}, {SERVICE: service}, Limits())
 
-    async def _add_vm(self, zone, ip):
+    def _add_vm(self, zone, ip):
         settings = VmSettings(
             vm=f"vm-{ip}",
             ip=ip,
@@ -376,43 +271,35 @@
             capacity=Capacity(1000.0, 0.86),
             bounds=_BOUNDS,
         )
-        program = Program(settings, 0, Counters())
-        program.peers.region = settings.region
+        program = Program(settings, 0, Counters(), PoolModel(self, zone))
         program.peers.is_ready = lambda: True
-        program.courier._pool = _Pool(self, zone)
-        program.settings = settings
-        self.programs.append(program)
-        self._program_by_host[ip] = program
-
-    async def _start(self, program, config, entries):
-        wire = _Wire(self, program.settings)
-        program.peers._datagrams._transport = wire
-
-        async def open_nothing():
-            pass
-
-        program.peers._datagrams.open = open_nothing
-        services = {
-            service.name: service
-            for service in (
-                program.registry,
-                program.peers,
-                program.chooser,
-                program.courier,
-                program.admission,
-                program.carrier,
-            )
-        }
-        kernel = SimpleNamespace(get=services.__getitem__)
+        self._vm_by_host[ip] = _Vm(settings, program)
+
+    async def _open_wire(self, make_protocol, local_addr):
+        return _Wire(self, local_addr[0]), make_protocol()
+
+    async def _start(self, vm, config, entries):
+        """Start what carries requests, with what the store would tell."""
+        program = vm.program
+        services = (
+            program.registry,
+            program.peers,
+            program.chooser,
+            program.courier,
+            program.admission,
+            program.carrier,
+        )
+        service_by_name = {service.name: service for service in services}
+        kernel = SimpleNamespace(get=service_by_name.__getitem__)
         program.registry.set_config(config)
         for entry in entries:
             program.registry.put_upstream(entry)
         program.registry.has_upstreams = True
-        for name in ("peers", "chooser", "courier", "admission", "carrier"):
-            await services[name].start(kernel)
-        for other in self.programs:
+        for service in services:
+            await service.start(kernel)
+        for host, other in self._vm_by_host.items():
             settings = other.settings
-            program.peers.note_vm(settings.vm, settings.ip, settings.availability_zone)
+            program.peers.note_vm(settings.vm, host, settings.availability_zone)
 
 
 def _now():
--- /dev/null
+++ b/godwitlanding/tests/load/upstream_model.py
@@ -0,0 +1,121 @@
+"""Upstreams and the connections to them, played without sockets."""
+
+import asyncio
+import re
+from collections import Counter, OrderedDict, deque
+
+from godwitlanding.gateway.upstream import Answer, Failure, UpstreamError
+from godwitlanding.platform.headers import HEADER_NAMES
+
+_KEY = re.compile(rb"(?i)godwitlanding-affinity-key: ([^\r]*)")
+
+
+class UpstreamModel:
+    """Slots, a queue, a memory of objects; and what it says of itself."""
+
+    def __init__(self, shape, rng):
+        self._shape = shape
+        self._rng = rng
+        self._known = OrderedDict()
+        self._running = 0
+        self._waiting = deque()
+        self.limit_per_s = None
+        self.leaving = False
+        self.arrived_at = []
+
+    async def handle(self, data):
+        """Return the ``Answer`` to a request."""
+        self.arrived_at.append(_now())
+        if self._running + len(self._waiting) >= 4 * self._shape.slots:
+            extra = [(HEADER_NAMES.not_executed, b"1")]
+            return self._make_answer(503, extra)
+        if self._running >= self._shape.slots:
+            turn = asyncio.get_running_loop().create_future()
+            self._waiting.append(turn)
+            await turn
+        else:
+            self._running += 1
+        try:
+            await asyncio.sleep(self._draw_work_s(data))
+        finally:
+            if self._waiting:
+                self._waiting.popleft().set_result(None)
+            else:
+                self._running -= 1
+        return self._make_answer(200, [(HEADER_NAMES.signature, b"proof")])
+
+    def _draw_work_s(self, data):
+        found = _KEY.search(data)
+        key = found.group(1) if found else b""
+        work_s = self._shape.cold_s
+        if key in self._known:
+            work_s = self._shape.warm_s
+        if key:
+            self._known[key] = None
+            self._known.move_to_end(key)
+            if len(self._known) > self._shape.remembered:
+                self._known.popitem(last=False)
+        return work_s * self._rng.lognormvariate(0.0, 0.15)
+
+    def _make_answer(self, status, headers):
+        report = b"%d,%d,%d" % (self._running, len(self._waiting), self._shape.slots)
+        headers = [*headers, (b"godwitlanding-load-report", report)]
+        if self.limit_per_s is not None:
+            headers.append((b"server-limit", b"%g" % self.limit_per_s))
+        if self.leaving:
+            headers.append((b"server-leaving", b"1"))
+        return Answer(status, headers, b"body", False)
+
+
+class PoolModel:
+    """Connections of one VM; each request takes the way there and back."""
+
+    def __init__(self, world, zone):
+        self._world = world
+        self._zone = zone
+        self._idle = Counter()
+
+    def take(self, upstream, is_idempotent):
+        if not self._idle[upstream]:
+            return None
+        self._idle[upstream] -= 1
+        return ConnectionModel(self._world, self._zone, upstream)
+
+    async def connect(self, upstream, address, timeout_s):
+        distance_s = self._world.get_distance_s(self._zone, upstream)
+        if 2 * distance_s > timeout_s:
+            await asyncio.sleep(timeout_s)
+            raise UpstreamError(Failure.CONNECT)
+        await asyncio.sleep(2 * distance_s)
+        return ConnectionModel(self._world, self._zone, upstream)
+
+    def give_back(self, upstream, connection):
+        self._idle[upstream] += 1
+
+    def forget(self, upstream):
+        self._idle.pop(upstream, None)
+
+    def trim(self):
+        pass
+
+    def close(self):
+        self._idle.clear()
+
+
+class ConnectionModel:
+    def __init__(self, world, zone, upstream):
+        self._model = world.upstream_by_id[upstream]
+        self._distance_s = world.get_distance_s(zone, upstream)
+
+    async def send(self, data, request_id, without_body, sink):
+        await asyncio.sleep(self._distance_s)
+        answer = await self._model.handle(data)
+        await asyncio.sleep(self._distance_s)
+        return answer
+
+    def abort(self):
+        pass
+
+
+def _now():
+    return asyncio.get_running_loop().time()
