A limit that leaves more than is asked for changes nothing

What callers would see: an upstream that names any limit, however high, got no further object and no whole part of its region's plan of objects.

--- a/godwitlanding/decisions/ratelimit.py
+++ b/godwitlanding/decisions/ratelimit.py
@@ -30,6 +30,9 @@
 # Less than this counts as this, so that a request now and then can learn that
 # the limit is gone.
 LEAST_PER_S = 0.1
+# An upstream whose bucket stays fuller than this is asked for less than it
+# takes: a limit that is far above what is asked changes nothing.
+SCARCE_SHARE = 0.9
 # A limit that no answer has named for this long is forgotten: nobody sends
 # there, and it may be long gone. It is more than the pause between two
 # requests at ``LEAST_PER_S``.
@@ -129,11 +132,21 @@
         limit = self._limit_by_upstream.get(upstream)
         if limit is None or limit.per_s_named is None:
             return True
-        if not self._carries or self._is_left_to_others(limit, now):
+        if self._is_left_to_others(limit, now):
             return False
         limit.fill(now)
         return limit.level >= 1.0
 
+    def is_scarce(self, upstream, now):
+        """Tell whether a limit leaves hardly more than is asked for."""
+        limit = self._limit_by_upstream.get(upstream)
+        if limit is None or limit.per_s_named is None:
+            return False
+        if self._is_left_to_others(limit, now):
+            return True
+        limit.fill(now)
+        return limit.level < SCARCE_SHARE * limit.capacity
+
     def note_sent(self, upstream, now):
         """A request is sent to an upstream."""
         limit = self._limit_by_upstream.get(upstream)
@@ -253,5 +266,7 @@
         return self._share / max(1, len(self._regions) - 1)
 
     def _is_left_to_others(self, limit, now):
+        if not self._carries:
+            return True
         heard_at = self._heard_at_by_region.get(limit.region, -math.inf)
         return now - heard_at <= FAR_SILENT_S
--- a/godwitlanding/gateway/availability.py
+++ b/godwitlanding/gateway/availability.py
@@ -33,15 +33,15 @@
     def may_learn(self, upstream_id, now):
         """Tell whether it may be given objects that it does not know yet.
 
-        What one that is limited may still get is for what it knows.
+        What one with a scarce limit may still get is for what it knows.
         """
-        if self._limits.is_limited(upstream_id):
+        if self.is_scarce(upstream_id, now):
             return False
         return self._registry.get_cold_left_s(upstream_id, now) <= 0
 
-    def is_limited(self, upstream_id):
-        """Tell whether it has named a limit on its requests."""
-        return self._limits.is_limited(upstream_id)
+    def is_scarce(self, upstream_id, now):
+        """Tell whether it is asked for as much as the limit it has named."""
+        return self._limits.is_scarce(upstream_id, now)
 
     def note_sent(self, upstream_id, now):
         """An upstream is sent a request; while it is cold it gets a pause."""
--- a/godwitlanding/gateway/candidates.py
+++ b/godwitlanding/gateway/candidates.py
@@ -79,7 +79,7 @@
                 continue
             if self._availability.may_take(upstream_id, now):
                 known.ids_by_region.setdefault(region, []).append(upstream_id)
-            elif self._availability.is_limited(upstream_id):
+            elif self._availability.is_scarce(upstream_id, now):
                 known.limited.add(region)
         return known
 
@@ -118,14 +118,14 @@
         ids = self._registry.get_usable_ids(work.service, region)
 
         def is_usable(upstream_id):
-            if known.limited and self._availability.is_limited(upstream_id):
+            if known.limited and self._availability.is_scarce(upstream_id, now):
                 return False
             return upstream_id not in tried and self._availability.may_take(
                 upstream_id, now
             )
 
         def is_sound(upstream_id):
-            if self._availability.is_limited(upstream_id):
+            if self._availability.is_scarce(upstream_id, now):
                 return False
             return self._is_sound(work.service, upstream_id)
 
--- a/godwitlanding/gateway/limitnews.py
+++ b/godwitlanding/gateway/limitnews.py
@@ -57,6 +57,10 @@
         """Tell whether an upstream has named a limit."""
         return self.get(upstream_id) is not None
 
+    def is_scarce(self, upstream_id, now):
+        """Tell whether an upstream's limit leaves no more than is asked."""
+        return self._limits.is_scarce(self._registry.number_by_id[upstream_id], now)
+
     def may_send(self, upstream_id, now):
         """Tell whether a request may be sent to an upstream at once."""
         return self._limits.may_send(self._registry.number_by_id[upstream_id], now)
--- a/godwitlanding/tests/decisions/test_ratelimit.py
+++ b/godwitlanding/tests/decisions/test_ratelimit.py
@@ -165,3 +165,23 @@
     # One that has started anew counts from nothing.
     limits.hear("old", 2, LimitRow(UPSTREAM, 5.0, 0.1, 1), "a", 3.0)
     assert not limits.may_send(UPSTREAM, 3.0)
+
+
+@pytest.mark.parametrize(
+    ("limit_per_s", "sent", "scarce"),
+    [(4.0, 0, False), (20.0, 1, False), (4.0, 1, True), (1.0, 1, True)],
+)
+def test_limit_is_scarce_while_it_is_asked_for(limit_per_s, sent, scarce):
+    limits = make_limits()
+    assert not limits.is_scarce(UPSTREAM, 0.0)
+    limits.note_answer(UPSTREAM, "a", limit_per_s, 0.0)
+    limits.update(1.0, True, 2.0)
+    for _ in range(sent):
+        limits.note_sent(UPSTREAM, 2.0)
+    assert limits.is_scarce(UPSTREAM, 2.0) is scarce
+
+
+def test_limit_is_scarce_for_those_who_leave_it_to_others():
+    limits = make_limits("b")
+    limits.hear_region("a", (LimitedUpstream(UPSTREAM, 50.0),), 0.0)
+    assert limits.is_scarce(UPSTREAM, 2.0)
