--- a/godwitlanding/decisions/ratelimit.py
+++ b/godwitlanding/decisions/ratelimit.py
@@ -75,7 +75,7 @@
         super().__init__(now)
         self.region = region
         self.known_at = now
-        # The newest word, and the newest that this VM heard from the upstream.
+        # What was named last, and what the upstream said to this VM last.
         self.per_s_named = None
         self.said_at = -math.inf
         self.own_per_s = None
--- a/godwitlanding/tests/decisions/test_ratelimit.py
+++ b/godwitlanding/tests/decisions/test_ratelimit.py
@@ -138,7 +138,7 @@
     assert limits.may_send(UPSTREAM, FAR_SETTLE_S + 0.1)
 
 
-def test_newer_word_wins_and_old_ones_do_not_come_back():
+def test_newer_report_wins_and_old_ones_do_not_come_back():
     # Guards against a limit that lives on since VMs repeat it to each other.
     limits = make_limits()
     limits.note_answer(UPSTREAM, "a", 2.0, 10.0)
--- a/godwitlanding/tests/gateway/test_upstream_words.py
+++ b/godwitlanding/tests/gateway/test_self_report.py
@@ -8,7 +8,7 @@
 
 LIMIT_PER_S = 2.0
 WINDOW_S = 4.0
-# Until the word of one VM must be in force at all.
+# Until what one VM has heard must be in force at all.
 SETTLE_S = 4.0
 # What users tolerate in a window.
 MOST_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5
--- a/godwitlanding/tests/soak/schedule.py
+++ b/godwitlanding/tests/soak/schedule.py
@@ -16,7 +16,7 @@
 VM_KINDS = ("term", "kill", "pause", "hangup", "herd")
 UPSTREAM_KINDS = ("crash", "shed", "fail", "reset", "cut", "slow", "drain")
 # What an upstream says of itself in its answers alone.
-WORD_KINDS = ("limit", "leave", "pause_asked")
+SELF_REPORT_KINDS = ("limit", "leave", "pause_asked")
 STORE_KINDS = ("down", "busy", "hang", "slow", "lose_answers", "forget")
 LINK_KINDS = ("delayed", "silent", "deaf_up", "deaf_down", "reset_link")
 OPERATOR_KINDS = ("config", "evacuate")
@@ -24,7 +24,7 @@
 _FAMILIES = (
     ("vm", VM_KINDS, 4),
     ("upstream", UPSTREAM_KINDS, 3),
-    ("word", WORD_KINDS, 3),
+    ("self_report", SELF_REPORT_KINDS, 3),
     ("store", STORE_KINDS, 2),
     ("store_link", LINK_KINDS, 2),
     ("upstream_link", LINK_KINDS, 2),
--- a/godwitlanding/tests/soak/strike.py
+++ b/godwitlanding/tests/soak/strike.py
@@ -113,7 +113,7 @@
             await asyncio.sleep(fault.for_s)
             worker.fault = ""
 
-    async def _strike_word(self, fault):
+    async def _strike_self_report(self, fault):
         workers = self._world.get_workers()
         worker = workers[fault.target % len(workers)]
         if fault.kind == "limit":
