--- a/godwitlanding/tests/soak/test_soak.py
+++ b/godwitlanding/tests/soak/test_soak.py
@@ -14,7 +14,8 @@
 from godwitlanding.tests.standins.standin_worker import make_echo
 from godwitlanding.tests.tools.network import claim_world_prefix
 
-CI_SEED = 38
+# The second draws upstreams that are limited, leave and want a pause.
+CI_SEEDS = (38, 347)
 
 
 @pytest.mark.parametrize("name", KEPT)
@@ -23,8 +24,9 @@
     assert not report.problems, format_report(report)
 
 
-async def test_drawn_schedule_breaks_nothing(tmp_path):
-    report = await run_faults(CI_SEED, draw_faults(CI_SEED), tmp_path)
+@pytest.mark.parametrize("seed", CI_SEEDS)
+async def test_drawn_schedule_breaks_nothing(seed, tmp_path):
+    report = await run_faults(seed, draw_faults(seed), tmp_path)
     assert not report.problems, format_report(report)
     assert report.count_by_outcome["200"] > 300
 
