A limit that a neighbour tells in fewer digits is not another limit

Found in reading the change: between VMs a limit goes as a 32-bit float, so 2.7 came back as 2.70000005, and each answer and each bulletin in turn logged and counted a change: 8 for four answers, now 1.

--- a/godwitlanding/decisions/ratelimit.py
+++ b/godwitlanding/decisions/ratelimit.py
@@ -45,6 +45,8 @@
 # upstream's answer.
 FAR_SETTLE_S = 2.0
 FAR_SILENT_S = 3.0
+# Between VMs limits are told in fewer digits than upstreams name them in.
+SAME_SHARE = 1e-4
 # Rows in one datagram, so that it stays within a few packets.
 MAX_ROWS = 128
 
@@ -248,7 +250,7 @@
         if said_at <= limit.said_at:
             return False
         limit.said_at = said_at
-        if per_s == limit.per_s_named:
+        if _is_same(per_s, limit.per_s_named):
             return False
         limit.per_s_named = per_s
         self._set_pace(limit, now)
@@ -270,3 +272,9 @@
             return True
         heard_at = self._heard_at_by_region.get(limit.region, -math.inf)
         return now - heard_at <= FAR_SILENT_S
+
+
+def _is_same(per_s, other_per_s):
+    if per_s is None or other_per_s is None:
+        return per_s is other_per_s
+    return math.isclose(per_s, other_per_s, rel_tol=SAME_SHARE)
--- a/godwitlanding/tests/gateway/test_limits.py
+++ b/godwitlanding/tests/gateway/test_limits.py
@@ -132,6 +132,20 @@
         assert not setting.limits.may_send("u", asyncio.get_running_loop().time())
 
 
+async def test_limit_that_comes_back_from_a_neighbour_is_no_news(monkeypatch):
+    # Guards against a log line for each answer and each bulletin in turn.
+    async with PeersSetting(monkeypatch) as setting:
+        upstream = Upstream("u", "s", ("127.0.0.1", 1), "a1", 3, False, 0.0)
+        setting.registry.put_upstream(upstream)
+        rows = (LimitRow(setting.registry.number_by_id["u"], 2.7, 0.0, 0),)
+        for sequence in range(1, 5):
+            setting.limits.note_answer(upstream, 2.7)
+            await asyncio.sleep(0.1)
+            setting.hear("vm-2", "10.0.0.2", sequence=sequence, limits=rows)
+            await asyncio.sleep(0.1)
+        assert setting.counters.get("upstream_limits") == 1
+
+
 async def test_other_region_hears_of_limits_and_leaves_them_alone(monkeypatch):
     async with PeersSetting(monkeypatch) as setting:
         upstream = Upstream("far", "s", ("127.0.0.1", 1), "b1", 3, False, 0.0)
--- a/godwitlanding/tests/gateway/test_peers.py
+++ b/godwitlanding/tests/gateway/test_peers.py
@@ -69,7 +69,10 @@
         self.crashes = []
         self.object_map = ObjectMap()
         self.allotments = Allotments("a", ("a", "b"), Tolerance(), 0.0)
-        self.limits = LimitNews(self.registry, "a", REGION_BY_ZONE.values(), Counters())
+        self.counters = Counters()
+        self.limits = LimitNews(
+            self.registry, "a", REGION_BY_ZONE.values(), self.counters
+        )
         self.peers = Peers(
             identity,
             self.fleet,
