Requests about no object have a work time of their own

These are answered in 3 to 5 ms; refused were those with a second left, since a first run takes 1.6 s.

Cause: such requests were counted as first runs of an object.

--- a/godwitlanding/decisions/worktime.py
+++ b/godwitlanding/decisions/worktime.py
@@ -1,8 +1,11 @@
 """How long the work of a service takes, and which upstreams are slow or fail.
 
 An upstream that handled an object lately does the work in about a third of
-the time, so two running means are kept for a service: *warm* for objects that
-an upstream knows, *cold* for those it does not.
+the time, so running means are kept for a service: *warm* for objects that an
+upstream knows, *cold* for those it does not. Requests about no object may be
+of quite another size and have a mean of their own: taken for first runs they
+would be refused for a time that they do not need, and hide how long first
+runs take.
 
 Load pattern: one upstream takes five times as long as its peers or fails
 half of its requests while its health endpoint says that all is well. Failing
@@ -20,7 +23,7 @@
 _FAILURE_WEIGHT = 0.2
 # The shares of a service are those of the last fifty answers.
 _SERVICE_FAILURE_WEIGHT = 0.02
-_COLD_SHARE_WEIGHT = 0.02
+_SHARE_WEIGHT = 0.02
 # An upstream that fails half of its requests is worse than one that does
 # not know the object (three times as long for each), but only where others
 # fail less: when all upstreams of a service shed half of their requests,
@@ -48,6 +51,8 @@
     COLD = "cold"
     # The first request for the object that this VM sends there.
     UNSURE = "unsure"
+    # The request is about no object.
+    NO_OBJECT = "no object"
 
 
 class WorkTimes:
@@ -58,7 +63,10 @@
         self._factor_by_upstream = {}
         self._failures_by_upstream = {}
         self._failures_by_service = {}
+        # Shares of the answers of a service: of first runs among those about
+        # objects, and of those about none.
         self._cold_share_by_service = {}
+        self._objectless_share_by_service = {}
 
     def note_answer(self, service, upstream, work_s, warmth, waited):
         """Take the time of an answer; ``waited``: it queued for a slot."""
@@ -66,9 +74,9 @@
         if warmth is Warmth.UNSURE:
             middle = (self.get_warm_s(service) + self.get_cold_s(service)) / 2
             warmth = Warmth.COLD if work_s > middle else Warmth.WARM
-        elif not waited:
+        elif not waited and self._tells_speed(service, warmth):
             self._move_factor(service, upstream, work_s, warmth)
-        self._move_cold_share(service, warmth is Warmth.COLD)
+        self._move_shares(service, warmth)
         key = (service, warmth)
         held = self._mean_by_service.get(key)
         if held is None:
@@ -90,6 +98,10 @@
         held = self._mean_by_service.get((service, Warmth.COLD), FIRST_COLD_S)
         return max(held, self.get_warm_s(service))
 
+    def get_objectless_s(self, service):
+        """Return the work time of requests about no object."""
+        return self._mean_by_service.get((service, Warmth.NO_OBJECT), FIRST_COLD_S)
+
     def get_mean_s(self, service):
         """Return the mean work time of what is answered now.
 
@@ -98,7 +110,9 @@
         """
         warm_s = self.get_warm_s(service)
         cold_share = self._cold_share_by_service.get(service, 0.0)
-        return warm_s + cold_share * (self.get_cold_s(service) - warm_s)
+        mean_s = warm_s + cold_share * (self.get_cold_s(service) - warm_s)
+        objectless_share = self._objectless_share_by_service.get(service, 0.0)
+        return mean_s + objectless_share * (self.get_objectless_s(service) - mean_s)
 
     def get_factor(self, upstream):
         """Return how many times the usual time an upstream takes."""
@@ -140,18 +154,29 @@
         self._factor_by_upstream.pop(upstream, None)
         self._failures_by_upstream.pop(upstream, None)
 
+    def _tells_speed(self, service, warmth):
+        # Where requests about objects come as well, those about none are
+        # light: their time tells more of the network than of the upstream.
+        if warmth is not Warmth.NO_OBJECT:
+            return True
+        return service not in self._cold_share_by_service
+
     def _move_factor(self, service, upstream, work_s, warmth):
         usual = self.get_warm_s(service)
         if warmth is Warmth.COLD:
             usual = self.get_cold_s(service)
+        elif warmth is Warmth.NO_OBJECT:
+            usual = self.get_objectless_s(service)
         seen = min(_MAX_FACTOR, max(_MIN_FACTOR, work_s / max(usual, 0.001)))
         held = self.get_factor(upstream)
         self._factor_by_upstream[upstream] = held + _UPSTREAM_WEIGHT * (seen - held)
 
-    def _move_cold_share(self, service, is_cold):
-        held = self._cold_share_by_service.get(service, 0.0)
-        moved = held + _COLD_SHARE_WEIGHT * (is_cold - held)
-        self._cold_share_by_service[service] = moved
+    def _move_shares(self, service, warmth):
+        is_objectless = warmth is Warmth.NO_OBJECT
+        _move_share(self._objectless_share_by_service, service, is_objectless)
+        if not is_objectless:
+            is_cold = warmth is Warmth.COLD
+            _move_share(self._cold_share_by_service, service, is_cold)
 
     def _move_failures(self, service, upstream, seen):
         share = self._failures_by_upstream.get(upstream, 0.0)
@@ -160,3 +185,8 @@
         usual = self._failures_by_service.get(service, 0.0)
         usual += _SERVICE_FAILURE_WEIGHT * (seen - usual)
         self._failures_by_service[service] = usual
+
+
+def _move_share(share_by_service, service, seen):
+    held = share_by_service.get(service, 0.0)
+    share_by_service[service] = held + _SHARE_WEIGHT * (seen - held)
--- a/godwitlanding/gateway/candidates.py
+++ b/godwitlanding/gateway/candidates.py
@@ -172,9 +172,13 @@
         occupied = self._occupancy.get(upstream_id, now)
         upstream_number = self._registry.number_by_id[upstream_id]
         places = 0
-        if work.key and known:
+        work_s = cold_s
+        if not work.key:
+            work_s = self._worktimes.get_objectless_s(service) * factor
+        elif known:
+            work_s = warm_s
             places = PLACES_EACH_HOME * number
-        elif work.key:
+        else:
             objects = self._object_map.count_known(upstream_number)
             objects = min(objects, self._learning.get_remembered(service))
             places = number + PLACES_EACH_OBJECT * objects
@@ -183,7 +187,7 @@
             upstream=upstream_id,
             slots=upstream.slots,
             occupied=occupied,
-            work_s=warm_s if known else cold_s,
+            work_s=work_s,
             usual_s=mix_work_s(warm_s, cold_s, learning, occupied),
             distance_s=self._distances.get_s(upstream.availability_zone),
             failure_share=self._worktimes.get_failure_share(upstream_id),
--- a/godwitlanding/gateway/learning.py
+++ b/godwitlanding/gateway/learning.py
@@ -31,7 +31,7 @@
         ``Choice.depth``.
         """
         if not work.key:
-            return Warmth.COLD, None
+            return Warmth.NO_OBJECT, None
         meeting = self._make_meeting(work, upstream_id)
         held = self._object_map.get_depth(*meeting)
         depth = held if self._object_map.has_answered(meeting) else None
--- a/godwitlanding/tests/decisions/test_worktime.py
+++ b/godwitlanding/tests/decisions/test_worktime.py
@@ -85,3 +85,27 @@
         worktimes.note_answer("s", "a", 0.1 if number % 4 else 0.4, warmth, False)
     assert before_s < 0.13
     assert worktimes.get_mean_s("s") == pytest.approx(0.175, abs=0.03)
+
+
+def test_light_requests_do_not_hide_how_long_first_runs_take():
+    # Guards against first runs that are taken for as short as strays.
+    worktimes = make_worktimes()
+    cold_s = worktimes.get_cold_s("s")
+    for _ in range(50):
+        worktimes.note_answer("s", "a", 0.004, Warmth.NO_OBJECT, False)
+    assert worktimes.get_cold_s("s") == cold_s
+    assert worktimes.get_factor("a") == pytest.approx(1.0, abs=0.1)
+    assert worktimes.get_objectless_s("s") < 0.02
+    # They take slots, though hardly any time of theirs.
+    assert worktimes.get_mean_s("s") < 0.1
+
+
+def test_slow_upstream_is_known_where_nothing_is_about_objects():
+    worktimes = WorkTimes()
+    for upstream in ("a", "b", "c"):
+        for _ in range(20):
+            worktimes.note_answer("s", upstream, 0.3, Warmth.NO_OBJECT, False)
+    for _ in range(4):
+        worktimes.note_answer("s", "a", 1.2, Warmth.NO_OBJECT, False)
+    assert worktimes.get_factor("a") > 2
+    assert worktimes.get_mean_s("s") == pytest.approx(0.3, abs=0.1)
--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -424,3 +424,18 @@
             setting.chooser.learning.note_answer(work, choice, 0.4)
         assert setting.worktimes.get_factor("u0") < 2.0
         assert setting.chooser.learning.get_remembered("s") < 12
+
+
+async def test_light_request_is_not_refused_for_the_time_of_first_runs():
+    # Guards against requests refused though upstreams answer them at once.
+    async with Setting(WARM) as setting:
+        for name, _, _ in WARM:
+            for _ in range(10):
+                setting.worktimes.note_answer("s", name, 0.5, Warmth.WARM, False)
+                setting.worktimes.note_answer("s", name, 1.6, Warmth.COLD, False)
+                setting.worktimes.note_answer("s", name, 0.004, Warmth.NO_OBJECT, False)
+        hurried = make_work(key="")._replace(answer_by=0.9, target_at=0.9)
+        assert not isinstance(setting.choose(hurried), Rejection)
+        now = asyncio.get_running_loop().time()
+        patient = make_work()._replace(answer_by=now + 5.0, target_at=now + 3.0)
+        assert setting.choose(patient).finish_s == pytest.approx(1.6, abs=0.1)
