--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -189,10 +189,17 @@
         if self._object_by_name.keys() - {o.name for o in snapshot.objects}:
             # When they went is not told; not later than now.
             changed_at = snapshot.version
-        self._merge(
+        refused = self._merge(
             Change(snapshot.version, changed_at, snapshot.objects, (), True),
             self._remove,
         )
+        log_message(
+            "mirror:listed",
+            kind=self.kind,
+            revision=snapshot.version,
+            objects=len(snapshot.objects),
+            refused=len(refused),
+        )
         self._listed = snapshot.version
         self._note_known()
         return snapshot.version
@@ -226,15 +233,30 @@
             return None
         self._succeed()
         batch = answer.unwrap()
-        self._merge(_make_change(batch), self._remove)
+        for stored in self._merge(_make_change(batch), self._remove):
+            self._log_refused(stored)
         left_s = GATHER_S - (_now() - begun)
         if left_s > 0:
             await asyncio.sleep(left_s)
         return max(revision, batch.version)
 
+    def _log_refused(self, stored):
+        held = self._object_by_name.get(stored.name)
+        log_message(
+            "mirror:refused",
+            level="warning",
+            kind=self.kind,
+            name=stored.name,
+            version=stored.version,
+            held=held.version if held else 0,
+            revision=self.revision,
+        )
+
     def _merge(self, change, remove):
+        """Take what is news; return the objects that are older than known."""
         # Whoever tells may be behind: what it holds of before ``revision``
         # is known here already, or known to be gone.
+        refused = []
         for stored in change.objects:
             if self._guard:
                 self._guard.keep(stored.name)
@@ -242,6 +264,8 @@
             known_to = held.version if held else self.revision
             if stored.version > known_to or not self.is_known:
                 self._take(stored)
+            elif stored.version < known_to:
+                refused.append(stored)
         gone = set(change.removed)
         if change.whole:
             gone = self._object_by_name.keys() - {o.name for o in change.objects}
@@ -252,6 +276,7 @@
         self.revision = max(self.revision, change.revision)
         self.changed_at = max(self.changed_at, change.changed_at)
         self._tell()
+        return refused
 
     def _note_known(self):
         self.is_known = True
--- a/godwitlanding/platform/store.py
+++ b/godwitlanding/platform/store.py
@@ -32,6 +32,8 @@
 
 # The one upstream of the pool.
 _STORE = "store"
+# Rises by one each time that the store comes back from an older copy.
+_ERA = b"store-era"
 
 
 class ObjectStore:
@@ -45,6 +47,8 @@
         self._address = address
         self._counters = counters
         self._pool = UpstreamPool(b"")
+        # The newest that was heard of, ``None`` before the first answer.
+        self._era = None
 
     async def snapshot(self, kind, may_be_old=False):
         """Return ``Ok(Snapshot)`` of all objects of a kind.
@@ -135,6 +139,7 @@
                 answer = await self._exchange(data)
         except (UpstreamError, TimeoutError) as error:
             return _make_unavailable(repr(error))
+        self._note_era(_read_era(answer))
         if answer.status in (200, 201):
             try:
                 return Ok(_read_json(answer.body) if answer.body else {})
@@ -143,6 +148,14 @@
         code = _CODE_BY_STATUS.get(answer.status, Code.PLATFORM_UNAVAILABLE)
         return Err(make_refusal(code, detail=f"answered {answer.status}"))
 
+    def _note_era(self, era):
+        if era == self._era:
+            return
+        log_message("store:era", era=era, former=self._era)
+        if self._era is not None:
+            self._counters.add("store_restored")
+        self._era = era
+
     async def _exchange(self, data):
         """Send a request and return its answer."""
         connection = self._pool.take(_STORE, True)
@@ -175,6 +188,11 @@
     return Err(make_refusal(Code.PLATFORM_UNAVAILABLE, detail=detail))
 
 
+def _read_era(answer):
+    text = answer.get_header(_ERA)
+    return int(text) if text.isdigit() else 0
+
+
 def _read_json(text):
     """Return a body as objects; raises ``ValueError`` or ``RecursionError``.
 
