Two tests that fail: what comes after the store was restored is refused

The stand-in of the store plays the platform's new term: it comes back from an older copy, gives revisions out again and names a higher Store-Era; a watch from a revision that it does not have gets 410.

Three real VMs, a store that is away for a second and lost 22 revisions: a route added 0.5 s after its return is answered 404 by all three VMs 2.5 s later, and an upstream that says it leaves goes on getting requests.

--- /dev/null
+++ b/godwitlanding/tests/gateway/test_store_restored.py
@@ -0,0 +1,76 @@
+"""The store comes back from an older copy: what VMs make of it."""
+
+import asyncio
+
+import pytest
+
+from godwitlanding.tests.gateway.world import World, make_config
+
+# Time in which a change has to be in force.
+CONFIG_S = 2.5
+AWAY_S = 1.0
+NEW_ROUTE = [
+    *("new", "h", "/new/", "safe", "2s", "400ms", 2, None, 2, True, [], "looks")
+]
+
+
+@pytest.fixture
+async def world(tmp_path):
+    async with World(tmp_path) as world:
+        await world.start()
+        yield world
+
+
+async def write_much(store):
+    """Let the store's revision rise far beyond that of a copy."""
+    for number in range(20):
+        await store.put("things", "a", {"number": number})
+
+
+async def restore(store, copy):
+    """Take the store away for a moment; it comes back from ``copy``."""
+    store.faults.status = 503
+    await asyncio.sleep(AWAY_S)
+    await store.come_back(copy)
+    store.faults.status = 0
+
+
+async def lose_a_configuration(world):
+    """Take the store back to before a configuration that is in force.
+
+    The operator writes it again.
+    """
+    copy = world.store.take_copy()
+    await write_much(world.store)
+    await world.store.put("config", "main", make_config("r8"))
+    await asyncio.sleep(0.5)
+    await restore(world.store, copy)
+    await world.store.put("config", "main", make_config("r8"))
+    await asyncio.sleep(0.5)
+
+
+async def test_configuration_after_the_store_was_restored_is_in_force_in_time(world):
+    # Revisions are given out again; changes that bore known ones were refused.
+    await lose_a_configuration(world)
+    await world.store.put("config", "main", make_config("r9", [NEW_ROUTE]))
+    await asyncio.sleep(CONFIG_S)
+    statuses = [(await world.ask(vm, "/new/1"))[0].status for vm in world.vms]
+    assert statuses == [200, 200, 200]
+
+
+async def test_upstream_that_leaves_after_the_store_was_restored_gets_nothing(world):
+    # Its entry was refused as older than the one that the store had lost.
+    leaving = world.get_worker("look-1")
+    copy = world.store.take_copy()
+    await write_much(world.store)
+    await world.register(leaving, "draining")
+    await world.register(leaving)
+    await asyncio.sleep(0.5)
+    await restore(world.store, copy)
+    await asyncio.sleep(0.5)
+    await world.register(leaving, "draining")
+    await asyncio.sleep(CONFIG_S)
+    leaving.ran.clear()
+    for number in range(10):
+        await world.ask(world.vms[0], f"/look/{number}")
+    assert not leaving.ran
--- a/godwitlanding/tests/standins/standin_store.py
+++ b/godwitlanding/tests/standins/standin_store.py
@@ -4,11 +4,13 @@
 it. ``faults`` say how it misbehaves: ``status`` answers every call with that
 status, ``lose_answers`` does what is asked and then resets the connection,
 ``silent`` never answers, ``delay_s`` answers late, ``deaf`` lets watches
-hear nothing.
+hear nothing. It may come back from an older copy (``take_copy``,
+``come_back``); its revisions then go back and are given out again.
 """
 
 import asyncio
 from types import SimpleNamespace
+from typing import NamedTuple
 
 from starlette.applications import Starlette
 from starlette.responses import JSONResponse, Response
@@ -19,12 +21,20 @@
 PAGE_ITEMS = 3
 
 
+class StoreCopy(NamedTuple):
+    """What the store held at a revision."""
+
+    revision: int
+    object_by_name_by_kind: dict
+
+
 class StandinStore:
     """The store's objects by kind and name, and who watches them."""
 
     def __init__(self, host, port):
         self.address = (host, port)
         self.revision = 1
+        self.era = 1
         self.faults = SimpleNamespace(
             status=0, lose_answers=0, silent=False, delay_s=0.0, deaf=False
         )
@@ -67,6 +77,21 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def take_copy(self):
+        """Return a copy from which the store may come back."""
+        kinds = self._object_by_name_by_kind.items()
+        return StoreCopy(self.revision, {kind: dict(held) for kind, held in kinds})
+
+    async def come_back(self, copy):
+        """Lose all that was written since ``copy`` was taken; cut watches."""
+        self.era += 1
+        self.revision = copy.revision
+        self._object_by_name_by_kind = copy.object_by_name_by_kind
+        self._events = [event for event in self._events if event[0] <= copy.revision]
+        self._cut += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     def get_spec(self, kind, name):
         """Return what an object holds, ``None`` where there is none."""
         item = self._get_kind(kind).get(name)
@@ -111,6 +136,11 @@
         )
 
     async def _serve(self, request):
+        answer = await self._find_answer(request)
+        answer.headers["Store-Era"] = str(self.era)
+        return answer
+
+    async def _find_answer(self, request):
         faults = self.faults
         kind = request.path_params["kind"]
         self.calls.append(
@@ -192,7 +222,8 @@
         after = int(request.query_params["watch"])
         wait_s = int(request.query_params.get("wait_ms", 0)) / 1000
         cut = self._cut
-        if after < self._oldest and not self.faults.deaf:
+        is_known = self._oldest <= after <= self.revision
+        if not is_known and not self.faults.deaf:
             return JSONResponse({}, status_code=410)
 
         def find():
