Versions of the store grow when it comes back from an older copy

What callers saw: seconds after an outage of the store, acknowledged configurations were not in force.

Cause: the store had come back from an older copy. Its revisions go back then and are given out again, and VMs compared revisions alone: a change that bore one below the held one was refused as late, on every VM and for as long as the store needed to pass what it had reached before.

Change: a version is the store's era, which its answers name, and the revision in it, as one number that only grows. All comparisons stay what they were: mirrors, the feed, what VMs tell each other of the changes that they know. The client, which is where revisions become versions, knows more of eras: a watch from a version of an era that is over has expired, also where the store has that revision again; such a version is no condition of a write; a write that is acknowledged in an era that is over is not taken for done; a list whose pages come from two eras is none.

Why it works: whoever has seen an era takes all that comes in it for newer than what came before, whatever the revision. What must not go back with the store, the version of a configuration and the start of an upstream, is compared by itself and stays.

--- a/godwitlanding/base/stored.py
+++ b/godwitlanding/base/stored.py
@@ -7,10 +7,38 @@
 from typing import NamedTuple, Protocol
 
 MAX_VALUE_BYTES = 1_000_000
+# More changes than a store has in its life.
+_REVISIONS_PER_ERA = 10**12
+
+
+def make_version(era, revision):
+    """Return a version that is higher than all of earlier eras.
+
+    A store that comes back from an older copy gives revisions out again, in
+    a higher era. Whoever compared revisions alone would take every change
+    for a late one, until the revision is beyond what it has seen.
+
+    >>> make_version(2, 5) > make_version(1, 9)
+    True
+    """
+    return era * _REVISIONS_PER_ERA + revision
+
+
+def get_era(version):
+    """Return the era of a version."""
+    return version // _REVISIONS_PER_ERA
+
+
+def get_revision(version):
+    """Return the revision, by which the store itself knows a version."""
+    return version % _REVISIONS_PER_ERA
 
 
 class StoredObject(NamedTuple):
-    """An object of the platform; ``version`` grows with every write."""
+    """An object of the platform; ``version`` grows with every write.
+
+    It also grows where the store has come back from an older copy.
+    """
 
     kind: str
     name: str
--- a/godwitlanding/platform/store.py
+++ b/godwitlanding/platform/store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+from typing import NamedTuple
 from urllib.parse import quote, urlencode
 
 import orjson
@@ -13,7 +14,15 @@
 from result import Err, Ok
 
 from godwitlanding.base.codes import Code, make_refusal
-from godwitlanding.base.stored import Snapshot, StoredObject, WatchBatch, WatchEvent
+from godwitlanding.base.stored import (
+    Snapshot,
+    StoredObject,
+    WatchBatch,
+    WatchEvent,
+    get_era,
+    get_revision,
+    make_version,
+)
 from godwitlanding.gateway.upstream import UpstreamError, UpstreamPool
 
 # The store answers within milliseconds; at 50 to 65 times that, as its slow
@@ -36,18 +45,26 @@
 _ERA = b"store-era"
 
 
+class _Reply(NamedTuple):
+    """What the store has answered, and in which era."""
+
+    era: int
+    value: dict
+
+
 class ObjectStore:
     """The store's calls as results; nothing here repeats a call.
 
     After ``PLATFORM_UNAVAILABLE`` on a write the write may have taken
-    effect.
+    effect. Versions are made of the era and the revision of the store; one
+    of an era that is over has expired, and is no condition of a write.
     """
 
     def __init__(self, address, counters):
         self._address = address
         self._counters = counters
         self._pool = UpstreamPool(b"")
-        # The newest that was heard of, ``None`` before the first answer.
+        # The highest that was heard of, ``None`` before the first answer.
         self._era = None
 
     async def snapshot(self, kind, may_be_old=False):
@@ -58,6 +75,7 @@
         """
         objects = []
         version = None
+        era = None
         after = ""
         while True:
             query = {"after": after} if after else {}
@@ -68,13 +86,18 @@
             )
             if answer.is_err():
                 return answer
-            page = answer.unwrap()
+            reply = answer.unwrap()
+            if era is None:
+                era = reply.era
+            if reply.era != era:
+                return _make_unavailable("the store was restored meanwhile")
+            page = reply.value
             try:
-                objects.extend(_read_objects(kind, page["items"]))
+                objects.extend(_read_objects(kind, page["items"], era))
                 if version is None:
                     # What changes while the further pages are read is told
                     # by a watch from here.
-                    version = int(page["store_revision"])
+                    version = make_version(era, int(page["store_revision"]))
                 more = page.get("more")
             except (KeyError, TypeError, ValueError) as error:
                 return _make_unavailable(f"list cannot be read: {error!r}")
@@ -86,7 +109,7 @@
     async def get(self, kind, name):
         """Return ``Ok(StoredObject)``."""
         answer = await self._call("get", "GET", f"{kind}/{name}")
-        return answer.map(lambda item: _read_object(kind, item))
+        return answer.map(lambda reply: _read_object(kind, reply.value, reply.era))
 
     async def put(self, kind, name, value, expected_version):
         """Write if the version is as expected (0: must not exist).
@@ -98,26 +121,38 @@
         if expected_version == 0:
             answer = await self._call("create", "POST", kind, body=body)
         else:
-            metadata["rev"] = expected_version
+            if self._is_over(expected_version):
+                return Err(make_refusal(Code.VERSION_CONFLICT))
+            metadata["rev"] = get_revision(expected_version)
             answer = await self._call("put", "PUT", f"{kind}/{name}", body=body)
-        return answer.map(lambda item: int(item["metadata"]["rev"]))
+        return answer.and_then(self._read_written)
 
     async def delete(self, kind, name, expected_version):
         """Delete if the version is as expected; ``Ok(version)``."""
-        query = {"rev": str(expected_version)}
+        if self._is_over(expected_version):
+            return Err(make_refusal(Code.VERSION_CONFLICT))
+        query = {"rev": str(get_revision(expected_version))}
         answer = await self._call("delete", "DELETE", f"{kind}/{name}", query=query)
         return answer.map(lambda _: expected_version)
 
     async def watch(self, kind, after, timeout_s):
         """Wait for changes of a kind; ``Ok(WatchBatch)``, maybe empty."""
-        query = {"watch": str(after), "wait_ms": str(int(timeout_s * 1000))}
+        if self._is_over(after):
+            return Err(make_refusal(Code.WATCH_EXPIRED))
+        revision = str(get_revision(after))
+        query = {"watch": revision, "wait_ms": str(int(timeout_s * 1000))}
         answer = await self._call("watch", "GET", kind, query, extra_s=timeout_s)
         if answer.is_err():
             return answer
+        reply = answer.unwrap()
+        if reply.era != get_era(after):
+            # The store may have a change of that revision again, another one.
+            return Err(make_refusal(Code.WATCH_EXPIRED))
+        page = reply.value
         try:
-            page = answer.unwrap()
-            events = tuple(_read_events(kind, page["events"]))
-            return Ok(WatchBatch(int(page["store_revision"]), events))
+            events = tuple(_read_events(kind, page["events"], reply.era))
+            version = make_version(reply.era, int(page["store_revision"]))
+            return Ok(WatchBatch(version, events))
         except (KeyError, TypeError, ValueError) as error:
             return _make_unavailable(f"watch cannot be read: {error!r}")
 
@@ -139,23 +174,34 @@
                 answer = await self._exchange(data)
         except (UpstreamError, TimeoutError) as error:
             return _make_unavailable(repr(error))
-        self._note_era(_read_era(answer))
+        era = _read_era(answer)
+        self._note_era(era)
         if answer.status in (200, 201):
             try:
-                return Ok(_read_json(answer.body) if answer.body else {})
+                value = _read_json(answer.body) if answer.body else {}
+                return Ok(_Reply(era, value))
             except (ValueError, RecursionError) as error:
                 return _make_unavailable(f"answer cannot be read: {error!r}")
         code = _CODE_BY_STATUS.get(answer.status, Code.PLATFORM_UNAVAILABLE)
         return Err(make_refusal(code, detail=f"answered {answer.status}"))
 
     def _note_era(self, era):
-        if era == self._era:
+        if self._era is not None and era <= self._era:
             return
         log_message("store:era", era=era, former=self._era)
         if self._era is not None:
             self._counters.add("store_restored")
         self._era = era
 
+    def _read_written(self, reply):
+        version = make_version(reply.era, int(reply.value["metadata"]["rev"]))
+        if self._is_over(version):
+            return _make_unavailable("written in an era that is over")
+        return Ok(version)
+
+    def _is_over(self, version):
+        return self._era is not None and get_era(version) < self._era
+
     async def _exchange(self, data):
         """Send a request and return its answer."""
         connection = self._pool.take(_STORE, True)
@@ -208,21 +254,21 @@
         return json.loads(text.decode("utf-8", errors="replace"))
 
 
-def _read_objects(kind, items):
+def _read_objects(kind, items, era):
     for item in items:
-        stored = _read_object(kind, item)
+        stored = _read_object(kind, item, era)
         if stored:
             yield stored
 
 
-def _read_events(kind, events):
+def _read_events(kind, events, era):
     for event in events:
-        stored = _read_object(kind, event["object"])
+        stored = _read_object(kind, event["object"], era)
         if stored:
             yield WatchEvent(stored, bool(event["removed"]))
 
 
-def _read_object(kind, item):
+def _read_object(kind, item, era):
     """Return the ``StoredObject``, ``None`` for one without a name.
 
     What it holds may be nothing that can be read; then its value is empty,
@@ -230,7 +276,8 @@
     """
     try:
         metadata = item["metadata"]
-        name, version = str(metadata["name"]), int(metadata["rev"])
+        name = str(metadata["name"])
+        version = make_version(era, int(metadata["rev"]))
     except (KeyError, TypeError, ValueError) as error:
         log_message("store:unnamed_object", level="error", kind=kind, error=repr(error))
         return None
--- a/godwitlanding/tests/gateway/test_platform_store.py
+++ b/godwitlanding/tests/gateway/test_platform_store.py
@@ -145,3 +145,64 @@
     standin.crash()
     answer = await store.snapshot(KIND)
     assert answer.unwrap_err().code is Code.PLATFORM_UNAVAILABLE
+
+
+async def test_versions_grow_when_the_store_comes_back_from_an_older_copy(
+    store, standin
+):
+    await standin.put(KIND, "a", {})
+    copy = standin.take_copy()
+    await standin.put(KIND, "a", {"x": 1})
+    lost = (await store.get(KIND, "a")).unwrap().version
+    await standin.come_back(copy)
+    snapshot = (await store.snapshot(KIND)).unwrap()
+    assert lost < snapshot.objects[0].version <= snapshot.version
+    written = (await store.put(KIND, "a", b'{"x":2}', snapshot.objects[0].version)).ok()
+    assert written > snapshot.version
+    batch = (await store.watch(KIND, snapshot.version, 1.0)).unwrap()
+    assert [event.stored.version for event in batch.events] == [written]
+
+
+@pytest.mark.parametrize("since", [0, 1, 5])
+@pytest.mark.parametrize("is_known", [True, False])
+async def test_watch_from_a_lost_history_has_expired(store, standin, since, is_known):
+    # The store has the revision again, of another change, or not yet.
+    copy = standin.take_copy()
+    await standin.put(KIND, "lost", {})
+    watched_from = (await store.snapshot(KIND)).unwrap().version
+    await standin.come_back(copy)
+    for number in range(since):
+        await standin.put(KIND, f"n{number}", {})
+    if is_known:
+        await store.get(KIND, "lost")
+    answer = await store.watch(KIND, watched_from, 0.1)
+    assert answer.unwrap_err().code is Code.WATCH_EXPIRED
+
+
+@pytest.mark.parametrize("operation", ["put", "delete"])
+async def test_lost_version_is_no_condition_of_a_write(store, standin, operation):
+    # The store has given the revision out again, to another's write.
+    copy = standin.take_copy()
+    version = (await store.put(KIND, "a", b'{"own":1}', 0)).unwrap()
+    await standin.come_back(copy)
+    await standin.put(KIND, "a", {"foreign": 1})
+    assert (await store.get(KIND, "a")).unwrap().version != version
+    if operation == "put":
+        answer = await store.put(KIND, "a", b'{"own":2}', version)
+    else:
+        answer = await store.delete(KIND, "a", version)
+    assert answer.unwrap_err().code is Code.VERSION_CONFLICT
+    assert standin.get_spec(KIND, "a") == {"foreign": 1}
+
+
+async def test_write_that_the_store_has_lost_since_is_not_taken_for_done(
+    store, standin
+):
+    copy = standin.take_copy()
+    standin.faults.delay_answer_s = 0.3
+    writing = asyncio.create_task(store.put(KIND, "a", b"{}", 0))
+    await asyncio.sleep(0.1)
+    standin.faults.delay_answer_s = 0.0
+    await standin.come_back(copy)
+    await store.snapshot(KIND)
+    assert (await writing).unwrap_err().code is Code.PLATFORM_UNAVAILABLE
--- a/godwitlanding/tests/standins/standin_store.py
+++ b/godwitlanding/tests/standins/standin_store.py
@@ -3,9 +3,10 @@
 It keeps objects in memory and speaks the store's protocol as its page has
 it. ``faults`` say how it misbehaves: ``status`` answers every call with that
 status, ``lose_answers`` does what is asked and then resets the connection,
-``silent`` never answers, ``delay_s`` answers late, ``deaf`` lets watches
-hear nothing. It may come back from an older copy (``take_copy``,
-``come_back``); its revisions then go back and are given out again.
+``silent`` never answers, ``delay_s`` does what is asked late and
+``delay_answer_s`` answers late, ``deaf`` lets watches hear nothing. It may
+come back from an older copy (``take_copy``, ``come_back``); its revisions
+then go back and are given out again.
 """
 
 import asyncio
@@ -34,9 +35,14 @@
     def __init__(self, host, port):
         self.address = (host, port)
         self.revision = 1
-        self.era = 1
+        self.era = 0
         self.faults = SimpleNamespace(
-            status=0, lose_answers=0, silent=False, delay_s=0.0, deaf=False
+            status=0,
+            lose_answers=0,
+            silent=False,
+            delay_s=0.0,
+            delay_answer_s=0.0,
+            deaf=False,
         )
         self.calls = []
         # Bytes of the objects, or of the whole body, that each list and
@@ -138,6 +144,7 @@
     async def _serve(self, request):
         answer = await self._find_answer(request)
         answer.headers["Store-Era"] = str(self.era)
+        await asyncio.sleep(self.faults.delay_answer_s)
         return answer
 
     async def _find_answer(self, request):
