Save the map again that the store has lost

What callers would see: after a later power cut of all VMs, objects are learnt anew where chance sends them, and each one's first answer is late.

A VM counted on its own write: a map that has not changed since it was saved was never written again, and the store that came back from an older copy does not hold it.

Mirrors tell when the store is seen to have come back from an older copy, by reading it or by a neighbour. An empty list that a VM reads at its start tells the era, so that the next one is not taken for a restoration. The tests fail without: the whole-path one waits 10 s for the map in vain.

--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -24,7 +24,7 @@
 
 from godwitlanding.base.codes import Code
 from godwitlanding.base.kernel import Service
-from godwitlanding.base.stored import StoredObject
+from godwitlanding.base.stored import StoredObject, get_era, make_version
 from godwitlanding.base.tasks import start_task
 
 # A call that the store took in an outage may never be answered, and its
@@ -62,8 +62,10 @@
 
     A ``value`` of ``None`` says that the object is gone. ``guard`` may hold
     removals back (see ``decisions.lapse``). ``on_change`` functions get each
-    ``Change``. With ``begins_old`` the list that is read at the start may be
-    some seconds behind.
+    ``Change``, those of ``on_restored`` are called when the store is seen to
+    have come back from an older copy, before what it holds is taken. With
+    ``begins_old`` the list that is read at the start may be some seconds
+    behind.
     """
 
     needs = ("registry",)
@@ -85,6 +87,7 @@
         # Revision of the store's last list, until a call fails.
         self._listed = None
         self.on_change = []
+        self.on_restored = []
         self.is_known = False
         self.is_lost = False
         # Whether the store has answered since this mirror follows it.
@@ -185,7 +188,9 @@
         versions = [stored.version for stored in snapshot.objects]
         changed_at = max(versions, default=0)
         if may_be_old:
-            return self._take_old(changed_at, snapshot.objects)
+            # One that is empty tells the era at the least.
+            known_to = max(changed_at, make_version(get_era(snapshot.version), 0))
+            return self._take_old(known_to, snapshot.objects)
         if self._object_by_name.keys() - {o.name for o in snapshot.objects}:
             # When they went is not told; not later than now.
             changed_at = snapshot.version
@@ -256,6 +261,8 @@
         """Take what is news; return the objects that are older than known."""
         # Whoever tells may be behind: what it holds of before ``revision``
         # is known here already, or known to be gone.
+        if self.is_known and get_era(change.revision) > get_era(self.revision):
+            self._note_restored(change.revision)
         refused = []
         for stored in change.objects:
             if self._guard:
@@ -278,6 +285,13 @@
         self._tell()
         return refused
 
+    def _note_restored(self, revision):
+        log_message(
+            "mirror:restored", kind=self.kind, revision=revision, known=self.revision
+        )
+        for tell in self.on_restored:
+            tell()
+
     def _note_known(self):
         self.is_known = True
         if self._on_known:
--- a/godwitlanding/gateway/savedmap.py
+++ b/godwitlanding/gateway/savedmap.py
@@ -81,6 +81,11 @@
         """Return how many meetings were saved last."""
         return {"saved": len(self._saved)}
 
+    def note_restored(self):
+        """The store has come back from an older copy; the map may be lost."""
+        self._version = None
+        self._saved = frozenset()
+
     async def _run(self):
         await self._read()
         while True:
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -152,6 +152,7 @@
         self.saved_map = SavedMap(
             self.store, OBJECT_MAP_KIND, settings.region, self.object_map
         )
+        self.vm_mirror.on_restored.append(self.saved_map.note_restored)
         self.feed = Feed(settings, self.mirrors, counters)
         self.reader = Reader(
             settings,
--- a/godwitlanding/tests/gateway/test_mirror.py
+++ b/godwitlanding/tests/gateway/test_mirror.py
@@ -6,7 +6,13 @@
 from result import Err, Ok
 
 from godwitlanding.base.codes import Code, make_refusal
-from godwitlanding.base.stored import Snapshot, StoredObject, WatchBatch, WatchEvent
+from godwitlanding.base.stored import (
+    Snapshot,
+    StoredObject,
+    WatchBatch,
+    WatchEvent,
+    make_version,
+)
 from godwitlanding.decisions.lapse import BACK_WITHIN_S, LapseGuard
 from godwitlanding.gateway.mirror import Change, Mirror
 
@@ -284,6 +290,52 @@
     assert set(held) == {"a"}
 
 
+def restored(revision):
+    """Return a version after the store came back from an older copy."""
+    return make_version(1, revision)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        pytest.param(
+            whole(restored(4), make_object("a", restored(3), b"new")), id="whole"
+        ),
+        pytest.param(
+            Change(restored(4), restored(3), (make_object("a", restored(3)),), ()),
+            id="news",
+        ),
+    ],
+)
+async def test_neighbour_tells_that_the_store_was_restored(change):
+    mirror, _, held = make_mirror()
+    calls = []
+    mirror.on_restored.append(lambda: calls.append(mirror.revision))
+    mirror.take_over(whole(9, make_object("a", 9, b"lost")))
+    mirror.take_over(change)
+    mirror.take_over(change)
+    assert calls == [9]
+    assert held == {"a": change.objects[0].value}
+    # Another one has not noticed yet.
+    mirror.take_over(whole(12, make_object("a", 12, b"lost")))
+    assert held == {"a": change.objects[0].value}
+    assert mirror.revision == restored(4)
+
+
+async def test_first_list_of_a_store_that_was_restored_once_is_no_restoration():
+    # The list that is read at the start is empty, and tells no version.
+    mirror, _, _ = make_mirror(
+        listed_old(restored(4)), listed(restored(5)), begins_old=True
+    )
+    calls = []
+    mirror.on_restored.append(lambda: calls.append(mirror.revision))
+    await mirror.read_once()
+    mirror.follow()
+    await asyncio.sleep(0.1)
+    assert mirror.revision == restored(5)
+    assert not calls
+
+
 async def test_followers_are_told_each_change_once():
     event = WatchEvent(make_object("b", 9), False)
     gone = WatchEvent(make_object("a", 11), True)
--- a/godwitlanding/tests/gateway/test_savedmap.py
+++ b/godwitlanding/tests/gateway/test_savedmap.py
@@ -140,6 +140,19 @@
     assert len(decode_meetings(store.value_by_name["a"])) == 2
 
 
+async def test_map_that_the_store_has_lost_is_saved_again():
+    # Nothing new is learnt, so nothing else would have it written.
+    store = FakeStore()
+    async with Vm(store) as vm:
+        vm.learn(1)
+        await asyncio.sleep(SAVE_PAUSE_S + 0.1)
+        store.value_by_name.clear()
+        store.version_by_name.clear()
+        vm.saved.note_restored()
+        await asyncio.sleep(SAVE_PAUSE_S)
+    assert len(decode_meetings(store.value_by_name["a"])) == 1
+
+
 @pytest.mark.parametrize(
     "value", [b"", b"7", b"{}", b'{"met":7}', b'{"met":"?"}', b'{"met":"AAAA"}']
 )
--- a/godwitlanding/tests/gateway/test_store_restored.py
+++ b/godwitlanding/tests/gateway/test_store_restored.py
@@ -9,6 +9,8 @@
 # Time in which a change has to be in force.
 CONFIG_S = 2.5
 AWAY_S = 1.0
+# Maps are saved every 4 s; the store's return is noticed within a second.
+WRITTEN_S = 10.0
 NEW_ROUTE = [
     *("new", "h", "/new/", "safe", "2s", "400ms", 2, None, 2, True, [], "looks")
 ]
@@ -74,3 +76,23 @@
     for number in range(10):
         await world.ask(world.vms[0], f"/look/{number}")
     assert not leaving.ran
+
+
+async def test_vms_write_again_what_the_store_has_lost(tmp_path):
+    # Their own objects and the map of what upstreams know were written once.
+    async with World(tmp_path) as world:
+        copy = world.store.take_copy()
+        await world.start()
+        await world.ask(world.vms[0], "/look/1")
+        written = [("godwit-vms", vm.name) for vm in world.vms]
+        written.append(("godwit-objects", "a"))
+        await wait_until_written(world.store, written)
+        await restore(world.store, copy)
+        assert world.store.get_spec(*written[0]) is None
+        await wait_until_written(world.store, written)
+
+
+async def wait_until_written(store, objects):
+    async with asyncio.timeout(WRITTEN_S):
+        while not all(store.get_spec(kind, name) for kind, name in objects):
+            await asyncio.sleep(0.1)
