An upstream that leaves is not used again because a restored store calls it ready

What callers would see: requests to an upstream that has said that it leaves, sent after the store came back from a copy in which it is still ready, are cut off when it ends (DRAIN).

Cause: the entry of the copy is newer than the one that the store has lost, and was believed. A start of an upstream that leaves does not become ready again, so those that leave when the store is seen to be restored, and those whose entries went as they left, count as leaving whatever entries say of that start; the other VMs are told, as they are what an upstream says in its answers.

--- a/godwitlanding/gateway/registry.py
+++ b/godwitlanding/gateway/registry.py
@@ -62,7 +62,7 @@
         self._is_stale = False
         self._cold_until_by_upstream = {}
         self._unsure_until_by_upstream = {}
-        # Those that said in an answer that they leave, by incarnation, and of
+        # Those that have left whatever entries say, by incarnation, and of
         # them those whose entry says otherwise, by number.
         self._left = OrderedDict()
         self._id_by_untold_number = {}
@@ -138,10 +138,23 @@
         if upstream is None or upstream.leaving:
             return
         log_message("registry:leaving", upstream=upstream_id, told_by=told_by)
+        self._remember_left(upstream)
+        self.put_upstream(upstream)
+
+    def note_restored(self):
+        """The store has come back from an older copy.
+
+        An entry there may say of an upstream that it is ready, though it has
+        said since that it leaves.
+        """
+        for upstream in self.upstream_by_id.values():
+            if upstream.leaving:
+                self._remember_left(upstream)
+
+    def _remember_left(self, upstream):
         self._left[upstream.incarnation] = None
         if len(self._left) > MAX_LEFT:
             self._left.popitem(last=False)
-        self.put_upstream(upstream)
 
     def get_leaving_numbers(self):
         """Return those that leave though the store does not say so."""
@@ -228,9 +241,13 @@
 
     def remove_upstream(self, upstream_id):
         """An upstream's entry is gone."""
-        if self.upstream_by_id.pop(upstream_id, None) is None:
+        upstream = self.upstream_by_id.pop(upstream_id, None)
+        if upstream is None:
             return
         log_message("registry:upstream_gone", upstream=upstream_id)
+        if upstream.leaving:
+            # A store that comes back from an older copy has its entry again.
+            self._remember_left(upstream)
         self._cold_until_by_upstream.pop(upstream_id, None)
         self._unsure_until_by_upstream.pop(upstream_id, None)
         self._is_stale = True
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -177,6 +177,7 @@
             begins_old=True,
             on_known=self._note_upstreams_known,
         )
+        upstream_mirror.on_restored.append(self.registry.note_restored)
         return [
             self._make_mirror(CONFIG_KIND, self._apply_config),
             upstream_mirror,
--- a/godwitlanding/tests/gateway/test_registry.py
+++ b/godwitlanding/tests/gateway/test_registry.py
@@ -100,6 +100,18 @@
     assert registry.get_leaving_numbers() == ()
 
 
+@pytest.mark.parametrize("is_gone", [False, True])
+async def test_upstream_that_leaves_gets_nothing_because_a_copy_calls_it_ready(is_gone):
+    registry, _ = make_registry(make_upstream(100, leaving=True))
+    if is_gone:
+        registry.remove_upstream("u")
+    registry.note_restored()
+    registry.put_upstream(make_upstream(100))
+    assert registry.get_usable_ids("s", "a") == ()
+    # A VM that has just started knows no better.
+    assert registry.get_leaving_numbers() == (registry.number_by_id["u"],)
+
+
 async def test_leaving_is_told_while_entries_say_otherwise():
     registry, _ = make_registry(make_upstream(100))
     registry.note_leaving("u")
