Doubt for a while what a restored store lacks, and what it has again

What callers would see after the store came back from an older copy: requests to a zone that is being evacuated (EVAC), to upstreams whose entries had been removed and that end (DRAIN); upstreams and VMs that came since the copy was taken would be out of use until they have written again.

Cause: a list was believed as it stands. Removals were held back only after an outage in which entries lapse, 1 s or more, and only those of upstreams.

Now a removal is held for 2 s after a restoration however short the store was away, also that of an evacuation and of a VM; an upstream that was gone and is listed again is used when its entry was written since, or stands after 5 s, by when the store drops the entry of one that is silent. Each VM knows what it has dropped, so it holds for VMs that are fed too. A VM whose own object is not confirmed since the restoration writes it again.

Without the change three whole-path tests fail (an upstream that left, listed and not, and a zone that is evacuated), and the tables of test_lapse and test_mirror.

--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -26,6 +26,7 @@
 from godwitlanding.base.kernel import Service
 from godwitlanding.base.stored import StoredObject, get_era, make_version
 from godwitlanding.base.tasks import start_task
+from godwitlanding.decisions.lapse import RETURNED_S
 
 # A call that the store took in an outage may never be answered, and its
 # connection lives on; a watch that hangs so is noticed when its time is over.
@@ -61,11 +62,11 @@
     """Holds one kind; ``apply(name, version, value)`` takes each object.
 
     A ``value`` of ``None`` says that the object is gone. ``guard`` may hold
-    removals back (see ``decisions.lapse``). ``on_change`` functions get each
-    ``Change``, those of ``on_restored`` are called when the store is seen to
-    have come back from an older copy, before what it holds is taken. With
-    ``begins_old`` the list that is read at the start may be some seconds
-    behind.
+    removals and returns back (see ``decisions.lapse``). ``on_change``
+    functions get each ``Change``, those of ``on_restored`` are called when
+    the store is seen to have come back from an older copy, before what it
+    holds is taken. With ``begins_old`` the list that is read at the start may
+    be some seconds behind.
     """
 
     needs = ("registry",)
@@ -79,6 +80,11 @@
         self._on_known = on_known
         self.begins_old = begins_old
         self._object_by_name = {}
+        # Objects that a restored store has brought back, not applied yet, and
+        # its revision when that was noticed: later ones were written since.
+        self._returned = {}
+        self._restored_revision = 0
+        self._return_timer = None
         self._taken = []
         self._dropped = []
         self._task = None
@@ -100,6 +106,8 @@
     async def stop(self):
         """Follow no longer."""
         self.rest()
+        if self._return_timer:
+            self._return_timer.cancel()
 
     def get_status(self):
         """Return how the kind is followed and what is held."""
@@ -138,9 +146,15 @@
         """Return the objects that are held."""
         return list(self._object_by_name.values())
 
-    def get_object(self, name):
-        """Return an object that is held, or ``None``."""
-        return self._object_by_name.get(name)
+    def get_confirmed(self, name):
+        """Return an object that is held, ``None`` if the store may lack it.
+
+        It may where it has come back from an older copy since.
+        """
+        held = self._object_by_name.get(name)
+        if held and get_era(held.version) < get_era(self.revision):
+            return None
+        return held
 
     def make_whole(self):
         """Return all that is held as a ``Change``."""
@@ -259,10 +273,10 @@
 
     def _merge(self, change, remove):
         """Take what is news; return the objects that are older than known."""
-        # Whoever tells may be behind: what it holds of before ``revision``
-        # is known here already, or known to be gone.
         if self.is_known and get_era(change.revision) > get_era(self.revision):
             self._note_restored(change.revision)
+        # Whoever tells may be behind: what it holds of before ``revision``
+        # is known here already, or known to be gone.
         refused = []
         for stored in change.objects:
             if self._guard:
@@ -289,9 +303,24 @@
         log_message(
             "mirror:restored", kind=self.kind, revision=revision, known=self.revision
         )
+        if self._guard:
+            self._doubt_returns(revision)
         for tell in self.on_restored:
             tell()
 
+    def _doubt_returns(self, revision):
+        self._guard.note_restored(_now())
+        self._restored_revision = revision
+        if self._return_timer:
+            self._return_timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._return_timer = loop.call_later(RETURNED_S, self._apply_returned)
+
+    def _apply_returned(self):
+        for stored in self._returned.values():
+            self._apply(stored.name, stored.version, stored.value)
+        self._returned = {}
+
     def _note_known(self):
         self.is_known = True
         if self._on_known:
@@ -300,8 +329,18 @@
     def _take(self, stored):
         self._object_by_name[stored.name] = stored
         self._taken.append(stored)
+        self._returned.pop(stored.name, None)
+        if self._may_be_gone(stored):
+            log_message("mirror:return_held", kind=self.kind, name=stored.name)
+            self._returned[stored.name] = stored
+            return
         self._apply(stored.name, stored.version, stored.value)
 
+    def _may_be_gone(self, stored):
+        if self._guard is None or stored.version > self._restored_revision:
+            return False
+        return self._guard.doubts_return(stored.name, _now())
+
     def _remove(self, name):
         if self._guard and not self._guard.remove(name, _now()):
             log_message("mirror:removal_held", kind=self.kind, name=name)
@@ -311,6 +350,9 @@
     def _drop(self, name):
         if self._object_by_name.pop(name, None) is not None:
             self._dropped.append(name)
+            self._returned.pop(name, None)
+            if self._guard:
+                self._guard.note_gone(name, _now())
             self._apply(name, 0, None)
 
     def _drop_due(self):
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -146,7 +146,10 @@
         self.carrier.get_vms = self.peers.count_vms
         self._now = loop.time
         self.vm_mirror = self._make_mirror(
-            VM_KIND, self._apply_vm, on_known=self._note_vms_known
+            VM_KIND,
+            self._apply_vm,
+            guard=LapseGuard(expires=False),
+            on_known=self._note_vms_known,
         )
         self.mirrors = self._make_mirrors()
         self.saved_map = SavedMap(
@@ -178,10 +181,16 @@
             on_known=self._note_upstreams_known,
         )
         upstream_mirror.on_restored.append(self.registry.note_restored)
+        evacuation_mirror = self._make_mirror(
+            EVACUATION_KIND,
+            self._apply_evacuation,
+            guard=LapseGuard(expires=False),
+            begins_old=True,
+        )
         return [
             self._make_mirror(CONFIG_KIND, self._apply_config),
             upstream_mirror,
-            self._make_mirror(EVACUATION_KIND, self._apply_evacuation, begins_old=True),
+            evacuation_mirror,
             self.vm_mirror,
         ]
 
@@ -282,7 +291,7 @@
         self.registry.set_evacuated(name, value is not None)
 
     def _note_vms_known(self):
-        self.presence.note_held(self.vm_mirror.get_object(self._settings.vm))
+        self.presence.note_held(self.vm_mirror.get_confirmed(self._settings.vm))
 
     def _apply_vm(self, name, version, value):
         if value is None:
--- a/godwitlanding/tests/gateway/test_mirror.py
+++ b/godwitlanding/tests/gateway/test_mirror.py
@@ -13,7 +13,7 @@
     WatchEvent,
     make_version,
 )
-from godwitlanding.decisions.lapse import BACK_WITHIN_S, LapseGuard
+from godwitlanding.decisions.lapse import BACK_WITHIN_S, RETURNED_S, LapseGuard
 from godwitlanding.gateway.mirror import Change, Mirror
 
 pytestmark = pytest.mark.looptime
@@ -322,6 +322,72 @@
     assert mirror.revision == restored(4)
 
 
+async def test_entry_that_is_gone_is_not_used_again_because_a_copy_holds_it():
+    # An upstream left shortly before the store came back from an older copy.
+    gone = WatchEvent(make_object("gone", 9), True)
+    mirror, _, held = make_mirror(
+        listed(8, make_object("gone", 3), make_object("a", 2)),
+        watched(9, gone),
+        failed("watch", Code.PLATFORM_UNAVAILABLE),
+        listed(restored(4), make_object("gone", restored(3)), make_object("a", 2)),
+        guard=LapseGuard(),
+    )
+    mirror.follow()
+    await asyncio.sleep(RETURNED_S - 0.1)
+    assert set(held) == {"a"}
+    # The store would have dropped it by now.
+    await asyncio.sleep(1.0)
+    assert set(held) == {"a", "gone"}
+    await mirror.stop()
+
+
+async def test_entry_that_is_written_after_the_store_was_restored_counts_at_once():
+    mirror, _, held = make_mirror(guard=LapseGuard())
+    mirror.take_over(whole(8, make_object("back", 3)))
+    mirror.take_over(whole(9))
+    assert not held
+    mirror.take_over(whole(restored(4), make_object("back", restored(3))))
+    assert not held
+    written = make_object("back", restored(5))
+    mirror.take_over(Change(restored(5), restored(5), (written,), ()))
+    assert set(held) == {"back"}
+    await mirror.stop()
+
+
+@pytest.mark.parametrize("expires", [True, False])
+async def test_object_that_a_copy_lacks_stays_until_it_can_be_written_again(expires):
+    # A zone is evacuated; the store comes back at once, from an older copy.
+    mirror, _, held = make_mirror(
+        listed(8, make_object("zone", 8)),
+        failed("watch", Code.WATCH_EXPIRED),
+        listed(restored(4)),
+        after_s(
+            1, watched(restored(5), WatchEvent(make_object("zone", restored(5)), False))
+        ),
+        after_s(5, watched(restored(5))),
+        guard=LapseGuard(expires),
+    )
+    missing = []
+    mirror.follow()
+    for _ in range(40):
+        await asyncio.sleep(0.1)
+        if mirror.is_known and "zone" not in held:
+            missing.append(True)
+    assert not missing
+    assert mirror.get_confirmed("zone")
+    await mirror.stop()
+
+
+async def test_object_is_not_confirmed_until_the_restored_store_has_it():
+    mirror, _, _ = make_mirror(guard=LapseGuard(expires=False))
+    mirror.take_over(whole(8, make_object("own", 8)))
+    assert mirror.get_confirmed("own")
+    other = make_object("other", restored(3))
+    mirror.take_over(Change(restored(4), restored(3), (other,), ()))
+    assert not mirror.get_confirmed("own")
+    await mirror.stop()
+
+
 async def test_first_list_of_a_store_that_was_restored_once_is_no_restoration():
     # The list that is read at the start is empty, and tells no version.
     mirror, _, _ = make_mirror(
--- a/godwitlanding/tests/gateway/test_store_restored.py
+++ b/godwitlanding/tests/gateway/test_store_restored.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from godwitlanding.decisions.lapse import BACK_WITHIN_S
 from godwitlanding.tests.gateway.world import World, make_config
 
 # Time in which a change has to be in force.
@@ -78,6 +79,41 @@
     assert not leaving.ran
 
 
+@pytest.mark.parametrize("is_listed", [True, False])
+async def test_upstream_that_left_gets_nothing_because_a_copy_calls_it_ready(
+    world, is_listed
+):
+    left = world.get_worker("look-1")
+    copy = world.store.take_copy()
+    await world.register(left, "draining")
+    await asyncio.sleep(0.5)
+    if not is_listed:
+        await world.store.remove("servers", left.id)
+        await asyncio.sleep(0.5)
+    await restore(world.store, copy)
+    left.ran.clear()
+    for number in range(20):
+        await world.ask(world.vms[number % 3], f"/look/{number}")
+        await asyncio.sleep(0.1)
+    assert not left.ran
+
+
+async def test_evacuated_zone_gets_nothing_while_the_operator_writes_it_again(world):
+    evacuated = world.get_worker("look-1")
+    copy = world.store.take_copy()
+    await world.store.put("evacuations", evacuated.zone, {})
+    await asyncio.sleep(0.5)
+    await restore(world.store, copy)
+    evacuated.ran.clear()
+    for number in range(60):
+        await world.ask(world.vms[number % 3], f"/look/{number}")
+    await world.store.put("evacuations", evacuated.zone, {})
+    await asyncio.sleep(BACK_WITHIN_S)
+    for number in range(10):
+        await world.ask(world.vms[0], f"/look/{number}")
+    assert not evacuated.ran
+
+
 async def test_vms_write_again_what_the_store_has_lost(tmp_path):
     # Their own objects and the map of what upstreams know were written once.
     async with World(tmp_path) as world:
