A VM that starts takes no list of a history that the store has lost

What callers would see: a VM that starts seconds after the store came back from an older copy goes on using an upstream that leaves, though its neighbours and the store say so.

Cause: three of the lists at a start may be some seconds old, so they may be of before the restoration; their revisions are given out again, and later changes were refused as older. They are held against the fresh lists that are read at the same time: one that tells of a later change than the store has come to is read again. It waits for answers that were under way anyway.

--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -184,15 +184,19 @@
         # The history since a list that was just read is not gone yet.
         return self._listed if self.is_just_listed() else None
 
-    async def read_once(self):
-        """Read the list once; return whether the store answered."""
-        if await self._list(self.begins_old) is not None:
+    async def read_once(self, reached=None):
+        """Read the list once; return whether the store answered.
+
+        ``reached`` is a future of a version that the store has come to since
+        the call was sent, ``None`` for none.
+        """
+        if await self._list(self.begins_old, reached) is not None:
             return True
         # Whoever decides to follow the store asks again.
         self.rest()
         return False
 
-    async def _list(self, may_be_old=False):
+    async def _list(self, may_be_old=False, reached=None):
         answer = await self._store.snapshot(self.kind, may_be_old)
         if answer.is_err():
             await self._fail(answer.unwrap_err())
@@ -201,6 +205,10 @@
         snapshot = answer.unwrap()
         versions = [stored.version for stored in snapshot.objects]
         changed_at = max(versions, default=0)
+        if may_be_old and await _is_beyond(changed_at, reached):
+            # It was made before the store came back from an older copy.
+            log_message("mirror:lost_history", kind=self.kind, version=changed_at)
+            return await self._list()
         if may_be_old:
             # One that is empty tells the era at the least.
             known_to = max(changed_at, make_version(get_era(snapshot.version), 0))
@@ -403,6 +411,11 @@
         self._pause_s = min(MAX_PAUSE_S, self._pause_s * 2)
 
 
+async def _is_beyond(version, reached):
+    reached_version = await reached if reached else None
+    return reached_version is not None and version > reached_version
+
+
 def _make_change(batch):
     """Return a watch's events as a change; the last one of a name counts."""
     stored_by_name = {}
--- a/godwitlanding/gateway/reader.py
+++ b/godwitlanding/gateway/reader.py
@@ -104,13 +104,26 @@
         return any(mirror.is_lost for mirror in self._mirrors)
 
     async def _read_lists(self):
-        reads = [mirror.read_once() for mirror in self._mirrors]
-        if not all(await asyncio.gather(*reads)):
+        old = [mirror for mirror in self._mirrors if mirror.begins_old]
+        fresh = [mirror for mirror in self._mirrors if not mirror.begins_old]
+        reached = asyncio.get_running_loop().create_future()
+        answered = await asyncio.gather(
+            self._read_fresh(fresh, reached),
+            *(mirror.read_once(reached) for mirror in old),
+        )
+        if not all(answered):
             self._failed_until = _now() + FAILED_S
         await asyncio.sleep(START_WAIT_S)
         self._read_at = _now()
         self._may_read = True
 
+    async def _read_fresh(self, mirrors, reached):
+        """Read lists, and tell ``reached`` up to which version they go."""
+        answered = await asyncio.gather(*(mirror.read_once() for mirror in mirrors))
+        is_known = bool(mirrors) and all(answered)
+        reached.set_result(max(m.revision for m in mirrors) if is_known else None)
+        return all(answered)
+
     async def _decide_often(self):
         while True:
             self._decide()
--- a/godwitlanding/tests/gateway/test_mirror.py
+++ b/godwitlanding/tests/gateway/test_mirror.py
@@ -322,6 +322,29 @@
     assert mirror.revision == restored(4)
 
 
+@pytest.mark.parametrize(
+    ("reached", "expected"),
+    [
+        pytest.param(restored(20), {"lost"}, id="store has come that far"),
+        pytest.param(restored(5), {"a"}, id="store has not"),
+        pytest.param(None, {"lost"}, id="store does not answer"),
+    ],
+)
+async def test_old_list_of_a_history_that_is_lost_is_read_again(reached, expected):
+    # What it tells bears revisions that the store will give out again.
+    mirror, _, held = make_mirror(
+        listed_old(restored(9), make_object("lost", restored(9))),
+        listed(restored(5), make_object("a", restored(3))),
+        begins_old=True,
+    )
+    future = asyncio.get_running_loop().create_future()
+    reading = asyncio.create_task(mirror.read_once(future))
+    await asyncio.sleep(0.1)
+    future.set_result(reached)
+    assert await reading
+    assert set(held) == expected
+
+
 async def test_entry_that_is_gone_is_not_used_again_because_a_copy_holds_it():
     # An upstream left shortly before the store came back from an older copy.
     gone = WatchEvent(make_object("gone", 9), True)
--- a/godwitlanding/tests/gateway/test_reader.py
+++ b/godwitlanding/tests/gateway/test_reader.py
@@ -33,7 +33,8 @@
         self.begins_old = False
         self._follows = False
 
-    async def read_once(self):
+    async def read_once(self, reached=None):
+        self.reached = await reached if reached else None
         return self.answers
 
     def is_just_listed(self):
@@ -254,3 +255,13 @@
         first.answers = True
         await asyncio.sleep(0.5)
         assert second.begun == begun + 1
+
+
+@pytest.mark.parametrize(("answers", "reached"), [(True, 5), (False, None)])
+async def test_old_lists_are_held_against_the_fresh_ones(answers, reached):
+    setting = Setting(ORDER[0])
+    first, second = setting.mirrors
+    second.begins_old = True
+    first.answers = answers
+    async with setting:
+        assert second.reached == reached
--- a/godwitlanding/tests/gateway/test_store_restored.py
+++ b/godwitlanding/tests/gateway/test_store_restored.py
@@ -79,6 +79,26 @@
     assert not leaving.ran
 
 
+async def test_vm_that_starts_on_an_old_list_of_a_lost_history_hears_of_changes(
+    tmp_path,
+):
+    # The list bears revisions that the store gives out again later.
+    async with World(tmp_path, zones=("a1",)) as world:
+        leaving = world.get_worker("look-1")
+        copy = world.store.take_copy()
+        await write_much(world.store)
+        await world.register(leaving, "draining")
+        await world.register(leaving)
+        world.store.old_copy = world.store.take_copy()
+        await world.store.come_back(copy)
+        await world.start()
+        await world.register(leaving, "draining")
+        await asyncio.sleep(CONFIG_S)
+        for number in range(10):
+            await world.ask(world.vms[0], f"/look/{number}")
+        assert not leaving.ran
+
+
 @pytest.mark.parametrize("is_listed", [True, False])
 async def test_upstream_that_left_gets_nothing_because_a_copy_calls_it_ready(
     world, is_listed
--- a/godwitlanding/tests/standins/standin_store.py
+++ b/godwitlanding/tests/standins/standin_store.py
@@ -6,7 +6,8 @@
 ``silent`` never answers, ``delay_s`` does what is asked late and
 ``delay_answer_s`` answers late, ``deaf`` lets watches hear nothing. It may
 come back from an older copy (``take_copy``, ``come_back``); its revisions
-then go back and are given out again.
+then go back and are given out again. Lists that may be old are answered from
+``old_copy`` where there is one.
 """
 
 import asyncio
@@ -44,6 +45,7 @@
             delay_answer_s=0.0,
             deaf=False,
         )
+        self.old_copy = None
         self.calls = []
         # Bytes of the objects, or of the whole body, that each list and
         # watch is answered with in place of what is held.
@@ -173,7 +175,7 @@
         if name is None and "watch" in request.query_params:
             return await self._watch(kind, request)
         if name is None:
-            return self._list(kind, request.query_params.get("after", ""))
+            return self._list(kind, request.query_params)
         held = self._get_kind(kind).get(name)
         if held is None:
             return JSONResponse({}, status_code=404)
@@ -214,12 +216,16 @@
         created = held["metadata"]["create_rev"]
         return JSONResponse(await self._write(kind, name, body["spec"], created))
 
-    def _list(self, kind, after):
-        names = sorted(name for name in self._get_kind(kind) if name > after)
+    def _list(self, kind, query):
+        held = self._get_kind(kind)
+        if self.old_copy and "stale_ok" in query:
+            held = self.old_copy.object_by_name_by_kind.get(kind, {})
+        after = query.get("after", "")
+        names = sorted(name for name in held if name > after)
         page = names[:PAGE_ITEMS]
         return JSONResponse(
             {
-                "items": [self._get_kind(kind)[name] for name in page],
+                "items": [held[name] for name in page],
                 "more": len(names) > len(page),
                 "store_revision": self.revision,
             }
