A lease that a restored platform has lost is not taken over at once

A platform that comes back from an older copy shows an older lease, perhaps none, and a candidate that it names took it at once, while the holder of the lost one went on believing for up to lease_s. Now nobody but a holder whose lease still runs takes it within lease_s after its version was seen to go back. The table fails without.

--- a/godwitlanding/decisions/lease.py
+++ b/godwitlanding/decisions/lease.py
@@ -8,6 +8,10 @@
 saves double work, and what the work writes has to be fenced by itself
 (the plan is moved by conditional update on its version).
 
+A platform that was restored from an older copy shows an older lease, while
+the holder of the lost one goes on believing in it; so nobody but
+the holder takes the lease for ``lease_s`` after its version went back.
+
 Pure: ``now`` is seconds of one monotonic clock.
 """
 
@@ -48,6 +52,8 @@
         self._candidate = candidate
         self._lease_s = lease_s
         self._seen_at = None
+        # When the platform was seen to have lost a version of the lease.
+        self._lost_at = None
         self._valid_until = 0.0
         self._tried = {}
 
@@ -59,6 +65,8 @@
         """
         if self._seen_at is None or version != self.version:
             self._seen_at = now
+        if version < self.version:
+            self._lost_at = now
         self.version = version
         self.lease = lease or Lease("", 0)
         if self.lease.holder != self._candidate:
@@ -79,6 +87,8 @@
         """
         if self._seen_at is None:
             return None
+        if not self.holds(now) and self._may_be_lost(now):
+            return None
         if self.lease.holder == self._candidate:
             interval_s = self._lease_s / RENEWALS_PER_LEASE
             renewed_at = self._valid_until - self._lease_s
@@ -90,6 +100,9 @@
         self._tried = {attempt.renewal: now}
         return attempt
 
+    def _may_be_lost(self, now):
+        return self._lost_at is not None and now - self._lost_at < self._lease_s
+
     def note_written(self, lease, version, now):
         """The platform has taken ``lease`` as ``version``."""
         self.observe(lease, version, now)
--- a/godwitlanding/tests/decisions/test_lease.py
+++ b/godwitlanding/tests/decisions/test_lease.py
@@ -56,3 +56,32 @@
     keepers[1].observe(attempts[0], 11, 7.1)
     assert [keeper.holds(7.2) for keeper in keepers] == [True, False]
     assert keepers[1].get_attempt(7.2) is None
+
+
+@pytest.mark.parametrize(
+    ("lease", "version"),
+    [
+        pytest.param(Lease("b", 3), 8, id="names this candidate"),
+        pytest.param(Lease("", 3), 8, id="names nobody"),
+        pytest.param(None, 0, id="is not there"),
+    ],
+)
+def test_lease_of_a_restored_platform_is_not_taken_from_its_lost_holder(lease, version):
+    """The platform has lost a lease that another one may still believe in."""
+    keeper = LeaseKeeper("b", 6.0)
+    keeper.observe(Lease("a", 4), 10, 0.0)
+    keeper.observe(lease, version, 1.0)
+    assert keeper.get_attempt(6.9) is None
+    keeper.observe(lease, version, 7.1)
+    assert keeper.get_attempt(7.1) == Lease("b", 4 if lease else 1)
+
+
+def test_holder_renews_the_lease_that_a_restored_platform_still_names():
+    keeper = LeaseKeeper("a", 6.0)
+    keeper.observe(None, 0, 0.0)
+    first = keeper.get_attempt(0.0)
+    keeper.note_written(first, 5, 0.1)
+    second = keeper.get_attempt(2.5)
+    keeper.note_written(second, 9, 2.6)
+    keeper.observe(first, 5, 3.0)
+    assert keeper.get_attempt(5.0) == Lease("a", 2)
