--- /dev/null
+++ b/godwitlanding/tests/gateway/test_mirror_states.py
@@ -0,0 +1,160 @@
+"""Mirrors under drawn histories of a store that is restored now and then.
+
+A mirror follows the store, another one is fed by it, as VMs are. However the
+store's changes, cut watches and restorations follow each other: once nothing
+happens any more, both hold what the store holds.
+"""
+
+import asyncio
+import random
+
+import pytest
+from result import Err, Ok
+
+from godwitlanding.base.codes import Code, make_refusal
+from godwitlanding.base.stored import (
+    Snapshot,
+    StoredObject,
+    WatchBatch,
+    WatchEvent,
+    get_era,
+    get_revision,
+    make_version,
+)
+from godwitlanding.decisions.lapse import RETURNED_S, LapseGuard
+from godwitlanding.gateway.mirror import MAX_PAUSE_S, WATCH_S, Mirror
+
+pytestmark = pytest.mark.looptime
+
+KIND = "things"
+NAMES = "abcde"
+STEPS = 40
+# The longest time for which a mirror may not have noticed.
+SETTLE_S = WATCH_S + MAX_PAUSE_S + RETURNED_S + 1.0
+LOOK_S = 0.05
+
+
+class ModelStore:
+    """A store in memory with eras, as its client shows it."""
+
+    def __init__(self):
+        self.era = 0
+        self.revision = 1
+        self.version_by_name = {}
+        self.value_by_name = {}
+        self._events = []
+        self._copy = self.take_copy()
+        self._cuts = 0
+        self.is_away = False
+
+    def take_copy(self):
+        return self.revision, dict(self.version_by_name), dict(self.value_by_name)
+
+    def keep_copy(self):
+        self._copy = self.take_copy()
+
+    def restore(self):
+        revision, versions, values = self._copy
+        self.era += 1
+        self.revision = revision
+        self.version_by_name = {n: self._raise(v) for n, v in versions.items()}
+        self.value_by_name = dict(values)
+        self._events = []
+        self._cuts += 1
+
+    def _raise(self, version):
+        return make_version(self.era, get_revision(version))
+
+    def cut(self):
+        self._cuts += 1
+
+    def put(self, name, value):
+        self.revision += 1
+        self.version_by_name[name] = make_version(self.era, self.revision)
+        self.value_by_name[name] = value
+        self._note(name, value, False)
+
+    def remove(self, name):
+        if self.value_by_name.pop(name, None) is None:
+            return
+        self.revision += 1
+        del self.version_by_name[name]
+        self._note(name, b"", True)
+
+    def _note(self, name, value, deleted):
+        version = make_version(self.era, self.revision)
+        event = WatchEvent(StoredObject(KIND, name, version, value), deleted)
+        self._events.append(event)
+
+    async def snapshot(self, kind, may_be_old=False):
+        await asyncio.sleep(0.01)
+        if self.is_away:
+            return Err(make_refusal(Code.PLATFORM_UNAVAILABLE))
+        objects = tuple(
+            StoredObject(KIND, name, self.version_by_name[name], value)
+            for name, value in self.value_by_name.items()
+        )
+        return Ok(Snapshot(make_version(self.era, self.revision), objects))
+
+    async def watch(self, kind, after, timeout_s):
+        cuts = self._cuts
+        ends_at = asyncio.get_running_loop().time() + timeout_s
+        while True:
+            if self.is_away or cuts != self._cuts:
+                return Err(make_refusal(Code.PLATFORM_UNAVAILABLE))
+            if get_era(after) != self.era or get_revision(after) > self.revision:
+                return Err(make_refusal(Code.WATCH_EXPIRED))
+            events = tuple(e for e in self._events if e.stored.version > after)
+            if events or asyncio.get_running_loop().time() >= ends_at:
+                version = make_version(self.era, self.revision)
+                return Ok(WatchBatch(version, events))
+            await asyncio.sleep(LOOK_S)
+
+
+def make_mirror(store, guard):
+    held = {}
+
+    def apply(name, version, value):
+        if value is None:
+            held.pop(name, None)
+        else:
+            held[name] = value
+
+    return Mirror(store, KIND, apply, guard), held
+
+
+async def play(rng, store):
+    """Let a drawn history happen."""
+    for number in range(STEPS):
+        action = rng.choice(("put", "put", "remove", "copy", "restore", "cut", "away"))
+        name = rng.choice(NAMES)
+        if action == "put":
+            store.put(name, f"{name}{number}".encode())
+        elif action == "remove":
+            store.remove(name)
+        elif action == "copy":
+            store.keep_copy()
+        elif action == "restore":
+            store.restore()
+        elif action == "cut":
+            store.cut()
+        else:
+            store.is_away = not store.is_away
+        await asyncio.sleep(rng.choice((0.0, 0.02, 0.3, 1.5)))
+    store.is_away = False
+
+
+@pytest.mark.parametrize("expires", [True, False])
+@pytest.mark.parametrize("seed", range(40))
+async def test_mirrors_come_to_hold_what_the_store_holds(seed, expires):
+    store = ModelStore()
+    reading, held = make_mirror(store, LapseGuard(expires))
+    fed, fed_held = make_mirror(None, LapseGuard(expires))
+    reading.on_change.append(lambda _, change: fed.take_over(change))
+    reading.follow()
+    await play(random.Random(seed), store)
+    await asyncio.sleep(SETTLE_S)
+    assert held == store.value_by_name
+    assert fed_held == store.value_by_name
+    await reading.stop()
+    await fed.stop()
--- a/godwitlanding/tests/soak/schedule.py
+++ b/godwitlanding/tests/soak/schedule.py
@@ -17,7 +17,7 @@
 UPSTREAM_KINDS = ("crash", "shed", "fail", "reset", "cut", "slow", "drain")
 # What an upstream says of itself in its answers alone.
 SELF_REPORT_KINDS = ("limit", "leave", "pause_asked")
-STORE_KINDS = ("down", "busy", "hang", "slow", "lose_answers", "forget")
+STORE_KINDS = ("down", "busy", "hang", "slow", "lose_answers", "forget", "restore")
 LINK_KINDS = ("delayed", "silent", "deaf_up", "deaf_down", "reset_link")
 OPERATOR_KINDS = ("config", "evacuate")
 PLANNED_KINDS = frozenset(("term", "hangup", "drain", "leave", *OPERATOR_KINDS))
--- a/godwitlanding/tests/soak/strike.py
+++ b/godwitlanding/tests/soak/strike.py
@@ -11,6 +11,10 @@
 SLOW_S = 0.6
 DELAY_S = 0.4
 STORE_DELAY_S = 0.7
+# A store that comes back from an older copy is away for so long, and what the
+# operator and the upstreams wrote is written again so much later.
+AWAY_S = 0.5
+WRITTEN_AGAIN_S = 1.0
 # An upstream in need takes this from all VMs, for so much longer than drawn.
 UPSTREAM_LIMIT_PER_S = 1.5
 LIMIT_MORE_S = 6.0
@@ -165,6 +169,9 @@
 
     async def _strike_store(self, fault):
         faults = self._world.store.faults
+        if fault.kind == "restore":
+            await self._restore(fault.for_s)
+            return
         if fault.kind == "forget":
             await self._world.store.forget_history()
         elif fault.kind == "lose_answers":
@@ -179,6 +186,17 @@
         faults.delay_s, faults.silent, faults.status = 0.0, False, 0
         faults.lose_answers = 0
 
+    async def _restore(self, copy_age_s):
+        store = self._world.store
+        copy = store.take_copy()
+        await asyncio.sleep(copy_age_s)
+        store.faults.status = 503
+        await asyncio.sleep(AWAY_S)
+        await store.come_back(copy)
+        store.faults.status = 0
+        await asyncio.sleep(WRITTEN_AGAIN_S)
+        await store.write_again()
+
     async def _strike_store_link(self, fault):
         await self._strike_link(self._world.store_links, fault)
 
--- a/godwitlanding/tests/standins/standin_store.py
+++ b/godwitlanding/tests/standins/standin_store.py
@@ -46,6 +46,8 @@
             deaf=False,
         )
         self.old_copy = None
+        # What the operator and the upstreams wrote last, ``None`` for removed.
+        self._spec_by_key = {}
         self.calls = []
         # Bytes of the objects, or of the whole body, that each list and
         # watch is answered with in place of what is held.
@@ -69,14 +71,15 @@
 
     async def put(self, kind, name, spec):
         """Write as the operator or an upstream does."""
+        self._spec_by_key[kind, name] = spec
         held = self._get_kind(kind).get(name)
         created = held["metadata"]["create_rev"] if held else self.revision + 1
         await self._write(kind, name, spec, created)
 
     async def remove(self, kind, name):
         """Remove an object as the platform does."""
-        item = self._get_kind(kind).pop(name)
-        await self._tell(kind, item, True)
+        self._spec_by_key[kind, name] = None
+        await self._remove(kind, name)
 
     async def forget_history(self):
         """Drop the history and cut every watch."""
@@ -100,6 +103,16 @@
         async with self._changed:
             self._changed.notify_all()
 
+    async def write_again(self):
+        """Write what the operator and the upstreams wrote and find changed."""
+        for (kind, name), spec in list(self._spec_by_key.items()):
+            if spec == self.get_spec(kind, name):
+                continue
+            if spec is None:
+                await self._remove(kind, name)
+            else:
+                await self.put(kind, name, spec)
+
     def get_spec(self, kind, name):
         """Return what an object holds, ``None`` where there is none."""
         item = self._get_kind(kind).get(name)
@@ -108,6 +121,11 @@
     def _get_kind(self, kind):
         return self._object_by_name_by_kind.setdefault(kind, {})
 
+    async def _remove(self, kind, name):
+        item = self._get_kind(kind).pop(name, None)
+        if item:
+            await self._tell(kind, item, True)
+
     async def _write(self, kind, name, spec, created):
         metadata = {
             "name": name,
@@ -205,7 +223,7 @@
             wanted = request.query_params.get("rev")
             if wanted and int(wanted) != held["metadata"]["rev"]:
                 return JSONResponse(held, status_code=409)
-            await self.remove(kind, name)
+            await self._remove(kind, name)
             return JSONResponse(held)
         body = await request.json()
         wanted = body["metadata"].get("rev")
