--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -329,12 +329,15 @@
         assert set(learn(setting, KEYS[:10]).values()) == {"far"}
 
 
-async def test_object_that_is_known_far_away_only_is_learnt_here():
+@pytest.mark.parametrize("in_progress", [0, 1])
+async def test_object_that_is_known_far_away_only_is_learnt_here(in_progress):
     # Callers have moved to a region and ask for objects that only another
     # region knows. As many as may change the region at once go there; the
     # rest was refused, again and again, with every upstream here idle.
     upstreams = [*WARM, *((f"f{n}", "b1", 0.0) for n in range(4))]
     async with Setting(upstreams, rates={"a": 1.0, "b": 1.0}) as setting:
+        for name, _, _ in WARM:
+            setting.fill(name, in_progress)
         learn(setting, KEYS)
         await asyncio.sleep(WINDOW_S)
         learn(setting, KEYS)
