--- a/godwitlanding/daemons/journal.py
+++ b/godwitlanding/daemons/journal.py
@@ -217,8 +217,13 @@
 
         ``stored`` is the platform's object, ``None`` for none. Where it is
         as old as before, a write may still take effect later; the next one
-        is made under the same version, so only one of them can.
+        is made under the same version, so only one of them can. A journal
+        that was there and is not has gone with a platform that was restored
+        from an older copy, and is written anew.
         """
+        if stored is None and self._version:
+            self._version = 0
+            self._write_by_number.clear()
         if stored is None or stored.version == self._version:
             self.is_dirty = True
             return []
--- a/godwitlanding/daemons/services/keys.py
+++ b/godwitlanding/daemons/services/keys.py
@@ -161,6 +161,8 @@
             stored = await self._store.get(CLAIM_KIND, held.name)
             if stored.is_ok():
                 held.version = stored.unwrap().version
+            elif stored.unwrap_err().code is Code.NOT_FOUND:
+                held.version = 0
         self._counters.add("key_outcomes_lost")
 
     async def delete(self, held):
--- a/godwitlanding/tests/daemons/test_journal.py
+++ b/godwitlanding/tests/daemons/test_journal.py
@@ -138,6 +138,21 @@
     assert claim.may_dispatch
 
 
+def test_journal_that_a_restored_platform_has_lost_is_written_again():
+    # Written on a version that is gone, no claim would be recorded any more.
+    journal, platform = run_to("answer lost")
+    journal.settle(platform.stored)
+    platform.stored = None
+    claim = journal.press(make_ticket("n2"), 7).unwrap()
+    write = journal.begin_write()
+    assert platform.put(write.value, write.expected_version) is None
+    assert journal.settle(platform.stored) == []
+    again = journal.begin_write()
+    version = platform.put(again.value, again.expected_version)
+    assert version is not None
+    assert claim in journal.end_write(again, version)
+
+
 def test_write_that_takes_effect_late_is_known_from_its_number():
     """A write hangs, the next is sent, and the first takes effect first."""
     journal, platform = Journal("h0"), FakeObject()
