Daemons: go on when the platform comes back from an older copy

What users would see: after the platform of our own interface was restored, plan, rosters and summaries of zones were frozen: the zone's writes were made on versions that the platform had lost, and refused for ever; the upstreams of a VM that dies were taken over by nobody. Texts that the operators applied were refused until versions had passed those that the daemons held.

Versions that are given out again were compared with those of a history that is lost, and writers counted on their own writes.

The contract names the versions of the copies, and the client makes versions of them that only grow: what a copy holds keeps its version, so it still does not undo what is in force; what is written later is newer than all that was lost. A lost version is no condition of a write and has expired for a watch. A write of the system's own that meets an older version is made on that one (Replication.write).

Both tests in test_zone fail without, and so does the contract's in test_store, which both the fake and the stand-in over HTTP are held to.

--- a/godwitlanding/base/store.py
+++ b/godwitlanding/base/store.py
@@ -10,6 +10,7 @@
 from urllib.parse import quote
 
 import aiohttp
+from eliot import log_message
 from result import Err, Ok
 from yarl import URL
 
@@ -22,6 +23,8 @@
     VmList,
     WatchBatch,
     WatchEvent,
+    find_version,
+    get_revision,
 )
 
 _CODE_BY_STATUS = {
@@ -31,6 +34,8 @@
     413: Code.VALUE_TOO_LARGE,
     429: Code.RATE_LIMITED,
 }
+# Revisions of the copies from which the platform has come back.
+_COPIES = "Platform-Copies"
 # Rate limits are counted by the second, so a second later is another count.
 _RATE_LIMIT_RETRY_S = 1.0
 # One slow call must not hold up the others behind a full connection pool.
@@ -41,6 +46,8 @@
     """The platform's object API over HTTP.
 
     ``timeout_s`` bounds each call; a watch may take its own time on top.
+    Versions that the platform has lost, as it came back from an older copy,
+    are no condition of a write and have expired for a watch.
 
     >>> store = HttpStore("http://10.0.0.5:8000", 2.0)
     >>> (await store.get("config", "main")).unwrap().version
@@ -52,6 +59,7 @@
         self._timeout_s = timeout_s
         self._counters = counters
         self._session = None
+        self._copies = ()
 
     async def get(self, kind, name):
         """Return ``Ok(StoredObject)``."""
@@ -67,6 +75,8 @@
         """Write if the version is as expected; ``Ok(new version)``."""
         if len(value) > MAX_VALUE_BYTES:
             return Err(make_refusal(Code.VALUE_TOO_LARGE))
+        if self._is_lost(expected_version):
+            return Err(make_refusal(Code.VERSION_CONFLICT))
         answer = await self._call(
             "put",
             "PUT",
@@ -74,22 +84,30 @@
             headers=_make_condition(expected_version),
             data=value,
         )
-        return answer.and_then(lambda a: _read_json(a, _read_version))
+        return answer.and_then(self._read_written)
 
     async def delete(self, kind, name, expected_version):
         """Delete if the version is as expected; ``Ok(version)``."""
+        if self._is_lost(expected_version):
+            return Err(make_refusal(Code.VERSION_CONFLICT))
         answer = await self._call(
             "delete",
             "DELETE",
             _object_path(kind, name),
             headers=_make_condition(expected_version),
         )
-        return answer.and_then(lambda a: _read_json(a, _read_version))
+        return answer.and_then(self._read_written)
 
     async def watch(self, kind, after, timeout_s):
         """Wait for changes of a kind; ``Ok(WatchBatch)``, maybe empty."""
-        path = f"/v1/watch/{quote(kind, safe='')}?after={after}&timeout_s={timeout_s}"
+        if self._is_lost(after):
+            return Err(make_refusal(Code.WATCH_EXPIRED))
+        query = f"after={get_revision(after)}&timeout_s={timeout_s}"
+        path = f"/v1/watch/{quote(kind, safe='')}?{query}"
         answer = await self._call("watch", "GET", path, extra_s=timeout_s)
+        if answer.is_ok() and self._is_lost(after):
+            # The platform may have a change of that revision again.
+            return Err(make_refusal(Code.WATCH_EXPIRED))
         return answer.and_then(lambda a: _read_json(a, _read_batch, kind))
 
     async def list_vms(self):
@@ -119,14 +137,26 @@
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _make_unavailable(repr(error))
+        copies = _read_copies(response.headers.get(_COPIES, ""))
+        if len(copies) > len(self._copies):
+            log_message("store:restored", copies=copies)
+            self._copies = copies
         if response.status in (200, 201):
-            return Ok(_Answer(response.headers.get("ETag", ""), body))
+            return Ok(_Answer(response.headers.get("ETag", ""), body, copies))
         if response.status not in _CODE_BY_STATUS:
             return _make_unavailable(f"answered {response.status}")
         code = _CODE_BY_STATUS[response.status]
         retry_after_s = _RATE_LIMIT_RETRY_S if code is Code.RATE_LIMITED else 0.0
         return Err(make_refusal(code, retry_after_s))
 
+    def _read_written(self, answer):
+        if len(answer.copies) < len(self._copies):
+            return _make_unavailable("written before the platform was restored")
+        return _read_json(answer, _read_version)
+
+    def _is_lost(self, version):
+        return find_version(get_revision(version), self._copies) != version
+
     def _get_session(self):
         # A session belongs to a running loop, so it cannot be made earlier.
         if self._session is None:
@@ -137,6 +167,7 @@
 class _Answer(NamedTuple):
     etag: str
     body: bytes
+    copies: tuple[int, ...]
 
 
 def _make_unavailable(detail):
@@ -154,46 +185,52 @@
 def _make_condition(expected_version):
     if expected_version == 0:
         return {"If-None-Match": "*"}
-    return {"If-Match": f'"{expected_version}"'}
+    return {"If-Match": f'"{get_revision(expected_version)}"'}
+
+
+def _read_copies(text):
+    parts = [part.strip() for part in text.split(",")]
+    return tuple(int(part) for part in parts if part.isdecimal())
 
 
 def _read_object(kind, name, answer):
-    version = answer.etag.strip('"')
-    if not version.isdecimal():
+    revision = answer.etag.strip('"')
+    if not revision.isdecimal():
         return _make_unavailable(f"ETag {answer.etag!r} is no version")
-    return Ok(StoredObject(kind, name, int(version), answer.body))
+    version = find_version(int(revision), answer.copies)
+    return Ok(StoredObject(kind, name, version, answer.body))
 
 
 def _read_json(answer, read, *arguments):
     # An answer that is not what the page says is as good as none.
     try:
-        return Ok(read(json.loads(answer.body), *arguments))
+        return Ok(read(json.loads(answer.body), answer.copies, *arguments))
     except (ValueError, KeyError, TypeError) as error:
         return _make_unavailable(f"answer cannot be read: {error!r}")
 
 
-def _read_version(value):
-    return int(value["version"])
+def _read_version(value, copies):
+    return find_version(int(value["version"]), copies)
 
 
-def _read_stored(row, kind):
+def _read_stored(row, copies, kind):
     value = base64.b64decode(row["value"])
-    return StoredObject(kind, row["name"], int(row["version"]), value)
+    return StoredObject(kind, row["name"], _read_version(row, copies), value)
 
 
-def _read_list(value, kind):
-    return tuple(_read_stored(row, kind) for row in value["objects"])
+def _read_list(value, copies, kind):
+    return tuple(_read_stored(row, copies, kind) for row in value["objects"])
 
 
-def _read_batch(value, kind):
+def _read_batch(value, copies, kind):
     events = tuple(
-        WatchEvent(_read_stored(row, kind), bool(row["deleted"]))
+        WatchEvent(_read_stored(row, copies, kind), bool(row["deleted"]))
         for row in value["events"]
     )
-    return WatchBatch(int(value["version"]), events)
+    return WatchBatch(_read_version(value, copies), events)
 
 
-def _read_vms(value):
+def _read_vms(value, copies):
     vms = tuple(
         VmEntry(row["vm"], row["address"], row["availability_zone"], row["state"])
         for row in value["vms"]
--- a/godwitlanding/base/stored.py
+++ b/godwitlanding/base/stored.py
@@ -34,6 +34,19 @@
     return version % _REVISIONS_PER_ERA
 
 
+def find_version(revision, copies):
+    """Return the version of a revision of a platform that tells its copies.
+
+    ``copies`` are the revisions of the copies from which it has come back,
+    oldest first. What a copy holds keeps the version that it had.
+
+    >>> find_version(5, (4,)) > find_version(9, ()) > find_version(3, (4,))
+    True
+    """
+    eras = [era for era, copy in enumerate(copies, 1) if revision > copy]
+    return make_version(max(eras, default=0), revision)
+
+
 class StoredObject(NamedTuple):
     """An object of the platform; ``version`` grows with every write.
 
--- a/godwitlanding/daemons/services/lending.py
+++ b/godwitlanding/daemons/services/lending.py
@@ -180,7 +180,7 @@
         zone = self._context.availability_zone
         body = format_roster(roster)
         version = self._steward.version
-        written = await self._store.put(ROSTER_KIND, zone, body, version)
+        written = await self._replication.write(ROSTER_KIND, zone, body, version)
         if written.is_ok():
             state = State(ROSTER_KIND, zone, written.unwrap(), body)
             await self._replication.spread(state)
--- a/godwitlanding/daemons/services/planner.py
+++ b/godwitlanding/daemons/services/planner.py
@@ -134,7 +134,7 @@
     async def _write(self, plan):
         body = format_plan(plan)
         version = self._planner.version
-        written = await self._store.put(PLAN_KIND, PLAN_NAME, body, version)
+        written = await self._replication.write(PLAN_KIND, PLAN_NAME, body, version)
         if written.is_ok():
             state = State(PLAN_KIND, PLAN_NAME, written.unwrap(), body)
             await self._replication.spread(state)
--- a/godwitlanding/daemons/services/replication.py
+++ b/godwitlanding/daemons/services/replication.py
@@ -13,6 +13,7 @@
 from godwitlanding.base.kernel import Service
 from godwitlanding.base.log import log_warning
 from godwitlanding.base.messages import Failure, Fetch, State, Subscribe
+from godwitlanding.base.stored import get_era
 from godwitlanding.base.tasks import Tasks, end_tasks
 from godwitlanding.daemons.membership import choose_reachable
 from godwitlanding.daemons.services.members import ENTRY_ROLE, VMS_KIND, format_vm_list
@@ -91,6 +92,37 @@
         self._context.replica.offer(state)
         self._pass_on(state)
 
+    async def write(self, kind, name, body, version):
+        """Write an object of the system's own; ``Ok(new version)``.
+
+        A platform that came back from an older copy has lost ``version``, on
+        which the write is made, and would refuse it for ever; it is made on
+        the older one that stands there.
+        """
+        written = await self._store.put(kind, name, body, version)
+        if written.is_ok() or written.unwrap_err().code is not Code.VERSION_CONFLICT:
+            return written
+        stored = await self._find_older(kind, name, version)
+        if stored is None:
+            return written
+        log_warning(
+            "replication:written_over_older",
+            kind=kind,
+            name=name,
+            lost=version,
+            stored=stored,
+        )
+        return await self._store.put(kind, name, body, stored)
+
+    async def _find_older(self, kind, name, version):
+        read = await self._store.get(kind, name)
+        if read.is_ok():
+            stored = read.unwrap().version
+            return stored if stored < version else None
+        if version and read.unwrap_err().code is Code.NOT_FOUND:
+            return 0
+        return None
+
     def get_status(self):
         """Return the versions held and whether this member watches."""
         replica = self._context.replica
@@ -159,9 +191,12 @@
         state = State(stored.kind, stored.name, stored.version, stored.value)
         key = f"{state.kind}/{state.name}"
         held = self._context.replica.get_version(state.kind, state.name)
-        if held <= platform_version:
+        is_reached = held <= platform_version and get_era(held) == get_era(
+            platform_version
+        )
+        if is_reached or state.version >= held:
             self._stored_older_by_key.pop(key, None)
-        if state.version < held <= platform_version:
+        if is_reached and state.version < held:
             # Only late: what is held came by a peer or by an own write, and
             # the watch will bring it too.
             return
--- a/godwitlanding/daemons/services/summary.py
+++ b/godwitlanding/daemons/services/summary.py
@@ -130,7 +130,7 @@
             sort_keys=True,
         ).encode()
         version = self._context.replica.get_version(SUMMARY_KIND, zone)
-        written = await self._store.put(SUMMARY_KIND, zone, body, version)
+        written = await self._replication.write(SUMMARY_KIND, zone, body, version)
         if written.is_ok():
             state = State(SUMMARY_KIND, zone, written.unwrap(), body)
             self._context.replica.offer(state)
--- a/godwitlanding/tests/base/test_store.py
+++ b/godwitlanding/tests/base/test_store.py
@@ -258,6 +258,36 @@
     assert (await store.get("config", "main")).unwrap_err().code is Code.NOT_FOUND
 
 
+@pytest.mark.parametrize("writes", [1, 5])
+async def test_versions_that_a_restored_platform_gives_again_are_other_ones(
+    bench, writes
+):
+    store = bench.store
+    kept = (await store.put("plan", "main", b"kept", 0)).unwrap()
+    lost = []
+
+    async def write():
+        for number in range(3):
+            name = f"lost-{number}"
+            lost.append((await store.put("plan", name, b"lost", 0)).unwrap())
+
+    await bench.turn_back(write)
+    # What the copy holds keeps its version.
+    assert (await store.get("plan", "main")).unwrap().version == kept
+    for number in range(writes):
+        written = (await store.put("plan", f"new-{number}", b"new", 0)).unwrap()
+        assert written > lost[-1]
+    assert (await store.watch("plan", lost[0], 0.1)).unwrap_err().code is (
+        Code.WATCH_EXPIRED
+    )
+    put = await store.put("plan", "new-0", b"on a lost version", lost[0])
+    assert put.unwrap_err().code is Code.VERSION_CONFLICT
+    batch = (await store.watch("plan", kept, 0.1)).unwrap()
+    names = [event.stored.name for event in batch.events]
+    assert names == [f"new-{number}" for number in range(writes)]
+    assert batch.version == written
+
+
 @pytest.mark.parametrize(
     "body", [b"", b"[]", b"{}", b'{"objects": [{"name": 1}]}', b"\xff"]
 )
--- a/godwitlanding/tests/daemons/test_zone.py
+++ b/godwitlanding/tests/daemons/test_zone.py
@@ -1,6 +1,7 @@
 """Zone daemons together: members, replicas, permits, drains, the planner."""
 
 import asyncio
+import json
 from contextlib import asynccontextmanager
 
 import pytest
@@ -258,3 +259,39 @@
         await asyncio.sleep(5)
         for desk in daemon.get("arbitration").desk_by_service.values():
             assert desk.borrower.make_loan("vm9", 0.0).holders == ()
+
+
+async def test_zone_writes_on_when_the_platform_was_restored_from_an_older_copy():
+    # Its writes were made on versions that the platform had lost.
+    async with run_zone(("vm1", "vm2")) as zone:
+        await asyncio.sleep(3)
+        copy = zone.store.objects.take_snapshot()
+        await asyncio.sleep(3)
+        zone.store.objects.restore(copy)
+        await asyncio.sleep(3)
+        former = zone.store.objects.get("summary", "a").unwrap()
+        await asyncio.sleep(3)
+        summary = zone.store.objects.get("summary", "a").unwrap()
+        assert summary.value != former.value
+        for daemon in zone.daemon_by_vm.values():
+            held = daemon.context.replica.get("summary", "a")
+            assert json.loads(held.body)["sequence"] > 0
+            assert held.body != former.value
+
+
+async def test_text_that_is_applied_after_a_restoration_is_in_force_at_once():
+    # Its version was one that the daemons had seen before.
+    async with run_zone(("vm1", "vm2")) as zone:
+        copy = zone.store.objects.take_snapshot()
+        for number in range(5):
+            await change_text(zone, make_text(comment=f"lost {number}"))
+        await asyncio.sleep(1)
+        zone.store.objects.restore(copy)
+        await asyncio.sleep(3)
+        text = make_text(comment="new")
+        await change_text(zone, text)
+        await asyncio.sleep(1)
+        for daemon in zone.daemon_by_vm.values():
+            assert daemon.context.replica.get("config", "main").body == text
+            status = daemon.get("replication").get_status()
+            assert "config/main" not in status["older_on_platform"]
--- a/godwitlanding/tests/standins/objects.py
+++ b/godwitlanding/tests/standins/objects.py
@@ -16,6 +16,8 @@
     VmList,
     WatchBatch,
     WatchEvent,
+    find_version,
+    get_revision,
 )
 
 HISTORY_EVENTS = 1000
@@ -24,7 +26,7 @@
 class Snapshot(NamedTuple):
     """A state of the platform that can be restored later."""
 
-    version: int
+    revision: int
     stored_by_key: dict
 
 
@@ -32,13 +34,24 @@
     """Objects by kind and name under one global version."""
 
     def __init__(self, history_events=HISTORY_EVENTS):
-        self.version = 0
+        self.revision = 0
+        # Revisions of the copies from which the platform has come back.
+        self.copies = ()
         self._stored_by_key = {}
         self._events_by_kind = {}
         self._dropped_by_kind = {}
         self._history_events = history_events
         self._changed = asyncio.Event()
 
+    @property
+    def version(self):
+        """Return the version of the last change."""
+        return self.find_version(self.revision)
+
+    def find_version(self, revision):
+        """Return the version of a revision."""
+        return find_version(revision, self.copies)
+
     def get(self, kind, name):
         """Return ``Ok(StoredObject)`` or NOT_FOUND."""
         stored = self._stored_by_key.get((kind, name))
@@ -54,7 +67,7 @@
             return Err(make_refusal(Code.VALUE_TOO_LARGE))
         if self._get_version(kind, name) != expected_version:
             return Err(make_refusal(Code.VERSION_CONFLICT))
-        self.version += 1
+        self.revision += 1
         stored = StoredObject(kind, name, self.version, bytes(value))
         self._stored_by_key[kind, name] = stored
         self._note(WatchEvent(stored, deleted=False))
@@ -66,7 +79,7 @@
             return Err(make_refusal(Code.NOT_FOUND))
         if self._get_version(kind, name) != expected_version:
             return Err(make_refusal(Code.VERSION_CONFLICT))
-        self.version += 1
+        self.revision += 1
         del self._stored_by_key[kind, name]
         gone = StoredObject(kind, name, self.version, b"")
         self._note(WatchEvent(gone, deleted=True))
@@ -81,6 +94,8 @@
         if after == 0:
             events = tuple(WatchEvent(s, deleted=False) for s in self.list(kind))
             return Ok(WatchBatch(self.version, events))
+        if self.find_version(get_revision(after)) != after:
+            return Err(make_refusal(Code.WATCH_EXPIRED))
         too_old = after < self._dropped_by_kind.get(kind, 0)
         if too_old or after > self.version:
             return Err(make_refusal(Code.WATCH_EXPIRED))
@@ -107,11 +122,12 @@
 
     def take_snapshot(self):
         """Return the state as it is now."""
-        return Snapshot(self.version, dict(self._stored_by_key))
+        return Snapshot(self.revision, dict(self._stored_by_key))
 
     def restore(self, snapshot):
         """Go back to an older state, as a platform's backup would."""
-        self.version = snapshot.version
+        self.revision = snapshot.revision
+        self.copies += (snapshot.revision,)
         self._stored_by_key = dict(snapshot.stored_by_key)
         self._events_by_kind = {}
         kinds = {kind for kind, _ in self._stored_by_key}
--- a/godwitlanding/tests/standins/standin_platform.py
+++ b/godwitlanding/tests/standins/standin_platform.py
@@ -17,7 +17,7 @@
 from starlette.routing import Route
 
 from godwitlanding.base.codes import ROW_BY_CODE
-from godwitlanding.base.stored import VmEntry, VmList
+from godwitlanding.base.stored import VmEntry, VmList, get_revision
 from godwitlanding.tests.standins.listener import Listener, reset
 from godwitlanding.tests.standins.objects import EMPTY_VM_LIST, ObjectTable
 
@@ -84,6 +84,16 @@
 
     def make_app(self):
         """Return the ASGI app."""
+
+        def tell_copies(run):
+            async def answer(request):
+                response = await run(request)
+                copies = map(str, self.objects.copies)
+                response.headers["Platform-Copies"] = ",".join(copies)
+                return response
+
+            return answer
+
         objects = "/v1/objects/{kind}"
         one = objects + "/{name:path}"
         rows = [
@@ -100,7 +110,10 @@
             ("/standin/stats", self.get_stats, ["GET"]),
         ]
         return Starlette(
-            routes=[Route(path, run, methods=methods) for path, run, methods in rows]
+            routes=[
+                Route(path, tell_copies(run), methods=methods)
+                for path, run, methods in rows
+            ]
         )
 
     async def get(self, request):
@@ -112,7 +125,7 @@
         if found.is_err():
             return _make_failure(found)
         stored = found.unwrap()
-        headers = {"ETag": f'"{stored.version}"'}
+        headers = {"ETag": f'"{get_revision(stored.version)}"'}
         return Response(
             stored.value, headers=headers, media_type="application/octet-stream"
         )
@@ -123,30 +136,32 @@
         if failure:
             return failure
         rows = [_make_row(s) for s in self.objects.list(request.path_params["kind"])]
-        return JSONResponse({"version": self.objects.version, "objects": rows})
+        return JSONResponse({"version": self.objects.revision, "objects": rows})
 
     async def put(self, request):
         """Write an object under the request's condition."""
         value = await request.body()
-        expected_version = _read_condition(request)
-        if expected_version is None:
+        revision = _read_condition(request)
+        if revision is None:
             return Response("a condition is required", status_code=428)
         failure = await self._begin(request, "writes", self._writes)
         if failure:
             return failure
         kind, name = request.path_params["kind"], request.path_params["name"]
+        expected_version = self.objects.find_version(revision)
         written = self.objects.put(kind, name, value, expected_version)
         return await self._answer_write(request, written)
 
     async def delete(self, request):
         """Delete an object under the request's condition."""
-        expected_version = _read_condition(request)
-        if not expected_version:
+        revision = _read_condition(request)
+        if not revision:
             return Response("If-Match is required", status_code=428)
         failure = await self._begin(request, "writes", self._writes)
         if failure:
             return failure
         kind, name = request.path_params["kind"], request.path_params["name"]
+        expected_version = self.objects.find_version(revision)
         written = self.objects.delete(kind, name, expected_version)
         return await self._answer_write(request, written)
 
@@ -156,7 +171,7 @@
         if failure:
             return failure
         try:
-            after = int(request.query_params["after"])
+            after = self.objects.find_version(int(request.query_params["after"]))
             timeout_s = float(request.query_params["timeout_s"])
         except (KeyError, ValueError):
             return Response("after and timeout_s are required", status_code=400)
@@ -177,7 +192,8 @@
             return _make_failure(read)
         batch = read.unwrap()
         rows = [{**_make_row(e.stored), "deleted": e.deleted} for e in batch.events]
-        return JSONResponse({"version": batch.version, "events": rows})
+        version = get_revision(batch.version)
+        return JSONResponse({"version": version, "events": rows})
 
     async def list_vms(self, request):
         """Answer the VM list as it was ``list_lag_s`` ago."""
@@ -210,12 +226,12 @@
     async def take_snapshot(self, request):
         """Keep the present state for a later restore."""
         self._snapshot = self.objects.take_snapshot()
-        return JSONResponse({"version": self._snapshot.version})
+        return JSONResponse({"version": self._snapshot.revision})
 
     async def restore(self, request):
         """Go back to the state kept."""
         self.objects.restore(self._snapshot)
-        return JSONResponse({"version": self.objects.version})
+        return JSONResponse({"version": self.objects.revision})
 
     async def get_stats(self, request):
         """Answer how often what was called."""
@@ -258,12 +274,13 @@
             self.faults.lost_answers -= 1
             self.counts["lost_answers"] += 1
             reset(request.scope["state"]["transport"])
-        return JSONResponse({"version": written.unwrap()})
+        return JSONResponse({"version": get_revision(written.unwrap())})
 
 
 def _make_row(stored):
     value = base64.b64encode(stored.value).decode()
-    return {"name": stored.name, "version": stored.version, "value": value}
+    version = get_revision(stored.version)
+    return {"name": stored.name, "version": version, "value": value}
 
 
 def _make_failure(result):
