--- a/godwitlanding/daemons/services/replication.py
+++ b/godwitlanding/daemons/services/replication.py
@@ -191,9 +191,8 @@
         state = State(stored.kind, stored.name, stored.version, stored.value)
         key = f"{state.kind}/{state.name}"
         held = self._context.replica.get_version(state.kind, state.name)
-        is_reached = held <= platform_version and get_era(held) == get_era(
-            platform_version
-        )
+        is_of_era = get_era(held) == get_era(platform_version)
+        is_reached = is_of_era and held <= platform_version
         if is_reached or state.version >= held:
             self._stored_older_by_key.pop(key, None)
         if is_reached and state.version < held:
--- a/godwitlanding/gateway/feed.py
+++ b/godwitlanding/gateway/feed.py
@@ -29,7 +29,7 @@
 from godwitlanding.base.tasks import start_task
 from godwitlanding.base.wire import Pool, Server
 from godwitlanding.decisions.reading import SIGN_PAUSE_S, SIGN_SILENT_S
-from godwitlanding.gateway.mirror import Change
+from godwitlanding.gateway.change import Change
 
 ROLE = "vm"
 # A source in another region answers within 0.2 s.
--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -18,15 +18,15 @@
 
 import asyncio
 import random
-from typing import NamedTuple
 
 from eliot import log_message
 
 from godwitlanding.base.codes import Code
 from godwitlanding.base.kernel import Service
-from godwitlanding.base.stored import StoredObject, get_era, make_version
+from godwitlanding.base.stored import get_era, make_version
 from godwitlanding.base.tasks import start_task
 from godwitlanding.decisions.lapse import RETURNED_S
+from godwitlanding.gateway.change import Change, make_change
 
 # A call that the store took in an outage may never be answered, and its
 # connection lives on; a watch that hangs so is noticed when its time is over.
@@ -43,21 +43,6 @@
 FRESH_LIST_S = 1.0
 
 
-class Change(NamedTuple):
-    """What a mirror has learnt at once.
-
-    ``revision`` is the store's, up to which the mirror knows every change,
-    and ``changed_at`` that of the last one; ``removed`` are names. A
-    ``whole`` change holds every object there is.
-    """
-
-    revision: int
-    changed_at: int
-    objects: tuple[StoredObject, ...]
-    removed: tuple[str, ...]
-    whole: bool = False
-
-
 class Mirror(Service):
     """Holds one kind; ``apply(name, version, value)`` takes each object.
 
@@ -205,7 +190,7 @@
         snapshot = answer.unwrap()
         versions = [stored.version for stored in snapshot.objects]
         changed_at = max(versions, default=0)
-        if may_be_old and await _is_beyond(changed_at, reached):
+        if may_be_old and reached and changed_at > (await reached or changed_at):
             # It was made before the store came back from an older copy.
             log_message("mirror:lost_history", kind=self.kind, version=changed_at)
             return await self._list()
@@ -260,7 +245,7 @@
             return None
         self._succeed()
         batch = answer.unwrap()
-        for stored in self._merge(_make_change(batch), self._remove):
+        for stored in self._merge(make_change(batch), self._remove):
             self._log_refused(stored)
         left_s = GATHER_S - (_now() - begun)
         if left_s > 0:
@@ -411,29 +396,5 @@
         self._pause_s = min(MAX_PAUSE_S, self._pause_s * 2)
 
 
-async def _is_beyond(version, reached):
-    reached_version = await reached if reached else None
-    return reached_version is not None and version > reached_version
-
-
-def _make_change(batch):
-    """Return a watch's events as a change; the last one of a name counts."""
-    stored_by_name = {}
-    removed = {}
-    for event in batch.events:
-        name = event.stored.name
-        stored_by_name.pop(name, None)
-        removed.pop(name, None)
-        if event.deleted:
-            removed[name] = True
-        else:
-            stored_by_name[name] = event.stored
-    # The version of an object that is gone is that of its removal.
-    changed_at = max((event.stored.version for event in batch.events), default=0)
-    return Change(
-        batch.version, changed_at, tuple(stored_by_name.values()), tuple(removed)
-    )
-
-
 def _now():
     return asyncio.get_running_loop().time()
--- a/godwitlanding/tests/gateway/test_feed.py
+++ b/godwitlanding/tests/gateway/test_feed.py
@@ -7,8 +7,9 @@
 
 from godwitlanding.base.metrics import Counters
 from godwitlanding.base.stored import StoredObject
+from godwitlanding.gateway.change import Change
 from godwitlanding.gateway.feed import MAX_PART_BYTES, Feed
-from godwitlanding.gateway.mirror import Change, Mirror
+from godwitlanding.gateway.mirror import Mirror
 from godwitlanding.tests.tools.network import claim_world_prefix
 
 KIND = "things"
--- a/godwitlanding/tests/gateway/test_mirror.py
+++ b/godwitlanding/tests/gateway/test_mirror.py
@@ -14,7 +14,8 @@
     make_version,
 )
 from godwitlanding.decisions.lapse import BACK_WITHIN_S, RETURNED_S, LapseGuard
-from godwitlanding.gateway.mirror import Change, Mirror
+from godwitlanding.gateway.change import Change
+from godwitlanding.gateway.mirror import Mirror
 
 pytestmark = pytest.mark.looptime
 
