--- a/godwitlanding/gateway/admission.py
+++ b/godwitlanding/gateway/admission.py
@@ -85,11 +85,13 @@
         target = exchange.target.decode("latin-1")
         route = find_route(config, host_name, target)
         if route is None:
+            self._note_unknown("admission:unknown_route", request_id)
             return Err(self._deny_unknown(Code.UNKNOWN_SERVICE, 404))
         key = read_key(exchange.get_headers(self._names.authorization))
         access = find_access(config, route, key)
         if access.verdict is Verdict.UNKNOWN_KEY:
-            self._note_unknown_key(request_id, key)
+            key_print = make_key_print(key)
+            self._note_unknown("admission:unknown_key", request_id, key=key_print)
             return Err(self._deny_unknown(Code.UNKNOWN_KEY, 401))
         workspace = access.workspace
         if workspace and not self._reach.may_trust_keys():
@@ -164,11 +166,11 @@
         )
         return Denial(Code.ALLOTMENT_SPENT, 429, retry_after_s)
 
-    def _note_unknown_key(self, request_id, key):
+    def _note_unknown(self, message_type, request_id, **fields):
         log_message(
-            "admission:unknown_key",
+            message_type,
             request=request_id.decode("latin-1"),
-            key=make_key_print(key),
+            **fields,
             fresh=self._reach.is_fresh(),
             **self._get_config_age(asyncio.get_running_loop().time()),
         )
--- a/godwitlanding/tests/gateway/test_whole_path.py
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -131,6 +131,15 @@
         assert answer.status == 200
 
 
+async def test_line_of_an_unknown_route_tells_by_which_configuration(world):
+    await world.ask(world.vms[0], "/new/1", request_id="unknown-1")
+    lines = [json.loads(line) for line in world.vms[0].read_log().splitlines()]
+    lines = [line for line in lines if line.get("request") == "unknown-1"]
+    told = {line["message_type"]: line for line in lines}["admission:unknown_route"]
+    assert (told["config"], told["fresh"]) == (7, True)
+    assert told["config_age_s"] >= 0
+
+
 async def test_older_or_unreadable_configuration_changes_nothing(world):
     # Operators' tools race, or write something that cannot be read. The
     # last good configuration stays in force.
