Log where a background task or round failed

An error that ends a loop was logged as repr alone: task:failed said 'float division by zero' and not of what. The line has the innermost six calls now, and so has task:round_failed, in the same form.

The soak's checker counted a failed round by the word Traceback in that line, which is there no longer; it counts the line's name, as strict as before.

--- a/godwitlanding/base/tasks.py
+++ b/godwitlanding/base/tasks.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import traceback
+from pathlib import Path
 
 from godwitlanding.base.log import log_error
 
 # Time for a cancelled task to clean up before it is cancelled again.
 _CANCEL_RETRY_S = 0.2
+_LOGGED_FRAMES = 6
 
 
 async def end_tasks(tasks):
@@ -37,8 +39,16 @@
 
 
 def _log_failure(task):
-    if not task.cancelled() and task.exception():
-        log_error("task:failed", error=repr(task.exception()))
+    if task.cancelled() or not task.exception():
+        return
+    error = task.exception()
+    log_error("task:failed", error=repr(error), trace=format_trace(error))
+
+
+def format_trace(error):
+    """Return the innermost frames of an exception, for a log line."""
+    frames = traceback.extract_tb(error.__traceback__)[-_LOGGED_FRAMES:]
+    return [f"{Path(f.filename).name}:{f.lineno} {f.name}" for f in frames]
 
 
 class Tasks:
@@ -79,6 +89,6 @@
                 "task:round_failed",
                 function=function.__qualname__,
                 error=repr(error),
-                trace=traceback.format_exc(limit=-3),
+                trace=format_trace(error),
             )
         await asyncio.sleep(interval_s)
--- a/godwitlanding/tests/base/test_tasks.py
+++ b/godwitlanding/tests/base/test_tasks.py
@@ -79,3 +79,4 @@
         remove_destination(logged.append)
     types = [line["message_type"] for line in logged]
     assert types == (["task:failed"] if fails else [])
+    assert all(line["trace"][-1].endswith(" run") for line in logged)
--- a/godwitlanding/tests/soak/checker.py
+++ b/godwitlanding/tests/soak/checker.py
@@ -19,7 +19,12 @@
 # For upstreams that reject a request with Retry-After.
 PAUSE_DELAY_S = 0.5
 MAX_REQUESTS_IN_PAUSE = 2
-CRASH_MARKERS = ("Traceback", '"carrier:failed"', '"task:failed"')
+CRASH_MARKERS = (
+    "Traceback",
+    '"carrier:failed"',
+    '"task:failed"',
+    '"task:round_failed"',
+)
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # The only workspace with a rate limit.
 LIMITED_WORKSPACE = "small"
