A VM counts itself among the carriers of its side of a partition

Callers of a workspace with a limit got status 500 from the VM, or were reckoned with parts that no longer changed: a VM that carried nothing and heard none of its region's carriers for 0.6 s ended its loop over peers for good, while it went on and said that it was ready.

Cause: Reachability.get_share returned 0, reachable carriers by known ones without the VM itself, and Allotments divides by it.

Fix: where no carrier is reachable the VM counts itself, as the next request that reaches it makes it the only carrier on its side. So it may use what it may use from then on anyway, and a share is never 0. Not a floor: with n carriers known it is 1 / (n + 1). Where a carrier is reachable nothing changes, so that all VMs of a side reckon with the same bucket. Until the others miss this VM as well (5 s) their parts and its own may add up to more than the whole by 1 / (n + 1) of the region's part, as with every carrier that they did not know of.

Tests failed before: the share was 0.0 for 0.25; the VM that hears nobody and is stopping raised ZeroDivisionError. After, it grants a quarter of its region's part, drops its silent peers and takes up its whole part when they are back.

--- a/godwitlanding/decisions/reachability.py
+++ b/godwitlanding/decisions/reachability.py
@@ -54,24 +54,28 @@
     def get_share(self, listed_vms, carries_requests, now):
         """Return the share of the region on this side of a partition.
 
-        ``listed_vms`` are the names of the region's other VMs.
+        ``listed_vms`` are the names of the region's other VMs. The share is
+        above zero, since a VM is always on its own side.
         """
         for vm, message in list(self._last_message_by_vm.items()):
             if now - message.received_at > REACHABLE_FOR_S:
                 del self._last_message_by_vm[vm]
+        return min(
+            self._get_share_of_carriers(carries_requests, now),
+            self._get_share_of_all_vms(listed_vms),
+        )
+
+    def _get_share_of_carriers(self, carries_requests, now):
         carriers = [
             message for message in self._last_message_by_vm.values() if message.carries
         ]
-        silent_carriers = sum(
-            1 for message in carriers if now - message.received_at > CARRIER_TIMEOUT_S
-        )
-        known_carriers = len(carriers) + carries_requests
-        carrier_share = (
-            (known_carriers - silent_carriers) / known_carriers
-            if known_carriers
-            else 1.0
+        reachable = sum(
+            1 for message in carriers if now - message.received_at <= CARRIER_TIMEOUT_S
         )
-        return min(carrier_share, self._get_share_of_all_vms(listed_vms))
+        # Without a reachable carrier, the next request that reaches this VM
+        # makes it the only carrier on its side, so it counts itself already.
+        own = 1 if carries_requests or not reachable else 0
+        return (reachable + own) / (len(carriers) + own)
 
     def _get_share_of_all_vms(self, listed_vms):
         # VMs that carry no requests send messages only to carriers, so the
--- a/godwitlanding/tests/decisions/test_reachability.py
+++ b/godwitlanding/tests/decisions/test_reachability.py
@@ -38,6 +38,39 @@
     assert reachability.get_share(set(NAMES[:3]), True, silent_s) == share
 
 
+@pytest.mark.parametrize(
+    ("at", "share"),
+    [
+        pytest.param(0.0, 1.0, id="all are reachable"),
+        pytest.param(CARRIER_TIMEOUT_S + 0.1, 0.25, id="all carriers are silent"),
+        pytest.param(REACHABLE_FOR_S + 0.1, 0.25, id="all VMs are silent"),
+    ],
+)
+def test_vm_without_requests_counts_itself_when_the_others_are_silent(at, share):
+    # Guards against a share of zero, by which limits were divided. A VM that
+    # starts, stops or was paused carries no requests and may hear nobody.
+    reachability = Reachability()
+    note_all(reachability, NAMES[:3], 0.0)
+    assert reachability.get_share(set(NAMES[:3]), False, at) == share
+    note_all(reachability, NAMES[:3], at)
+    assert reachability.get_share(set(NAMES[:3]), False, at) == 1.0
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 3), st.booleans(), st.floats(0, 20)), max_size=9),
+    st.booleans(),
+    st.integers(0, 3),
+    st.floats(0, 30),
+)
+def test_share_is_above_zero_whatever_is_heard(messages, carries, listed, now):
+    # Guards against a VM that may use nothing of any limit.
+    reachability = Reachability()
+    for number, peer_carries, at in sorted(messages, key=lambda row: row[2]):
+        reachability.note(NAMES[number], peer_carries, 1, at)
+    share = reachability.get_share(set(NAMES[:listed]), carries, now)
+    assert 1 / len(NAMES) <= share <= 1.0
+
+
 def test_vm_that_announced_leaving_is_not_counted_as_silent():
     reachability = Reachability()
     note_all(reachability, NAMES[:3], 0.0)
--- a/godwitlanding/tests/gateway/test_peers.py
+++ b/godwitlanding/tests/gateway/test_peers.py
@@ -18,6 +18,8 @@
 from godwitlanding.decisions.fleet import PEER_TIMEOUT_S, Capacity, Fleet
 from godwitlanding.decisions.objectmap import CacheEntry, ObjectMap
 from godwitlanding.decisions.occupancy import Occupancy
+from godwitlanding.decisions.reachability import CARRIER_TIMEOUT_S, REACHABLE_FOR_S
+from godwitlanding.decisions.routes import Workspace
 from godwitlanding.gateway.allotmentgossip import AllotmentGossip
 from godwitlanding.gateway.gossipmessage import decode_message, encode_message
 from godwitlanding.gateway.limitgossip import LimitGossip
@@ -400,3 +402,58 @@
             harness.receive("new", "10.0.0.2")
             greeted += bool(harness.transport.sent[0][1].met)
     assert greeted <= REPRESENTATIVES
+
+
+OFFICE = Workspace("office", rate_per_s=24.0, burst=24.0)
+
+
+async def receive_for(harness, seconds):
+    """Receive messages from three carriers of this region for a while."""
+    until = asyncio.get_running_loop().time() + seconds
+    while (now := asyncio.get_running_loop().time()) < until:
+        for number in range(3):
+            host = f"10.0.2.{number}"
+            harness.receive(f"vm-{number}", host, sequence=int(10 * now), heard=4)
+        await asyncio.sleep(0.2)
+
+
+def take_for(harness, seconds):
+    """Request ten tokens a second; return granted ones and longest wait."""
+    now = asyncio.get_running_loop().time()
+    waits = [
+        harness.allotments.take(OFFICE, now + tenth / 10)
+        for tenth in range(seconds * 10)
+    ]
+    return waits.count(0.0), max(waits)
+
+
+@pytest.mark.parametrize("serves", [False, True], ids=["stopping", "serving"])
+@pytest.mark.parametrize(
+    "silent_s",
+    [
+        pytest.param(CARRIER_TIMEOUT_S + 0.4, id="all carriers are silent"),
+        pytest.param(REACHABLE_FOR_S + 1.0, id="all VMs are silent"),
+    ],
+)
+async def test_vm_that_hears_nobody_serves_its_own_share(monkeypatch, serves, silent_s):
+    # Guards against a VM that loses its peers for good: it carried nothing and
+    # heard nobody, divided by a share of zero, and ended the loop that drops
+    # silent peers. Callers of workspaces with a limit got status 500.
+    async with PeersHarness(monkeypatch) as harness:
+        harness.allotments.set_workspaces([OFFICE], 0.0)
+        harness.peers.is_ready = lambda: serves
+        harness.list_region(3)
+        await receive_for(harness, 4.0)
+        await asyncio.sleep(silent_s)
+        granted, longest_s = take_for(harness, 4)
+        # A quarter of the region's 12 requests a second, so 12 of the 40; at
+        # the most a quarter of its burst and its tolerated excess besides.
+        extra_burst = Tolerance().get_extra_burst(OFFICE) / 2
+        assert 12 <= granted <= 12 + 3 + extra_burst
+        # All 40 would be served in this time.
+        assert longest_s <= 40 / 3
+        await asyncio.sleep(PEER_TIMEOUT_S + 1.0)
+        assert not harness.fleet.peer_by_vm
+        await receive_for(harness, 4.0)
+        _, part_per_s = harness.allotments.get_state(OFFICE)
+        assert part_per_s == pytest.approx(12.0, abs=1.0)
