Reject a traffic split whose weights are all zero or no numbers

A route with such a split would end each of its requests with status 500: Splitter divides by the sum of the weights, which the decoder took as they came.

The decoder refuses negative, infinite and missing weights and a sum of 0, as it does with limits of workspaces, so that the last valid configuration stays in force. The test failed before (four of five rows were read).

--- a/godwitlanding/platform/objects.py
+++ b/godwitlanding/platform/objects.py
@@ -41,9 +41,16 @@
 
 def _read_split(row):
     split = row.get("traffic_split")
-    if split:
-        return tuple(SplitPart(p["service"], float(p["weight"])) for p in split)
-    return (SplitPart(row["service"], 1.0),)
+    if not split:
+        return (SplitPart(row["service"], 1.0),)
+    owner = f"route {row['name']!r}"
+    parts = tuple(
+        SplitPart(part["service"], _read_non_negative(owner, "weight", part["weight"]))
+        for part in split
+    )
+    if not any(part.weight for part in parts):
+        raise ValueError(f"{owner} has no part with a weight above 0")
+    return parts
 
 
 def _read_route(row):
@@ -89,20 +96,21 @@
         raise ValueError(f"{name!r} is not a valid workspace name")
     if not name:
         raise ValueError("workspace name is empty")
+    owner = f"workspace {name!r}"
     priority = row.get("priority")
     return Workspace(
         name=name,
-        rate_per_s=_read_non_negative(name, row.get("rate_per_s", 0)),
-        burst=_read_non_negative(name, row.get("burst", 0)),
+        rate_per_s=_read_non_negative(owner, "limit", row.get("rate_per_s", 0)),
+        burst=_read_non_negative(owner, "limit", row.get("burst", 0)),
         priority=None if priority is None else int(priority),
         allowed_regions=frozenset(row.get("allowed_regions") or ()),
     )
 
 
-def _read_non_negative(name, value):
+def _read_non_negative(owner, field, value):
     amount = float(value)
     if not 0.0 <= amount < math.inf:
-        raise ValueError(f"workspace {name!r} has the invalid limit {value!r}")
+        raise ValueError(f"{owner} has the invalid {field} {value!r}")
     return amount
 
 
--- a/godwitlanding/tests/gateway/test_platform_objects.py
+++ b/godwitlanding/tests/gateway/test_platform_objects.py
@@ -128,6 +128,29 @@
     assert "k1" not in str(raised.value)
 
 
+def make_split_config(*weights):
+    names = ("looks", "pays")
+    split = [{"service": s, "weight": w} for s, w in zip(names, weights)]
+    row = ["split", "h", "/split/", "safe", "2s", "400ms", 2, split]
+    return make_config(extra=[row])
+
+
+def test_split_with_an_unused_part_is_read():
+    config = read_config(make_split_config(0, 3))
+    weights = [part.weight for part in config.route_by_prefix["h", "/split/"].parts]
+    assert weights == [0.0, 3.0]
+
+
+@pytest.mark.parametrize(
+    "weights", [(0, 0), (-1, 2), ("nan", 1), ("inf", 1), (None, 1)]
+)
+def test_split_without_usable_weights_is_rejected(weights):
+    # Guards against a route on which every request ends with status 500,
+    # because the weights are divided by their sum.
+    with pytest.raises(UNREADABLE):
+        read_config(make_split_config(*weights))
+
+
 def test_vm_with_a_host_name_is_rejected():
     # Sending a datagram to a host name would block the event loop on the
     # resolver.
