Work times have a lower bound where they are averaged

A first response that took no time made the mean of its service 0 for good, since samples are bounded by twice the mean, and the regions' shares are divided by that mean in a loop. The only caller bounded the time by itself, so that no VM showed it; the bound is where the mean is, and the caller's copy of it and that of the factor are gone.

Looked through besides and bounded already: sharing (the own region is always a holder), shift guard, retry budget, fleet, fairness, patience, digest, spill, long jobs, warm-up, arbiter pool and permits (slots of at least 1 and work times above 0 by the schemas).

--- a/godwitlanding/decisions/worktime.py
+++ b/godwitlanding/decisions/worktime.py
@@ -36,6 +36,9 @@
 # An upstream this many times slower than usual takes longer for a cached
 # object than others for one that they have not cached.
 SLOW_FACTOR = 2.5
+# A response that took no measurable time must not make every later one an
+# outlier.
+_MIN_WORK_S = 0.001
 _MIN_FACTOR = 0.7
 _MAX_FACTOR = 20.0
 # Limit of one sample as a multiple of the mean, so that a slow upstream does
@@ -69,6 +72,7 @@
 
     def note_response(self, service, upstream, work_s, warmth, waited):
         """Record a response's time; ``waited``: it queued for a slot."""
+        work_s = max(_MIN_WORK_S, work_s)
         self._update_failures(service, upstream, 0.0)
         if warmth is Warmth.UNSURE:
             middle = (self.get_warm_s(service) + self.get_cold_s(service)) / 2
@@ -166,7 +170,7 @@
             usual = self.get_cold_s(service)
         elif warmth is Warmth.NO_OBJECT:
             usual = self.get_objectless_s(service)
-        observed = min(_MAX_FACTOR, max(_MIN_FACTOR, work_s / max(usual, 0.001)))
+        observed = min(_MAX_FACTOR, max(_MIN_FACTOR, work_s / usual))
         mean = self.get_factor(upstream)
         self._factor_by_upstream[upstream] = mean + _UPSTREAM_WEIGHT * (observed - mean)
 
--- a/godwitlanding/gateway/upstreamclient.py
+++ b/godwitlanding/gateway/upstreamclient.py
@@ -148,7 +148,7 @@
         if outcome is not Outcome.MOVED:
             self._record_report(upstream, response, outcome, now)
         if outcome is Outcome.ANSWERED:
-            work_s = max(0.001, took_s - choice.distance_s)
+            work_s = took_s - choice.distance_s
             self._chooser.learning.note_response(request, choice, work_s)
             self._poison.note_success(request.fingerprint, now)
         elif outcome is Outcome.MOVED:
