An object gets its first home in the planned region wherever half of the slots are free

Callers of a region were refused as full while its upstreams were nearly idle: 53 of 60 with one of three slots of each in use, where their objects were known in another region alone.

Cause: such an object is placed here only on an upstream with less than a third of its slots in use, which with three slots is none in use; one request in progress was one too many. And not at all where its home far away could be sent to but was full, as the branch asked for no home that may be used in place of none here.

Change: less than half in use, and no home here.

--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -30,7 +30,7 @@
 # object without delaying known ones. Under overload a slot is hardly ever
 # free, and a cold request takes the slot time of three requests for known
 # objects.
-IDLE_OCCUPANCY = 1 / 3
+IDLE_OCCUPANCY = 1 / 2
 # Exponential smoothing factor; the average covers about the last 50 requests.
 _SHARE_SMOOTHING = 0.02
 
@@ -236,11 +236,11 @@
         new = self._candidates.place_new_object(
             request, planned_region, tried, now, known
         )
-        if new and best is None and self._is_idle(new):
-            # The object is known only to upstreams that may not be used, such
-            # as those of a region that may take no more callers now. Refused,
-            # the caller would be refused again at the next try, while
-            # upstreams in this region are idle.
+        if new and in_region is None and self._is_idle(new):
+            # The object is known only to upstreams that may not be used or are
+            # full, such as those of a region that may take no more callers
+            # now. Refused, the caller would be refused again at the next try,
+            # while upstreams in this region are idle.
             return self._accept(request, new, ChoiceReason.NEW)
         if new and best is None and planned_region in known.limited:
             # Its home in this region is rate-limited below the demand, so the
--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -358,6 +358,26 @@
         assert far <= 0.15 * len(moved)
 
 
+@pytest.mark.parametrize("in_progress", [0, 1])
+async def test_object_whose_only_home_is_full_far_away_is_learnt_here(in_progress):
+    # Guards against refusals while this region has free slots: the only
+    # upstream that knows the object is in another region and full.
+    upstreams = [*WARM, ("f0", "b1", 0.0)]
+    async with Setting(upstreams, rates={"a": 1.0, "b": 1.0}) as setting:
+        send_objects(setting, KEYS)
+        for name, _, _ in WARM:
+            setting.fill(name, in_progress)
+        setting.fill("f0", 6)
+        moved = [f"moved-{number}" for number in range(20)]
+        for key in moved:
+            far = setting.registry.number_by_id["f0"]
+            setting.object_map.receive(
+                CacheEntry(far, get_object_number("s", key)), 0.0
+            )
+        choices = [setting.choose(make_request(key)) for key in moved]
+        assert not any(isinstance(choice, Rejection) for choice in choices)
+
+
 async def test_removed_upstream_affects_its_own_objects_only():
     async with Setting(WARM) as setting:
         home_by_key = send_objects(setting, KEYS)
