Loops go on after an error, and a VM whose loop always fails takes itself out of use

A loop of a service that raised once had ended for good, while its process went on and said that it was ready: the VM of the division by zero kept silent peers, sent no counts any more and reckoned with parts that never changed, until somebody started it again by hand.

Cause: loops were 'while True' in tasks, and an exception ends a task; it was logged, and nothing else. 13 loops of godwit-vm were so. Two are worse than the one seen: a feed that fails while it follows left source and source_reads set, so that the VM took itself for up to date for good; a failed probe left its upstream ejected for good.

Change: loops are rounds that Tasks repeats, as the daemons had them. A failed round is logged with its innermost calls, once a loop and second, counted (loop_failures), and the next one follows. Where every round has failed for 2 s and three times, the VM is not ready; 10 to 20 s after the first it stops as by SIGTERM and ends with 1. Drawn, so that what all VMs share does not stop them at once. Following the store, a peer or a probe is begun anew after 1 s. The daemons' loops go on as before, and do not act on readiness.

Tests that the code before had nothing for: one failed round, every second, many and then none cost nothing, every round stops the process (paused clock); on a real VM whose loop fails from 2 s on payments go on, it leaves the directory, ends with 1, and every payment that ran was answered.

--- a/godwitlanding/base/kernel.py
+++ b/godwitlanding/base/kernel.py
@@ -49,6 +49,8 @@
                 raise KernelError(f"two services are named {service.name!r}")
             self._service_by_name[service.name] = service
         self._started = []
+        self._stop_requested = asyncio.Event()
+        self._has_failed = False
         self.stopping = asyncio.Event()
 
     def get(self, name):
@@ -96,23 +98,29 @@
             except Exception as error:
                 log_message("kernel:stop_failed", service=name, error=repr(error))
 
+    def stop_as_failed(self):
+        """Make ``run`` stop gracefully and return ``False``."""
+        self._has_failed = True
+        self._stop_requested.set()
+
     async def run(self, reload=None):
         """Start, run until SIGTERM or SIGINT, then stop gracefully.
 
-        SIGHUP calls ``reload``. Without ``reload`` it is ignored, because
-        its default action would kill the process with requests in progress.
+        Returns ``False`` after ``stop_as_failed``. SIGHUP calls ``reload``.
+        Without ``reload`` it is ignored, because its default action would
+        kill the process with requests in progress.
         """
-        stop_requested = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, stop_requested.set)
+            loop.add_signal_handler(number, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, reload or _ignore_hangup)
         await self.start()
         log_message("kernel:started", services=self.get_names())
-        await stop_requested.wait()
+        await self._stop_requested.wait()
         log_message("kernel:stopping")
         await self.stop()
         log_message("kernel:stopped")
+        return not self._has_failed
 
 
 def _ignore_hangup():
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from godwitlanding.base.kernel import Service
-from godwitlanding.base.tasks import start_task
+from godwitlanding.base.tasks import Tasks
 from godwitlanding.decisions.homes import Homes
 from godwitlanding.decisions.placing import Placement, is_worth_taking
 from godwitlanding.decisions.shiftguard import ShiftGuard
@@ -14,7 +14,7 @@
 from godwitlanding.gateway.candidates import Candidates
 from godwitlanding.gateway.distances import Distances
 from godwitlanding.gateway.learning import Learning
-from godwitlanding.gateway.regionbalancer import RegionBalancer
+from godwitlanding.gateway.regionbalancer import UPDATE_INTERVAL_S, RegionBalancer
 from godwitlanding.gateway.registry import Upstream
 
 RECOVERY_INTERVAL_S = 1.0
@@ -96,7 +96,7 @@
         self._fleet = fleet
         self._object_map = object_map
         self._registry = None
-        self._tasks = []
+        self.tasks = Tasks()
         self._region_balancer = None
         self._overflow_share_by_service = {}
         self._new_home_share_by_service = {}
@@ -129,10 +129,12 @@
             self._limit_gossip,
             self.availability.ejected,
         )
-        self._tasks = [
-            start_task(self._region_balancer.run()),
-            start_task(self._recover_periodically()),
-        ]
+        self.tasks.repeat(UPDATE_INTERVAL_S, self._region_balancer.update)
+        self.tasks.repeat(
+            RECOVERY_INTERVAL_S,
+            self.learning.recover,
+            first_after_s=RECOVERY_INTERVAL_S,
+        )
 
     def _make_candidates(self):
         return Candidates(
@@ -148,8 +150,7 @@
 
     async def stop(self):
         """Cancel the background tasks."""
-        for task in self._tasks:
-            task.cancel()
+        await self.tasks.stop()
 
     def get_status(self):
         """Return the regions' shares by service, and the ejected upstreams."""
@@ -362,11 +363,6 @@
         current = share_by_service.get(service, 0.0)
         share_by_service[service] = current + _SHARE_SMOOTHING * (sample - current)
 
-    async def _recover_periodically(self):
-        while True:
-            await asyncio.sleep(RECOVERY_INTERVAL_S)
-            self.learning.recover()
-
 
 def _get_earliest(first, second):
     """Return the placement with the earlier finish; both may be ``None``."""
--- a/godwitlanding/gateway/feed.py
+++ b/godwitlanding/gateway/feed.py
@@ -27,7 +27,7 @@
     Update,
 )
 from godwitlanding.base.storetypes import StoredObject
-from godwitlanding.base.tasks import start_task
+from godwitlanding.base.tasks import Tasks, log_failed_round
 from godwitlanding.base.wire import Pool, Server
 from godwitlanding.decisions.storereaders import (
     HEARTBEAT_INTERVAL_S,
@@ -66,8 +66,8 @@
         )
         self._followers = set()
         self._parts_by_kind = {}
+        self.tasks = Tasks()
         self._task = None
-        self._heartbeat_task = None
         self._channel = None
         self._last_received_at = 0.0
         # IP address of the source, empty for none.
@@ -80,12 +80,16 @@
     async def start(self, kernel):
         """Listen for followers."""
         await self._server.start(self._identity.ip, self._identity.peer_port)
-        self._heartbeat_task = start_task(self._send_heartbeats())
+        self.tasks.repeat(
+            HEARTBEAT_INTERVAL_S,
+            self._send_heartbeats,
+            first_after_s=HEARTBEAT_INTERVAL_S,
+        )
 
     async def stop(self):
         """Stop following and close all connections."""
         self.follow("")
-        self._heartbeat_task.cancel()
+        await self.tasks.stop()
         await self._pool.stop()
         await self._server.stop()
 
@@ -104,7 +108,7 @@
         self._channel = None
         self.source = host
         self.source_reads = False
-        self._task = start_task(self._follow(host)) if host else None
+        self._task = self.tasks.run(self._follow(host)) if host else None
 
     def has_reading_source(self):
         """Return whether the source reads the store itself."""
@@ -115,16 +119,13 @@
 
     async def _follow(self, host):
         address = self._get_address(host)
-        detail = await self._subscribe(address)
-        if not detail:
-            log_message("feed:following", source=host)
-            while _now() - self._last_received_at <= HEARTBEAT_TIMEOUT_S:
-                if self._channel.closed.is_set():
-                    detail = "closed"
-                    break
-                await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-            else:
-                detail = "silent"
+        try:
+            detail = await self._follow_until_lost(host, address)
+        except Exception as error:
+            # Without the lines below this VM would believe for good that it
+            # follows a reading source, and never learn of changes again.
+            log_failed_round("Feed._follow", error)
+            detail = repr(error)
         log_message("feed:lost", level="warning", source=host, detail=detail)
         self.source = ""
         self.source_reads = False
@@ -132,6 +133,18 @@
         self._task = None
         self._pool.drop(address)
 
+    async def _follow_until_lost(self, host, address):
+        """Follow a VM; return why that has ended."""
+        detail = await self._subscribe(address)
+        if detail:
+            return detail
+        log_message("feed:following", source=host)
+        while _now() - self._last_received_at <= HEARTBEAT_TIMEOUT_S:
+            if self._channel.closed.is_set():
+                return "closed"
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+        return "silent"
+
     async def _subscribe(self, address):
         """Begin to follow; return the reason of a failure, empty if none."""
         connected = await self._pool.get_channel(address)
@@ -203,15 +216,13 @@
             )
             channel.send(update)
 
-    async def _send_heartbeats(self):
-        while True:
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-            sign = Sign(self.is_reading())
-            for channel in list(self._followers):
-                if channel.closed.is_set():
-                    self._followers.discard(channel)
-                else:
-                    channel.send(sign)
+    def _send_heartbeats(self):
+        sign = Sign(self.is_reading())
+        for channel in list(self._followers):
+            if channel.closed.is_set():
+                self._followers.discard(channel)
+            else:
+                channel.send(sign)
 
 
 def _make_position(mirror):
--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -23,7 +23,7 @@
 from godwitlanding.base.codes import Code
 from godwitlanding.base.kernel import Service
 from godwitlanding.base.storetypes import get_era, make_version
-from godwitlanding.base.tasks import start_task
+from godwitlanding.base.tasks import Tasks
 from godwitlanding.decisions.removalguard import STALE_ENTRY_TTL_S
 from godwitlanding.gateway.changeset import ChangeSet, make_change_set
 
@@ -74,6 +74,7 @@
         self._reappeared_timer = None
         self._updated = []
         self._removed = []
+        self.tasks = Tasks()
         self._task = None
         self._backoff_s = FIRST_BACKOFF_S
         self._answered_at = 0.0
@@ -119,7 +120,7 @@
             return
         if self._guard and lost_at is not None:
             self._guard.note_store_lost(lost_at)
-        self._task = start_task(self._follow())
+        self._task = self.tasks.keep_running(self._follow)
 
     def stop_following(self):
         """Stop following the store; the objects are kept."""
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -16,7 +16,7 @@
 from eliot import log_message
 
 from godwitlanding.base.kernel import Service
-from godwitlanding.base.tasks import start_task
+from godwitlanding.base.tasks import Tasks
 from godwitlanding.decisions.digest import (
     DIGEST_INTERVAL_S,
     Digests,
@@ -84,7 +84,10 @@
         self._socket = DatagramSocket(
             identity.ip, identity.peer_port, self.receive_datagram
         )
-        self._tasks = []
+        self.tasks = Tasks()
+        self._counts_turn = 0
+        self._state_turn = 0
+        self._check_turn = 0
         self._registry = None
         self._crash_gossip = CrashGossip()
         self._arrival_rates = ArrivalRates()
@@ -101,17 +104,17 @@
         """Open the socket and begin to send messages."""
         self._registry = kernel.get("registry")
         await self._socket.open()
-        self._tasks = [
-            start_task(self._send_counts_periodically()),
-            start_task(self._send_state_periodically()),
-            start_task(self._send_digests_periodically()),
-            start_task(self._check_periodically()),
-        ]
+        self.tasks.repeat(MIN_INTERVAL_S, self._send_counts)
+        for interval_s, function in (
+            (STATE_INTERVAL_S, self._send_state),
+            (DIGEST_INTERVAL_S, self._send_digest),
+            (CHECK_INTERVAL_S, self._check),
+        ):
+            self.tasks.repeat(interval_s, function, first_after_s=interval_s)
 
     async def stop(self):
         """Stop sending and close the socket."""
-        for task in self._tasks:
-            task.cancel()
+        await self.tasks.stop()
         self._socket.close()
 
     def get_status(self):
@@ -237,50 +240,45 @@
             upstream_id = self._registry.id_by_number.get(number)
             self._registry.note_leaving(upstream_id, told_by)
 
-    async def _send_counts_periodically(self):
-        turn = 0
-        while True:
-            busy = self._is_busy()
-            if not busy and not self._was_busy:
-                await asyncio.sleep(IDLE_CHECK_S)
-                continue
-            self._was_busy = busy
-            turn += 1
-            region_hosts = self._known_vms.get_busy_hosts()
-            remote_hosts = self._get_sharing_hosts()
-            limits = self._limit_gossip.get_recent()
-            # Digests are left to the less frequent messages, and other regions
-            # have no use for workspace counts.
-            if turn % REMOTE_EVERY:
-                tallies = self._allotment_gossip.get_recent()
-                self._send(region_hosts, (), tallies=tallies, limits=limits)
-            else:
-                self._send(region_hosts + remote_hosts, (), limits=limits)
-            peers = len(region_hosts) + len(remote_hosts) / REMOTE_EVERY
-            await asyncio.sleep(max(MIN_INTERVAL_S, INTERVAL_PER_PEER_S * peers))
-
-    async def _send_state_periodically(self):
-        turn = 0
-        while True:
-            await asyncio.sleep(STATE_INTERVAL_S)
-            turn += 1
-            was_active = self._is_active
-            self._is_active = self._compute_active()
-            # A VM that stops being active announces it to its whole region,
-            # which would otherwise consider it dead once it sends less often.
-            to_whole_region = self._is_active or was_active
-            tallies, tells_all = self._allotment_gossip.get_periodic_tallies()
-            self._send(
-                pick_recipients(
-                    to_whole_region,
-                    self._known_vms.get_region_hosts(),
-                    self._known_vms.get_active_hosts(),
-                    turn,
-                ),
-                tallies=tallies,
-                tells_all=tells_all,
-                limits=self._limit_gossip.get_all(),
-            )
+    def _send_counts(self):
+        """Send the counts; return the seconds until they are sent again."""
+        busy = self._is_busy()
+        if not busy and not self._was_busy:
+            return IDLE_CHECK_S
+        self._was_busy = busy
+        self._counts_turn += 1
+        region_hosts = self._known_vms.get_busy_hosts()
+        remote_hosts = self._get_sharing_hosts()
+        limits = self._limit_gossip.get_recent()
+        # Digests are left to the less frequent messages, and other regions
+        # have no use for workspace counts.
+        if self._counts_turn % REMOTE_EVERY:
+            tallies = self._allotment_gossip.get_recent()
+            self._send(region_hosts, (), tallies=tallies, limits=limits)
+        else:
+            self._send(region_hosts + remote_hosts, (), limits=limits)
+        peers = len(region_hosts) + len(remote_hosts) / REMOTE_EVERY
+        return max(MIN_INTERVAL_S, INTERVAL_PER_PEER_S * peers)
+
+    def _send_state(self):
+        self._state_turn += 1
+        was_active = self._is_active
+        self._is_active = self._compute_active()
+        # A VM that stops being active announces it to its whole region, which
+        # would otherwise consider it dead once it sends less often.
+        to_whole_region = self._is_active or was_active
+        tallies, tells_all = self._allotment_gossip.get_periodic_tallies()
+        self._send(
+            pick_recipients(
+                to_whole_region,
+                self._known_vms.get_region_hosts(),
+                self._known_vms.get_active_hosts(),
+                self._state_turn,
+            ),
+            tallies=tallies,
+            tells_all=tells_all,
+            limits=self._limit_gossip.get_all(),
+        )
 
     def _is_busy(self):
         return self._is_active and is_busy(
@@ -293,11 +291,6 @@
         names = [peer.vm for peer in carriers]
         return is_active(self._identity.vm, self._arrival_rates.get_total_rate(), names)
 
-    async def _send_digests_periodically(self):
-        while True:
-            await asyncio.sleep(DIGEST_INTERVAL_S)
-            self._send_digest()
-
     def _get_sharing_hosts(self):
         """Return the carriers of other regions that share upstreams in use."""
         regions = set()
@@ -386,18 +379,15 @@
             **self.get_store_state()._asdict(),
         )
 
-    async def _check_periodically(self):
-        turn = 0
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            self._drop_silent()
-            turn += 1
-            share = self._known_vms.compute_share(self._is_active)
-            self._allotment_gossip.update(share, self._is_active)
-            self._limit_gossip.update(share, self._is_active)
-            if turn % round(1 / CHECK_INTERVAL_S) == 0:
-                self._arrival_rates.update()
-                self._fleet.own_rate_per_s = self._arrival_rates.get_total_rate()
+    def _check(self):
+        self._drop_silent()
+        self._check_turn += 1
+        share = self._known_vms.compute_share(self._is_active)
+        self._allotment_gossip.update(share, self._is_active)
+        self._limit_gossip.update(share, self._is_active)
+        if self._check_turn % round(1 / CHECK_INTERVAL_S) == 0:
+            self._arrival_rates.update()
+            self._fleet.own_rate_per_s = self._arrival_rates.get_total_rate()
 
     def _drop_silent(self):
         now = asyncio.get_running_loop().time()
--- a/godwitlanding/gateway/presence.py
+++ b/godwitlanding/gateway/presence.py
@@ -8,7 +8,7 @@
 
 from godwitlanding.base.codes import Code
 from godwitlanding.base.kernel import Service
-from godwitlanding.base.tasks import start_task
+from godwitlanding.base.tasks import Tasks
 
 _FIRST_BACKOFF_S = 0.2
 _MAX_BACKOFF_S = 2.0
@@ -29,13 +29,13 @@
         self._kind = kind
         self._vm = identity.vm
         self._endpoint = {"host": identity.ip, "zone": identity.availability_zone}
+        self.tasks = Tasks()
         self._task = None
         self._is_written = False
 
     async def stop(self):
         """Stop writing; the object is kept for the VM's next start."""
-        if self._task:
-            self._task.cancel()
+        await self.tasks.stop()
 
     def note_stored_object(self, stored):
         """Check the VM's object in the store (``None``: it has none)."""
@@ -45,7 +45,7 @@
         self._is_written = False
         if self._task is None or self._task.done():
             version = stored.version if stored else 0
-            self._task = start_task(self._write_until_done(version))
+            self._task = self.tasks.keep_running(self._write_until_done, version)
 
     async def _write_until_done(self, version):
         backoff_s = _FIRST_BACKOFF_S
--- a/godwitlanding/gateway/regionbalancer.py
+++ b/godwitlanding/gateway/regionbalancer.py
@@ -60,11 +60,17 @@
             key=lambda region: (region != identity.region, region),
         )
 
-    async def run(self):
-        """Update the shares periodically."""
-        while True:
-            self._update_shares()
-            await asyncio.sleep(UPDATE_INTERVAL_S)
+    def update(self):
+        """Update the shares; called every ``UPDATE_INTERVAL_S``."""
+        config = self._registry.config
+        if config is None:
+            return
+        for service in config.service_by_name:
+            load_by_region = self._get_loads(service)
+            if self._region not in load_by_region:
+                continue
+            target = get_shares(self._region, load_by_region)
+            self._update_service(service, target, load_by_region)
 
     def pick_region(self, service, regions, key):
         """Return which of ``regions`` (nearest first) a request runs in."""
@@ -82,17 +88,6 @@
         upstreams = len(self._registry.get_usable(service, region))
         return get_cacheable_share(upstreams, self._homes.get_objects(service)) >= 1.0
 
-    def _update_shares(self):
-        config = self._registry.config
-        if config is None:
-            return
-        for service in config.service_by_name:
-            load_by_region = self._get_loads(service)
-            if self._region not in load_by_region:
-                continue
-            target = get_shares(self._region, load_by_region)
-            self._update_service(service, target, load_by_region)
-
     def _get_loads(self, service):
         work_s = self._worktimes.get_mean_s(service)
         rate_by_region = self._forecast(service, self._peers.get_arrival_rates(service))
--- a/godwitlanding/gateway/savedobjectmap.py
+++ b/godwitlanding/gateway/savedobjectmap.py
@@ -21,7 +21,7 @@
 
 from godwitlanding.base.codes import Code
 from godwitlanding.base.kernel import Service
-from godwitlanding.base.tasks import start_task
+from godwitlanding.base.tasks import Tasks
 from godwitlanding.decisions.objectmap import CacheEntry
 
 # Most objects are cached within seconds of a start, and few later.
@@ -67,7 +67,9 @@
         self._object_map = object_map
         self._registry = None
         self._peers = None
-        self._task = None
+        # Callers are served without the saved entries, so that its failures
+        # do not take the VM out of use.
+        self._tasks = Tasks()
         # Version of the region's object, ``None`` if not known.
         self._version = None
         self._saved = frozenset()
@@ -76,11 +78,11 @@
         """Begin to read the entries and then to save them."""
         self._registry = kernel.get("registry")
         self._peers = kernel.get("peers")
-        self._task = start_task(self._run())
+        self._tasks.keep_running(self._run)
 
     async def stop(self):
         """Stop saving."""
-        self._task.cancel()
+        await self._tasks.stop()
 
     def get_status(self):
         """Return the number of cache entries that were saved last."""
--- a/godwitlanding/gateway/sourceselector.py
+++ b/godwitlanding/gateway/sourceselector.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 
 from godwitlanding.base.kernel import Service
-from godwitlanding.base.tasks import start_task
+from godwitlanding.base.tasks import Tasks
 from godwitlanding.decisions.fleet import make_own_peer
 from godwitlanding.decisions.storereaders import (
     BEHIND_S,
@@ -43,7 +43,7 @@
         self._digests = digests
         self._feed = feed
         self._mirrors = sorted(mirrors, key=lambda mirror: mirror.kind)
-        self._tasks = []
+        self.tasks = Tasks()
         self._may_decide_reading = False
         self._failed_until = 0.0
         self._reader_seen_at = 0.0
@@ -57,15 +57,12 @@
         self._feed.is_reading = self.is_reading
         self._reader_seen_at = _now()
         self._current_at = _now()
-        self._tasks = [
-            start_task(self._read_lists()),
-            start_task(self._decide_periodically()),
-        ]
+        self.tasks.keep_running(self._read_lists)
+        self.tasks.repeat(CHECK_INTERVAL_S, self._decide)
 
     async def stop(self):
         """Stop deciding."""
-        for task in self._tasks:
-            task.cancel()
+        await self.tasks.stop()
 
     def get_status(self):
         """Return whether this VM reads the store, and if it is behind."""
@@ -124,11 +121,6 @@
         reached.set_result(max(m.revision for m in mirrors) if is_known else None)
         return all(answered)
 
-    async def _decide_periodically(self):
-        while True:
-            self._decide()
-            await asyncio.sleep(CHECK_INTERVAL_S)
-
     def _decide(self):
         now = _now()
         if self.is_reading() or self._follows_reader():
--- a/godwitlanding/gateway/upstreamclient.py
+++ b/godwitlanding/gateway/upstreamclient.py
@@ -10,7 +10,7 @@
 from eliot import log_message
 
 from godwitlanding.base.kernel import Service
-from godwitlanding.base.tasks import start_task
+from godwitlanding.base.tasks import Tasks
 from godwitlanding.decisions.digest import Crash
 from godwitlanding.gateway.attempt import Outcome, classify_response, make_request_bytes
 from godwitlanding.gateway.upstream import UpstreamError, UpstreamFailure
@@ -22,6 +22,7 @@
 # A reset may mean that the upstream crashed. After this time, whether a new
 # connection can be opened shows it.
 CRASH_CHECK_S = 0.05
+TRIM_INTERVAL_S = 1.0
 FIRST_EJECT_S = 0.3
 MAX_EJECT_S = 3.0
 # The entry of an upstream whose address is now used by another one expires
@@ -63,7 +64,7 @@
         self._chooser = None
         self._registry = None
         self._peers = None
-        self._tasks = set()
+        self.tasks = Tasks()
 
     async def start(self, kernel):
         """Subscribe to removed upstreams and start trimming the pool."""
@@ -71,12 +72,11 @@
         self._registry = kernel.get("registry")
         self._peers = kernel.get("peers")
         self._registry.on_upstream_gone.append(self._forget)
-        self._spawn(self._trim_periodically())
+        self.tasks.repeat(TRIM_INTERVAL_S, self._pool.trim)
 
     async def stop(self):
         """Cancel the background tasks and close idle connections."""
-        for task in self._tasks:
-            task.cancel()
+        await self.tasks.stop()
         self._pool.close()
 
     async def send(self, exchange, request, choice, sink):
@@ -129,7 +129,7 @@
         except UpstreamError as error:
             self._worktimes.note_failure(request.service, upstream.id)
             if error.failure is UpstreamFailure.RESET:
-                self._spawn(self._check_crash(upstream, request.fingerprint))
+                self.tasks.run(self._check_crash(upstream, request.fingerprint))
             return Outcome.UNKNOWN, None, str(error)
         finally:
             self._occupancy.end(upstream.id)
@@ -202,7 +202,7 @@
         self._chooser.availability.ejected.add(upstream.id)
         self._counters.add("upstreams_ejected")
         log_message("courier:ejected", level="warning", upstream=upstream.id)
-        self._spawn(self._probe_until_reachable(upstream))
+        self.tasks.keep_running(self._probe_until_reachable, upstream)
 
     def _eject_moved(self, upstream):
         # Connections can still be opened, and the entry stays until it
@@ -214,7 +214,7 @@
         self._counters.add("upstreams_ejected")
         log_message("courier:moved", level="warning", upstream=upstream.id)
         self._pool.forget(upstream.id)
-        self._spawn(self._readmit(upstream.id, MOVED_EJECT_S))
+        self.tasks.run(self._readmit(upstream.id, MOVED_EJECT_S))
 
     async def _readmit(self, upstream_id, after_s):
         await asyncio.sleep(after_s)
@@ -243,13 +243,3 @@
         self._limit_gossip.forget(upstream_id)
         self._chooser.forget(upstream_id)
         self._occupancy.forget(upstream_id)
-
-    async def _trim_periodically(self):
-        while True:
-            await asyncio.sleep(1.0)
-            self._pool.trim()
-
-    def _spawn(self, coroutine):
-        task = start_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -12,8 +12,9 @@
 
 from godwitlanding.base.kernel import Kernel
 from godwitlanding.base.logstream import set_up_log_stream
+from godwitlanding.base.loophealth import LoopHealth
 from godwitlanding.base.metrics import Counters, make_meter, render_metrics
-from godwitlanding.base.tasks import start_task
+from godwitlanding.base.tasks import Tasks
 from godwitlanding.decisions.allotment import Allotments
 from godwitlanding.decisions.fleet import Fleet
 from godwitlanding.decisions.objectmap import ObjectMap
@@ -169,6 +170,7 @@
             self.mirrors,
         )
         self.peers.get_store_state = self.source_selector.get_store_state
+        self.loop_health = LoopHealth(self._get_looping_services(), counters)
         self.front = Front(settings.caller_address, bounds.stop_s)
         self.front.needs += ("directory", "readiness", "metrics", "presence", "reader")
 
@@ -198,20 +200,26 @@
             self.vm_mirror,
         ]
 
-    def make_services(self):
-        """Return all services of the process."""
+    def _get_looping_services(self):
         return [
-            self.registry,
             self.peers,
             self.presence,
             self.chooser,
             self.upstream_client,
-            self.admission,
-            self.request_handler,
             *self.mirrors,
             self.feed,
             self.source_selector,
+        ]
+
+    def make_services(self):
+        """Return all services of the process."""
+        return [
+            self.registry,
+            *self._get_looping_services(),
+            self.admission,
+            self.request_handler,
             self.saved_object_map,
+            self.loop_health,
             PageServer(
                 "directory",
                 self._settings.directory_address,
@@ -249,6 +257,8 @@
         """Return whether callers should be directed to this VM."""
         if not self.front.is_listening() or self.peers.leaving:
             return False
+        if not self.loop_health.is_healthy():
+            return False
         return self.registry.is_complete()
 
     def _is_config_fresh(self):
@@ -332,19 +342,21 @@
 
 
 async def run(settings, changed_at, arguments, stream, counters):
-    """Run the services until the process receives a stop signal."""
+    """Run the services until the process receives a stop signal.
+
+    Returns ``False`` if it stopped because its loops failed.
+    """
     path = arguments.settings
     program = Program(settings, arguments.metrics_port, counters)
     kernel = Kernel(program.make_services())
-    tasks = [
-        start_task(_flush_periodically(stream)),
-        start_task(_reload_when_changed(program, path, changed_at)),
-    ]
+    tasks = Tasks()
+    tasks.repeat(FLUSH_INTERVAL_S, stream.flush)
+    watch = SettingsWatch(program, path, changed_at)
+    tasks.repeat(SETTINGS_POLL_S, watch.check, first_after_s=SETTINGS_POLL_S)
     try:
-        await kernel.run(lambda: reload(program, path, "hangup"))
+        return await kernel.run(lambda: reload(program, path, "hangup"))
     finally:
-        for task in tasks:
-            task.cancel()
+        await tasks.stop()
         await program.store.close()
         stream.flush()
 
@@ -364,20 +376,20 @@
     log_message("vm:reloaded", reason=reason)
 
 
-async def _reload_when_changed(program, path, former):
-    # Detects a change of the file that is not signalled by SIGHUP.
-    while True:
-        await asyncio.sleep(SETTINGS_POLL_S)
-        changed = get_change_time(path)
-        if changed != former:
-            former = changed
-            reload(program, path, "file changed")
+class SettingsWatch:
+    """Reloads the settings when their file changes without a SIGHUP."""
 
+    def __init__(self, program, path, changed_at):
+        self._program = program
+        self._path = path
+        self._changed_at = changed_at
 
-async def _flush_periodically(stream):
-    while True:
-        await asyncio.sleep(FLUSH_INTERVAL_S)
-        stream.flush()
+    def check(self):
+        """Reload if the file has changed since the last call."""
+        changed_at = get_change_time(self._path)
+        if changed_at != self._changed_at:
+            self._changed_at = changed_at
+            reload(self._program, self._path, "file changed")
 
 
 def run_program(settings, changed_at, arguments):
@@ -389,8 +401,8 @@
     counters = Counters(make_meter(settings.vm, ROLE))
     stream = set_up_log_stream(settings.vm, ROLE, time.monotonic, counters)
     try:
-        asyncio.run(run(settings, changed_at, arguments, stream, counters))
+        is_ok = asyncio.run(run(settings, changed_at, arguments, stream, counters))
     except OSError as error:
         log_message("vm:failed", level="error", error=repr(error))
         return EXIT_FAILED
-    return EXIT_OK
+    return EXIT_OK if is_ok else EXIT_FAILED
--- a/godwitlanding/tests/base/test_tasks.py
+++ b/godwitlanding/tests/base/test_tasks.py
@@ -1,10 +1,18 @@
 """Tests of background tasks: cancellation and logged failures."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 from eliot import add_destinations, remove_destination
 
+from godwitlanding.base.loophealth import (
+    CHECK_INTERVAL_S,
+    STOP_AFTER_S,
+    UNREADY_AFTER_S,
+    LoopHealth,
+)
+from godwitlanding.base.metrics import Counters
 from godwitlanding.base.tasks import Tasks, end_tasks, start_task
 
 
@@ -80,3 +88,91 @@
     types = [line["message_type"] for line in logged]
     assert types == (["task:failed"] if fails else [])
     assert all(line["trace"][-1].endswith(" run") for line in logged)
+
+
+class LoopingService:
+    """Calls ``run_round`` ten times a second; fails in ``failing`` calls."""
+
+    def __init__(self, failing, is_async=False):
+        self.tasks = Tasks()
+        self.calls = 0
+        self._failing = failing
+        self.tasks.repeat(0.1, self.run_async if is_async else self.run_round)
+
+    def run_round(self):
+        self.calls += 1
+        if self.calls in self._failing:
+            raise ZeroDivisionError("test")
+
+    async def run_async(self):
+        self.run_round()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("is_async", [False, True])
+@pytest.mark.parametrize(
+    ("failing", "is_healthy", "is_stopped"),
+    [
+        pytest.param((), True, False, id="no round"),
+        pytest.param((5,), True, False, id="one round"),
+        pytest.param(range(5, 400, 2), True, False, id="every second round"),
+        pytest.param(range(5, 20), True, False, id="many rounds, then none"),
+        pytest.param(range(5, 100_000), False, True, id="every round"),
+    ],
+)
+async def test_process_stops_only_if_every_round_fails(
+    failing, is_async, is_healthy, is_stopped
+):
+    # Guards against a loop that has ended by an error while its process goes
+    # on, and against a process that stops for an error that passes.
+    stop_requests = []
+    counters = Counters()
+    service = LoopingService(failing, is_async)
+    health = LoopHealth([service], counters)
+    await health.start(SimpleNamespace(stop_as_failed=lambda: stop_requests.append(1)))
+    await asyncio.sleep(UNREADY_AFTER_S + 1.0)
+    assert health.is_healthy() is is_healthy
+    assert not stop_requests
+    await asyncio.sleep(STOP_AFTER_S[1] + CHECK_INTERVAL_S)
+    assert bool(stop_requests) is is_stopped
+    assert service.calls >= 200
+    name = f"LoopingService.run_{'async' if is_async else 'round'}"
+    expected = sum(1 for call in failing if call <= service.calls)
+    counted = counters.get("loop_failures", loop=name)
+    assert expected - 10 <= counted <= expected
+    await service.tasks.stop()
+    await health.stop()
+
+
+@pytest.mark.looptime
+async def test_failing_round_is_logged_once_a_second():
+    # Guards against a log that a failing loop fills.
+    logged = []
+    service = LoopingService(range(100_000))
+    add_destinations(logged.append)
+    # eliot passes the messages of earlier tests to the first destination.
+    logged.clear()
+    try:
+        await asyncio.sleep(5.0)
+    finally:
+        remove_destination(logged.append)
+    await service.tasks.stop()
+    assert 4 <= len(logged) <= 6
+    assert logged[-1]["failures"] > 30
+
+
+@pytest.mark.looptime
+async def test_task_that_ends_by_an_error_is_run_again():
+    # Guards against an upstream that stays ejected because its probe failed.
+    runs = []
+
+    async def run(limit):
+        runs.append(limit)
+        if len(runs) < limit:
+            raise ValueError("test")
+
+    tasks = Tasks()
+    task = tasks.keep_running(run, 3)
+    await asyncio.sleep(10.0)
+    assert runs == [3, 3, 3]
+    assert task.done() and not tasks.get_loops()
--- a/godwitlanding/tests/gateway/test_feed.py
+++ b/godwitlanding/tests/gateway/test_feed.py
@@ -117,7 +117,7 @@
     source.feed.is_reading = lambda: True
     fed.feed.follow(source.ip)
     await wait_until(fed.feed.has_reading_source)
-    source.feed._heartbeat_task.cancel()
+    await source.feed.tasks.stop()
     await wait_until(lambda: not fed.feed.has_reading_source())
 
 
@@ -161,3 +161,17 @@
     source.mirror._drop("a")
     fed.feed.follow(source.ip)
     await wait_until(lambda: fed.held == {"b": b"v"})
+
+
+async def test_source_whose_following_fails_is_dropped(vms):
+    # Guards against a VM that believes for good that it follows a reading VM:
+    # an unexpected error ended the task that would notice the loss.
+    source, fed, _ = vms
+    source.feed.is_reading = lambda: True
+    fed.feed.follow(source.ip)
+    await wait_until(fed.feed.has_reading_source)
+    fed.feed._channel = None
+    await wait_until(lambda: not fed.feed.source)
+    assert not fed.feed.has_reading_source()
+    fed.feed.follow(source.ip)
+    await wait_until(fed.feed.has_reading_source)
--- a/godwitlanding/tests/gateway/test_whole_path.py
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -201,6 +201,35 @@
     assert loop.time() - started_at < GRACE_S
 
 
+async def test_vm_with_a_failing_loop_is_replaced_without_a_lost_payment(world):
+    # Guards against a VM that goes on for good although the loop that drops
+    # silent peers fails.
+    failing = world.vms[0]
+    await failing.end()
+    failing.module = "godwitlanding.tests.gateway.vm_with_failing_loop"
+    await failing.start()
+    await world.wait_until_ready(failing)
+    statuses = []
+    stopped = asyncio.create_task(failing.process.wait())
+    while not stopped.done():
+        try:
+            response, _ = await world.ask(failing, "/pay/1")
+            statuses.append(response.status)
+        except aiohttp.ClientConnectorError:
+            # It no longer listens; nothing was sent.
+            statuses.append("refused")
+        if await world.get_status(failing.ready) == 503:
+            assert failing.address not in await world.resolve(world.vms[1])
+        await asyncio.sleep(0.05)
+    assert stopped.result() == 1
+    assert set(statuses) <= {200, "refused"}
+    runs = sum(len(world.get_worker(worker).ran) for worker in ("pay-1", "pay-2"))
+    assert runs == statuses.count(200) > 20
+    log = failing.read_log()
+    assert "loops:failing" in log and "loops:stopping" in log
+    assert log.count('"task:round_failed"') <= 8
+
+
 async def test_hangup_and_invalid_settings_do_not_stop_the_vm(world):
     # The platform sends SIGHUP when the settings have changed. By default that
     # signal terminates a process, and its requests stay unanswered.
--- a/godwitlanding/tests/gateway/world.py
+++ b/godwitlanding/tests/gateway/world.py
@@ -119,6 +119,7 @@
         self.log = folder / f"{self.name}.log"
         self.store = f"{prefix}1:{STORE_PORT}"
         self.process = None
+        self.module = "godwitlanding.vm"
 
     def write_settings(self, grace_s=GRACE_S):
         """Write the settings file in the platform's format."""
@@ -155,7 +156,7 @@
         """Start the process."""
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "godwitlanding.vm"),
+                *(sys.executable, "-m", self.module),
                 *("--settings", str(self.path)),
                 *("--metrics-port", str(self.metrics_port)),
                 stdout=log,
