Ignore SIGHUP before any library is imported

A VM that got SIGHUP while it started ended, and was missing until it was started again: the default action of SIGHUP ends a process, and it was ignored only after godwitlanding.vm had imported its modules.

The module imports signal and sys alone now, the others follow in main. The test failed before (eliot, argparse, tomllib).

--- a/godwitlanding/tests/test_vm.py
+++ b/godwitlanding/tests/test_vm.py
@@ -27,6 +27,19 @@
     assert "No such file" in capsys.readouterr().err
 
 
+def test_no_library_is_imported_before_sighup_is_ignored():
+    # Guards against a VM that is ended by SIGHUP while it imports libraries,
+    # which takes long when many VMs start at the same time.
+    code = "import sys, godwitlanding.vm; print(*sys.modules)"
+    loaded = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    ).stdout.split()
+    own = {name for name in loaded if name.startswith("godwitlanding")}
+    assert own == {"godwitlanding", "godwitlanding.vm"}
+    for library in ("argparse", "eliot", "tomllib", "traceback"):
+        assert library not in loaded
+
+
 def test_slow_imports_are_deferred():
     code = "import sys, godwitlanding.vm; print(*sys.modules)"
     loaded = subprocess.run(
--- a/godwitlanding/vm.py
+++ b/godwitlanding/vm.py
@@ -3,18 +3,9 @@
 >>> GODWITLANDING_SETTINGS=/etc/node.toml godwit-vm
 """
 
-import argparse
-import os
 import signal
 import sys
 
-from godwitlanding import __version__
-from godwitlanding.platform.settings import (
-    SETTINGS_VARIABLE,
-    get_change_time,
-    read_settings,
-)
-
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
 METRICS_PORT = 9464
@@ -22,6 +13,12 @@
 
 def parse_arguments(argv=None):
     """Return the command-line arguments."""
+    import argparse
+    import os
+
+    from godwitlanding import __version__
+    from godwitlanding.platform.settings import SETTINGS_VARIABLE
+
     parser = argparse.ArgumentParser(
         prog="godwit-vm", description="Serve callers on an entry VM."
     )
@@ -52,6 +49,10 @@
     # started again. The settings are read after this line, so no change is
     # lost. The kernel installs its own handler later.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Everything else is imported after that: on a busy machine the imports
+    # take most of the startup, a second and more.
+    from godwitlanding.platform.settings import get_change_time, read_settings
+
     arguments = parse_arguments(argv)
     changed_at = get_change_time(arguments.settings)
     read = read_settings(arguments.settings)
@@ -61,9 +62,7 @@
         return EXIT_BAD_SETTINGS
     if arguments.check:
         return EXIT_OK
-    # Importing the services takes most of the startup, half a second on a
-    # small VM. A SIGHUP during that time would end the process if it were not
-    # ignored yet, so they are imported only here.
+    # Not needed to check the settings.
     from godwitlanding.program import run_program
 
     return run_program(read.unwrap(), changed_at, arguments)
