--- a/godwitlanding/gateway/regionbalancer.py
+++ b/godwitlanding/gateway/regionbalancer.py
@@ -49,8 +49,9 @@
         self._ejected = ejected
         self._logged_by_service = {}
         self._slots_by_service = {}
-        # Usable slots by region at the last updates.
-        self._usable_slots_by_service = {}
+        # Shares of the regions' slots that limits left usable, of the last
+        # updates.
+        self._usable_shares_by_service = {}
         self._selector_by_service = {}
         self._forecast_by_service_and_region = {}
         self.shares_by_service = {}
@@ -174,25 +175,31 @@
         Slots that become usable again are taken up step by step: callers are
         served meanwhile, and the limits may soon be announced again.
         """
-        work_s = self._worktimes.get_mean_s(service)
-        usable = {
-            region: sum(
-                upstream.slots * self._get_usable_share(upstream, work_s)
-                for upstream in self._registry.get_usable(service, region)
-            )
-            for region in regions
+        usable_shares = {
+            region: self._get_share_within_limits(service, region) for region in regions
         }
-        recent = self._usable_slots_by_service.setdefault(
+        recent = self._usable_shares_by_service.setdefault(
             service, deque(maxlen=LIMIT_UPDATES)
         )
         has_lost = any(
-            slots < (1.0 - JUMP_SHARE) * former.get(region, 0.0)
+            share < (1.0 - JUMP_SHARE) * former.get(region, 0.0)
             for former in recent
-            for region, slots in usable.items()
+            for region, share in usable_shares.items()
         )
-        recent.append(usable)
+        recent.append(usable_shares)
         return has_lost
 
+    def _get_share_within_limits(self, service, region):
+        """Return the share of a region's slots that limits leave usable."""
+        work_s = self._worktimes.get_mean_s(service)
+        upstreams = self._registry.get_usable(service, region)
+        slots = sum(upstream.slots for upstream in upstreams)
+        usable = sum(
+            upstream.slots * self._get_usable_share(upstream, work_s)
+            for upstream in upstreams
+        )
+        return usable / slots if slots else 1.0
+
     def _has_changed_upstreams(self, service, regions):
         slots = {
             region: sum(u.slots for u in self._registry.get_usable(service, region))
--- a/godwitlanding/tests/gateway/test_chooser.py
+++ b/godwitlanding/tests/gateway/test_chooser.py
@@ -347,6 +347,23 @@
         assert 30.0 * (1.0 + share) <= 4 * 3 / work_s
 
 
+async def test_upstreams_that_leave_one_by_one_move_few_callers_at_once():
+    # Guards against a planned removal that changes the region of many callers
+    # within two seconds, as only a loss may.
+    upstreams = [*WARM, *((f"f{n}", "b1", 0.0) for n in range(4))]
+    async with Setting(upstreams, rates={"a": 60.0, "b": 10.0}) as setting:
+        for _ in range(8):
+            send_objects(setting, KEYS)
+            await asyncio.sleep(WINDOW_S)
+        before = setting.chooser.get_status()["shares"]["s"].get("b", 0.0)
+        for name, _, _ in WARM[2:]:
+            setting.registry.remove_upstream(name)
+            await asyncio.sleep(0.6)
+        await asyncio.sleep(0.8)
+        share = setting.chooser.get_status()["shares"]["s"]["b"]
+        assert before < share <= before + 0.08 + 1e-9
+
+
 async def test_region_with_unreachable_upstreams_is_served_by_another_region():
     # The region's upstreams are listed but cannot be reached. All its requests
     # go to the region where their objects are known, at once.
