Test clusters: upstreams of the last test networks had addresses beyond 255

Two runs of the whole suite at the same time on one machine (my mistake: one had not been ended) claim more of the sixteen test networks than one run does, and clusters failed to start: 'Name or service not known' in test_shift and test_region. The number of an upstream was moved by its network's offset, up to 240, though each network has a prefix of its own for upstreams. The test failed for two of the sixteen before.

--- a/godwitlanding/tests/tools/network.py
+++ b/godwitlanding/tests/tools/network.py
@@ -25,7 +25,11 @@
 
 
 class Network(NamedTuple):
-    """Address prefixes of a cluster; ``offset`` is added to each number."""
+    """Address prefixes of a cluster.
+
+    ``offset`` is added to each number but those of upstreams, which have a
+    prefix of their own.
+    """
 
     vms: str
     upstreams: str
@@ -44,7 +48,7 @@
         """Return a sample text with its upstreams moved to this network."""
 
         def move(match):
-            return f"{self.upstreams}{self.offset + int(match.group(1))}"
+            return f"{self.upstreams}{match.group(1)}"
 
         return _SAMPLE_ADDRESS.sub(move, text)
 
