SIGTERM during the start of a VM is a complete stop

A VM that was stopped while it imported its libraries ended as by a kill, with -15: the default action of SIGTERM, until the kernel installs its handler. The platform cannot tell such a stop from a crash.

Until the kernel takes over nothing has been begun, so main exits with 0. The test, a signal in the middle of the start, failed before (-15).

--- a/godwitlanding/tests/test_vm.py
+++ b/godwitlanding/tests/test_vm.py
@@ -8,12 +8,15 @@
 
 from godwitlanding import vm
 
+SIGNALS = (signal.SIGHUP, signal.SIGTERM)
+
 
 @pytest.fixture
 def former_handler():
-    former = signal.getsignal(signal.SIGHUP)
+    former = {number: signal.getsignal(number) for number in SIGNALS}
     yield
-    signal.signal(signal.SIGHUP, former)
+    for number, handler in former.items():
+        signal.signal(number, handler)
 
 
 def test_sighup_during_startup_is_ignored(former_handler, tmp_path, capsys):
@@ -27,6 +30,20 @@
     assert "No such file" in capsys.readouterr().err
 
 
+def test_sigterm_during_startup_is_a_complete_stop():
+    # Guards against a planned stop that ends as a kill: the VM was still
+    # importing its libraries when it was stopped.
+    code = """
+import os, signal
+from godwitlanding import vm
+from godwitlanding.platform import settings
+settings.read_settings = lambda path: os.kill(os.getpid(), signal.SIGTERM)
+vm.main(["--settings", "none"])
+"""
+    stopped = subprocess.run([sys.executable, "-c", code], capture_output=True)
+    assert (stopped.returncode, stopped.stderr) == (vm.EXIT_OK, b"")
+
+
 def test_no_library_is_imported_before_sighup_is_ignored():
     # Guards against a VM that is ended by SIGHUP while it imports libraries,
     # which takes long when many VMs start at the same time.
--- a/godwitlanding/vm.py
+++ b/godwitlanding/vm.py
@@ -42,8 +42,15 @@
     return parser.parse_args(argv)
 
 
+def _exit_at_once(number, frame):
+    sys.exit(EXIT_OK)
+
+
 def main(argv=None):
     """Run the program; return its exit code."""
+    # By default SIGTERM kills the process. Until the kernel handles it nothing
+    # has been begun, so that a stop is complete at once.
+    signal.signal(signal.SIGTERM, _exit_at_once)
     # By default SIGHUP ends the process. It may arrive during startup because
     # the settings file has changed; the VM would then be missing until it is
     # started again. The settings are read after this line, so no change is
