A configuration with a kind or row that this version cannot read stays usable

Callers: on a configuration with one route of kind "upload" no VM ever became ready and none of 3,224 requests was served; every VM logged vm:unreadable_object.

Change: uploads are routes that run at most once. A kind that is not known is served as one that must not be repeated. A route or service whose row cannot be read is left out: its requests get 503 ROUTE_UNREADABLE with Retry-After and never match a shorter prefix, whose service may not run them. A limit that cannot be read has its default. Without host and prefix, or with a workspace that cannot be read, the version is invalid and the former one stays in force, since it is unknown whose the requests are. Weighed against refusing the whole text: that keeps every other change from callers, and a VM that starts serves nobody. The store accepts only valid texts, so what cannot be read here is new, not wrong. Each case is logged (vm:unreadable_row) and counted (config_rows_unreadable, objects_unreadable).

--- a/godwitlanding/base/codes.py
+++ b/godwitlanding/base/codes.py
@@ -40,6 +40,7 @@
     ZONE_DRAINED = 2009
     ALLOTMENT_SPENT = 2010
     NO_REGION = 2011
+    ROUTE_UNREADABLE = 2012
 
     UPSTREAM_FAILED = 3001
     UPSTREAM_TIMEOUT = 3002
@@ -132,6 +133,9 @@
     Code.NO_REGION: CodeRow(
         503, RUN_NO, "No region is allowed by both route and workspace."
     ),
+    Code.ROUTE_UNREADABLE: CodeRow(
+        503, RUN_NO, "This version cannot read the route's configuration."
+    ),
     Code.UPSTREAM_FAILED: CodeRow(
         502, RUN_UNKNOWN, "The upstream failed while it had the request."
     ),
--- a/godwitlanding/decisions/routes.py
+++ b/godwitlanding/decisions/routes.py
@@ -14,17 +14,22 @@
 class RouteKind(Enum):
     """Whether requests of a route may be repeated.
 
-    Downloads may be repeated like safe requests.
+    Downloads may be repeated like safe requests. Uploads are large requests
+    that may run at most once, like unsafe ones.
     """
 
     SAFE = "safe"
     UNSAFE = "unsafe"
     DOWNLOAD = "download"
+    UPLOAD = "upload"
+    # A kind that this version does not know, written by a newer one. Running
+    # a request at most once is right for every kind.
+    UNKNOWN = "unknown"
 
     @property
     def is_idempotent(self):
         """Return whether a request may run more than once."""
-        return self is not RouteKind.UNSAFE
+        return self in (RouteKind.SAFE, RouteKind.DOWNLOAD)
 
 
 class SplitPart(NamedTuple):
@@ -38,7 +43,9 @@
     """The settings of a route for a host and path prefix.
 
     Times are in seconds. ``priority`` 0 is the most urgent. An empty
-    ``allowed_regions`` allows every region.
+    ``allowed_regions`` allows every region. A route whose row cannot be read
+    has no ``parts``: its requests are refused, and do not match a shorter
+    prefix, which may belong to another service.
     """
 
     name: str
@@ -71,6 +78,18 @@
     allowed_regions: frozenset[str] = frozenset()
 
 
+class RowProblem(NamedTuple):
+    """A value of the configuration that this version cannot use.
+
+    ``table`` is ``"routes"``, ``"services"`` or ``"limits"``, ``row`` the name
+    of the row or limit, and ``detail`` states the value.
+    """
+
+    table: str
+    row: str
+    detail: str
+
+
 class Service(NamedTuple):
     """A service of the configuration.
 
@@ -97,7 +116,8 @@
     """One version of the configuration, in the form that the gateway uses.
 
     ``workspace_by_key`` is ``None`` if the configuration has no workspaces;
-    then no request needs a key.
+    then no request needs a key. ``problems`` lists what could not be used; the
+    rest is in force.
     """
 
     version: int
@@ -105,6 +125,7 @@
     service_by_name: dict[str, Service]
     limits: Limits
     workspace_by_key: dict[bytes, Workspace] | None = None
+    problems: tuple[RowProblem, ...] = ()
 
 
 def find_route(config, host, path):
--- a/godwitlanding/gateway/admission.py
+++ b/godwitlanding/gateway/admission.py
@@ -32,6 +32,8 @@
 MIN_WAITED_S = 0.03
 # Default Retry-After in seconds.
 NOT_READY_RETRY_S = 0.5
+# A VM that can read the route, or a corrected configuration, may serve it.
+UNREADABLE_ROUTE_RETRY_S = 0.5
 
 
 class Denial(NamedTuple):
@@ -91,6 +93,8 @@
         if route is None:
             self._log_unknown("admission:unknown_route", request_id)
             return Err(self._deny_unknown(Code.UNKNOWN_SERVICE, 404))
+        if not route.parts:
+            return Err(Denial(Code.ROUTE_UNREADABLE, 503, UNREADABLE_ROUTE_RETRY_S))
         key = read_key(exchange.get_headers(self._names.authorization))
         access = find_access(config, route, key)
         if access.decision is AccessDecision.UNKNOWN_KEY:
--- a/godwitlanding/gateway/headers.py
+++ b/godwitlanding/gateway/headers.py
@@ -38,6 +38,8 @@
 
     # Requests that it is running, plus those in its queue.
     in_progress: int | None = None
+    # How long work takes on its machine now, as a multiple of the usual time.
+    pace: float | None = None
     # Seconds until it is warmed up.
     cold_s: float | None = None
     # Requests per second that it accepts from all VMs together.
--- a/godwitlanding/platform/objects.py
+++ b/godwitlanding/platform/objects.py
@@ -1,4 +1,12 @@
-"""Decodes the store objects written by the operator, upstreams and VMs."""
+"""Decodes the store objects written by the operator, upstreams and VMs.
+
+A newer version of the platform may add fields, words and forms of values. Only
+what it adds is lost here: unknown fields are ignored, an unknown kind of route
+is served as one that must not be repeated, and a route or service whose row
+cannot be read is left out, and reported. A version that cannot be decoded at
+all is invalid, and so is one with an invalid workspace, because it is then
+unknown whose a key is.
+"""
 
 import ipaddress
 import math
@@ -8,6 +16,7 @@
     Route,
     RouteConfig,
     RouteKind,
+    RowProblem,
     Service,
     SplitPart,
     Workspace,
@@ -27,6 +36,13 @@
 
 _DEFAULT_PRIORITY = 1
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
+_ROW_ERRORS = (ValueError, LookupError, TypeError, AttributeError, ArithmeticError)
+_LIMIT_READERS = {
+    "max_header_bytes": ("max_header_bytes", int),
+    "max_body_bytes": ("max_body_bytes", int),
+    "header_timeout": ("header_timeout_s", read_seconds),
+    "idle_timeout": ("idle_timeout_s", read_seconds),
+}
 
 
 def _read_rows(table):
@@ -53,12 +69,64 @@
     return parts
 
 
+def _read_routes(table, services):
+    """Return the routes by host and prefix, and the ``RowProblem`` list."""
+    route_by_prefix = {}
+    problems = []
+    for row in _read_rows(table):
+        # Without host and prefix, it is unknown which requests are meant.
+        host = _get_typed(row, "host", str).lower()
+        path_prefix = _get_typed(row, "path_prefix", str)
+        name = str(row.get("name", path_prefix))
+        try:
+            route = _read_route(row)
+            _check_services(route, services)
+            if route.kind is RouteKind.UNKNOWN:
+                problems.append(RowProblem("routes", name, f"kind {row['kind']!r}"))
+        except _ROW_ERRORS as error:
+            problems.append(RowProblem("routes", name, repr(error)))
+            route = _make_unserved_route(name, host, path_prefix)
+        route_by_prefix[host, path_prefix] = route
+    return route_by_prefix, problems
+
+
+def _make_unserved_route(name, host, path_prefix):
+    return Route(
+        name=name,
+        host=host,
+        path_prefix=path_prefix,
+        kind=RouteKind.UNKNOWN,
+        timeout_s=0.0,
+        target_latency_s=0.0,
+        priority=_DEFAULT_PRIORITY,
+        parts=(),
+        max_attempts=1,
+        sticky=False,
+        allowed_regions=frozenset(),
+    )
+
+
+def _check_services(route, services):
+    for part in route.parts:
+        if part.service not in services:
+            raise ValueError(f"service {part.service!r} is not defined")
+
+
+def _read_kind(word):
+    if not isinstance(word, str):
+        raise TypeError(f"kind has the wrong type: {word!r}")
+    try:
+        return RouteKind(word)
+    except ValueError:
+        return RouteKind.UNKNOWN
+
+
 def _read_route(row):
     return Route(
         name=row["name"],
         host=row["host"].lower(),
         path_prefix=row["path_prefix"],
-        kind=RouteKind(row["kind"]),
+        kind=_read_kind(row["kind"]),
         timeout_s=read_seconds(row["timeout"]),
         target_latency_s=read_seconds(row["target_latency"]),
         priority=int(row.get("priority", _DEFAULT_PRIORITY)),
@@ -124,30 +192,53 @@
     )
 
 
+def _read_services(table):
+    """Return the services by name, and the ``RowProblem`` list."""
+    service_by_name = {}
+    problems = []
+    for row in _read_rows(table):
+        try:
+            service_by_name[row["name"]] = _read_service(row)
+        except _ROW_ERRORS as error:
+            name = str(row.get("name", ""))
+            problems.append(RowProblem("services", name, repr(error)))
+    return service_by_name, problems
+
+
 def _read_limits(row):
-    default = Limits()
-    return Limits(
-        max_header_bytes=int(row.get("max_header_bytes", default.max_header_bytes)),
-        max_body_bytes=int(row.get("max_body_bytes", default.max_body_bytes)),
-        header_timeout_s=read_seconds(row.get("header_timeout", "3s")),
-        idle_timeout_s=read_seconds(row.get("idle_timeout", "15s")),
-    )
+    """Return the ``Limits``, and the ``RowProblem`` list.
+
+    The default replaces a limit that cannot be read.
+    """
+    fields = {}
+    problems = []
+    for name, (field, read) in _LIMIT_READERS.items():
+        if name not in row:
+            continue
+        try:
+            fields[field] = read(row[name])
+        except _ROW_ERRORS as error:
+            problems.append(RowProblem("limits", name, repr(error)))
+    return Limits()._replace(**fields), problems
 
 
 def read_config(spec):
     """Return the ``RouteConfig`` in ``spec``.
 
-    Raises ``ValueError``, ``KeyError`` or ``TypeError`` if it is invalid.
+    Raises ``ValueError``, ``KeyError``, ``TypeError`` or ``AttributeError`` if
+    no part of it can be used.
     """
-    routes = [_read_route(row) for row in _read_rows(spec["routes"])]
-    services = [_read_service(row) for row in _read_rows(spec["services"])]
+    service_by_name, service_problems = _read_services(spec["services"])
+    route_by_prefix, route_problems = _read_routes(spec["routes"], service_by_name)
+    limits, limit_problems = _read_limits(spec.get("limits") or {})
     tenants = spec.get("tenants")
     return RouteConfig(
         version=read_version(spec["version"]),
-        route_by_prefix={(r.host, r.path_prefix): r for r in routes},
-        service_by_name={service.name: service for service in services},
-        limits=_read_limits(spec.get("limits") or {}),
+        route_by_prefix=route_by_prefix,
+        service_by_name=service_by_name,
+        limits=limits,
         workspace_by_key=None if tenants is None else _read_workspaces(tenants),
+        problems=(*service_problems, *route_problems, *limit_problems),
     )
 
 
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -282,8 +282,16 @@
             config = read_config(orjson.loads(value))
         except _DECODE_ERRORS as error:
             # The last valid configuration stays in force.
-            _log_unreadable(CONFIG_KIND, name, version, error)
+            self._note_unreadable(CONFIG_KIND, name, version, error)
             return
+        for problem in config.problems:
+            self._counters.add("config_rows_unreadable", table=problem.table)
+            log_message(
+                "vm:unreadable_row",
+                level="error",
+                version=config.version,
+                **problem._asdict(),
+            )
         self.registry.set_config(config)
 
     def _apply_upstream(self, name, version, value):
@@ -295,7 +303,7 @@
         except _DECODE_ERRORS as error:
             # The object was overwritten by something else, so the address may
             # no longer belong to the upstream.
-            _log_unreadable(UPSTREAM_KIND, name, version, error)
+            self._note_unreadable(UPSTREAM_KIND, name, version, error)
             self.registry.remove_upstream(name)
             return
         self.registry.put_upstream(upstream)
@@ -320,21 +328,21 @@
         try:
             host, availability_zone = read_vm(orjson.loads(value))
         except _DECODE_ERRORS as error:
-            _log_unreadable(VM_KIND, name, version, error)
+            self._note_unreadable(VM_KIND, name, version, error)
             self.peers.note_vm(name, None, "")
             return
         self.peers.note_vm(name, host, availability_zone)
 
-
-def _log_unreadable(kind, name, version, error):
-    log_message(
-        "vm:unreadable_object",
-        level="error",
-        kind=kind,
-        name=name,
-        version=version,
-        error=repr(error),
-    )
+    def _note_unreadable(self, kind, name, version, error):
+        self._counters.add("objects_unreadable", kind=kind)
+        log_message(
+            "vm:unreadable_object",
+            level="error",
+            kind=kind,
+            name=name,
+            version=version,
+            error=repr(error),
+        )
 
 
 def _get_metrics(query):
--- a/godwitlanding/tests/gateway/test_whole_path.py
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -94,6 +94,37 @@
     assert '"outcome":"given up"' in world.vms[0].read_log()
 
 
+async def test_configuration_of_a_newer_version_is_in_force(world):
+    # Guards against VMs that serve nothing, or keep an old configuration,
+    # because of one row that they cannot read.
+    split = [{"service": "pays", "weight": 1}]
+    rows = [
+        ["added", "h", "/added/", "safe", "2s", "400ms", 1, split, 2, True, []],
+        ["odd", "h", "/pay/odd/", "safe", "2 minutes", "400ms", 1, split, 2, True, []],
+        ["up", "h", "/up/", "upload", "2s", "400ms", 1, split, 2, True, []],
+    ]
+    await world.store.put("config", "main", make_config("r8", rows))
+    for vm in world.vms:
+
+        async def serves_added_route(vm=vm):
+            response, _ = await world.ask(vm, "/added/1")
+            return response.status == 200
+
+        await wait_until(serves_added_route)
+    response, _ = await world.ask(world.vms[0], "/pay/odd/1")
+    assert response.status == 503
+    assert "Retry-After" in response.headers
+    assert '"message_type":"vm:unreadable_row"' in world.vms[0].read_log()
+    # An upload whose response is lost may have run.
+    before = sum(len(world.get_worker(name).ran) for name in ("pay-1", "pay-2"))
+    for worker_id in ("pay-1", "pay-2"):
+        world.get_worker(worker_id).fault = "reset"
+    response, _ = await world.ask(world.vms[0], "/up/1")
+    assert response.status == 502
+    after = sum(len(world.get_worker(name).ran) for name in ("pay-1", "pay-2"))
+    assert after - before == 1
+
+
 async def test_leaving_upstream_gets_no_requests(world):
     leaving = world.get_worker("look-1")
     await world.store.put("servers", "look-1", leaving.make_entry("draining"))
