FleetModel seeds the generator that the VMs draw from

The VMs draw target hosts, incarnations and retry times from the module generator of random, which only one test seeded: a red run could not be repeated. FleetModel seeds it with its seed, or with draws if given. No bound is changed.

--- a/godwitlanding/tests/load/gateway_model.py
+++ b/godwitlanding/tests/load/gateway_model.py
@@ -108,12 +108,15 @@
     """All VMs, upstreams and callers of a ``FleetShape``.
 
     ``outcomes`` counts the requests by the second in which they began and by
-    outcome: ``in_time``, ``late``, ``refused`` or ``failed``.
+    outcome: ``in_time``, ``late``, ``refused`` or ``failed``. ``seed`` seeds
+    the callers and upstreams; the VMs draw from the generator of ``random``,
+    which is seeded with ``draws``, or with ``seed`` if that is ``None``.
     """
 
-    def __init__(self, shape, seed):
+    def __init__(self, shape, seed, draws=None):
         self.shape = shape
         self._rng = random.Random(seed)
+        random.seed(seed if draws is None else draws)
         self.upstream_by_id = {}
         self.zone_by_upstream = {}
         self._vm_by_host = {}
--- a/godwitlanding/tests/load/test_gateway_load.py
+++ b/godwitlanding/tests/load/test_gateway_load.py
@@ -1,7 +1,5 @@
 """Tests the outcomes of requests to a simulated fleet, in virtual time."""
 
-import random
-
 import pytest
 
 from godwitlanding.tests.load.gateway_model import FleetModel, FleetShape
@@ -23,11 +21,9 @@
 async def run_limited(limit_per_s, count, draws=None):
     """Run with some upstreams limited; return the share of each outcome.
 
-    ``draws`` seeds the generator of the VMs, so that a run can be repeated.
+    ``draws`` seeds the generator of the VMs.
     """
-    if draws is not None:
-        random.seed(draws)
-    async with FleetModel(SMALL, seed=1) as fleet:
+    async with FleetModel(SMALL, seed=1, draws=draws) as fleet:
         await fleet.run(WARM_UP_S)
         fleet.outcomes.clear()
         for upstream in list(fleet.upstream_by_id.values())[::-1][:count]:
