Plan for the learnt cache size where it is clearly larger than usual

The plan limited each region to 10, then 14 objects per upstream, also where upstreams keep 25 to 32, so that no region seemed able to cache the objects of a service.

--- a/godwitlanding/decisions/regionshare.py
+++ b/godwitlanding/decisions/regionshare.py
@@ -25,6 +25,7 @@
 
 import xxhash
 
+from godwitlanding.decisions.cachesize import INITIAL_OBJECTS
 from godwitlanding.decisions.homes import CACHED_OBJECTS
 
 MAX_UTILIZATION = 0.9
@@ -33,6 +34,12 @@
 # on average, and one in fifty requests would find seven others at the only
 # upstream that has its object.
 TARGET_CACHED_OBJECTS = 10
+# The constants above and in ``decisions.homes`` fit upstreams that keep this
+# many objects, and are scaled for those that clearly keep more.
+USUAL_CACHE_SIZE = INITIAL_OBJECTS
+# A learnt size up to this multiple of the usual one leaves the plan unchanged:
+# upstreams that keep 14 to 16 objects are estimated at up to 19.
+MIN_SIZE_RATIO = 1.25
 # Twice this is the change between two windows of 2 s, 0.08, about half of the
 # permitted 0.15; the rest allows for the randomness of which requests arrive.
 MAX_STEP_PER_S = 0.04
@@ -53,6 +60,18 @@
     slot_capacity_per_s: float = 0.0
 
 
+def get_size_factor(cache_size):
+    """Return the factor of the cached objects per upstream in the plan.
+
+    It is 1 unless the learnt ``cache_size`` is clearly larger than usual.
+
+    >>> get_size_factor(16.0), get_size_factor(28.0)
+    (1.0, 1.75)
+    """
+    ratio = cache_size / USUAL_CACHE_SIZE
+    return ratio if ratio > MIN_SIZE_RATIO else 1.0
+
+
 def get_cacheable_share(upstreams, objects, each=CACHED_OBJECTS):
     """Return the share of all objects that a region can cache.
 
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -128,6 +128,7 @@
             self._homes,
             self._limit_gossip,
             self.availability.ejected,
+            self.learning,
         )
         self.tasks.repeat(UPDATE_INTERVAL_S, self._region_balancer.update)
         self.tasks.repeat(
--- a/godwitlanding/gateway/regionbalancer.py
+++ b/godwitlanding/gateway/regionbalancer.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 
 from godwitlanding.decisions.forecast import Forecast
+from godwitlanding.decisions.homes import CACHED_OBJECTS
 from godwitlanding.decisions.regionshare import (
     MAX_UTILIZATION,
     TARGET_CACHED_OBJECTS,
@@ -17,6 +18,7 @@
     RegionSelector,
     get_cacheable_share,
     get_shares,
+    get_size_factor,
     step,
 )
 
@@ -34,11 +36,20 @@
 class RegionBalancer:
     """Computes the regions' shares by service and picks regions by them.
 
-    ``ejected`` is the set of unreachable upstreams.
+    ``ejected`` is the set of unreachable upstreams; ``learning`` estimates how
+    many objects an upstream caches.
     """
 
     def __init__(
-        self, identity, registry, peers, worktimes, homes, limit_gossip, ejected
+        self,
+        identity,
+        registry,
+        peers,
+        worktimes,
+        homes,
+        limit_gossip,
+        ejected,
+        learning,
     ):
         self._region = identity.region
         self._registry = registry
@@ -47,6 +58,7 @@
         self._homes = homes
         self._limit_gossip = limit_gossip
         self._ejected = ejected
+        self._learning = learning
         self._logged_by_service = {}
         self._slots_by_service = {}
         # Shares of the regions' slots that limits left usable, of the last
@@ -66,8 +78,9 @@
         config = self._registry.config
         if config is None:
             return
+        now = asyncio.get_running_loop().time()
         for service in config.service_by_name:
-            load_by_region = self._get_loads(service)
+            load_by_region = self.get_loads(service, now)
             if self._region not in load_by_region:
                 continue
             target = get_shares(self._region, load_by_region)
@@ -87,12 +100,21 @@
     def can_cache_all_objects(self, service, region):
         """Return whether a region's upstreams can cache every object."""
         upstreams = len(self._registry.get_usable(service, region))
-        return get_cacheable_share(upstreams, self._homes.get_objects(service)) >= 1.0
+        objects = self._homes.get_objects(service)
+        full_size = self._get_size_factor(service) * CACHED_OBJECTS
+        return get_cacheable_share(upstreams, objects, full_size) >= 1.0
+
+    def _get_size_factor(self, service):
+        return get_size_factor(self._learning.get_cache_size(service))
 
-    def _get_loads(self, service):
+    def get_loads(self, service, now):
+        """Return the ``RegionLoad`` of a service in each region at ``now``."""
         work_s = self._worktimes.get_mean_s(service)
-        rate_by_region = self._forecast(service, self._peers.get_arrival_rates(service))
+        rate_by_region = self._forecast(
+            service, self._peers.get_arrival_rates(service), now
+        )
         objects = self._homes.get_objects(service)
+        size_factor = self._get_size_factor(service)
         slots_by_region = {}
         cacheable_by_region = {}
         full_cacheable_by_region = {}
@@ -111,10 +133,10 @@
                 self._get_usable_share(upstream, work_s) for upstream in upstreams
             )
             cacheable_by_region[region] = get_cacheable_share(
-                usable_upstreams, objects, TARGET_CACHED_OBJECTS
+                usable_upstreams, objects, size_factor * TARGET_CACHED_OBJECTS
             )
             full_cacheable_by_region[region] = get_cacheable_share(
-                usable_upstreams, objects
+                usable_upstreams, objects, size_factor * CACHED_OBJECTS
             )
         if not any(rate_by_region.values()):
             # Nothing is measured yet: assume that each region gets an equal
@@ -134,8 +156,7 @@
             load_by_region[region] = RegionLoad(rate, *capacities, slots / work_s)
         return load_by_region
 
-    def _forecast(self, service, rate_by_region):
-        now = asyncio.get_running_loop().time()
+    def _forecast(self, service, rate_by_region, now):
         forecast_by_region = {}
         for region, rate in rate_by_region.items():
             forecast = self._forecast_by_service_and_region.setdefault(
@@ -228,6 +249,7 @@
             shares={name: round(share, 3) for name, share in shares.items()},
             jump=jump,
             vms=self._peers.count_vms(),
+            cache_size=round(self._learning.get_cache_size(service), 1),
             load_by_region={
                 region: [round(figure, 1) for figure in load]
                 for region, load in load_by_region.items()
