Model slow periods of machines and long requests in the fleet model

Cause: the effect of reported paces cannot be judged with upstreams that always run at the same speed.

--- a/godwitlanding/tests/load/gateway_model.py
+++ b/godwitlanding/tests/load/gateway_model.py
@@ -57,6 +57,16 @@
     target_s: float = 0.4
     deadline_s: float = 2.5
     cache_size: int = 16
+    # Share of the time in which an upstream is slow, how many times slower it
+    # is, the shortest and the longest slow period, and whether its load
+    # reports hold its pace.
+    spell_share: float = 0.0
+    spell_factor: float = 2.5
+    spell_s: tuple[float, float] = (0.5, 0.6)
+    reports_pace: bool = False
+    # Share of the requests that take ``long_factor`` times as long.
+    long_share: float = 0.0
+    long_factor: float = 7.0
 
 
 # Three regions with two zones each; one region has few upstreams.
@@ -113,6 +123,7 @@
 
     def __init__(self, shape, seed):
         self.shape = shape
+        self._seed = seed
         self._rng = random.Random(seed)
         self.upstream_by_id = {}
         self.zone_by_upstream = {}
@@ -143,6 +154,10 @@
             ):
                 await service.stop()
 
+    def get_programs(self):
+        """Return the programs of all VMs."""
+        return [vm.program for vm in self._vm_by_host.values()]
+
     def get_one_way_delay_s(self, zone, upstream):
         """Return the one-way network delay from a zone to an upstream."""
         other = self.zone_by_upstream[upstream]
@@ -243,7 +258,9 @@
         for zone, count in self.shape.upstreams_by_zone.items():
             for index in range(count):
                 name = f"{zone}-{index}"
-                self.upstream_by_id[name] = UpstreamModel(self.shape, self._rng)
+                self.upstream_by_id[name] = UpstreamModel(
+                    self.shape, self._rng, f"{self._seed} {name}"
+                )
                 self.zone_by_upstream[name] = zone
                 address = ("127.0.0.1", 1)
                 entries.append(
--- a/godwitlanding/tests/load/upstream_model.py
+++ b/godwitlanding/tests/load/upstream_model.py
@@ -1,6 +1,7 @@
 """Models of upstreams and of the connections to them, without sockets."""
 
 import asyncio
+import random
 import re
 from collections import Counter, OrderedDict, deque
 
@@ -10,12 +11,61 @@
 _KEY = re.compile(rb"(?i)godwitlanding-affinity-key: ([^\r]*)")
 
 
+class Spells:
+    """The slow periods of one machine, drawn from a generator of its own.
+
+    Over time, ``shape.spell_share`` of the time lies in slow periods, which
+    last ``shape.spell_s`` (shortest, longest) and take ``spell_factor`` times
+    as long for the same work.
+    """
+
+    def __init__(self, shape, rng):
+        self._shape = shape
+        self._rng = rng
+        self._is_slow = rng.random() < shape.spell_share
+        self._until = 0.0
+        if shape.spell_share:
+            self._until = self._draw_s() * rng.random()
+
+    def get_pace(self, now):
+        """Return the factor on work times at ``now``, which never falls."""
+        while self._shape.spell_share and now >= self._until:
+            self._is_slow = not self._is_slow
+            self._until += self._draw_s()
+        return self._shape.spell_factor if self._is_slow else 1.0
+
+    async def work(self, work_s):
+        """Sleep for work that takes ``work_s`` at the usual pace."""
+        while True:
+            now = _now()
+            pace = self.get_pace(now)
+            if not self._shape.spell_share or now + work_s * pace <= self._until:
+                await asyncio.sleep(work_s * pace)
+                return
+            period_s = self._until - now
+            await asyncio.sleep(period_s)
+            work_s -= period_s / pace
+
+    def _draw_s(self):
+        if self._is_slow:
+            return self._rng.uniform(*self._shape.spell_s)
+        mean_spell_s = sum(self._shape.spell_s) / 2
+        share = self._shape.spell_share
+        return self._rng.expovariate(share / ((1.0 - share) * mean_spell_s))
+
+
 class UpstreamModel:
     """An upstream with slots, a queue, an object cache and load reports."""
 
-    def __init__(self, shape, rng):
+    def __init__(self, shape, rng, seed=0):
         self._shape = shape
         self._rng = rng
+        # Separate generators, so that runs without slow periods and long
+        # requests draw the same numbers as before these were added.
+        self._long_rng = random.Random(f"long {seed}")
+        self.spells = Spells(shape, random.Random(f"spells {seed}"))
+        # Replaces the reported pace, for upstreams that report a wrong one.
+        self.report_pace = lambda pace: b"%d" % round(100 * pace)
         self._cached_keys = OrderedDict()
         self._running = 0
         self._waiting = deque()
@@ -36,7 +86,7 @@
         else:
             self._running += 1
         try:
-            await asyncio.sleep(self._draw_work_s(data))
+            await self.spells.work(self._draw_work_s(data))
         finally:
             if self._waiting:
                 self._waiting.popleft().set_result(None)
@@ -55,10 +105,14 @@
             self._cached_keys.move_to_end(key)
             if len(self._cached_keys) > self._shape.cache_size:
                 self._cached_keys.popitem(last=False)
+        if self._long_rng.random() < self._shape.long_share:
+            work_s *= self._shape.long_factor
         return work_s * self._rng.lognormvariate(0.0, 0.15)
 
     def _make_response(self, status, headers):
         report = b"%d,%d,%d" % (self._running, len(self._waiting), self._shape.slots)
+        if self._shape.reports_pace:
+            report += b"," + self.report_pace(self.spells.get_pace(_now()))
         headers = [*headers, (b"godwitlanding-load-report", report)]
         if self.limit_per_s is not None:
             headers.append((b"server-limit", b"%g" % self.limit_per_s))
