Use the paces that upstreams report for learning, choice and gossip

Cause: slow periods and long requests made upstreams look slow for seconds, so that requests avoided the upstreams that have their objects cached. Change: a measured time is divided by its response's pace before anything is learnt from it; a single long request is left out; the pace multiplies the expected work time and goes to the other VMs with the counts (field 24; 23 is a placeholder until another field takes it).

--- a/godwitlanding/decisions/worktime.py
+++ b/godwitlanding/decisions/worktime.py
@@ -88,6 +88,10 @@
             sample = min(work_s, _MAX_SAMPLE_TIMES * mean_s)
             self._mean_by_service[key] = mean_s + _SERVICE_WEIGHT * (sample - mean_s)
 
+    def note_success(self, service, upstream):
+        """Record a response whose time does not show the upstream's speed."""
+        self._update_failures(service, upstream, 0.0)
+
     def note_failure(self, service, upstream):
         """Record that the upstream failed, shed or did not respond."""
         self._update_failures(service, upstream, 1.0)
@@ -105,6 +109,14 @@
         """Return the mean work time of requests without an object."""
         return self._mean_by_service.get((service, Warmth.NO_OBJECT), INITIAL_COLD_S)
 
+    def get_usual_s(self, service, warmth):
+        """Return the mean work time of the requests of one warmth."""
+        if warmth is Warmth.COLD:
+            return self.get_cold_s(service)
+        if warmth is Warmth.NO_OBJECT:
+            return self.get_objectless_s(service)
+        return self.get_warm_s(service)
+
     def get_mean_s(self, service):
         """Return the mean work time of the current mix of requests.
 
@@ -165,11 +177,7 @@
         return service not in self._cold_share_by_service
 
     def _update_factor(self, service, upstream, work_s, warmth):
-        usual = self.get_warm_s(service)
-        if warmth is Warmth.COLD:
-            usual = self.get_cold_s(service)
-        elif warmth is Warmth.NO_OBJECT:
-            usual = self.get_objectless_s(service)
+        usual = self.get_usual_s(service, warmth)
         observed = min(_MAX_FACTOR, max(_MIN_FACTOR, work_s / usual))
         mean = self.get_factor(upstream)
         self._factor_by_upstream[upstream] = mean + _UPSTREAM_WEIGHT * (observed - mean)
--- a/godwitlanding/gateway/candidates.py
+++ b/godwitlanding/gateway/candidates.py
@@ -51,6 +51,7 @@
         distances,
         learning,
         availability,
+        paces,
     ):
         self._registry = registry
         self._occupancy = occupancy
@@ -60,6 +61,7 @@
         self._distances = distances
         self._learning = learning
         self._availability = availability
+        self._paces = paces
 
     def find_known(self, request, regions, tried, now):
         """Return the upstreams that know the object, as ``KnownUpstreams``.
@@ -171,11 +173,12 @@
         """Return a ``Candidate``; ``number`` is its index in the order."""
         service = request.service
         upstream = self._registry.upstream_by_id[upstream_id]
+        upstream_number = self._registry.number_by_id[upstream_id]
         factor = self._worktimes.get_factor(upstream_id)
+        factor *= self._paces.get_factor(service, upstream_number, now)
         warm_s = self._worktimes.get_warm_s(service) * factor
         cold_s = self._worktimes.get_cold_s(service) * factor
         occupied = self._occupancy.get(upstream_id, now)
-        upstream_number = self._registry.number_by_id[upstream_id]
         candidate_rank = 0
         work_s = cold_s
         if not request.key:
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -14,6 +14,7 @@
 from godwitlanding.gateway.candidates import Candidates
 from godwitlanding.gateway.distances import Distances
 from godwitlanding.gateway.learning import Learning
+from godwitlanding.gateway.paces import Paces
 from godwitlanding.gateway.regionbalancer import UPDATE_INTERVAL_S, RegionBalancer
 from godwitlanding.gateway.registry import Upstream
 
@@ -68,6 +69,9 @@
     depth: int | None
     # Age of the upstream's last load report, None if there is none.
     report_age_s: float | None
+    # The pace of the upstream that was assumed, and the age of its report.
+    pace: float = 1.0
+    pace_age_s: float | None = None
 
 
 class Rejection(NamedTuple):
@@ -107,6 +111,7 @@
         self.distances = None
         self.learning = None
         self.availability = None
+        self.paces = None
 
     async def start(self, kernel):
         """Create the helpers and start to plan the regions' shares."""
@@ -119,6 +124,7 @@
         self.availability = Availability(
             self._identity, self._registry, self._fleet, self._limit_gossip
         )
+        self.paces = Paces(self._registry, peers)
         self._candidates = self._make_candidates()
         self._region_balancer = RegionBalancer(
             self._identity,
@@ -146,6 +152,7 @@
             self.distances,
             self.learning,
             self.availability,
+            self.paces,
         )
 
     async def stop(self):
@@ -184,6 +191,7 @@
     def forget(self, upstream_id):
         """Discard the state of an upstream that was removed or restarted."""
         self.availability.forget(upstream_id)
+        self.paces.forget(upstream_id)
         self.learning.forget(upstream_id)
 
     def choose(self, request, tried, now):
@@ -357,6 +365,7 @@
             warmth,
             depth,
             self._occupancy.get_report_age_s(upstream.id, now),
+            *self.paces.get_with_age(upstream, now),
         )
 
     def _update_share(self, share_by_service, service, sample):
--- a/godwitlanding/gateway/gossipmessage.py
+++ b/godwitlanding/gateway/gossipmessage.py
@@ -11,6 +11,7 @@
 from godwitlanding.decisions.digest import Crash, Digest
 from godwitlanding.decisions.fleet import Capacity
 from godwitlanding.decisions.objectmap import CacheEntry
+from godwitlanding.decisions.pace import PaceRow
 from godwitlanding.decisions.ratelimit import LimitedUpstream, LimitRow
 from godwitlanding.decisions.tally import AskedRate, Level, Tally
 
@@ -20,6 +21,8 @@
 _AMOUNT = struct.Struct("<If")
 _NUMBER = struct.Struct("<I")
 _LIMIT = struct.Struct("<IfHI")
+_PACE = struct.Struct("<IHB")
+_PACE_AGE_STEP_S = 0.004
 _NO_LIMIT = -1.0
 _NO_AGE = 0xFFFF
 _COUNT_MODULUS = 1 << 32
@@ -74,6 +77,8 @@
     limits: tuple[LimitRow, ...] = ()
     # Numbers of upstreams that are leaving but not marked so in the store.
     leaving_upstreams: tuple[int, ...] = ()
+    # Unusual paces that upstreams reported to the sender.
+    paces: tuple[PaceRow, ...] = ()
 
     @property
     def carries(self):
@@ -107,6 +112,7 @@
         heard=message.heard,
         limits=b"".join(map(_pack_limit, message.limits)),
         leavingUpstreams=_pack_numbers(message.leaving_upstreams),
+        paces=b"".join(map(_pack_pace, message.paces)),
     )
     return encoded.to_bytes_packed()
 
@@ -135,6 +141,15 @@
     return LimitRow(upstream, named_per_s, age_s, sent)
 
 
+def _pack_pace(row):
+    age_steps = min(0xFF, round(row.age_s / _PACE_AGE_STEP_S))
+    return _PACE.pack(row.upstream, round(row.pace * 100), age_steps)
+
+
+def _unpack_pace(upstream, hundredths, age_steps):
+    return PaceRow(upstream, hundredths / 100, age_steps * _PACE_AGE_STEP_S)
+
+
 def _pack_pairs(pairs):
     return b"".join(_PAIR.pack(*pair) for pair in pairs)
 
@@ -195,6 +210,7 @@
                 _unpack_limit(*row) for row in _LIMIT.iter_unpack(encoded.limits)
             ),
             leaving_upstreams=_unpack_numbers(encoded.leavingUpstreams),
+            paces=tuple(_unpack_pace(*row) for row in _PACE.iter_unpack(encoded.paces)),
         )
     except (capnp.KjException, UnicodeDecodeError, struct.error) as error:
         raise ValueError(f"not a gossip message: {error}") from None
--- a/godwitlanding/gateway/learning.py
+++ b/godwitlanding/gateway/learning.py
@@ -60,15 +60,21 @@
             self._object_map.drop(self._make_cache_entry(request, choice.upstream.id))
 
     def note_response(self, request, choice, work_s):
-        """Record that an upstream answered after ``work_s`` seconds."""
+        """Record that an upstream answered after ``work_s`` seconds.
+
+        ``None`` stands for a time that does not show the upstream's speed.
+        """
+        if request.key and self._is_listed(choice):
+            cache_entry = self._make_cache_entry(request, choice.upstream.id)
+            self._object_map.note_response(cache_entry)
+        if work_s is None:
+            self._worktimes.note_success(request.service, choice.upstream.id)
+            return
         was_queued = choice.occupied >= choice.upstream.slots
         self._record_cache_hit(request.service, choice, work_s, was_queued)
         self._worktimes.note_response(
             request.service, choice.upstream.id, work_s, choice.warmth, was_queued
         )
-        if request.key and self._is_listed(choice):
-            cache_entry = self._make_cache_entry(request, choice.upstream.id)
-            self._object_map.note_response(cache_entry)
 
     def forget(self, upstream_id):
         """Discard the state of an upstream that was removed or restarted."""
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -53,6 +53,12 @@
   # Numbers, as above, of upstreams that have announced that they are leaving
   # while their entries in the store are not marked as leaving.
   leavingUpstreams @22 :Data;
+  # Not yet in use.
+  unused23 @23 :Data;
+  # Upstreams that have reported an unusual pace to the sender, each as 7
+  # bytes: its number, 16 bits with the pace in hundredths, and 8 bits with
+  # the age of the report in steps of 4 ms.
+  paces @24 :Data;
 }
 
 # Rate at which callers send requests for a service, per second.
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -98,6 +98,8 @@
         self._known_vms = KnownVms(identity.region, fleet, self.digests)
         self.is_ready = lambda: False
         self.get_store_state = lambda: StoreState(False, False, ())
+        self.get_paces = tuple
+        self.on_paces = lambda rows: None
         self.leaving = False
 
     async def start(self, kernel):
@@ -190,6 +192,7 @@
             self._known_vms.receive_message(message)
             self._allotment_gossip.receive_message(message)
         self._limit_gossip.receive_message(message)
+        self.on_paces(message.paces)
         self._receive_leaving(message.leaving_upstreams, message.vm)
         self._receive_digests(message, host, is_own_region, now)
         for crash in message.crashes:
@@ -200,13 +203,11 @@
         if is_new and is_own_region:
             log_message("peers:heard", peer=message.vm)
             # The new VM knows nothing of this one either: send to it at once.
-            initial_state = self._allotment_gossip.get_initial_state()
-            limits = self._limit_gossip.get_all()
             self._send(
                 [host],
                 met=self._get_initial_cache_entries(),
-                limits=limits,
-                **initial_state,
+                limits=self._limit_gossip.get_all(),
+                **self._allotment_gossip.get_initial_state(),
             )
 
     def _get_initial_cache_entries(self):
@@ -249,14 +250,14 @@
         self._counts_turn += 1
         region_hosts = self._known_vms.get_busy_hosts()
         remote_hosts = self._get_sharing_hosts()
-        limits = self._limit_gossip.get_recent()
+        recent = {"limits": self._limit_gossip.get_recent(), "paces": self.get_paces()}
         # Digests are left to the less frequent messages, and other regions
         # have no use for workspace counts.
         if self._counts_turn % REMOTE_EVERY:
             tallies = self._allotment_gossip.get_recent()
-            self._send(region_hosts, (), tallies=tallies, limits=limits)
+            self._send(region_hosts, (), tallies=tallies, **recent)
         else:
-            self._send(region_hosts + remote_hosts, (), limits=limits)
+            self._send(region_hosts + remote_hosts, (), **recent)
         peers = len(region_hosts) + len(remote_hosts) / REMOTE_EVERY
         return max(MIN_INTERVAL_S, INTERVAL_PER_PEER_S * peers)
 
--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -275,6 +275,8 @@
             wait_s=round(choice.wait_s, 3),
             occupied=round(choice.occupied, 2),
             report_age_s=_round_or_none(choice.report_age_s),
+            pace=round(choice.pace, 2),
+            pace_age_s=_round_or_none(choice.pace_age_s),
             why=choice.why.value,
             warmth=choice.warmth.value,
             depth=choice.depth,
--- a/godwitlanding/gateway/upstreamclient.py
+++ b/godwitlanding/gateway/upstreamclient.py
@@ -72,6 +72,7 @@
         self._registry = kernel.get("registry")
         self._peers = kernel.get("peers")
         self._registry.on_upstream_gone.append(self._forget)
+        self._chooser.paces.export(self._counters)
         self.tasks.repeat(TRIM_INTERVAL_S, self._pool.trim)
 
     async def stop(self):
@@ -145,11 +146,19 @@
 
     def _record_response(self, upstream, request, choice, response, outcome, took_s):
         now = asyncio.get_running_loop().time()
+        pace = None
         if outcome is not Outcome.MOVED:
-            self._record_report(upstream, response, outcome, now)
+            pace = self._record_report(upstream, response, outcome, now)
         if outcome is Outcome.ANSWERED:
             work_s = took_s - choice.distance_s
-            self._chooser.learning.note_response(request, choice, work_s)
+            measured = self._chooser.paces.note_response(
+                request, choice, work_s, pace, now
+            )
+            self._chooser.learning.note_response(request, choice, measured.work_s)
+            if measured.is_short:
+                self._counters.record(
+                    "short_work_seconds", work_s, service=request.service
+                )
             self._poison.note_success(request.fingerprint, now)
         elif outcome is Outcome.MOVED:
             self._eject_moved(upstream)
@@ -157,6 +166,7 @@
             self._worktimes.note_failure(request.service, upstream.id)
 
     def _record_report(self, upstream, response, outcome, now):
+        """Record an upstream's status; return its pace, or ``None``."""
         report = self._read_self_report(response.status, response.headers)
         if report.in_progress is not None:
             self._occupancy.note_report(upstream.id, report.in_progress, now)
@@ -168,6 +178,9 @@
             self._registry.note_leaving(upstream.id)
         if report.limit_per_s is not None or outcome in _EXECUTED:
             self._limit_gossip.note_response(upstream, report.limit_per_s)
+        if report.pace is not None:
+            self._chooser.paces.note_report(upstream, report.pace, now)
+        return report.pace
 
     def _record_pause(self, upstream, pause_s, now):
         self._chooser.availability.pauses.note(upstream.id, pause_s, now)
--- a/godwitlanding/tests/gateway/test_gossipmessage.py
+++ b/godwitlanding/tests/gateway/test_gossipmessage.py
@@ -4,6 +4,7 @@
 
 from godwitlanding.decisions.digest import Crash, Digest
 from godwitlanding.decisions.fleet import Capacity
+from godwitlanding.decisions.pace import PaceRow
 from godwitlanding.decisions.ratelimit import LimitedUpstream, LimitRow
 from godwitlanding.gateway.gossipmessage import (
     GossipMessage,
@@ -45,6 +46,7 @@
         LimitRow(2, None, None, 7),
     ),
     leaving_upstreams=(2**32 - 1, 0),
+    paces=(PaceRow(2**32 - 1, 2.5, 0.1), PaceRow(3, 0.5, 0.0)),
 )
 
 
--- a/godwitlanding/tests/gateway/test_upstreamclient.py
+++ b/godwitlanding/tests/gateway/test_upstreamclient.py
@@ -11,6 +11,7 @@
 from godwitlanding.decisions.worktime import WorkTimes
 from godwitlanding.gateway.attempt import Outcome
 from godwitlanding.gateway.limitgossip import LimitGossip
+from godwitlanding.gateway.paces import Paces
 from godwitlanding.gateway.registry import Registry, Upstream
 from godwitlanding.gateway.upstream import Response
 from godwitlanding.gateway.upstreamclient import MOVED_EJECT_S, UpstreamClient
@@ -48,11 +49,13 @@
         self.worktimes = WorkTimes()
         learning = SimpleNamespace(note_response=lambda *response: None)
         self.ejected = set()
-        self.chooser = SimpleNamespace(
-            availability=SimpleNamespace(ejected=self.ejected), learning=learning
-        )
         self.registry = Registry({"a1": "a"})
         self.registry.put_upstream(UPSTREAM)
+        self.chooser = SimpleNamespace(
+            availability=SimpleNamespace(ejected=self.ejected),
+            learning=learning,
+            paces=Paces(self.registry, SimpleNamespace()),
+        )
         self.limit_gossip = LimitGossip(self.registry, "a", ("a",), Counters())
         self.pool = SimpleNamespace(
             take=lambda upstream, idempotent: Connection(self.status, self.headers),
