Urgent requests and fair shares come first at a contended service

A full service served the loosest latency target best, and whoever asked most often. RequestHandler now asks the service Contention once per request. Less urgent requests are denied (2013) while more urgent ones of the region are refused or late and the service is full; workspaces beyond their weighted max-min share are denied (2014) while a service is contended. VMs exchange counts in field @23 of the periodic message.

--- a/godwitlanding/base/codes.py
+++ b/godwitlanding/base/codes.py
@@ -41,6 +41,8 @@
     ALLOTMENT_SPENT = 2010
     NO_REGION = 2011
     ROUTE_UNREADABLE = 2012
+    OUTRANKED = 2013
+    OVER_SHARE = 2014
 
     UPSTREAM_FAILED = 3001
     UPSTREAM_TIMEOUT = 3002
@@ -136,6 +138,12 @@
     Code.ROUTE_UNREADABLE: CodeRow(
         503, RUN_NO, "This version cannot read the route's configuration."
     ),
+    Code.OUTRANKED: CodeRow(
+        503, RUN_NO, "More urgent requests need the slots of the service."
+    ),
+    Code.OVER_SHARE: CodeRow(
+        503, RUN_NO, "The workspace has its share of the contended service."
+    ),
     Code.UPSTREAM_FAILED: CodeRow(
         502, RUN_UNKNOWN, "The upstream failed while it had the request."
     ),
--- a/godwitlanding/decisions/sharing.py
+++ b/godwitlanding/decisions/sharing.py
@@ -23,3 +23,26 @@
         remaining -= part_by_name[name]
     surplus = max(0.0, remaining) / len(asked_by_name)
     return {name: part_by_name[name] + surplus for name in asked_by_name}
+
+
+def find_fair_level(rate, demands):
+    """Return the level of weighted max-min fairness.
+
+    Each of ``demands``, pairs of a demand and a positive weight, gets the
+    smaller of its demand and the level times its weight. All parts add up to
+    ``rate``, or to all that is asked for.
+
+    >>> find_fair_level(12.0, [(1.0, 1.0), (20.0, 1.0), (30.0, 2.0)])
+    3.6666666666666665
+    """
+    weight = sum(weight for _, weight in demands)
+    level = 0.0
+    for asked, own_weight in sorted(demands, key=lambda row: row[0] / row[1]):
+        level = rate / weight
+        if asked <= level * own_weight:
+            level = asked / own_weight
+        else:
+            break
+        rate -= asked
+        weight -= own_weight
+    return level
--- /dev/null
+++ b/godwitlanding/gateway/contention.py
@@ -0,0 +1,315 @@
+"""Denies requests of contended services by priority and by workspace.
+
+Called once for each admitted request. Services whose routes have the same
+priority, in a configuration without workspaces, are not counted at all.
+"""
+
+import asyncio
+import random
+from enum import Enum
+from typing import NamedTuple
+
+from eliot import log_message
+
+from godwitlanding.base.codes import Code
+from godwitlanding.base.kernel import Service
+from godwitlanding.decisions.contention import Demand, FairShares
+from godwitlanding.decisions.occupancy import get_upstream_number
+from godwitlanding.decisions.priority import FULL_AT, Ranks, sum_counts
+from godwitlanding.decisions.requestcounts import INTERVAL_S, Counts, RequestCounts
+from godwitlanding.decisions.retryafter import get_retry_after_s
+
+# The counts of requests in progress change with each gossip message, at most
+# every 25 ms; adding them up for 60 upstreams takes 0.2 ms.
+FILL_INTERVAL_S = 0.025
+# A region that gets less of this region's requests than this is no measure of
+# whether they find slots.
+MIN_REGION_SHARE = 0.1
+# Log lines with the inputs of a denial; each denial also has a line
+# ``carrier:done`` with its code.
+MAX_LINES_PER_S = 20
+MAX_SHOWN = 8
+
+_ASKED = Counts(asked=1)
+_PRESSED = Counts(pressed=1)
+_DENIED = Counts(denied=1)
+
+
+class Result(Enum):
+    """How a request ended, for the counts of contention."""
+
+    IN_TIME = "in_time"
+    LATE = "late"
+    # Refused for lack of slots.
+    REFUSED = "refused"
+
+
+class ContentionDenial(NamedTuple):
+    """Why a request is denied, and the values that led to it."""
+
+    reason: Code
+    retry_after_s: float
+    fields: dict
+
+
+class _Service:
+    """A service for which contention is tracked."""
+
+    def __init__(self, name, priorities):
+        self.name = name
+        self.number = get_upstream_number(name)
+        self.priorities = priorities
+        self.is_ranked = len(priorities) > 1
+        self.shares = FairShares()
+        self.fill = 0.0
+        self.fill_at = -1.0
+
+    def get_key(self, request):
+        """Return the service's number and the request's priority."""
+        return (self.number, request.route.priority)
+
+
+class Contention(Service):
+    """Tracks the pressure on services and denies what must give way."""
+
+    name = "contention"
+    needs = ("registry", "chooser", "peers")
+
+    def __init__(self, region, occupancy, allotments, counters):
+        self._region = region
+        self._occupancy = occupancy
+        self._allotments = allotments
+        self._counters = counters
+        self._counts = RequestCounts()
+        self._ranks = Ranks(self._counts)
+        self._service_by_name = {}
+        self._has_workspaces = False
+        self._update_at = 0.0
+        self._updated_at = 0.0
+        self._logged_second = 0
+        self._lines = self._unlogged = 0
+        self._registry = None
+        self._chooser = None
+        counters.observe("contention_fill", self._get_fills)
+        counters.observe("contention_served", self._get_served)
+        counters.observe("contention_workspace_share", self._get_workspace_shares)
+
+    async def start(self, kernel):
+        """Follow the configuration and the counts of peers."""
+        self._registry = kernel.get("registry")
+        self._chooser = kernel.get("chooser")
+        peers = kernel.get("peers")
+        peers.get_request_counts = self._counts.get_rows
+        peers.on_request_counts = self._receive_counts
+        self._registry.on_config.append(self.apply_config)
+        if self._registry.config:
+            self.apply_config(self._registry.config)
+
+    def apply_config(self, config):
+        """Track the services that a configuration calls for; drop others."""
+        priorities_by_name = {}
+        for route in config.route_by_prefix.values():
+            for part in route.parts:
+                priorities_by_name.setdefault(part.service, set()).add(route.priority)
+        self._has_workspaces = config.workspace_by_key is not None
+        former = self._service_by_name
+        self._service_by_name = {}
+        for name, priorities in priorities_by_name.items():
+            if len(priorities) > 1 or self._has_workspaces:
+                service = _Service(name, frozenset(priorities))
+                if name in former and self._has_workspaces:
+                    service.shares = former[name].shares
+                self._service_by_name[name] = service
+        services = self._service_by_name.values()
+        self._counts.set_keys(
+            (service.number, priority)
+            for service in services
+            for priority in service.priorities
+        )
+        self._ranks.set_priorities(
+            {s.number: s.priorities for s in services if s.is_ranked}
+        )
+
+    def admit(self, request, now):
+        """Return ``None`` or a ``ContentionDenial``."""
+        service = self._service_by_name.get(request.service)
+        if service is None:
+            return None
+        if now >= self._update_at:
+            self._update(now)
+        key = service.get_key(request)
+        self._counts.note(key, _ASKED)
+        reason = self._find_reason(service, request, now)
+        if reason is None:
+            return None
+        self._counts.note(key, _DENIED)
+        left_s = request.deadline_at - now
+        turnover_s = self._chooser.get_turnover_s(request, now)
+        retry_after_s = get_retry_after_s(left_s, turnover_s, random.random())
+        fields = self._get_fields(service, request, now)
+        self._log(request, reason, retry_after_s, fields, now)
+        return ContentionDenial(reason, retry_after_s, fields)
+
+    def note_result(self, request, result, now):
+        """Count how an admitted request has ended."""
+        service = self._service_by_name.get(request.service)
+        if service is None:
+            return
+        if result is not Result.IN_TIME:
+            self._counts.note(service.get_key(request), _PRESSED)
+        self._counters.add(
+            "contention_results",
+            priority=request.route.priority,
+            result=result.value,
+        )
+
+    def get_status(self):
+        """Return fill and admitted shares by service."""
+        return {
+            service.name: {
+                "fill": round(service.fill, 2),
+                "served_share": round(service.shares.served_share, 3),
+                "limited_workspaces": len(service.shares.share_by_workspace),
+            }
+            for service in self._service_by_name.values()
+        }
+
+    def _receive_counts(self, message):
+        if message.request_counts:
+            self._counts.receive(
+                message.vm, message.incarnation, message.request_counts, _now()
+            )
+
+    def _find_reason(self, service, request, now):
+        # The reasons are checked before the fill, which costs more.
+        priority = request.route.priority
+        if service.is_ranked and self._is_pressed(service, priority, now):
+            if self._is_full(service, now):
+                if not self._ranks.admits_at_full(service.number, priority):
+                    return Code.OUTRANKED
+        if not service.shares.share_by_workspace or not request.workspace:
+            return None
+        if service.shares.admits(request.workspace.name):
+            return None
+        return Code.OVER_SHARE if self._is_full(service, now) else None
+
+    def _is_pressed(self, service, priority, now):
+        # The route of a request that was admitted under a former configuration
+        # may have a priority that is no longer known.
+        if priority not in service.priorities:
+            return False
+        return self._ranks.is_pressed(service.number, priority, now)
+
+    def _is_full(self, service, now):
+        if now - service.fill_at >= FILL_INTERVAL_S:
+            service.fill = self._measure_fill(service, now)
+            service.fill_at = now
+        return service.fill >= FULL_AT
+
+    def _measure_fill(self, service, now):
+        """Return the requests in progress per slot; 0 if nothing is usable.
+
+        Only the region in which this VM's requests run counts. Counts of
+        requests in progress in other regions are incomplete here.
+        """
+        occupied = slots = 0
+        availability = self._chooser.availability
+        region = self._get_main_region(service.name)
+        for upstream in self._registry.get_usable(service.name, region):
+            if availability.is_available(upstream.id, now):
+                occupied += self._occupancy.get(upstream.id, now)
+                slots += upstream.slots
+        return occupied / slots if slots else 0.0
+
+    def _get_main_region(self, service_name):
+        shares = self._chooser.get_status()["shares"].get(service_name) or {}
+        if shares.get(self._region, 1.0) >= MIN_REGION_SHARE or not shares:
+            return self._region
+        return max(shares, key=shares.get)
+
+    def _update(self, now):
+        self._updated_at = now
+        self._update_at = now + INTERVAL_S
+        self._counts.update(now)
+        self._ranks.update(now)
+        if not self._has_workspaces:
+            return
+        for service in self._service_by_name.values():
+            recent = sum_counts(
+                self._counts.get_recent((service.number, priority))
+                for priority in service.priorities
+            )
+            service.shares.update(recent, self._get_demands)
+
+    def _get_demands(self):
+        return {
+            name: Demand(min(row["asked_per_s"], row["part_per_s"]), row["rate_per_s"])
+            for name, row in self._allotments.get_status().items()
+        }
+
+    def _get_fields(self, service, request, now):
+        fields = {
+            "priority": request.route.priority,
+            "fill": round(service.fill, 2),
+            "fill_age_s": round(now - service.fill_at, 3),
+            "counts_age_s": round(now - self._updated_at, 3),
+            "peers": self._counts.count_peers(),
+            "served_share": round(service.shares.served_share, 3),
+        }
+        if service.is_ranked:
+            state = self._ranks.get_state(*service.get_key(request))
+            fields["urgent_asked"] = state.urgent.asked
+            fields["urgent_pressed"] = state.urgent.pressed
+            fields["pressed_age_s"] = round(now - state.pressed_at, 2)
+            fields["floor"] = round(state.floor, 3)
+        if request.workspace:
+            share = service.shares.share_by_workspace.get(request.workspace.name, 1.0)
+            fields["workspace_share"] = round(share, 3)
+        return fields
+
+    def _log(self, request, reason, retry_after_s, fields, now):
+        if int(now) != self._logged_second:
+            self._logged_second = int(now)
+            self._lines = 0
+        self._lines += 1
+        if self._lines > MAX_LINES_PER_S:
+            self._unlogged += 1
+            return
+        log_message(
+            "contention:denied",
+            request=request.request_id.decode("latin-1"),
+            reason=reason.name,
+            service=request.service,
+            workspace=request.workspace_name,
+            came_back=request.came_back,
+            retry_after_s=retry_after_s,
+            unlogged=self._unlogged,
+            **fields,
+        )
+        self._unlogged = 0
+
+    def _get_fills(self):
+        return {name: s.fill for name, s in self._service_by_name.items()}
+
+    def _get_served(self):
+        return {
+            f"{service.name}/{priority}": self._ranks.get_state(
+                service.number, priority
+            ).served
+            for service in self._service_by_name.values()
+            if service.is_ranked
+            for priority in service.priorities
+        }
+
+    def _get_workspace_shares(self):
+        """Return the least admitted share of the most limited workspaces."""
+        share_by_workspace = {}
+        for service in self._service_by_name.values():
+            for name, share in service.shares.share_by_workspace.items():
+                share_by_workspace[name] = min(share, share_by_workspace.get(name, 1.0))
+        order = sorted(share_by_workspace, key=share_by_workspace.get)
+        return {name: share_by_workspace[name] for name in order[:MAX_SHOWN]}
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- a/godwitlanding/gateway/gossipmessage.py
+++ b/godwitlanding/gateway/gossipmessage.py
@@ -12,6 +12,7 @@
 from godwitlanding.decisions.fleet import Capacity
 from godwitlanding.decisions.objectmap import CacheEntry
 from godwitlanding.decisions.ratelimit import LimitedUpstream, LimitRow
+from godwitlanding.decisions.requestcounts import CountRow, Counts
 from godwitlanding.decisions.tally import AskedRate, Level, Tally
 
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
@@ -20,6 +21,8 @@
 _AMOUNT = struct.Struct("<If")
 _NUMBER = struct.Struct("<I")
 _LIMIT = struct.Struct("<IfHI")
+_COUNT_ROW = struct.Struct("<IiIII")
+_MAX_PRIORITY = (1 << 31) - 1
 _NO_LIMIT = -1.0
 _NO_AGE = 0xFFFF
 _COUNT_MODULUS = 1 << 32
@@ -74,6 +77,8 @@
     limits: tuple[LimitRow, ...] = ()
     # Numbers of upstreams that are leaving but not marked so in the store.
     leaving_upstreams: tuple[int, ...] = ()
+    # Request counts of services under contention, empty in most messages.
+    request_counts: tuple[CountRow, ...] = ()
 
     @property
     def carries(self):
@@ -107,6 +112,7 @@
         heard=message.heard,
         limits=b"".join(map(_pack_limit, message.limits)),
         leavingUpstreams=_pack_numbers(message.leaving_upstreams),
+        requestCounts=b"".join(map(_pack_count_row, message.request_counts)),
     )
     return encoded.to_bytes_packed()
 
@@ -119,6 +125,16 @@
     return tuple(number for number, in _NUMBER.iter_unpack(data))
 
 
+def _pack_count_row(row):
+    # A configuration may hold any integer; no more than the order matters.
+    priority = max(-_MAX_PRIORITY, min(_MAX_PRIORITY, row.priority))
+    return _COUNT_ROW.pack(row.service, priority, *row.counts)
+
+
+def _unpack_count_row(service, priority, *counts):
+    return CountRow(service, priority, Counts(*counts))
+
+
 def _pack_limit(row):
     per_s = _NO_LIMIT if row.per_s is None else row.per_s
     age_ms = _NO_AGE
@@ -195,6 +211,10 @@
                 _unpack_limit(*row) for row in _LIMIT.iter_unpack(encoded.limits)
             ),
             leaving_upstreams=_unpack_numbers(encoded.leavingUpstreams),
+            request_counts=tuple(
+                _unpack_count_row(*row)
+                for row in _COUNT_ROW.iter_unpack(encoded.requestCounts)
+            ),
         )
     except (capnp.KjException, UnicodeDecodeError, struct.error) as error:
         raise ValueError(f"not a gossip message: {error}") from None
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -53,6 +53,11 @@
   # Numbers, as above, of upstreams that have announced that they are leaving
   # while their entries in the store are not marked as leaving.
   leavingUpstreams @22 :Data;
+  # Requests for services under contention, in periodic messages: per service
+  # and priority 20 bytes with the service's number, the priority (signed), and
+  # how many requests the VM has counted since its start as asked, as refused
+  # for lack of slots or late, and as denied.
+  requestCounts @23 :Data;
 }
 
 # Rate at which callers send requests for a service, per second.
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -98,6 +98,9 @@
         self._known_vms = KnownVms(identity.region, fleet, self.digests)
         self.is_ready = lambda: False
         self.get_store_state = lambda: StoreState(False, False, ())
+        # Counts of requests for services under contention, and their receiver.
+        self.get_request_counts = tuple
+        self.on_request_counts = lambda message: None
         self.leaving = False
 
     async def start(self, kernel):
@@ -189,6 +192,7 @@
         if is_own_region:
             self._known_vms.receive_message(message)
             self._allotment_gossip.receive_message(message)
+            self.on_request_counts(message)
         self._limit_gossip.receive_message(message)
         self._receive_leaving(message.leaving_upstreams, message.vm)
         self._receive_digests(message, host, is_own_region, now)
@@ -278,6 +282,7 @@
             tallies=tallies,
             tells_all=tells_all,
             limits=self._limit_gossip.get_all(),
+            request_counts=self.get_request_counts(),
         )
 
     def _is_busy(self):
--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -10,6 +10,7 @@
 from godwitlanding.decisions.retryafter import get_retry_after_s
 from godwitlanding.gateway.attempt import Charge, Outcome
 from godwitlanding.gateway.chooser import Rejection
+from godwitlanding.gateway.contention import Result
 from godwitlanding.gateway.exchange import select_headers
 from godwitlanding.gateway.stream import StreamSink
 
@@ -28,7 +29,7 @@
     """
 
     name = "carrier"
-    needs = ("registry", "admission", "chooser", "courier")
+    needs = ("registry", "admission", "chooser", "courier", "contention")
 
     def __init__(self, names, budget, poison, allotments, counters):
         self._names = names
@@ -41,6 +42,7 @@
         self._admission = None
         self._chooser = None
         self._upstream_client = None
+        self._contention = None
         self.get_vm_count = lambda: 1
 
     async def start(self, kernel):
@@ -49,6 +51,7 @@
         self._admission = kernel.get("admission")
         self._chooser = kernel.get("chooser")
         self._upstream_client = kernel.get("courier")
+        self._contention = kernel.get("contention")
 
     def get_in_progress(self):
         """Return the number of requests in progress."""
@@ -82,6 +85,13 @@
             return
         request = admission_result.unwrap()
         charge = Charge(self._allotments, request.workspace)
+        now = asyncio.get_running_loop().time()
+        denial = self._contention.admit(request, now)
+        if denial:
+            charge.release(now)
+            code, retry_after_s, _ = denial
+            self._refuse_with_retry(exchange, code, retry_after_s, request)
+            return
         if request.is_idempotent:
             # When the caller disconnects, no one waits for the response, so
             # the request is cancelled to free the upstream's slot.
@@ -93,6 +103,7 @@
             if exchange.answered:
                 exchange.abort()
             else:
+                self._note_result(request, Result.LATE)
                 self._refuse(exchange, Code.UPSTREAM_TIMEOUT, 504, request)
         finally:
             charge.release(asyncio.get_running_loop().time())
@@ -101,7 +112,7 @@
         loop = asyncio.get_running_loop()
         tried = set()
         runs = 0
-        last = None
+        last = rejection = None
         for sends in range(MAX_SENDS):
             now = loop.time()
             if self._is_poison(request, now):
@@ -115,6 +126,7 @@
             choice = self._chooser.choose(request, tried, now)
             if isinstance(choice, Rejection):
                 self._log_rejection(request, choice)
+                rejection = choice
                 break
             if sends and not self._may_repeat(request, last, now):
                 break
@@ -137,6 +149,8 @@
             charge.note_outcome(outcome)
             last = (outcome, response)
             if outcome is Outcome.ANSWERED:
+                is_late = loop.time() > request.target_at
+                self._note_result(request, Result.LATE if is_late else Result.IN_TIME)
                 self._forward(exchange, request, response, sink)
                 return
             if outcome is Outcome.NOT_RUN:
@@ -147,8 +161,14 @@
                 runs += 1
                 if not request.is_idempotent:
                     break
+        if not runs and _is_for_lack_of_slots(last, rejection):
+            self._note_result(request, Result.REFUSED)
         self._give_up(exchange, request, last, runs)
 
+    def _note_result(self, request, result):
+        now = asyncio.get_running_loop().time()
+        self._contention.note_result(request, result, now)
+
     def _may_repeat(self, request, last, now):
         if last[0] is Outcome.UNREACHED:
             # The request was not sent, so this is no repeat.
@@ -302,6 +322,16 @@
         )
 
 
+def _is_for_lack_of_slots(last, rejection):
+    """Return whether a request that has not run was refused for lack of slots.
+
+    ``last`` is its last attempt, ``rejection`` that of a further one.
+    """
+    if rejection:
+        return rejection.reason.startswith("full")
+    return last is not None and last[0] is Outcome.NOT_RUN
+
+
 def _make_retry_after(seconds):
     return ((b"retry-after", b"%.3f" % seconds),)
 
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -26,6 +26,7 @@
 from godwitlanding.gateway.admission import Admission, ConfigFreshness
 from godwitlanding.gateway.allotmentgossip import AllotmentGossip
 from godwitlanding.gateway.chooser import Chooser
+from godwitlanding.gateway.contention import Contention
 from godwitlanding.gateway.directory import Directory
 from godwitlanding.gateway.feed import Feed
 from godwitlanding.gateway.front import Front
@@ -141,6 +142,9 @@
             self.allotments,
             ConfigFreshness(self._is_config_fresh, self._may_trust_keys),
         )
+        self.contention = Contention(
+            settings.region, self.occupancy, self.allotments, counters
+        )
         self.request_handler = RequestHandler(
             HEADER_NAMES,
             self.retry_budget,
@@ -217,6 +221,7 @@
             self.registry,
             *self._get_looping_services(),
             self.admission,
+            self.contention,
             self.request_handler,
             self.saved_object_map,
             self.loop_health,
--- a/godwitlanding/tests/gateway/test_gossipmessage.py
+++ b/godwitlanding/tests/gateway/test_gossipmessage.py
@@ -5,6 +5,7 @@
 from godwitlanding.decisions.digest import Crash, Digest
 from godwitlanding.decisions.fleet import Capacity
 from godwitlanding.decisions.ratelimit import LimitedUpstream, LimitRow
+from godwitlanding.decisions.requestcounts import CountRow, Counts
 from godwitlanding.gateway.gossipmessage import (
     GossipMessage,
     decode_message,
@@ -45,6 +46,7 @@
         LimitRow(2, None, None, 7),
     ),
     leaving_upstreams=(2**32 - 1, 0),
+    request_counts=(CountRow(2**32 - 1, -1, Counts(2**32 - 1, 0, 7)),),
 )
 
 
@@ -52,6 +54,13 @@
     assert decode_message(encode_message(MESSAGE)) == MESSAGE
 
 
+def test_priority_of_any_size_is_encoded():
+    # A configuration may hold any integer; an exception would stop the gossip.
+    row = CountRow(1, 2**40, Counts(1, 0, 0))
+    message = decode_message(encode_message(MESSAGE._replace(request_counts=(row,))))
+    assert message.request_counts == (row._replace(priority=2**31 - 1),)
+
+
 @pytest.mark.parametrize("data", [b"\xff" * 40, b"GET / HTTP/1.1\r\n\r\n", b"\x10"])
 def test_invalid_bytes_are_rejected(data):
     # Any bytes may arrive on an open port. An unexpected exception would stop
--- a/godwitlanding/tests/load/gateway_model.py
+++ b/godwitlanding/tests/load/gateway_model.py
@@ -302,6 +302,7 @@
             program.chooser,
             program.upstream_client,
             program.admission,
+            program.contention,
             program.request_handler,
         )
         service_by_name = {service.name: service for service in services}
