Contention: level by the lead of urgent requests, shares bounded by mean use

The admitted share now follows the lead of the urgent requests, counted by caller.

The common level is now at least 1.25 times the mean use.

--- a/godwitlanding/decisions/contention.py
+++ b/godwitlanding/decisions/contention.py
@@ -7,28 +7,38 @@
 While requests of a service are refused for lack of slots or late, the rate
 that it serves is divided by weighted max-min fairness (``decisions.sharing``):
 workspaces below the common level get all that they ask for, the others are
-denied what exceeds it. The weight is the workspace's allotment. The rate to
-divide is the measured one, so slots are not left idle; when the pressure ends
-it rises until the demand fits, and nothing is limited.
+denied what exceeds it. The weight is the workspace's allotment.
+
+The level is at least ``SLACK`` times the mean use of allotments. If all
+workspaces ask for too much alike, denying each its part serves nobody more:
+without this bound all of them were limited, and 0.43 of the requests of calm
+workspaces were in time, in place of 0.62 without any shares.
 
 Equal shares instead of weighted ones would cut a large workspace at its usual
 rate; buckets for each workspace and service would need a rate that is known
-only after the contention. ``docs/design`` has the figures.
+only after the contention. ``docs/design/priority.rst`` has the figures.
 """
 
+import math
 from typing import NamedTuple
 
 from godwitlanding.decisions.priority import TOLERATED_SHARE, get_pressed_share
 from godwitlanding.decisions.requestcounts import Counts
 from godwitlanding.decisions.sharing import find_fair_level
 
-# Share of the former counts that is kept at each update of 0.4 s, so that
-# they cover about the last second: a VM cut off from its peers has only a few
-# dozen requests in an update.
-KEPT_SHARE = 0.6
-# Growth of the divided rate per update without pressure. After the end of a
-# burst, half of the rate returns in 3 s.
-GROWTH = 1.1
+# Time constant of the counts. A VM that is cut off from its peers has only a
+# few dozen requests in an interval of 0.4 s.
+WINDOW_S = 0.8
+# Time constant of the growth of the divided rate without pressure: it doubles
+# in 3 s, half of the time that bursts last.
+GROWTH_S = 4.0
+# From this share on it grows, even if nothing was served.
+MIN_SERVED_SHARE = 0.05
+
+
+# Demands are means of 3 s: that of a workspace with ten requests a second
+# varies by a fifth.
+SLACK = 1.25
 
 
 class Demand(NamedTuple):
@@ -49,21 +59,24 @@
         self.share_by_workspace = {}
         self._credit_by_workspace = {}
 
-    def update(self, recent, get_demands):
+    def update(self, recent, get_demands, elapsed_s):
         """Recompute the shares from the region's latest ``Counts``.
 
-        ``get_demands`` returns the ``Demand`` by workspace and is called only
-        while the service is contended.
+        ``elapsed_s`` is the time since the former update. ``get_demands``
+        returns the ``Demand`` by workspace and is called only while the
+        service is contended.
         """
-        self._asked = KEPT_SHARE * self._asked + recent.asked
-        self._pressed = KEPT_SHARE * self._pressed + recent.pressed
-        self._denied = KEPT_SHARE * self._denied + recent.denied
-        counts = Counts(self._asked, self._pressed, self._denied)
+        kept_share = math.exp(-elapsed_s / WINDOW_S)
+        self._asked = kept_share * self._asked + recent.asked
+        self._pressed = kept_share * self._pressed + recent.pressed
+        self._denied = kept_share * self._denied + recent.denied
+        counts = Counts(self._asked, pressed=self._pressed, denied=self._denied)
         if get_pressed_share(counts) > TOLERATED_SHARE:
-            served = max(0.0, 1.0 - (counts.pressed + counts.denied) / counts.asked)
-            self.served_share = min(self.served_share, served)
+            unserved = (counts.pressed + counts.denied) / counts.asked
+            self.served_share = max(0.0, 1.0 - unserved)
         else:
-            self.served_share = min(1.0, self.served_share * GROWTH + 0.01)
+            share = self.served_share * math.exp(elapsed_s / GROWTH_S)
+            self.served_share = min(1.0, max(MIN_SERVED_SHARE, share))
         if self.served_share >= 1.0:
             self.share_by_workspace = {}
             self._credit_by_workspace = {}
@@ -90,11 +103,15 @@
     """Return the admitted share of each workspace that is limited.
 
     >>> divide(0.5, {"a": Demand(1.0, 1.0), "b": Demand(7.0, 1.0)})
-    {'b': 0.42857142857142855}
+    {'b': 0.7142857142857143}
     """
     demands = {n: d for n, d in demand_by_workspace.items() if d.asked_per_s > 0}
     total = sum(demand.asked_per_s for demand in demands.values())
+    if not demands:
+        return {}
+    mean_use = total / sum(demand.weight for demand in demands.values())
     level = find_fair_level(served_share * total, demands.values())
+    level = max(level, SLACK * mean_use)
     return {
         name: level * demand.weight / demand.asked_per_s
         for name, demand in demands.items()
--- a/godwitlanding/decisions/priority.py
+++ b/godwitlanding/decisions/priority.py
@@ -6,54 +6,62 @@
 the slots, 0.22 of the urgent requests were in time and 0.97 of the others.
 
 So headroom is kept for urgent requests: while they are under pressure and the
-service is full, less urgent ones are denied. Pressure is a share of the more
-urgent requests of the region that were refused for lack of slots or late.
-Denials in favour of others do not count: with three priorities, they would
-otherwise be passed on downwards and grow.
-
-Each priority keeps a floor, so that no route starves during a long overload.
-Headroom by the shared counts of requests in progress acts within one gossip
-interval. An admission level that falls with the pressure alone acts after two
-state messages and denies requests while slots are free; ``docs/design`` has
-the figures.
+service is full, only a share of the less urgent ones is admitted. Pressure is
+a share of the more urgent requests of the region that were refused for lack of
+slots or late. Denials in favour of others do not count: with three priorities,
+they would otherwise be passed on downwards and grow.
+
+The admitted share, the level, falls until the urgent requests are served more
+often by ``LEAD``, and rises slowly without pressure. A priority is served at
+least ``MIN_SERVED_RATIO`` as often as all requests.
+
+Headroom alone (level 0 at a full service) denied half of the less urgent
+requests to serve a tenth more of the urgent ones. A level alone denies
+requests while slots are free. ``docs/design/priority.rst`` has the figures.
 """
 
-import math
 from typing import NamedTuple
 
 from godwitlanding.decisions.requestcounts import Counts
 
 # A service is full when its upstreams have this many requests in progress for
-# each slot. At 1.0, up to 16 in 100 denials happened while a slot was free,
-# since counts are a gossip interval old and requests are not placed evenly; at
-# 1.1 it was less than one in 100.
-FULL_AT = 1.1
+# each slot. Counts are a gossip interval old and include requests on the way;
+# between regions that is a third of their time. At 1.0, up to 16 in 100
+# denials happened while fewer requests than slots were in progress; above 1.2
+# urgent requests find queues that are too long for their target.
+FULL_AT = 1.2
 # Callers tolerate that an urgent route is served less often by 5 in 100. A
 # quiet service has 3 in 100 late responses, of requests that take long.
 TOLERATED_SHARE = 0.05
-# Bursts last for 3 to 7 s and their pressure ends while others give way. With
-# a shorter time each burst would press on the urgent requests repeatedly.
-HOLD_S = 4.0
+# Urgent requests are to be served more often than less urgent ones by this.
+LEAD = 0.3
 # A route is to be served a quarter as often as all requests of its service;
 # the rest is a margin for counts of 0.4 s.
 MIN_SERVED_RATIO = 0.35
-# How fast the floor follows a deficit, per update. With 1, it overshoots,
-# since the counts of peers arrive one update later.
-FLOOR_GAIN = 0.5
+# Change of the level per update for a deviation of 1. A burst lasts for seven
+# updates or more, so the level falls within two of them; a rise as fast would
+# swing, since counts of peers arrive an update later.
+FALL_GAIN = 2.0
+RISE_GAIN = 0.5
+# VMs with other levels, such as those that have just started, approach each
+# other: half of a difference is gone after 7 s.
+LEAK = 0.04
+# Rise of the level per second without pressure: from 0 to 1 in 5 s, the time
+# that bursts last. A faster rise lets each burst press again.
+RISE_PER_S = 0.2
 
 
 class PriorityState(NamedTuple):
     """What a decision about a priority is based on, for log lines.
 
-    ``urgent`` are the latest counts of all more urgent requests, ``served``
-    the share of this priority's own ones that were served in time.
+    ``urgent`` are the latest counts of all more urgent requests. ``served``
+    and ``urgent_served`` are shares of callers that were served in time.
     """
 
     urgent: Counts = Counts()
+    urgent_served: float = 1.0
     served: float = 1.0
-    min_served: float = 0.0
-    floor: float = 0.0
-    pressed_at: float = -math.inf
+    level: float = 1.0
 
 
 class _Priority:
@@ -65,7 +73,7 @@
 class Ranks:
     """Denies less urgent requests on one VM; ``counts`` are ``RequestCounts``.
 
-    ``now`` is in seconds of one clock. A VM without counts admits everything.
+    A VM without counts admits everything.
     """
 
     def __init__(self, counts):
@@ -83,8 +91,8 @@
             for service, priorities in priorities_by_service.items()
         }
 
-    def update(self, now):
-        """Take the region's latest counts."""
+    def update(self, elapsed_s):
+        """Take the region's latest counts, ``elapsed_s`` after the former."""
         for service, priorities in self._priorities_by_service.items():
             recent_by_priority = {
                 priority: self._counts.get_recent((service, priority))
@@ -95,21 +103,26 @@
             urgent = Counts()
             for priority, entry in priorities.items():
                 own = recent_by_priority[priority]
-                entry.state = _update_state(entry.state, urgent, own, min_served, now)
+                entry.state = _update_state(
+                    entry.state, urgent, own, min_served, elapsed_s
+                )
                 urgent = urgent.add(own)
 
-    def is_pressed(self, service, priority, now):
-        """Return whether more urgent requests have recently been pressed."""
-        state = self._priorities_by_service[service][priority].state
-        return now - state.pressed_at <= HOLD_S
+    def is_limited(self, service, priority):
+        """Return whether some requests are denied if the service is full.
+
+        A request may have the priority of a former configuration.
+        """
+        entry = self._priorities_by_service[service].get(priority)
+        return entry is not None and entry.state.level < 1.0
 
     def admits_at_full(self, service, priority):
-        """Return whether the floor admits this request of a full service.
+        """Return whether the level admits this request of a full service.
 
-        The floor's share is exact, not random: it is accumulated.
+        The level's share is exact, not random: it is accumulated.
         """
         entry = self._priorities_by_service[service][priority]
-        entry.credit += entry.state.floor
+        entry.credit += entry.state.level
         if entry.credit < 1.0:
             return False
         entry.credit -= 1.0
@@ -117,21 +130,21 @@
 
     def get_state(self, service, priority):
         """Return the ``PriorityState`` of a priority."""
-        return self._priorities_by_service[service][priority].state
+        entry = self._priorities_by_service[service].get(priority)
+        return entry.state if entry else PriorityState()
 
 
-def _update_state(state, urgent, own, min_served, now):
-    is_pressed = get_pressed_share(urgent) > TOLERATED_SHARE
+def _update_state(state, urgent, own, min_served, elapsed_s):
+    level = state.level
+    urgent_served = get_served_share(urgent)
     served = get_served_share(own)
-    floor = state.floor
-    if own.asked:
-        # The upper bound serves the minimum even if the chooser refuses as
-        # many of the admitted requests as now.
-        highest = min(1.0, min_served + get_pressed_share(own))
-        floor = min(highest, max(0.0, floor + FLOOR_GAIN * (min_served - served)))
-    return PriorityState(
-        urgent, served, min_served, floor, now if is_pressed else state.pressed_at
-    )
+    if get_pressed_share(urgent) > TOLERATED_SHARE:
+        error = max(urgent_served - served - LEAD, min_served - served)
+        level += (FALL_GAIN if error < 0 else RISE_GAIN) * error
+        level += LEAK * (0.5 - level)
+    else:
+        level += RISE_PER_S * elapsed_s
+    return PriorityState(urgent, urgent_served, served, min(1.0, max(0.0, level)))
 
 
 def sum_counts(rows):
@@ -148,7 +161,8 @@
 
 
 def get_served_share(counts):
-    """Return the share that was neither denied, nor refused, nor late."""
-    if not counts.asked:
-        return 1.0
-    return max(0.0, 1.0 - (counts.pressed + counts.denied) / counts.asked)
+    """Return the share of callers that were served in time.
+
+    An answer is counted up to a second after the caller's first attempt.
+    """
+    return min(1.0, counts.in_time / counts.first) if counts.first else 1.0
--- a/godwitlanding/gateway/contention.py
+++ b/godwitlanding/gateway/contention.py
@@ -28,11 +28,15 @@
 # Log lines with the inputs of a denial; each denial also has a line
 # ``carrier:done`` with its code.
 MAX_LINES_PER_S = 20
+# Everything has decayed after this time without a request.
+MAX_ELAPSED_S = 60.0
 MAX_SHOWN = 8
 
 _ASKED = Counts(asked=1)
+_ASKED_FIRST = Counts(asked=1, first=1)
 _PRESSED = Counts(pressed=1)
 _DENIED = Counts(denied=1)
+_IN_TIME = Counts(in_time=1)
 
 
 class Result(Enum):
@@ -79,7 +83,6 @@
         self._region = region
         self._occupancy = occupancy
         self._allotments = allotments
-        self._counters = counters
         self._counts = RequestCounts()
         self._ranks = Ranks(self._counts)
         self._service_by_name = {}
@@ -90,6 +93,8 @@
         self._lines = self._unlogged = 0
         self._registry = None
         self._chooser = None
+        # A counter with labels would take 15 us for each request.
+        counters.observe("contention_requests", self._get_requests)
         counters.observe("contention_fill", self._get_fills)
         counters.observe("contention_served", self._get_served)
         counters.observe("contention_workspace_share", self._get_workspace_shares)
@@ -138,7 +143,7 @@
         if now >= self._update_at:
             self._update(now)
         key = service.get_key(request)
-        self._counts.note(key, _ASKED)
+        self._counts.note(key, _ASKED if request.came_back else _ASKED_FIRST)
         reason = self._find_reason(service, request, now)
         if reason is None:
             return None
@@ -155,13 +160,8 @@
         service = self._service_by_name.get(request.service)
         if service is None:
             return
-        if result is not Result.IN_TIME:
-            self._counts.note(service.get_key(request), _PRESSED)
-        self._counters.add(
-            "contention_results",
-            priority=request.route.priority,
-            result=result.value,
-        )
+        counts = _IN_TIME if result is Result.IN_TIME else _PRESSED
+        self._counts.note(service.get_key(request), counts)
 
     def get_status(self):
         """Return fill and admitted shares by service."""
@@ -183,7 +183,7 @@
     def _find_reason(self, service, request, now):
         # The reasons are checked before the fill, which costs more.
         priority = request.route.priority
-        if service.is_ranked and self._is_pressed(service, priority, now):
+        if service.is_ranked and self._ranks.is_limited(service.number, priority):
             if self._is_full(service, now):
                 if not self._ranks.admits_at_full(service.number, priority):
                     return Code.OUTRANKED
@@ -193,13 +193,6 @@
             return None
         return Code.OVER_SHARE if self._is_full(service, now) else None
 
-    def _is_pressed(self, service, priority, now):
-        # The route of a request that was admitted under a former configuration
-        # may have a priority that is no longer known.
-        if priority not in service.priorities:
-            return False
-        return self._ranks.is_pressed(service.number, priority, now)
-
     def _is_full(self, service, now):
         if now - service.fill_at >= FILL_INTERVAL_S:
             service.fill = self._measure_fill(service, now)
@@ -228,10 +221,11 @@
         return max(shares, key=shares.get)
 
     def _update(self, now):
+        elapsed_s = min(MAX_ELAPSED_S, now - self._updated_at)
         self._updated_at = now
         self._update_at = now + INTERVAL_S
         self._counts.update(now)
-        self._ranks.update(now)
+        self._ranks.update(elapsed_s)
         if not self._has_workspaces:
             return
         for service in self._service_by_name.values():
@@ -239,7 +233,7 @@
                 self._counts.get_recent((service.number, priority))
                 for priority in service.priorities
             )
-            service.shares.update(recent, self._get_demands)
+            service.shares.update(recent, self._get_demands, elapsed_s)
 
     def _get_demands(self):
         return {
@@ -260,8 +254,9 @@
             state = self._ranks.get_state(*service.get_key(request))
             fields["urgent_asked"] = state.urgent.asked
             fields["urgent_pressed"] = state.urgent.pressed
-            fields["pressed_age_s"] = round(now - state.pressed_at, 2)
-            fields["floor"] = round(state.floor, 3)
+            fields["urgent_served"] = round(state.urgent_served, 3)
+            fields["served"] = round(state.served, 3)
+            fields["level"] = round(state.level, 3)
         if request.workspace:
             share = service.shares.share_by_workspace.get(request.workspace.name, 1.0)
             fields["workspace_share"] = round(share, 3)
@@ -288,6 +283,14 @@
         )
         self._unlogged = 0
 
+    def _get_requests(self):
+        name_by_number = {s.number: s.name for s in self._service_by_name.values()}
+        return {
+            f"{name_by_number[number]}/{priority}/{field}": count
+            for (number, priority), counts in self._counts.get_totals().items()
+            for field, count in counts._asdict().items()
+        }
+
     def _get_fills(self):
         return {name: s.fill for name, s in self._service_by_name.items()}
 
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -54,9 +54,9 @@
   # while their entries in the store are not marked as leaving.
   leavingUpstreams @22 :Data;
   # Requests for services under contention, in periodic messages: per service
-  # and priority 20 bytes with the service's number, the priority (signed), and
-  # how many requests the VM has counted since its start as asked, as refused
-  # for lack of slots or late, and as denied.
+  # and priority 28 bytes with the service's number, the priority (signed), and
+  # how many requests the VM has counted since its start: all, first attempts,
+  # refused for lack of slots or late, denied, and answered in time.
   requestCounts @23 :Data;
 }
 
