--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -100,6 +100,9 @@
         self.get_store_state = lambda: StoreState(False, False, ())
         self.get_paces = tuple
         self.on_paces = lambda rows: None
+        # Counts of requests for services under contention, and their receiver.
+        self.get_request_counts = tuple
+        self.on_request_counts = lambda message: None
         self.leaving = False
 
     async def start(self, kernel):
@@ -191,6 +194,7 @@
         if is_own_region:
             self._known_vms.receive_message(message)
             self._allotment_gossip.receive_message(message)
+            self.on_request_counts(message)
         self._limit_gossip.receive_message(message)
         self.on_paces(message.paces)
         self._receive_leaving(message.leaving_upstreams, message.vm)
@@ -279,6 +283,7 @@
             tallies=tallies,
             tells_all=tells_all,
             limits=self._limit_gossip.get_all(),
+            request_counts=self.get_request_counts(),
         )
 
     def _is_busy(self):
