Book the retry times of refused callers where callers contend

Retry-After was drawn uniformly between one turnover and 0.32 of the time left.

A VM now books returns in intervals of 50 ms, up to half of the rate of the responses that it receives, and tells the first interval with room.

--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -1,13 +1,11 @@
 """Handles a caller's request: admission, attempts, one final response."""
 
 import asyncio
-import random
 
 from eliot import log_message
 
 from godwitlanding.base.codes import ROW_BY_CODE, Code
 from godwitlanding.base.kernel import Service
-from godwitlanding.decisions.retryafter import get_retry_after_s
 from godwitlanding.gateway.attempt import Charge, Outcome
 from godwitlanding.gateway.chooser import Rejection
 from godwitlanding.gateway.exchange import select_headers
@@ -28,7 +26,7 @@
     """
 
     name = "carrier"
-    needs = ("registry", "admission", "chooser", "courier")
+    needs = ("registry", "admission", "chooser", "courier", "retrytimes")
 
     def __init__(self, names, budget, poison, allotments, counters):
         self._names = names
@@ -41,6 +39,7 @@
         self._admission = None
         self._chooser = None
         self._upstream_client = None
+        self._retry_times = None
         self.get_vm_count = lambda: 1
 
     async def start(self, kernel):
@@ -49,6 +48,7 @@
         self._admission = kernel.get("admission")
         self._chooser = kernel.get("chooser")
         self._upstream_client = kernel.get("courier")
+        self._retry_times = kernel.get("retrytimes")
 
     def get_in_progress(self):
         """Return the number of requests in progress."""
@@ -137,6 +137,7 @@
             charge.note_outcome(outcome)
             last = (outcome, response)
             if outcome is Outcome.ANSWERED:
+                self._retry_times.note_completed(request.service, loop.time())
                 self._forward(exchange, request, response, sink)
                 return
             if outcome is Outcome.NOT_RUN:
@@ -196,10 +197,7 @@
         if last and last[0] in (Outcome.FAILED, Outcome.UNKNOWN):
             self._refuse(exchange, code, 502, request)
             return
-        now = asyncio.get_running_loop().time()
-        turnover_s = self._chooser.get_turnover_s(request, now)
-        left_s = request.deadline_at - now
-        retry_after_s = get_retry_after_s(left_s, turnover_s, random.random())
+        retry_after_s = self._retry_times.get_retry_after_s(request)
         self._refuse_with_retry(exchange, code, retry_after_s, request)
 
     def _forward(self, exchange, request, response, sink):
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -36,6 +36,7 @@
 from godwitlanding.gateway.presence import Presence
 from godwitlanding.gateway.registry import Registry
 from godwitlanding.gateway.requesthandler import RequestHandler
+from godwitlanding.gateway.retrytimes import RetryTimes
 from godwitlanding.gateway.savedobjectmap import SavedObjectMap
 from godwitlanding.gateway.sourceselector import SourceSelector
 from godwitlanding.gateway.upstream import UpstreamPool
@@ -141,6 +142,7 @@
             self.allotments,
             ConfigFreshness(self._is_config_fresh, self._may_trust_keys),
         )
+        self.retry_times = RetryTimes(counters)
         self.request_handler = RequestHandler(
             HEADER_NAMES,
             self.retry_budget,
@@ -217,6 +219,7 @@
             self.registry,
             *self._get_looping_services(),
             self.admission,
+            self.retry_times,
             self.request_handler,
             self.saved_object_map,
             self.loop_health,
--- a/godwitlanding/tests/load/gateway_model.py
+++ b/godwitlanding/tests/load/gateway_model.py
@@ -214,11 +214,11 @@
             await asyncio.sleep(retry_after_s)
         self.outcomes.setdefault(int(second), Counter())[outcome] += 1
 
-    async def _send_request(self, program, key, remaining_s):
+    async def _send_request(self, program, key, remaining_s, path=None):
         connection = _CallerConnection()
         exchange = connection.exchange
         exchange.method = b"GET"
-        exchange.target = b"/look/" + key
+        exchange.target = path or b"/look/" + key
         exchange.headers = [
             (b"host", b"h"),
             (HEADER_NAMES.request_id, b"%x" % self._rng.getrandbits(64)),
@@ -302,6 +302,7 @@
             program.chooser,
             program.upstream_client,
             program.admission,
+            program.retry_times,
             program.request_handler,
         )
         service_by_name = {service.name: service for service in services}
