Model of waiting rooms, and load tests of callers that contend

tests/load/waiting_model.py lets requests wait at each VM of the model, to compare it with refusing at once; the product has no waiting room.

--- a/godwitlanding/tests/load/contended_model.py
+++ b/godwitlanding/tests/load/contended_model.py
@@ -42,6 +42,9 @@
     rate_by_zone={"a1": 125, "a2": 125},
 )
 
+# The same load and upstreams with a single VM that knows all requests.
+ONE_VM = TWELVE_VMS._replace(vms_by_zone={"a1": 1})
+
 
 class Burst(NamedTuple):
     """A factor on the request rate for an interval of the run, in seconds."""
@@ -64,12 +67,14 @@
         self._count_from_s = count_from_s
         self._attempts = attempts
         self._max_turnovers = 0.0
+        self._only_in_time = False
         self.counts = Counter()
         self.waits = Counter()
 
-    def use_waiting_rooms(self, max_turnovers):
+    def use_waiting_rooms(self, max_turnovers, only_in_time):
         """Let requests wait at each VM; called before the fleet starts."""
         self._max_turnovers = max_turnovers
+        self._only_in_time = only_in_time
 
     def _add_vm(self, zone, ip):
         super()._add_vm(zone, ip)
@@ -77,6 +82,7 @@
             handler = self._vm_by_host[ip].program.request_handler
             handler.__class__ = WaitingHandler
             handler.max_turnovers = self._max_turnovers
+            handler.only_in_time = self._only_in_time
             handler.counts = self.waits
 
     def get_shares(self):
--- a/godwitlanding/tests/load/load_contended.py
+++ b/godwitlanding/tests/load/load_contended.py
@@ -11,6 +11,7 @@
 import looptime
 
 from godwitlanding.tests.load.contended_model import (
+    ONE_VM,
     TWELVE_VMS,
     Burst,
     ContendedFleet,
@@ -19,23 +20,20 @@
 WARM_UP_S = 6.0
 
 
-async def simulate(
-    shape, times, burst_s, seconds, seed, attempts=2, usual=1.0, wait=0.0
-):
-    """Return the ``ContendedFleet`` after a run.
-
-    ``times`` is the factor on the shape's rates after the warm-up, for
-    ``burst_s`` seconds or, if that is 0, until the end.
-    """
-    random.seed(seed)
-    until_s = WARM_UP_S + (burst_s or seconds)
-    count_from_s = WARM_UP_S if burst_s else WARM_UP_S + 2.0
+async def simulate(arguments):
+    """Return the ``ContendedFleet`` after a run; see ``parse_arguments``."""
+    random.seed(arguments.seed)
+    until_s = WARM_UP_S + (arguments.burst or arguments.seconds)
     fleet = ContendedFleet(
-        shape, seed, Burst(WARM_UP_S, until_s, times), count_from_s, attempts
+        ONE_VM if arguments.one_vm else TWELVE_VMS,
+        arguments.seed,
+        Burst(WARM_UP_S, until_s, arguments.times),
+        WARM_UP_S if arguments.burst else WARM_UP_S + 2.0,
+        arguments.attempts,
     )
-    fleet.use_waiting_rooms(wait)
+    fleet.use_waiting_rooms(arguments.wait, arguments.only_in_time)
     async with fleet:
-        await fleet.run(WARM_UP_S + seconds, usual)
+        await fleet.run(WARM_UP_S + arguments.seconds, arguments.usual)
     return fleet
 
 
@@ -51,6 +49,10 @@
     )
     parser.add_argument("--seconds", type=float, default=10, help="Simulated seconds")
     parser.add_argument("--wait", type=float, default=0.0, help="Turnovers to wait")
+    parser.add_argument(
+        "--only-in-time", action="store_true", help="Wait only to be in time"
+    )
+    parser.add_argument("--one-vm", action="store_true", help="One VM for all callers")
     parser.add_argument("--attempts", type=int, default=2, help="Attempts of a caller")
     parser.add_argument("--seed", type=int, default=1, help="Seed of random numbers")
     return parser.parse_args(argv)
@@ -61,18 +63,7 @@
     arguments = parse_arguments(argv)
     loop = looptime.new_event_loop(start=0.0)
     asyncio.set_event_loop(loop)
-    fleet = loop.run_until_complete(
-        simulate(
-            TWELVE_VMS,
-            arguments.times,
-            arguments.burst,
-            arguments.seconds,
-            arguments.seed,
-            arguments.attempts,
-            arguments.usual,
-            arguments.wait,
-        )
-    )
+    fleet = loop.run_until_complete(simulate(arguments))
     print(arguments)
     print(dict(fleet.waits))
     print(" ".join(f"{name}={part:.3f}" for name, part in fleet.get_shares().items()))
--- a/godwitlanding/tests/load/waiting_model.py
+++ b/godwitlanding/tests/load/waiting_model.py
@@ -61,11 +61,14 @@
 class WaitingHandler(RequestHandler):
     """A request handler with a waiting room.
 
-    ``max_turnovers`` is the longest wait as a multiple of the turnover, and
-    ``counts`` collects how many requests waited and what became of them.
+    ``max_turnovers`` is the longest wait as a multiple of the turnover. With
+    ``only_in_time`` a request leaves the room only to an upstream where it is
+    expected to be in time. ``counts`` collects what became of the requests
+    that waited.
     """
 
     max_turnovers = 1.0
+    only_in_time = False
     max_waiting = MIN_WAITING
     counts = None
 
@@ -130,7 +133,10 @@
         skipped = []
         while queued := self._queue.get_first():
             self._queue.remove(queued.ask.request_id)
-            choice = self._chooser.choose_again(queued.ask.request, _now())
+            request = queued.ask.request
+            if self.only_in_time:
+                request = request._replace(respond_by=request.target_at)
+            choice = self._chooser.choose_again(request, _now())
             if isinstance(choice, Rejection) or queued.ask.choice.done():
                 skipped.append(queued)
             else:
