--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -37,6 +37,7 @@
 from godwitlanding.gateway.presence import Presence
 from godwitlanding.gateway.registry import Registry
 from godwitlanding.gateway.requesthandler import RequestHandler
+from godwitlanding.gateway.retrytimes import RetryTimes
 from godwitlanding.gateway.savedobjectmap import SavedObjectMap
 from godwitlanding.gateway.sourceselector import SourceSelector
 from godwitlanding.gateway.upstream import UpstreamPool
@@ -145,6 +146,7 @@
         self.contention = Contention(
             settings.region, self.occupancy, self.allotments, counters
         )
+        self.retry_times = RetryTimes(counters)
         self.request_handler = RequestHandler(
             HEADER_NAMES,
             self.retry_budget,
@@ -222,6 +224,7 @@
             *self._get_looping_services(),
             self.admission,
             self.contention,
+            self.retry_times,
             self.request_handler,
             self.saved_object_map,
             self.loop_health,
