VMs bound the bytes that they hold for callers

Request bodies were read whole before anything was decided, long responses were streamed without flow control, and a caller that did not read was reset only at 8 MB of write buffer. A VM of 200 MB could run out of memory.

With self.limits.memory_mb in the settings, a byte budget counts bodies, unsent responses, buffered responses and write buffers. Bodies without room stay unread for 0.25 s and are then refused with 503, Retry-After and BYTES_HELD; the rest of the body is dropped, or the connection closes after the refusal. Streams pause while their caller does not read, and a caller that reads nothing for 5 s is reset. An upload that stalls ends at the caller's deadline with 408. Without the setting nothing is counted.

Two faults found on the way: a response too long to buffer that is not forwarded was read and buffered to its end; its connection is now aborted. Connections kept the buffered parts of their last response while idle.

--- a/godwitlanding/base/codes.py
+++ b/godwitlanding/base/codes.py
@@ -41,6 +41,7 @@
     ALLOTMENT_SPENT = 2010
     NO_REGION = 2011
     ROUTE_UNREADABLE = 2012
+    BYTES_HELD = 2015
 
     UPSTREAM_FAILED = 3001
     UPSTREAM_TIMEOUT = 3002
@@ -136,6 +137,9 @@
     Code.ROUTE_UNREADABLE: CodeRow(
         503, RUN_NO, "This version cannot read the route's configuration."
     ),
+    Code.BYTES_HELD: CodeRow(
+        503, RUN_NO, "The VM holds as many bytes as its memory allows."
+    ),
     Code.UPSTREAM_FAILED: CodeRow(
         502, RUN_UNKNOWN, "The upstream failed while it had the request."
     ),
--- a/godwitlanding/gateway/attempt.py
+++ b/godwitlanding/gateway/attempt.py
@@ -103,7 +103,7 @@
 def make_fingerprint(exchange, host):
     """Return a 64-bit hash that is the same for every repeat of a request."""
     digest = xxhash.xxh3_64()
-    for part in (exchange.method, host, exchange.target, bytes(exchange.body)):
+    for part in (exchange.method, host, exchange.target, exchange.body):
         digest.update(part)
         digest.update(b"\0")
     return digest.intdigest()
@@ -135,7 +135,7 @@
     if exchange.body or exchange.method not in (b"GET", b"HEAD", b"DELETE"):
         lines.append(b"content-length: %d" % len(exchange.body))
     lines.append(b"\r\n")
-    return b"\r\n".join(lines) + bytes(exchange.body)
+    return b"".join((b"\r\n".join(lines), exchange.body))
 
 
 def classify_response(response, names):
--- a/godwitlanding/gateway/availability.py
+++ b/godwitlanding/gateway/availability.py
@@ -24,11 +24,15 @@
         self._cold_next_by_upstream = {}
         self.ejected = set()
         self.pauses = Pauses()
+        # Whether the bytes outstanding at an upstream allow a further request.
+        self.has_room = lambda upstream_id: True
 
     def is_available(self, upstream_id, now):
         """Return whether a request may be sent to an upstream at once."""
         if upstream_id in self.ejected or self.pauses.get_left_s(upstream_id, now) > 0:
             return False
+        if not self.has_room(upstream_id):
+            return False
         if not self._limit_gossip.may_send(upstream_id, now):
             return False
         return self._is_cold_upstream_available(upstream_id, now)
--- a/godwitlanding/gateway/caller.py
+++ b/godwitlanding/gateway/caller.py
@@ -13,7 +13,14 @@
 
 import httptools
 
+from godwitlanding.gateway.bodyintake import MAX_DROP_S, BodyIntake
 from godwitlanding.gateway.exchange import Exchange
+from godwitlanding.gateway.unread import (
+    SOCKET_BUFFER_BYTES,
+    STREAM_BUFFER_BYTES,
+    UNREAD_S,
+    UnreadOutput,
+)
 
 # Requests of one connection that may be in progress at once; callers here
 # send a few. Reading pauses at this number.
@@ -53,6 +60,15 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
+def set_buffer_sizes(transport):
+    """Bound the socket's buffers, and report when all output is sent."""
+    transport.set_write_buffer_limits(high=0, low=0)
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+
+
 # The colon, the space and the line end of a header line.
 _HEADER_LINE_OVERHEAD_BYTES = 4
 
@@ -61,7 +77,9 @@
     """Reads requests and writes their responses in request order.
 
     ``front`` processes each ``Exchange``, holds the limits, and tells
-    whether connections are to be closed after the next response.
+    whether connections are to be closed after the next response. Its
+    ``held_bytes`` may be ``None``; otherwise, and if it has a budget, the
+    connection counts and bounds the bytes that it holds.
     """
 
     def __init__(self, front):
@@ -75,14 +93,22 @@
         self._header_bytes = 0
         self._unread_header_bytes = 0
         self._closing = False
-        self._paused = False
+        self._pauses = set()
         self._requests = 0
         self._timer = None
         self._idle_since = self._loop.time()
+        self._intake = None
+        self._output = None
+        self._written = 0
 
     def connection_made(self, transport):
         self._transport = transport
         set_keepalive(transport)
+        held = self._front.held_bytes
+        if held and held.budget:
+            set_buffer_sizes(transport)
+            self._intake = BodyIntake(self, held, self._front)
+            self._output = UnreadOutput(held.budget, self._loop.time())
         self._front.add(self)
         self._set_timer()
 
@@ -95,7 +121,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self._closing:
-                self._refuse_and_close(400, repr(error))
+                self.refuse_and_close(400, repr(error))
             return
         if self._in_header:
             # The parser reports a header line only when it is complete, so an
@@ -116,6 +142,16 @@
         self._exchanges.clear()
         if self._reading:
             self._abandon(self._reading)
+        if self._intake:
+            self._intake.end()
+            self._output.release()
+
+    def resume_writing(self):
+        # Called when everything is sent if bytes are counted.
+        if self._output and not self._closing:
+            self.flush()
+        elif self._output:
+            self._count_output()
 
     # Callbacks of the httptools parser.
 
@@ -151,18 +187,21 @@
         exchange.keep_alive = self._parser.should_keep_alive()
         length = exchange.get_header(b"content-length")
         if length.isdigit() and int(length) > self._front.limits.max_body_bytes:
-            self._refuse_and_close(413, "the body is too large")
-        elif exchange.get_header(b"expect").lower() == b"100-continue":
-            if not self._exchanges:
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.refuse_and_close(413, "the body is too large")
+        elif self._intake:
+            self._intake.begin(exchange)
+        else:
+            self.send_continue(exchange)
 
     def on_body(self, data):
         if self._closing:
             return
-        body = self._reading.body
-        body += data
-        if len(body) > self._front.limits.max_body_bytes:
-            self._refuse_and_close(413, "the body is too large")
+        if self._intake:
+            self._intake.receive(data)
+        else:
+            self._reading.body += data
+        if len(self._reading.body) > self._front.limits.max_body_bytes:
+            self.refuse_and_close(413, "the body is too large")
 
     def on_message_complete(self):
         exchange = self._reading
@@ -170,10 +209,11 @@
         if self._closing or exchange is None:
             return
         self._requests += 1
+        if self._intake and not self._intake.complete():
+            return
         self._exchanges.append(exchange)
-        if len(self._exchanges) >= MAX_PIPELINED and not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
+        if len(self._exchanges) >= MAX_PIPELINED:
+            self.pause_reading(self)
         self._front.take(exchange)
 
     # Called by exchanges while they are answered.
@@ -189,6 +229,8 @@
         while self._exchanges:
             first = self._exchanges[0]
             if first.out:
+                if self._output:
+                    self._written += sum(map(len, first.out))
                 self._transport.writelines(first.out)
                 first.out.clear()
             if not first.done:
@@ -196,13 +238,44 @@
             self._exchanges.pop(0)
             self._idle_since = self._loop.time()
             if not first.keep_alive:
-                self._close_gracefully()
+                self.close_gracefully()
                 break
         if self._transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
             self.reset()
-        if self._paused and len(self._exchanges) < MAX_PIPELINED // 2:
-            self._paused = False
-            self._transport.resume_reading()
+        if len(self._exchanges) < MAX_PIPELINED // 2:
+            self.resume_reading(self)
+        if self._output:
+            self._count_output()
+            self._resume_stream()
+
+    def is_backed_up(self, exchange):
+        """Return whether much of the exchange's response is not sent yet."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        return unsent_bytes + sum(map(len, exchange.out)) > STREAM_BUFFER_BYTES
+
+    def pause_reading(self, reason):
+        """Stop to read until each reason to pause is gone."""
+        if not self._pauses:
+            self._transport.pause_reading()
+        self._pauses.add(reason)
+
+    def resume_reading(self, reason):
+        """Remove a reason to pause, if it was one."""
+        if reason in self._pauses:
+            self._pauses.discard(reason)
+            if not self._pauses:
+                self._transport.resume_reading()
+
+    def send_continue(self, exchange):
+        """Tell a caller that waits for it to send the body."""
+        if exchange.get_header(b"expect").lower() == b"100-continue":
+            if not self._exchanges:
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def refuse_held(self, exchange, retry_after_s):
+        """Refuse a request of which the body has not been read."""
+        self._exchanges.append(exchange)
+        self._front.refuse_held(exchange, retry_after_s)
 
     def reset(self):
         """Reset the connection, so that no partial response looks complete."""
@@ -211,28 +284,44 @@
     def close_if_idle(self):
         """Close the connection if no request is in progress."""
         if not self._exchanges and self._reading is None and not self._closing:
-            self._close_gracefully()
+            self.close_gracefully()
 
-    def _close_gracefully(self):
+    def close_gracefully(self):
+        """Close after what is written; data that still arrives is dropped."""
         self._closing = True
+        linger_s = LINGER_S
+        if self._intake:
+            if self._intake.is_dropping:
+                linger_s = MAX_DROP_S
+            self._intake.end()
         for exchange in self._exchanges:
             self._abandon(exchange)
         self._exchanges.clear()
         if self._transport.is_closing():
             return
+        if self._pauses:
+            # Closing a socket with unread bytes would reset the connection.
+            self._pauses.clear()
+            self._transport.resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self._loop.call_later(LINGER_S, self._transport.close)
+        self._loop.call_later(linger_s, self._transport.close)
 
     def _check_header(self, size):
         if size > self._front.limits.max_header_bytes and not self._closing:
-            self._refuse_and_close(431, "the header is too large")
+            self.refuse_and_close(431, "the header is too large")
 
-    def _refuse_and_close(self, status, reason):
+    def refuse_and_close(self, status, reason):
+        if self._intake and self._intake.is_dropping:
+            # This request has been refused already.
+            self.close_gracefully()
+            return
         # The start of the next request cannot be found in the remaining bytes,
         # so the connection closes after this response.
         exchange = self._reading or Exchange(self, self._loop.time())
         self._reading = None
+        if self._intake:
+            self._intake.end()
         exchange.keep_alive = False
         self._exchanges.append(exchange)
         self._front.note_unreadable(exchange, status, reason)
@@ -254,14 +343,43 @@
     def _get_check_interval_s(self):
         return min(1.0, self._front.limits.header_timeout_s / 2)
 
+    def _count_output(self):
+        unwritten = sum(len(data) for other in self._exchanges for data in other.out)
+        self._output.update(unwritten + self._transport.get_write_buffer_size())
+
+    def _resume_stream(self):
+        if not self._exchanges or self._closing:
+            return
+        first = self._exchanges[0]
+        if first.on_drained and not self._transport.get_write_buffer_size():
+            on_drained, first.on_drained = first.on_drained, None
+            on_drained()
+
+    def _check_unread(self):
+        """Reset the connection if its caller does not read its responses."""
+        self._count_output()
+        unsent_bytes = self._transport.get_write_buffer_size()
+        unread_s = self._output.get_unread_s(
+            self._written - unsent_bytes, unsent_bytes, self._loop.time()
+        )
+        if unread_s > UNREAD_S:
+            self._front.held_bytes.note_unread(self._output.held_bytes, unread_s)
+            self.reset()
+
     def _check_timeouts(self):
+        if self._output:
+            self._check_unread()
+            self._intake.check_stalled(self._loop.time())
         if self._closing:
+            if self._output:
+                # What is written is kept until the caller has read it.
+                self._set_timer()
             return
         self._set_timer()
         idle_s = self._loop.time() - self._idle_since
         if self._reading is not None:
             reading_s = self._loop.time() - self._reading.begun_at
             if self._in_header and reading_s > self._front.limits.header_timeout_s:
-                self._refuse_and_close(408, "the header did not arrive in time")
+                self.refuse_and_close(408, "the header did not arrive in time")
         elif not self._exchanges and idle_s > self._front.get_idle_s():
-            self._close_gracefully()
+            self.close_gracefully()
--- a/godwitlanding/gateway/exchange.py
+++ b/godwitlanding/gateway/exchange.py
@@ -24,7 +24,9 @@
     A connection writes responses in request order; ``out`` buffers bytes until
     all earlier responses are complete. ``gone`` is set when the caller has
     disconnected, and ``on_gone`` is called then. ``answered`` is set when the
-    response has begun, ``done`` when it has ended.
+    response has begun, ``done`` when it has ended. ``hold`` counts the body,
+    if bytes are counted, and ``on_drained`` is called once when
+    ``is_backed_up`` may no longer apply.
     """
 
     __slots__ = (
@@ -40,6 +42,8 @@
         "done",
         "gone",
         "on_gone",
+        "hold",
+        "on_drained",
     )
 
     def __init__(self, connection, begun_at):
@@ -55,6 +59,8 @@
         self.done = False
         self.gone = False
         self.on_gone = None
+        self.hold = None
+        self.on_drained = None
 
     def get_header(self, name):
         """Return the first value of a header, empty if there is none."""
@@ -91,6 +97,10 @@
             self.out.append(data)
             self.connection.flush()
 
+    def is_backed_up(self):
+        """Return whether much of the response has not been sent yet."""
+        return self.connection.is_backed_up(self)
+
     def finish(self):
         """Mark the response as complete."""
         self.done = True
--- a/godwitlanding/gateway/front.py
+++ b/godwitlanding/gateway/front.py
@@ -12,8 +12,9 @@
 
 from eliot import log_message
 
+from godwitlanding.base.codes import Code
 from godwitlanding.base.kernel import Service
-from godwitlanding.decisions.routes import Limits
+from godwitlanding.decisions.routes import Limits, find_route
 from godwitlanding.gateway.caller import IDLE_GRACE_S, CallerConnection
 
 BACKLOG = 1024
@@ -24,24 +25,31 @@
 REFUSE_AT_SHARE = 0.52
 END_AT_SHARE = 0.92
 _POLL_INTERVAL_S = 0.02
+# Time for the body of a request that has neither a deadline nor a route.
+DEFAULT_BODY_S = 5.0
 
 
 class Front(Service):
     """The listening socket for callers and its connections.
 
     ``stop_s`` is the time in seconds between the stop signal and the kill.
+    ``names`` are the header names and ``held_bytes`` is a ``HeldBytes``; both
+    may be ``None`` where bytes are not counted.
     """
 
     name = "front"
     needs = ("carrier", "peers", "registry")
 
-    def __init__(self, address, stop_s):
+    def __init__(self, address, stop_s, names=None, held_bytes=None):
         self._address = address
+        self._names = names
+        self.held_bytes = held_bytes
         self.stop_s = stop_s
         self._server = None
         self._connections = set()
         self._request_handler = None
         self._peers = None
+        self._registry = None
         self._previous_idle_s = 0.0
         self._previous_idle_until = 0.0
         self.limits = Limits()
@@ -51,7 +59,8 @@
         """Start to listen; requests are refused until the VM is ready."""
         self._request_handler = kernel.get("carrier")
         self._peers = kernel.get("peers")
-        kernel.get("registry").on_config.append(self._apply_limits)
+        self._registry = kernel.get("registry")
+        self._registry.on_config.append(self._apply_limits)
         loop = asyncio.get_running_loop()
         host, port = self._address
         self._server = await loop.create_server(
@@ -101,7 +110,30 @@
 
     def take(self, exchange):
         """Pass a request to the request handler."""
-        self._request_handler.take(exchange)
+        task = self._request_handler.take(exchange)
+        if exchange.hold:
+            # An attempt may need the body until the request has ended, also
+            # after its caller has disconnected.
+            task.add_done_callback(lambda _: exchange.hold.release())
+
+    def refuse_held(self, exchange, retry_after_s):
+        """Refuse a request of which the body has not been read."""
+        self._request_handler.refuse_unread(exchange, Code.BYTES_HELD, retry_after_s)
+
+    def get_request_id(self, exchange):
+        """Return the caller's id of a request as text."""
+        return exchange.get_header(self._names.request_id).decode("latin-1")
+
+    def get_body_s(self, exchange):
+        """Return the time in seconds that a caller gives its request."""
+        deadline = exchange.get_header(self._names.deadline_ms)
+        if deadline.isdigit():
+            return int(deadline) / 1000
+        config = self._registry.config
+        host = exchange.get_header(b"host").decode("latin-1").lower().partition(":")[0]
+        target = exchange.target.decode("latin-1")
+        route = find_route(config, host, target) if config else None
+        return route.timeout_s if route else DEFAULT_BODY_S
 
     def note_unreadable(self, exchange, status, reason):
         """Record a request that could not be parsed."""
--- a/godwitlanding/gateway/pages.py
+++ b/godwitlanding/gateway/pages.py
@@ -44,6 +44,7 @@
         self._server = None
         self._connections = set()
         self.limits = Limits()
+        self.held_bytes = None
         self.close_after_response = False
 
     async def start(self, kernel):
--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -55,11 +55,19 @@
         return len(self._tasks)
 
     def take(self, exchange):
-        """Start to handle a request; it gets a response in any case."""
+        """Start to handle a request and return the task that does.
+
+        The request gets a response in any case.
+        """
         loop = asyncio.get_running_loop()
         task = loop.create_task(self._handle_safely(exchange))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
+
+    def refuse_unread(self, exchange, code, retry_after_s):
+        """Refuse a request before its body has been read."""
+        self._refuse_with_retry(exchange, code, retry_after_s)
 
     async def _handle_safely(self, exchange):
         try:
--- a/godwitlanding/gateway/stream.py
+++ b/godwitlanding/gateway/stream.py
@@ -15,6 +15,16 @@
         self._begun = False
         self._pending = []
         self._end = None
+        self._source = None
+
+    def set_source(self, source):
+        """Set the upstream's connection, which is paused until ``begin``.
+
+        It is paused again whenever much of the response is unsent, and aborted
+        when the caller disconnects.
+        """
+        self._source = source
+        source.pause_reading()
 
     def begin(self, response):
         """Write status line, headers and the body received so far."""
@@ -32,6 +42,12 @@
         self._pending.clear()
         if self._end:
             self._end()
+        elif self._source:
+            self._exchange.on_gone = self._source.abort
+            if self._exchange.gone:
+                self._source.abort()
+            else:
+                self._follow_caller()
 
     def write(self, data):
         """Write bytes of the body, or buffer them before ``begin``."""
@@ -60,3 +76,13 @@
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._exchange.write(data)
+        if self._source and self._exchange.is_backed_up():
+            self._source.pause_reading()
+            self._exchange.on_drained = self._follow_caller
+
+    def _follow_caller(self):
+        """Read on, unless much of what was read is still unsent."""
+        if self._exchange.is_backed_up():
+            self._exchange.on_drained = self._follow_caller
+        else:
+            self._source.resume_reading()
--- a/godwitlanding/gateway/upstream.py
+++ b/godwitlanding/gateway/upstream.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from godwitlanding.decisions.bytebudget import Hold
 from godwitlanding.gateway.caller import set_keepalive
 
 # A connection ends when sent data is not acknowledged within this time; the
@@ -34,6 +35,8 @@
 # truncated one can be requested again. Longer ones, which are rare, are
 # streamed.
 MAX_BUFFERED_BYTES = 1 << 20
+# Limit for successful responses while many bytes are held.
+TIGHT_BUFFERED_BYTES = 64 << 10
 
 
 class UpstreamFailure(Enum):
@@ -74,14 +77,17 @@
     """A client connection that carries one request at a time.
 
     ``id_header`` is the name of the header with the request id of a response,
-    empty if responses have none.
+    empty if responses have none. With a ``ByteBudget``, the connection counts
+    what it has not sent yet and what it buffers.
     """
 
-    def __init__(self, id_header):
+    def __init__(self, id_header, budget=None):
         self._id_header = id_header
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpResponseParser(self)
         self._transport = None
+        self._budget = budget
+        self._hold = Hold(budget) if budget else None
         self._reset_response()
         self._waiter = None
         self._sink = None
@@ -96,6 +102,9 @@
         self._transport = transport
         self.is_open = True
         set_keepalive(transport, USER_TIMEOUT_MS)
+        if self._hold:
+            # ``resume_writing`` is called when everything is sent.
+            transport.set_write_buffer_limits(high=0, low=0)
 
     def send(self, data, request_id, without_body, sink=None):
         """Send a request; return a future of its ``Response``.
@@ -107,8 +116,20 @@
         self._sink = sink
         self._waiter = self._loop.create_future()
         self._transport.write(data)
+        self._count()
         return self._waiter
 
+    def pause_reading(self):
+        """Stop to read, so that the upstream stops to send."""
+        self._transport.pause_reading()
+
+    def resume_reading(self):
+        """Continue to read."""
+        self._transport.resume_reading()
+
+    def resume_writing(self):
+        self._count()
+
     def abort(self):
         """Reset the connection, so that the upstream cancels the request."""
         self.reusable = False
@@ -153,6 +174,9 @@
         self.reusable = False
         failure = UpstreamFailure.BROKEN if self._has_head else UpstreamFailure.RESET
         self._fail(failure, repr(error) if error else "closed")
+        self._chunks = []
+        if self._hold:
+            self._hold.release()
 
     # Callbacks of the httptools parser.
 
@@ -195,8 +219,9 @@
             return
         self._chunks.append(data)
         self._size += len(data)
-        if self._size > MAX_BUFFERED_BYTES and self._sink and self._waiter:
+        if self._size > self._get_max_buffered() and self._sink and self._waiter:
             self._begin_stream()
+        self._count()
 
     def on_message_complete(self):
         if self._status < 200 or self._is_complete:
@@ -219,8 +244,20 @@
         self._has_request_id = False
         self._streaming = False
 
+    def _get_max_buffered(self):
+        if self._budget and self._budget.is_tight and self._status < 300:
+            return TIGHT_BUFFERED_BYTES
+        return MAX_BUFFERED_BYTES
+
+    def _count(self):
+        if self._hold:
+            buffered = self._size if self._chunks else 0
+            self._hold.set(buffered + self._transport.get_write_buffer_size())
+
     def _begin_stream(self):
         self._streaming = True
+        if self._hold:
+            self._sink.set_source(self)
         waiter, self._waiter = self._waiter, None
         body = b"".join(self._chunks)
         self._chunks = []
@@ -237,6 +274,9 @@
         if self._streaming:
             sink, self._sink = self._sink, None
             sink.finish()
+            if self._hold:
+                # It may be paused, and then would not notice a close.
+                self.close()
             return
         waiter, self._waiter = self._waiter, None
         self._sink = None
@@ -249,6 +289,8 @@
             )
             return
         body = b"".join(self._chunks)
+        self._chunks = []
+        self._count()
         waiter.set_result(Response(self._status, self._headers, body, False))
 
     def _fail(self, failure, detail):
@@ -271,12 +313,14 @@
 class UpstreamPool:
     """Idle connections by upstream; the most recently used is reused first.
 
-    New connections are counted in ``counters``, if given.
+    New connections are counted in ``counters``, if given, and the bytes that
+    they hold in ``held_bytes``.
     """
 
-    def __init__(self, id_header, counters=None):
+    def __init__(self, id_header, counters=None, held_bytes=None):
         self._id_header = id_header
         self._counters = counters
+        self._held_bytes = held_bytes
         self._loop = asyncio.get_running_loop()
         self._idle_by_upstream = {}
 
@@ -298,10 +342,11 @@
         """
         if self._counters:
             self._counters.add("upstream_connections")
+        budget = self._held_bytes.budget if self._held_bytes else None
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await self._loop.create_connection(
-                    lambda: UpstreamConnection(self._id_header), *address
+                    lambda: UpstreamConnection(self._id_header, budget), *address
                 )
         except (OSError, TimeoutError) as error:
             raise UpstreamError(UpstreamFailure.CONNECT, repr(error)) from None
--- a/godwitlanding/gateway/upstreamclient.py
+++ b/godwitlanding/gateway/upstreamclient.py
@@ -52,6 +52,7 @@
         limit_gossip,
         counters,
         poison,
+        held_bytes=None,
     ):
         self._names = names
         self._read_self_report = read_self_report
@@ -61,6 +62,7 @@
         self._limit_gossip = limit_gossip
         self._counters = counters
         self._poison = poison
+        self._held_bytes = held_bytes
         self._chooser = None
         self._registry = None
         self._peers = None
@@ -72,6 +74,8 @@
         self._registry = kernel.get("registry")
         self._peers = kernel.get("peers")
         self._registry.on_upstream_gone.append(self._forget)
+        if self._held_bytes:
+            self._chooser.availability.has_room = self._held_bytes.has_room
         self.tasks.repeat(TRIM_INTERVAL_S, self._pool.trim)
 
     async def stop(self):
@@ -121,10 +125,16 @@
         )
         self._occupancy.begin(upstream.id)
         is_complete = False
+        size = len(data)
+        if self._held_bytes:
+            self._held_bytes.note_sent(upstream.id, size)
         try:
-            response = await connection.send(
+            answered = connection.send(
                 data, request.request_id, exchange.method == b"HEAD", sink
             )
+            # The copy of the body is not needed while the upstream works.
+            del data
+            response = await answered
             is_complete = True
         except UpstreamError as error:
             self._worktimes.note_failure(request.service, upstream.id)
@@ -133,6 +143,8 @@
             return Outcome.UNKNOWN, None, str(error)
         finally:
             self._occupancy.end(upstream.id)
+            if self._held_bytes:
+                self._held_bytes.note_ended(upstream.id, size)
             if not is_complete:
                 connection.abort()
         outcome = classify_response(response, self._names)
@@ -141,6 +153,10 @@
         )
         if not response.is_stream:
             self._pool.give_back(upstream.id, connection)
+        elif outcome is not Outcome.ANSWERED:
+            # The rest would be buffered to its end, as no caller gets it.
+            connection.abort()
+            response = response._replace(body=b"", is_stream=False)
         return outcome, response, ""
 
     def _record_response(self, upstream, request, choice, response, outcome, took_s):
--- a/godwitlanding/platform/settings.py
+++ b/godwitlanding/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform provides to each process."""
 
+import math
 import os
 import tomllib
 from typing import NamedTuple
@@ -58,6 +59,8 @@
     store_address: tuple[str, int]
     capacity: Capacity
     bounds: Bounds
+    # Memory of the VM in MB; ``None`` if it is not stated.
+    memory_mb: float | None = None
 
 
 _MISSING = object()
@@ -93,6 +96,13 @@
     return host, int(port)
 
 
+def _read_memory_mb(value):
+    memory_mb = float(value)
+    if not 0 < memory_mb < math.inf:
+        raise ValueError(f"{value!r} is not a size of memory")
+    return memory_mb
+
+
 def get_change_time(path):
     """Return the file's modification time in ns, ``None`` if unknown."""
     try:
@@ -128,6 +138,7 @@
         store_address=reader.get_value("provider.provider.address", _read_address),
         capacity=_build_capacity(reader),
         bounds=_build_bounds(reader),
+        memory_mb=reader.get_value("self.limits.memory_mb", _read_memory_mb, None),
     )
 
 
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -29,6 +29,7 @@
 from godwitlanding.gateway.directory import Directory
 from godwitlanding.gateway.feed import Feed
 from godwitlanding.gateway.front import Front
+from godwitlanding.gateway.heldbytes import HeldBytes
 from godwitlanding.gateway.limitgossip import LimitGossip
 from godwitlanding.gateway.mirror import Mirror
 from godwitlanding.gateway.pages import Page, PageServer
@@ -124,7 +125,8 @@
             self.object_map,
             self.limit_gossip,
         )
-        pool = pool or UpstreamPool(HEADER_NAMES.request_id, counters)
+        self.held_bytes = HeldBytes(counters, settings.memory_mb)
+        pool = pool or UpstreamPool(HEADER_NAMES.request_id, counters, self.held_bytes)
         self.upstream_client = UpstreamClient(
             HEADER_NAMES,
             read_self_report,
@@ -134,6 +136,7 @@
             self.limit_gossip,
             counters,
             self.poison_ledger,
+            self.held_bytes,
         )
         self.admission = Admission(
             HEADER_NAMES,
@@ -171,7 +174,9 @@
         )
         self.peers.get_store_state = self.source_selector.get_store_state
         self.loop_health = LoopHealth(self._get_looping_services(), counters)
-        self.front = Front(settings.caller_address, bounds.stop_s)
+        self.front = Front(
+            settings.caller_address, bounds.stop_s, HEADER_NAMES, self.held_bytes
+        )
         self.front.needs += ("directory", "readiness", "metrics", "presence", "reader")
 
     def _make_mirrors(self):
@@ -252,6 +257,7 @@
         self.limit_gossip.set_regions(settings.region_by_zone.values())
         self.registry.set_regions(settings.region_by_zone)
         self.front.stop_s = bounds.stop_s
+        self.held_bytes.set_memory(settings.memory_mb)
 
     def is_ready(self):
         """Return whether callers should be directed to this VM."""
--- a/godwitlanding/tests/standins/standin_worker.py
+++ b/godwitlanding/tests/standins/standin_worker.py
@@ -56,6 +56,8 @@
         self.crash_path = ""
         # Whether response bodies repeat the request id (``make_echo``).
         self.echoes = False
+        # Length of successful response bodies; 0: a short text.
+        self.response_bytes = 0
         self.bodies = {}
         # The headers of each request by its id.
         self.headers_by_request = {}
@@ -175,6 +177,8 @@
             body = f"done by {self.id}".encode()
             if self.echoes:
                 body = make_echo(request_id)
+            if self.response_bytes:
+                body = bytes(self.response_bytes)
             self._write(writer, b"200 OK", request_id, body, signature_header)
 
     def _write(self, writer, status, request_id, body, extra=b""):
