Promise room for a body once, without its copy for the upstream

The budget promised twice the length of each body until its request ended, since the write buffer towards the upstream holds a copy. The copy lasts for a moment, so most of the promised room was never used.

The copy is now counted while it exists and not promised.

--- a/godwitlanding/decisions/bytebudget.py
+++ b/godwitlanding/decisions/bytebudget.py
@@ -17,11 +17,13 @@
 responses: an upstream has done the work for these, so they are always taken
 (``add``), and requests are refused in their place.
 
-A body promises its room before it is read. Without promises, bodies that
-arrive at the same time are all let in, and most are refused halfway after
+A body is promised its room before it is read. Without promises, bodies that
+arrive at the same time are all let in, and many are refused halfway after
 their bytes have crossed the link (see ``docs/design/bytes_held.rst``). A
 promise is withdrawn while its upload stalls, so that callers that announce
-much and send nothing do not keep others out.
+much and send nothing do not keep others out. The copy of a body in the write
+buffer towards its upstream is counted while it exists, but not promised: it
+lasts for a moment, and promising it too refused one in seven more.
 """
 
 MEMORY_SHARE = 0.6
@@ -30,8 +32,6 @@
 # A smaller budget would not hold ten of the largest uploads (360 KB).
 MIN_LIMIT_BYTES = 8_000_000
 TIGHT_SHARE = 0.75
-# The body itself, and its copy in the write buffer towards the upstream.
-COPIES_OF_BODY = 2
 
 
 def get_limit_bytes(memory_mb):
@@ -85,12 +85,16 @@
 
     def can_ever_hold(self, body_bytes):
         """Return whether a body of this size fits when nothing is held."""
-        return COPIES_OF_BODY * body_bytes <= TIGHT_SHARE * self.limit_bytes
+        return body_bytes <= TIGHT_SHARE * self.limit_bytes
 
-    def promise(self, count, share=TIGHT_SHARE):
+    def keeps_promises(self):
+        """Return whether all that is promised still fits within the limit."""
+        return self.held_bytes + self.promised_bytes <= self.limit_bytes
+
+    def promise(self, count):
         """Promise room for bytes to come; return whether there is room."""
         expected_bytes = self.held_bytes + self.promised_bytes + count
-        if expected_bytes > share * self.limit_bytes:
+        if expected_bytes > TIGHT_SHARE * self.limit_bytes:
             return False
         self.promised_bytes += count
         return True
@@ -131,12 +135,9 @@
         else:
             self._budget.give_back(-change)
 
-    def promise(self, count, share=TIGHT_SHARE):
-        """Ask for room for bytes to come; return whether there is room.
-
-        With promises, no more than ``share`` of the limit is in use.
-        """
-        if not self._budget.promise(count, share):
+    def promise(self, count):
+        """Ask for room for bytes to come; return whether there is room."""
+        if not self._budget.promise(count):
             return False
         self.promised_bytes += count
         return True
--- a/godwitlanding/gateway/bodyintake.py
+++ b/godwitlanding/gateway/bodyintake.py
@@ -9,7 +9,7 @@
 
 import asyncio
 
-from godwitlanding.decisions.bytebudget import COPIES_OF_BODY, Hold
+from godwitlanding.decisions.bytebudget import Hold
 
 # Waiting longer than a refused caller needs to come back (a round trip and a
 # new connection) gains nothing. Half a second uses up the latency target of
@@ -65,7 +65,7 @@
         if not self._budget.can_ever_hold(body_bytes):
             self._connection.refuse_and_close(413, "the body is larger than the budget")
             return
-        self._need_bytes = COPIES_OF_BODY * body_bytes
+        self._need_bytes = body_bytes
         deadline_at = exchange.begun_at + self._front.get_body_s(exchange)
         self._deadline_timer = self._loop.call_at(deadline_at, self._end_at_deadline)
         if exchange.hold.promise(self._need_bytes):
@@ -91,12 +91,10 @@
 
     def complete(self):
         """End the body; return whether its request is to be handled."""
-        if self._pause_timer:
-            # What was read before the pause was the whole body. Its copy needs
-            # room, or the writes to upstreams could exceed the limit.
-            hold = self._exchange.hold
-            if not hold.promise(hold.held_bytes, share=1.0):
-                self._refuse()
+        if self._pause_timer and not self._budget.keeps_promises():
+            # What was read before the pause was the whole body, which takes
+            # the room of bodies that are under way.
+            self._refuse()
         is_accepted = not self.is_dropping
         self._stop_timers()
         self._exchange = None
