Withdraw the promise of a stalled upload within a second and a half

Promises were checked once a second against a limit of a second, so a stalled upload kept its room for up to two seconds, and a test failed now and then. The limit is now half a second.

--- a/godwitlanding/gateway/bodyintake.py
+++ b/godwitlanding/gateway/bodyintake.py
@@ -20,8 +20,10 @@
 # A body of 360 KB takes 0.6 s over the slowest link of 5 Mbit/s. A caller
 # that needs longer than this to send the rest shares its link with many.
 MAX_DROP_S = 5.0
-# Room that is promised to an upload, but not used for so long, is withdrawn.
-STALL_S = 1.0
+# Room that is promised to an upload, but not used for so long, is withdrawn at
+# the next check, at most a second later. A lost packet delays an upload by
+# less than half a second.
+STALL_S = 0.5
 # Promised to a body of unknown length, as for the mean upload.
 UNKNOWN_LENGTH_BYTES = 60_000
 
--- a/godwitlanding/tests/gateway/test_bytesheld.py
+++ b/godwitlanding/tests/gateway/test_bytesheld.py
@@ -254,6 +254,21 @@
         assert setting.budget.held_bytes == 0
 
 
+async def test_bytes_that_an_upstream_does_not_read_are_counted():
+    async with Setting() as setting:
+        deaf = await asyncio.start_server(lambda reader, writer: None, HOST, 0, limit=1)
+        address = deaf.sockets[0].getsockname()
+        connection = await setting.handler.pool.connect("u", address, 1.0)
+        size = 20_000_000
+        connection.send(bytes(size), b"", False).cancel()
+        await asyncio.sleep(0.2)
+        assert 0.5 * size < setting.budget.held_bytes < size
+        connection.abort()
+        await asyncio.sleep(0.1)
+        assert setting.budget.held_bytes == 0
+        deaf.close()
+
+
 async def test_caller_that_leaves_ends_its_stream():
     # Guards against a paused connection to an upstream that is never closed.
     async with Setting() as setting:
