--- a/godwitlanding/decisions/bytebudget.py
+++ b/godwitlanding/decisions/bytebudget.py
@@ -7,7 +7,7 @@
 
 The limit is derived from the memory of the VM. An idle process takes
 ``IDLE_BYTES``; the process as a whole is to stay below ``MEMORY_SHARE``, since
-the kernel's socket buffers, the log and short-lived copies are not counted.
+the kernel's socket buffers, the log and temporary copies are not counted.
 ``OVERHEAD`` is what a counted byte costs: byte arrays are allocated up to an
 eighth larger than their content, up to twice as large after their start was
 sent, and freed memory is not all reused.
@@ -19,11 +19,13 @@
 
 A body is promised its room before it is read. Without promises, bodies that
 arrive at the same time are all let in, and many are refused halfway after
-their bytes have crossed the link (see ``docs/design/bytes_held.rst``). A
+their bytes have crossed the link: of 1,200 uploads in 3 s, 171 were served
+in time without promises, 458 with them (``docs/design/bytes_held.rst``). A
 promise is withdrawn while its upload stalls, so that callers that announce
 much and send nothing do not keep others out. The copy of a body in the write
 buffer towards its upstream is counted while it exists, but not promised: it
-lasts for a moment, and promising it too refused one in seven more.
+lasts for a moment, and promising it until the request ends would leave half
+of the budget unused.
 """
 
 MEMORY_SHARE = 0.6
--- a/godwitlanding/gateway/bodyintake.py
+++ b/godwitlanding/gateway/bodyintake.py
@@ -11,10 +11,9 @@
 
 from godwitlanding.decisions.bytebudget import Hold
 
-# Waiting longer than a refused caller needs to come back (a round trip and a
-# new connection) gains nothing. Half a second uses up the latency target of
-# the most urgent requests.
-MAX_PAUSE_S = 0.25
+# Uploads that wait for longer are served late: of 1,200 in 3 s, 475 were in
+# time with 0.1 s, 458 with 0.25 s and 265 with 0.6 s.
+MAX_PAUSE_S = 0.1
 # The largest body (360 KB) is dropped at the speed of the caller's link.
 MAX_DROP_BYTES = 1_000_000
 # A body of 360 KB takes 0.6 s over the slowest link of 5 Mbit/s. A caller
--- a/godwitlanding/tests/gateway/test_bytesheld.py
+++ b/godwitlanding/tests/gateway/test_bytesheld.py
@@ -207,7 +207,7 @@
         connection = await setting.call(
             "/1", BODY, 0, extra=b"expect: 100-continue\r\n"
         )
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(bodyintake.MAX_PAUSE_S / 2)
         setting.budget.give_back(LIMIT_BYTES)
         assert (await read_response(connection))[0] == 100
         connection[1].write(BODY)
