An upload's body ends at its route's timeout if the deadline is later

A caller could name any deadline and hold what it had sent until then. The body is now bounded by the earlier of both, as the response is.

--- a/godwitlanding/gateway/front.py
+++ b/godwitlanding/gateway/front.py
@@ -25,7 +25,7 @@
 REFUSE_AT_SHARE = 0.52
 END_AT_SHARE = 0.92
 _POLL_INTERVAL_S = 0.02
-# Time for the body of a request that has neither a deadline nor a route.
+# Time for the body of a request that has no route, and will be refused.
 DEFAULT_BODY_S = 5.0
 
 
@@ -125,15 +125,17 @@
         return exchange.get_header(self._names.request_id).decode("latin-1")
 
     def get_body_s(self, exchange):
-        """Return the time in seconds that a caller gives its request."""
-        deadline = exchange.get_header(self._names.deadline_ms)
-        if deadline.isdigit():
-            return int(deadline) / 1000
+        """Return the seconds within which a request gets its response.
+
+        This is the caller's deadline, but at most the timeout of the route.
+        """
         config = self._registry.config
         host = exchange.get_header(b"host").decode("latin-1").lower().partition(":")[0]
         target = exchange.target.decode("latin-1")
         route = find_route(config, host, target) if config else None
-        return route.timeout_s if route else DEFAULT_BODY_S
+        timeout_s = route.timeout_s if route else DEFAULT_BODY_S
+        deadline = exchange.get_header(self._names.deadline_ms)
+        return min(timeout_s, int(deadline) / 1000) if deadline.isdigit() else timeout_s
 
     def note_unreadable(self, exchange, status, reason):
         """Record a request that could not be parsed."""
