--- a/godwitlanding/base/codes.py
+++ b/godwitlanding/base/codes.py
@@ -43,6 +43,7 @@
     ROUTE_UNREADABLE = 2012
     OUTRANKED = 2013
     OVER_SHARE = 2014
+    BYTES_HELD = 2015
 
     UPSTREAM_FAILED = 3001
     UPSTREAM_TIMEOUT = 3002
@@ -144,6 +145,9 @@
     Code.OVER_SHARE: CodeRow(
         503, RUN_NO, "The workspace has its share of the contended service."
     ),
+    Code.BYTES_HELD: CodeRow(
+        503, RUN_NO, "The VM holds as many bytes as its memory allows."
+    ),
     Code.UPSTREAM_FAILED: CodeRow(
         502, RUN_UNKNOWN, "The upstream failed while it had the request."
     ),
