--- a/godwitlanding/decisions/priority.py
+++ b/godwitlanding/decisions/priority.py
@@ -51,6 +51,12 @@
 RISE_PER_S = 0.2
 
 
+# Requests denied for each urgent one under pressure: a denial frees a slot for
+# about one request, and some callers return. Without the bound, one late
+# urgent request made a region deny a third of a far busier route.
+MAX_DENIED_PER_PRESSED = 3.0
+
+
 class PriorityState(NamedTuple):
     """What a decision about a priority is based on, for log lines.
 
@@ -144,7 +150,9 @@
         level += LEAK * (0.5 - level)
     else:
         level += RISE_PER_S * elapsed_s
-    return PriorityState(urgent, urgent_served, served, min(1.0, max(0.0, level)))
+    min_level = 1.0 - MAX_DENIED_PER_PRESSED * urgent.pressed / max(1, own.asked)
+    level = min(1.0, max(0.0, min_level, level))
+    return PriorityState(urgent, urgent_served, served, level)
 
 
 def sum_counts(rows):
