--- a/godwitlanding/gateway/contention.py
+++ b/godwitlanding/gateway/contention.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import random
 from enum import Enum
 from typing import NamedTuple
 
@@ -17,7 +16,6 @@
 from godwitlanding.decisions.occupancy import get_upstream_number
 from godwitlanding.decisions.priority import FULL_AT, Ranks, sum_counts
 from godwitlanding.decisions.requestcounts import INTERVAL_S, Counts, RequestCounts
-from godwitlanding.decisions.retryafter import get_retry_after_s
 
 # The counts of requests in progress change with each gossip message, at most
 # every 25 ms; adding them up for 60 upstreams takes 0.2 ms.
@@ -77,7 +75,7 @@
     """Tracks the pressure on services and denies what must give way."""
 
     name = "contention"
-    needs = ("registry", "chooser", "peers")
+    needs = ("registry", "chooser", "peers", "retrytimes")
 
     def __init__(self, region, occupancy, allotments, counters):
         self._region = region
@@ -93,6 +91,7 @@
         self._lines = self._unlogged = 0
         self._registry = None
         self._chooser = None
+        self._retry_times = None
         # A counter with labels would take 15 us for each request.
         counters.observe("contention_requests", self._get_requests)
         counters.observe("contention_fill", self._get_fills)
@@ -103,6 +102,7 @@
         """Follow the configuration and the counts of peers."""
         self._registry = kernel.get("registry")
         self._chooser = kernel.get("chooser")
+        self._retry_times = kernel.get("retrytimes")
         peers = kernel.get("peers")
         peers.get_request_counts = self._counts.get_rows
         peers.on_request_counts = self._receive_counts
@@ -148,9 +148,7 @@
         if reason is None:
             return None
         self._counts.note(key, _DENIED)
-        left_s = request.deadline_at - now
-        turnover_s = self._chooser.get_turnover_s(request, now)
-        retry_after_s = get_retry_after_s(left_s, turnover_s, random.random())
+        retry_after_s = self._retry_times.get_retry_after_s(request)
         fields = self._get_fields(service, request, now)
         self._log(request, reason, retry_after_s, fields, now)
         return ContentionDenial(reason, retry_after_s, fields)
