--- a/godwitlanding/decisions/recipients.py
+++ b/godwitlanding/decisions/recipients.py
@@ -12,6 +12,8 @@
 every VM is active until it receives messages from enough others.
 """
 
+from bisect import bisect
+
 # Interval between two state messages of an active VM; it is taken to be silent
 # after almost four intervals.
 STATE_INTERVAL_S = 0.4
@@ -22,6 +24,10 @@
 # Intervals in which a VM that is not active sends its state to each active VM
 # once.
 IDLE_ROUND_INTERVALS = 4
+# The counts of requests under contention go to this many active VMs: every one
+# in a region of 23 VMs. Shares are computed from them, for which the counts of
+# 24 VMs are enough, and their bytes do not grow with the number of VMs.
+MAX_NEIGHBOURS = 24
 
 
 def is_active(own_vm, rate_per_s, carriers):
@@ -46,3 +52,14 @@
     if active:
         return sorted(hosts)
     return sorted(active_hosts)[turn % IDLE_ROUND_INTERVALS :: IDLE_ROUND_INTERVALS]
+
+
+def pick_neighbours(own_host, active_hosts):
+    """Return the hosts that receive request counts, the same ones each time.
+
+    >>> pick_neighbours("b", {"a", "c"})
+    ['c', 'a']
+    """
+    order = sorted(active_hosts)
+    start = bisect(order, own_host)
+    return (order[start:] + order[:start])[:MAX_NEIGHBOURS]
--- a/godwitlanding/decisions/requestcounts.py
+++ b/godwitlanding/decisions/requestcounts.py
@@ -8,10 +8,11 @@
 
 from typing import NamedTuple
 
+from godwitlanding.decisions.recipients import STATE_INTERVAL_S
 from godwitlanding.decisions.tally import COUNT_MODULUS, subtract_counts
 
 # Time between two messages of a peer, and between two updates of own counts.
-INTERVAL_S = 0.4
+INTERVAL_S = STATE_INTERVAL_S
 # The counts of a peer are dropped if it sends nothing for this long: more than
 # three of its messages in a row were lost, or its process has ended.
 PEER_TIMEOUT_S = 1.5
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -27,6 +27,7 @@
 from godwitlanding.decisions.recipients import (
     STATE_INTERVAL_S,
     is_active,
+    pick_neighbours,
     pick_recipients,
 )
 from godwitlanding.gateway.arrivalrates import ArrivalRates
@@ -272,18 +273,24 @@
         # would otherwise consider it dead once it sends less often.
         to_whole_region = self._is_active or was_active
         tallies, tells_all = self._allotment_gossip.get_periodic_tallies()
-        self._send(
-            pick_recipients(
-                to_whole_region,
-                self._known_vms.get_region_hosts(),
-                self._known_vms.get_active_hosts(),
-                self._state_turn,
-            ),
-            tallies=tallies,
-            tells_all=tells_all,
-            limits=self._limit_gossip.get_all(),
-            request_counts=self.get_request_counts(),
+        active_hosts = self._known_vms.get_active_hosts()
+        recipients = pick_recipients(
+            to_whole_region,
+            self._known_vms.get_region_hosts(),
+            active_hosts,
+            self._state_turn,
         )
+        fields = {
+            "tallies": tallies,
+            "tells_all": tells_all,
+            "limits": self._limit_gossip.get_all(),
+        }
+        counts = self.get_request_counts() if self._is_active else ()
+        if counts:
+            neighbours = pick_neighbours(self._identity.ip, active_hosts)
+            self._send(neighbours, request_counts=counts, **fields)
+            recipients = set(recipients).difference(neighbours)
+        self._send(recipients, **fields)
 
     def _is_busy(self):
         return self._is_active and is_busy(
--- a/godwitlanding/tests/decisions/test_recipients.py
+++ b/godwitlanding/tests/decisions/test_recipients.py
@@ -1,12 +1,16 @@
 """Tests which VMs receive this VM's state messages."""
 
+from collections import Counter
+
 import pytest
 
 from godwitlanding.decisions.fleet import IDLE_PEER_TIMEOUT_S, PEER_TIMEOUT_S
 from godwitlanding.decisions.recipients import (
     IDLE_ROUND_INTERVALS,
+    MAX_NEIGHBOURS,
     STATE_INTERVAL_S,
     is_active,
+    pick_neighbours,
     pick_recipients,
 )
 
@@ -56,3 +60,14 @@
         for turn in range(IDLE_ROUND_INTERVALS)
     )
     assert sent / (IDLE_ROUND_INTERVALS * STATE_INTERVAL_S) < 6
+
+
+def test_request_counts_go_to_few_vms_and_each_vm_gets_some():
+    # Guards against bytes that grow with the number of VMs, and against VMs
+    # that get no counts.
+    hosts = {f"10.0.{n // 250}.{n % 250}" for n in range(667)}
+    received = Counter()
+    for host in hosts:
+        received.update(pick_neighbours(host, hosts - {host}))
+    assert set(received.values()) == {MAX_NEIGHBOURS}
+    assert received.keys() == hosts
--- a/godwitlanding/tests/gateway/test_contention.py
+++ b/godwitlanding/tests/gateway/test_contention.py
@@ -196,6 +196,7 @@
     }
     for asked, first, pressed, _, in_time in totals.values():
         assert asked > first > 0 and pressed > 0 and in_time > 0
+    assert any(p.contention._counts.count_peers() for p in programs)
     assert [totals[0][3], totals[1][3]] == [0, denied]
     assert denied > 0
     assert totals[0][4] / totals[0][1] > totals[1][4] / totals[1][1]
