--- a/godwitlanding/tests/decisions/test_priority.py
+++ b/godwitlanding/tests/decisions/test_priority.py
@@ -97,6 +97,18 @@
     assert not ranks.is_limited(1, 2)
 
 
+def test_a_late_urgent_request_denies_only_a_few_others():
+    # Guards against a rarely used urgent route that denies a third of a route
+    # with a hundred times its load.
+    counts, ranks = make_ranks()
+    counts.note(URGENT, press(1, 1))
+    counts.note(USUAL, Counts(asked=100, first=100, in_time=40))
+    counts.update(1.0)
+    for _ in range(10):
+        ranks.update(0.4)
+    assert ranks.get_state(1, 2).level >= 0.97
+
+
 def test_removed_priorities_are_forgotten():
     # Guards against counts of routes that a configuration has removed.
     counts, ranks = make_ranks()
