Test the mean pace of work that began before a slow period

Cause: only the learnt factor covered it, with whole slow periods. Change: a test of PaceTable.get_mean.

--- a/godwitlanding/tests/decisions/test_pace.py
+++ b/godwitlanding/tests/decisions/test_pace.py
@@ -99,3 +99,16 @@
         trust.note("s", "warm", 2.5, 0.5)
         trust.note("s", "warm", 1.0, 0.2)
     assert trust.is_trusted("s")
+
+
+def test_work_that_began_before_the_slow_period_is_not_divided_by_its_pace():
+    # Guards against work of 0.41 s that is learnt as 0.2 s because its
+    # response reported a slow period that had just begun.
+    table = PaceTable()
+    table.note(1, 2.5, 10.0)
+    assert 1.2 < table.get_mean(1, 0.5, 10.0) < 1.7
+    # Reported as slow for as long as the work took.
+    table.note(1, 2.5, 10.5)
+    assert table.get_mean(1, 0.5, 10.5) == pytest.approx(2.5)
+    table.note(1, 1.0, 10.6)
+    assert table.get_mean(1, 0.5, 10.6) == 1.0
