--- a/godwitlanding/gateway/upstreamclient.py
+++ b/godwitlanding/gateway/upstreamclient.py
@@ -52,6 +52,7 @@
         limit_gossip,
         counters,
         poison,
+        held_bytes=None,
     ):
         self._names = names
         self._read_self_report = read_self_report
@@ -61,6 +62,7 @@
         self._limit_gossip = limit_gossip
         self._counters = counters
         self._poison = poison
+        self._held_bytes = held_bytes
         self._chooser = None
         self._registry = None
         self._peers = None
@@ -72,6 +74,9 @@
         self._registry = kernel.get("registry")
         self._peers = kernel.get("peers")
         self._registry.on_upstream_gone.append(self._forget)
+        self._chooser.paces.export(self._counters)
+        if self._held_bytes:
+            self._chooser.availability.has_room = self._held_bytes.has_room
         self.tasks.repeat(TRIM_INTERVAL_S, self._pool.trim)
 
     async def stop(self):
@@ -121,10 +126,16 @@
         )
         self._occupancy.begin(upstream.id)
         is_complete = False
+        size = len(data)
+        if self._held_bytes:
+            self._held_bytes.note_sent(upstream.id, size)
         try:
-            response = await connection.send(
+            answered = connection.send(
                 data, request.request_id, exchange.method == b"HEAD", sink
             )
+            # The copy of the body is not needed while the upstream works.
+            del data
+            response = await answered
             is_complete = True
         except UpstreamError as error:
             self._worktimes.note_failure(request.service, upstream.id)
@@ -133,6 +144,8 @@
             return Outcome.UNKNOWN, None, str(error)
         finally:
             self._occupancy.end(upstream.id)
+            if self._held_bytes:
+                self._held_bytes.note_ended(upstream.id, size)
             if not is_complete:
                 connection.abort()
         outcome = classify_response(response, self._names)
@@ -141,15 +154,27 @@
         )
         if not response.is_stream:
             self._pool.give_back(upstream.id, connection)
+        elif outcome is not Outcome.ANSWERED:
+            # The rest would be buffered to its end, as no caller gets it.
+            connection.abort()
+            response = response._replace(body=b"", is_stream=False)
         return outcome, response, ""
 
     def _record_response(self, upstream, request, choice, response, outcome, took_s):
         now = asyncio.get_running_loop().time()
+        pace = None
         if outcome is not Outcome.MOVED:
-            self._record_report(upstream, response, outcome, now)
+            pace = self._record_report(upstream, response, outcome, now)
         if outcome is Outcome.ANSWERED:
             work_s = took_s - choice.distance_s
-            self._chooser.learning.note_response(request, choice, work_s)
+            measured = self._chooser.paces.note_response(
+                request, choice, work_s, pace, now
+            )
+            self._chooser.learning.note_response(request, choice, measured.work_s)
+            if measured.is_short:
+                self._counters.record(
+                    "short_work_seconds", work_s, service=request.service
+                )
             self._poison.note_success(request.fingerprint, now)
         elif outcome is Outcome.MOVED:
             self._eject_moved(upstream)
@@ -157,6 +182,7 @@
             self._worktimes.note_failure(request.service, upstream.id)
 
     def _record_report(self, upstream, response, outcome, now):
+        """Record an upstream's status; return its pace, or ``None``."""
         report = self._read_self_report(response.status, response.headers)
         if report.in_progress is not None:
             self._occupancy.note_report(upstream.id, report.in_progress, now)
@@ -168,6 +194,9 @@
             self._registry.note_leaving(upstream.id)
         if report.limit_per_s is not None or outcome in _EXECUTED:
             self._limit_gossip.note_response(upstream, report.limit_per_s)
+        if report.pace is not None:
+            self._chooser.paces.note_report(upstream, report.pace, now)
+        return report.pace
 
     def _record_pause(self, upstream, pause_s, now):
         self._chooser.availability.pauses.note(upstream.id, pause_s, now)
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -26,9 +26,11 @@
 from godwitlanding.gateway.admission import Admission, ConfigFreshness
 from godwitlanding.gateway.allotmentgossip import AllotmentGossip
 from godwitlanding.gateway.chooser import Chooser
+from godwitlanding.gateway.contention import Contention
 from godwitlanding.gateway.directory import Directory
 from godwitlanding.gateway.feed import Feed
 from godwitlanding.gateway.front import Front
+from godwitlanding.gateway.heldbytes import HeldBytes
 from godwitlanding.gateway.limitgossip import LimitGossip
 from godwitlanding.gateway.mirror import Mirror
 from godwitlanding.gateway.pages import Page, PageServer
@@ -36,7 +38,9 @@
 from godwitlanding.gateway.presence import Presence
 from godwitlanding.gateway.registry import Registry
 from godwitlanding.gateway.requesthandler import RequestHandler
+from godwitlanding.gateway.retrytimes import RetryTimes
 from godwitlanding.gateway.savedobjectmap import SavedObjectMap
+from godwitlanding.gateway.servicefill import ServiceFill
 from godwitlanding.gateway.sourceselector import SourceSelector
 from godwitlanding.gateway.upstream import UpstreamPool
 from godwitlanding.gateway.upstreamclient import UpstreamClient
@@ -124,7 +128,8 @@
             self.object_map,
             self.limit_gossip,
         )
-        pool = pool or UpstreamPool(HEADER_NAMES.request_id, counters)
+        self.held_bytes = HeldBytes(counters, settings.memory_mb)
+        pool = pool or UpstreamPool(HEADER_NAMES.request_id, counters, self.held_bytes)
         self.upstream_client = UpstreamClient(
             HEADER_NAMES,
             read_self_report,
@@ -134,6 +139,7 @@
             self.limit_gossip,
             counters,
             self.poison_ledger,
+            self.held_bytes,
         )
         self.admission = Admission(
             HEADER_NAMES,
@@ -141,6 +147,9 @@
             self.allotments,
             ConfigFreshness(self._is_config_fresh, self._may_trust_keys),
         )
+        self.retry_times = RetryTimes(counters)
+        fill = ServiceFill(settings.region, self.occupancy, self.fleet, self.worktimes)
+        self.contention = Contention(fill, self.allotments, counters)
         self.request_handler = RequestHandler(
             HEADER_NAMES,
             self.retry_budget,
@@ -171,7 +180,9 @@
         )
         self.peers.get_store_state = self.source_selector.get_store_state
         self.loop_health = LoopHealth(self._get_looping_services(), counters)
-        self.front = Front(settings.caller_address, bounds.stop_s)
+        self.front = Front(
+            settings.caller_address, bounds.stop_s, HEADER_NAMES, self.held_bytes
+        )
         self.front.needs += ("directory", "readiness", "metrics", "presence", "reader")
 
     def _make_mirrors(self):
@@ -217,6 +228,8 @@
             self.registry,
             *self._get_looping_services(),
             self.admission,
+            self.contention,
+            self.retry_times,
             self.request_handler,
             self.saved_object_map,
             self.loop_health,
@@ -252,6 +265,7 @@
         self.limit_gossip.set_regions(settings.region_by_zone.values())
         self.registry.set_regions(settings.region_by_zone)
         self.front.stop_s = bounds.stop_s
+        self.held_bytes.set_memory(settings.memory_mb)
 
     def is_ready(self):
         """Return whether callers should be directed to this VM."""
--- a/godwitlanding/tests/load/gateway_model.py
+++ b/godwitlanding/tests/load/gateway_model.py
@@ -57,6 +57,16 @@
     target_s: float = 0.4
     deadline_s: float = 2.5
     cache_size: int = 16
+    # Share of the time in which an upstream is slow, how many times slower it
+    # is, the shortest and the longest slow period, and whether its load
+    # reports hold its pace.
+    spell_share: float = 0.0
+    spell_factor: float = 2.5
+    spell_s: tuple[float, float] = (0.5, 0.6)
+    reports_pace: bool = False
+    # Share of the requests that take ``long_factor`` times as long.
+    long_share: float = 0.0
+    long_factor: float = 7.0
 
 
 # Three regions with two zones each; one region has few upstreams.
@@ -108,12 +118,16 @@
     """All VMs, upstreams and callers of a ``FleetShape``.
 
     ``outcomes`` counts the requests by the second in which they began and by
-    outcome: ``in_time``, ``late``, ``refused`` or ``failed``.
+    outcome: ``in_time``, ``late``, ``refused`` or ``failed``. ``seed`` seeds
+    the callers and upstreams; the VMs draw from the generator of ``random``,
+    which is seeded with ``draws``, or with ``seed`` if that is ``None``.
     """
 
-    def __init__(self, shape, seed):
+    def __init__(self, shape, seed, draws=None):
         self.shape = shape
+        self._seed = seed
         self._rng = random.Random(seed)
+        random.seed(seed if draws is None else draws)
         self.upstream_by_id = {}
         self.zone_by_upstream = {}
         self._vm_by_host = {}
@@ -143,6 +157,10 @@
             ):
                 await service.stop()
 
+    def get_programs(self):
+        """Return the programs of all VMs."""
+        return [vm.program for vm in self._vm_by_host.values()]
+
     def get_one_way_delay_s(self, zone, upstream):
         """Return the one-way network delay from a zone to an upstream."""
         other = self.zone_by_upstream[upstream]
@@ -214,11 +232,11 @@
             await asyncio.sleep(retry_after_s)
         self.outcomes.setdefault(int(second), Counter())[outcome] += 1
 
-    async def _send_request(self, program, key, remaining_s):
+    async def _send_request(self, program, key, remaining_s, path=None):
         connection = _CallerConnection()
         exchange = connection.exchange
         exchange.method = b"GET"
-        exchange.target = b"/look/" + key
+        exchange.target = path or b"/look/" + key
         exchange.headers = [
             (b"host", b"h"),
             (HEADER_NAMES.request_id, b"%x" % self._rng.getrandbits(64)),
@@ -243,7 +261,9 @@
         for zone, count in self.shape.upstreams_by_zone.items():
             for index in range(count):
                 name = f"{zone}-{index}"
-                self.upstream_by_id[name] = UpstreamModel(self.shape, self._rng)
+                self.upstream_by_id[name] = UpstreamModel(
+                    self.shape, self._rng, f"{self._seed} {name}"
+                )
                 self.zone_by_upstream[name] = zone
                 address = ("127.0.0.1", 1)
                 entries.append(
@@ -302,6 +322,8 @@
             program.chooser,
             program.upstream_client,
             program.admission,
+            program.contention,
+            program.retry_times,
             program.request_handler,
         )
         service_by_name = {service.name: service for service in services}
