--- a/godwitlanding/decisions/returns.py
+++ b/godwitlanding/decisions/returns.py
@@ -39,13 +39,17 @@
 # Time constant of the completion rate: about 20 responses at the usual rate
 # of a VM, and a third of the shortest bursts (3 s).
 RATE_WINDOW_S = 1.0
+# Intervals searched for room, 10 s of them: callers with deadlines of 3 s wait
+# for one second at most. The caller sets the deadline, and without a bound the
+# search for one of some hours would hold up the event loop.
+MAX_SEARCHED = 200
 
 
 class Booking(NamedTuple):
     """When a refused caller should return, and the values that led to it.
 
-    ``has_room`` is false if every interval was full. ``rate_per_s`` is the
-    rate of completions, measured ``rate_age_s`` seconds ago.
+    ``has_room`` is false if every searched interval was full. ``rate_per_s``
+    is the rate of completions, measured ``rate_age_s`` seconds ago.
     """
 
     wait_s: float
@@ -116,7 +120,7 @@
         """Book a return and return its ``Booking``.
 
         Its time is between ``earliest_s`` and ``latest_s``, in seconds from
-        now. If every interval between them is full, it is drawn uniformly.
+        now. If no interval that is searched has room, it is drawn uniformly.
         """
         earliest_s = min(earliest_s, latest_s)
         calendar = self._get(service)
@@ -126,7 +130,7 @@
         room = BOOKED_SHARE * SLOT_S * rate
         first = _get_slot(now + earliest_s)
         last = _get_slot(now + latest_s)
-        for slot in range(first, last + 1):
+        for slot in range(first, min(last + 1, first + MAX_SEARCHED)):
             if calendar.count(slot, priority) < _get_room(slot, room):
                 calendar.add(slot, priority)
                 wait_s = self._draw(slot, now, earliest_s, latest_s)
--- a/godwitlanding/tests/decisions/test_returns.py
+++ b/godwitlanding/tests/decisions/test_returns.py
@@ -6,7 +6,12 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from godwitlanding.decisions.returns import BOOKED_SHARE, SLOT_S, Returns
+from godwitlanding.decisions.returns import (
+    BOOKED_SHARE,
+    MAX_SEARCHED,
+    SLOT_S,
+    Returns,
+)
 
 RATE_PER_S = 40
 
@@ -86,3 +91,23 @@
     for _ in range(5):
         wait_s = returns.book("s", 1, now, earliest_s, latest_s).wait_s
         assert min(earliest_s, latest_s) - 1e-6 <= wait_s <= latest_s + 1e-6
+
+
+@pytest.mark.parametrize(("rate_per_s", "latest_s"), [(0, 100.0), (1, 5000.0)])
+def test_search_is_bounded_for_callers_with_distant_deadlines(
+    monkeypatch, rate_per_s, latest_s
+):
+    # Guards against an event loop that is held up by a caller's deadline of
+    # years: nothing has room, and each interval was searched.
+    returns, now = make_returns(rate_per_s)
+    searched = []
+    calendar = returns._get("s")
+    count = calendar.count
+    monkeypatch.setattr(
+        calendar, "count", lambda *row: searched.append(row) or count(*row)
+    )
+    for _ in range(2 * MAX_SEARCHED):
+        searched.clear()
+        wait_s = returns.book("s", 0, now, 0.1, latest_s).wait_s
+        assert 0.1 <= wait_s <= latest_s
+        assert len(searched) <= MAX_SEARCHED
