--- a/godwitlanding/gateway/retrytimes.py
+++ b/godwitlanding/gateway/retrytimes.py
@@ -59,7 +59,8 @@
         """Return the seconds after which a refused caller should return."""
         now = asyncio.get_running_loop().time()
         turnover_s = self._chooser.get_turnover_s(request, now)
-        left_s = request.deadline_at - now
+        # A body that arrives slowly may end after the caller's deadline.
+        left_s = max(0.0, request.deadline_at - now)
         if request.service not in self._contended_services:
             return get_retry_after_s(left_s, turnover_s, self._rng.random())
         booking = self._returns.book(
--- a/godwitlanding/tests/gateway/test_retrytimes.py
+++ b/godwitlanding/tests/gateway/test_retrytimes.py
@@ -90,3 +90,17 @@
     assert counters.get("returns_booked", service="s", room="yes") == 1
     assert counters.get("returns_booked", service="s", room="no") == 1
     assert counters.get("returns_refused", service="s", priority=0) == 2
+
+
+@pytest.mark.parametrize("priorities", [(0, 2), (0, 0)])
+async def test_retry_time_after_the_deadline_is_not_negative(priorities):
+    # Guards against an invalid Retry-After for a body that ended too late.
+    registry = Registry({})
+    chooser = SimpleNamespace(get_turnover_s=lambda request, now: 0.1)
+    retry_times = RetryTimes(Counters(), random.Random(1))
+    kernel = SimpleNamespace(get={"registry": registry, "chooser": chooser}.get)
+    await retry_times.start(kernel)
+    routes = [make_route(str(n), "s", p) for n, p in enumerate(priorities)]
+    registry.set_config(make_config(1, routes))
+    request = AdmittedRequest(b"r", routes[0], "s", "k", 1, -1.0, 0.4, -1.0, False)
+    assert retry_times.get_retry_after_s(request) == 0.0
