--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -131,7 +131,7 @@
         for sends in range(MAX_SENDS):
             now = loop.time()
             if self._is_poison(request, now):
-                self._refuse_after_attempt(exchange, request, Code.POISON_REQUEST, last)
+                self._refuse_after_attempt(exchange, request, Code.POISON_REQUEST, runs)
                 return
             if runs >= request.route.max_attempts:
                 break
@@ -213,7 +213,7 @@
             self._refuse(exchange, Code.UPSTREAM_FAILED, 502, request)
         else:
             code = Code.DEADLINE_UNREACHABLE if last is None else Code.UPSTREAM_SHED
-            self._refuse_after_attempt(exchange, request, code, last)
+            self._refuse_after_attempt(exchange, request, code, runs)
 
     def _refuse_revoked_key(self, exchange, request, runs):
         """Refuse a request whose API key was revoked between attempts."""
@@ -228,8 +228,8 @@
             extra = _make_retry_after(denial.retry_after_s)
         self._refuse(exchange, denial.code, denial.status, extra=extra)
 
-    def _refuse_after_attempt(self, exchange, request, code, last):
-        if last and last[0] in (Outcome.FAILED, Outcome.UNKNOWN):
+    def _refuse_after_attempt(self, exchange, request, code, runs):
+        if runs:
             self._refuse(exchange, code, 502, request)
             return
         retry_after_s = self._retry_times.get_retry_after_s(request)
--- /dev/null
+++ b/godwitlanding/tests/gateway/test_requesthandler.py
@@ -0,0 +1,76 @@
+"""Tests of the final response after several attempts."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from godwitlanding.base.metrics import Counters
+from godwitlanding.gateway.attempt import Outcome
+from godwitlanding.gateway.chooser import Choice, ChoiceReason
+from godwitlanding.gateway.exchange import Exchange
+from godwitlanding.gateway.requesthandler import RequestHandler
+from godwitlanding.platform.headers import HEADER_NAMES
+from godwitlanding.tests.gateway.test_chooser import make_request, make_route
+
+pytestmark = pytest.mark.looptime
+
+
+class Setting:
+    """A request handler whose attempts end with the given outcomes.
+
+    The request's fingerprint is stopped after the last of them.
+    """
+
+    def __init__(self, outcomes):
+        self.outcomes = list(outcomes)
+        budget = SimpleNamespace(take=lambda *arguments: True)
+        poison = SimpleNamespace(is_stopped=lambda *arguments: not self.outcomes)
+        self.handler = RequestHandler(HEADER_NAMES, budget, poison, None, Counters())
+        service_by_name = {
+            "registry": SimpleNamespace(config=SimpleNamespace(version=1)),
+            "admission": SimpleNamespace(is_still_authorized=lambda request: True),
+            "chooser": SimpleNamespace(
+                choose=self.choose, may_try_again=lambda *arguments: False
+            ),
+            "courier": SimpleNamespace(send=self.send),
+            "contention": SimpleNamespace(note_result=lambda *arguments: None),
+            "retrytimes": SimpleNamespace(get_retry_after_s=lambda request: 0.3),
+        }
+        self.kernel = SimpleNamespace(get=service_by_name.__getitem__)
+
+    def choose(self, request, tried, now):
+        upstream = SimpleNamespace(id=f"u{len(tried)}", slots=3)
+        warmth = SimpleNamespace(value="warm")
+        reason = ChoiceReason.KNOWN
+        return Choice(upstream, 0.1, 0.0, 0.0, 0.0, reason, warmth, None, None)
+
+    async def send(self, exchange, request, choice, sink):
+        return self.outcomes.pop(0), None, ""
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "status"),
+    [
+        ((Outcome.NOT_RUN,), 503),
+        ((Outcome.UNKNOWN,), 502),
+        ((Outcome.UNKNOWN, Outcome.NOT_RUN), 502),
+        ((Outcome.UNKNOWN, Outcome.UNREACHED), 502),
+    ],
+)
+async def test_stopped_request_that_may_have_run_is_not_called_not_run(
+    outcomes, status
+):
+    # Guards against 503 after an attempt that may have run, because a later
+    # one has not.
+    setting = Setting(outcomes)
+    await setting.handler.start(setting.kernel)
+    connection = SimpleNamespace(
+        must_close_after=lambda exchange: False, flush=lambda: None
+    )
+    exchange = Exchange(connection, asyncio.get_running_loop().time())
+    request = make_request(route=make_route()._replace(max_attempts=3))
+    charge = SimpleNamespace(begin=lambda now: None, note_outcome=lambda outcome: None)
+    await setting.handler._attempt_until_answered(exchange, request, charge)
+    assert exchange.out[0].startswith(b"HTTP/1.1 %d " % status)
+    assert (b"retry-after" in exchange.out[0]) is (status == 503)
