--- a/godwitlanding/decisions/sharing.py
+++ b/godwitlanding/decisions/sharing.py
@@ -38,7 +38,9 @@
     weight = sum(weight for _, weight in demands)
     level = 0.0
     for asked, own_weight in sorted(demands, key=lambda row: row[0] / row[1]):
-        level = rate / weight
+        # If weights differ by 16 orders of magnitude, the remainder is
+        # rounded to 0.
+        level = rate / max(weight, own_weight)
         if asked <= level * own_weight:
             level = asked / own_weight
         else:
--- a/godwitlanding/tests/decisions/test_contention.py
+++ b/godwitlanding/tests/decisions/test_contention.py
@@ -72,3 +72,9 @@
     demands = {name: Demand(rate, 1.0) for name, rate in (("b", 5.0), ("c", 1.0))}
     assert set(divide(0.1, {"idle": Demand(0.0, 0.0)} | demands)) == {"b"}
     assert divide(0.1, {"idle": Demand(0.0, 0.0)}) == {}
+
+
+def test_weights_of_very_different_size_divide_the_rate():
+    # Guards against a division by zero where a rate of 1e18 stands for no
+    # limit: the weight that remains is rounded to 0.
+    assert find_fair_level(20.0, [(4.0, 1e18), (40.0, 16.0)]) == 1.0
