--- a/godwitlanding/decisions/pace.py
+++ b/godwitlanding/decisions/pace.py
@@ -122,9 +122,10 @@
         slow_at = self._slow_at_by_number.get(number)
         return slow_at is not None and slow_at >= since
 
-    def get_recent(self, now):
+    def get_recent(self, now, is_sent=lambda number: True):
         """Return the newest reports that other VMs need, as ``PaceRow``.
 
+        Those of upstreams for which ``is_sent`` is false are left out.
         Reports of other VMs are not repeated: each VM sends to all others
         that carry requests in its region.
         """
@@ -136,6 +137,7 @@
         rows = [
             PaceRow(number, report.pace, now - report.reported_at)
             for number, report in self._own_by_number.items()
+            if is_sent(number)
         ]
         return tuple(sorted(rows, key=lambda row: row.age_s)[:MAX_ROWS])
 
--- a/godwitlanding/gateway/paces.py
+++ b/godwitlanding/gateway/paces.py
@@ -119,11 +119,7 @@
 
     def get_recent(self):
         """Return the rows for the frequent messages to the region."""
-        return tuple(
-            row
-            for row in self._table.get_recent(_now())
-            if self._is_trusted_number(row.upstream)
-        )
+        return self._table.get_recent(_now(), self._is_trusted_number)
 
     def receive(self, rows):
         """Record the rows in a message from a VM of the region."""
@@ -150,6 +146,9 @@
         if not is_long:
             self._last_long.discard(upstream_id)
             return False
+        if upstream_id not in self._registry.number_by_id:
+            # It was removed while it worked, and is not forgotten again.
+            return True
         is_single = upstream_id not in self._last_long
         self._last_long.add(upstream_id)
         return is_single
--- a/godwitlanding/tests/gateway/test_paces.py
+++ b/godwitlanding/tests/gateway/test_paces.py
@@ -139,3 +139,29 @@
     assert setting.paces.get_factor("s", 5, now) == 1.0
     setting.paces.forget("u0")
     assert setting.get_factor() == 1.0
+
+
+async def test_false_paces_of_one_service_do_not_displace_those_of_another():
+    # Guards against made-up paces that fill all rows and are then left out.
+    setting = Setting()
+    await setting.gain_trust()
+    setting.respond(2.5 * USUAL_S, 2.5)
+    await asyncio.sleep(0.05)
+    now = asyncio.get_running_loop().time()
+    for number in range(5):
+        upstream = Upstream(f"f{number}", "f", ("::1", 1), "a1", 3, False, 0.0)
+        setting.registry.put_upstream(upstream)
+        setting.paces.note_report(upstream, 4.0, now)
+    assert setting.number in [row.upstream for row in setting.peers.get_paces()]
+
+
+async def test_response_of_a_removed_upstream_leaves_no_state():
+    # Guards against growth with each upstream that is removed while it works.
+    setting = Setting()
+    setting.respond(USUAL_S, 1.0, "u1")
+    upstream = setting.registry.upstream_by_id["u0"]
+    setting.registry.on_upstream_gone.append(setting.paces.forget)
+    setting.registry.remove_upstream("u0")
+    setting.registry.upstream_by_id["u0"] = upstream
+    assert setting.respond(9 * USUAL_S, 1.0).work_s is None
+    assert setting.paces._last_long == set()
