--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -340,10 +340,12 @@
 def _is_for_lack_of_slots(last, rejection):
     """Return whether a request that has not run was refused for lack of slots.
 
-    ``last`` is its last attempt, ``rejection`` that of a further one.
+    ``last`` is its last attempt, ``rejection`` that of a further one. After
+    all upstreams of a small region have shed it, none is left to reject it as
+    full.
     """
-    if rejection:
-        return rejection.reason.startswith("full")
+    if rejection and rejection.reason.startswith("full"):
+        return True
     return last is not None and last[0] is Outcome.NOT_RUN
 
 
--- a/godwitlanding/tests/gateway/test_requesthandler.py
+++ b/godwitlanding/tests/gateway/test_requesthandler.py
@@ -7,7 +7,8 @@
 
 from godwitlanding.base.metrics import Counters
 from godwitlanding.gateway.attempt import Outcome
-from godwitlanding.gateway.chooser import Choice, ChoiceReason
+from godwitlanding.gateway.chooser import Choice, ChoiceReason, Rejection
+from godwitlanding.gateway.contention import Result
 from godwitlanding.gateway.exchange import Exchange
 from godwitlanding.gateway.requesthandler import RequestHandler
 from godwitlanding.platform.headers import HEADER_NAMES
@@ -19,13 +20,16 @@
 class Setting:
     """A request handler whose attempts end with the given outcomes.
 
-    The request's fingerprint is stopped after the last of them.
+    After the last of them, the request's fingerprint is stopped, or the
+    chooser rejects the request for ``reason``.
     """
 
-    def __init__(self, outcomes):
+    def __init__(self, outcomes, reason=None):
         self.outcomes = list(outcomes)
+        self.reason = reason
+        self.results = []
         budget = SimpleNamespace(take=lambda *arguments: True)
-        poison = SimpleNamespace(is_stopped=lambda *arguments: not self.outcomes)
+        poison = SimpleNamespace(is_stopped=lambda *row: not (reason or self.outcomes))
         self.handler = RequestHandler(HEADER_NAMES, budget, poison, None, Counters())
         service_by_name = {
             "registry": SimpleNamespace(config=SimpleNamespace(version=1)),
@@ -34,12 +38,30 @@
                 choose=self.choose, may_try_again=lambda *arguments: False
             ),
             "courier": SimpleNamespace(send=self.send),
-            "contention": SimpleNamespace(note_result=lambda *arguments: None),
+            "contention": SimpleNamespace(
+                note_result=lambda request, result, now: self.results.append(result)
+            ),
             "retrytimes": SimpleNamespace(get_retry_after_s=lambda request: 0.3),
         }
         self.kernel = SimpleNamespace(get=service_by_name.__getitem__)
 
+    async def attempt(self):
+        """Handle a request and return its exchange."""
+        await self.handler.start(self.kernel)
+        connection = SimpleNamespace(
+            must_close_after=lambda exchange: False, flush=lambda: None
+        )
+        exchange = Exchange(connection, asyncio.get_running_loop().time())
+        request = make_request(route=make_route()._replace(max_attempts=3))
+        charge = SimpleNamespace(
+            begin=lambda now: None, note_outcome=lambda outcome: None
+        )
+        await self.handler._attempt_until_answered(exchange, request, charge)
+        return exchange
+
     def choose(self, request, tried, now):
+        if not self.outcomes:
+            return Rejection(self.reason, None, 0.1)
         upstream = SimpleNamespace(id=f"u{len(tried)}", slots=3)
         warmth = SimpleNamespace(value="warm")
         reason = ChoiceReason.KNOWN
@@ -63,14 +85,26 @@
 ):
     # Guards against 503 after an attempt that may have run, because a later
     # one has not.
-    setting = Setting(outcomes)
-    await setting.handler.start(setting.kernel)
-    connection = SimpleNamespace(
-        must_close_after=lambda exchange: False, flush=lambda: None
-    )
-    exchange = Exchange(connection, asyncio.get_running_loop().time())
-    request = make_request(route=make_route()._replace(max_attempts=3))
-    charge = SimpleNamespace(begin=lambda now: None, note_outcome=lambda outcome: None)
-    await setting.handler._attempt_until_answered(exchange, request, charge)
+    exchange = await Setting(outcomes).attempt()
     assert exchange.out[0].startswith(b"HTTP/1.1 %d " % status)
     assert (b"retry-after" in exchange.out[0]) is (status == 503)
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "reason", "results"),
+    [
+        ((), "full", [Result.REFUSED]),
+        ((Outcome.UNREACHED,), "full, overflow spent", [Result.REFUSED]),
+        # Both upstreams of a small region have shed the request.
+        ((Outcome.NOT_RUN, Outcome.NOT_RUN), "none usable", [Result.REFUSED]),
+        ((), "none usable", []),
+        ((Outcome.UNREACHED,), "none usable", []),
+        ((Outcome.UNKNOWN, Outcome.NOT_RUN), "full", []),
+    ],
+)
+async def test_refusals_for_lack_of_slots_are_counted_once(outcomes, reason, results):
+    # Guards against contention that is not noticed, and against the pressure
+    # of upstreams that cannot be reached.
+    setting = Setting(outcomes, reason)
+    await setting.attempt()
+    assert setting.results == results
