Learn a shorter patience, and ignore rare long deadlines

One request with a longer deadline than usual made all later requests of its route count as late retries until the VM restarted: they were refused or counted as pressure although slots were free.

--- a/godwitlanding/decisions/patience.py
+++ b/godwitlanding/decisions/patience.py
@@ -29,6 +29,9 @@
 SPARSE_SHARE = 0.4
 # Below this many requests all are treated as first attempts.
 MIN_COUNTED = 30
+# Callers with more time left than 99 in 100 do not show how long the others
+# wait. One deadline of 9 s made all callers with 2.5 s look like retries.
+RARE_SHARE = 0.01
 # Counts are halved when they reach this, so that a change of patience is
 # learnt.
 MAX_COUNTED = 2000
@@ -53,14 +56,22 @@
             return
         self._add(left_s / self._max_left_s * BINS, 1.0)
         if self._total_count > MAX_COUNTED:
-            self._counts = [count / 2 for count in self._counts]
-            self._total_count /= 2
+            self._halve()
         self._min_first_attempt_s = self._find_min_first_attempt()
 
     def get_waited_s(self, left_s):
         """Return the minimum time that the caller has waited, in seconds."""
         return max(0.0, self._min_first_attempt_s - left_s)
 
+    def _halve(self):
+        self._counts = [count / 2 for count in self._counts]
+        self._total_count /= 2
+        if max(self._counts[BINS // 2 :]) < 1.0:
+            # The longest time was rare, or is so after a change of patience,
+            # and the bins are too wide for the others: count anew.
+            self._max_left_s = self._total_count = 0.0
+            self._counts = [0.0] * BINS
+
     def _rescale(self, max_left_s):
         # The counts below the previous maximum move down in proportion.
         previous_counts = self._counts
@@ -86,6 +97,10 @@
         if self._total_count < MIN_COUNTED:
             return 0.0
         index = BINS - 1
+        rare_count = RARE_SHARE * self._total_count
+        while index > 0 and self._counts[index] < rare_count:
+            rare_count -= self._counts[index]
+            index -= 1
         total = self._counts[index]
         bins = 1
         while index > 0:
--- a/godwitlanding/tests/decisions/test_patience.py
+++ b/godwitlanding/tests/decisions/test_patience.py
@@ -73,3 +73,26 @@
         patience.note(2 * PATIENCE_S * (1 - 0.1 * draw.random()))
     waited_s = patience.get_waited_s(PATIENCE_S)
     assert waited_s == pytest.approx(0.9 * PATIENCE_S, rel=0.1)
+
+
+@pytest.mark.parametrize(
+    ("left_s", "repeats", "requests"),
+    [
+        pytest.param(3 * PATIENCE_S, 1, 3000, id="one longer deadline"),
+        pytest.param(1e9, 1, 20_000, id="one absurd deadline"),
+        pytest.param(2 * PATIENCE_S, 500, 20_000, id="patience becomes shorter"),
+    ],
+)
+def test_first_attempts_are_recognized_after_longer_deadlines(
+    left_s, repeats, requests
+):
+    # Guards against a route on which every request counts as late and as a
+    # retry until the VM restarts, because a caller once had more time left.
+    patience = make_patience(0.15, 0.33)
+    for _ in range(repeats):
+        patience.note(left_s)
+    draw = random.Random(9)
+    for _ in range(requests):
+        patience.note(draw_left_s(draw, 0.15, draw.random() < 0.33))
+    assert get_waited_share(patience, 0.15, came_back=False) < 0.03
+    assert get_waited_share(patience, 0.15, came_back=True) >= 0.5
