--- a/godwitlanding/gateway/admission.py
+++ b/godwitlanding/gateway/admission.py
@@ -30,6 +30,9 @@
 CALLER_OVERHEAD_S = 0.02
 # A request that is retried after a refusal has waited for longer than this.
 MIN_WAITED_S = 0.03
+# A deadline of more digits, 30 years in milliseconds, is taken for none.
+# Beyond 300 digits it is not a finite number of seconds.
+MAX_DEADLINE_DIGITS = 12
 # Default Retry-After in seconds.
 NOT_READY_RETRY_S = 0.5
 # A VM that can read the route, or a corrected configuration, may serve it.
@@ -125,7 +128,7 @@
         started_at = exchange.begun_at
         wait_s = route.timeout_s
         deadline = exchange.get_header(self._names.deadline_ms)
-        if deadline.isdigit():
+        if deadline.isdigit() and len(deadline) <= MAX_DEADLINE_DIGITS:
             wait_s = int(deadline) / 1000
         waited_s = self._get_waited_s(route, wait_s)
         object_key = (
