Responses survive refusals, faulty pipelined requests and planned stops

A connection that closes after a refusal of a body abandoned requests that it had handed on before, a malformed request behind a streamed response left the stream paused for ever, and a planned stop ended the process while a slow caller had not read its response. Promises to bodies of unknown length that were shorter than expected were kept until the response.

--- a/godwitlanding/gateway/bodyintake.py
+++ b/godwitlanding/gateway/bodyintake.py
@@ -84,7 +84,7 @@
         if self.is_dropping:
             self._dropped_bytes += len(data)
             if self._dropped_bytes > MAX_DROP_BYTES:
-                self._connection.close_gracefully()
+                self._connection.close_after_responses()
         elif self._exchange.hold.grow(len(data)):
             self._exchange.body += data
         else:
@@ -98,13 +98,18 @@
             self._refuse()
         is_accepted = not self.is_dropping
         self._stop_timers()
+        if is_accepted:
+            # A body of unknown length may be shorter than what was promised.
+            self._exchange.hold.withdraw()
         self._exchange = None
         self.is_dropping = False
         return is_accepted
 
     def try_again(self):
         """Let a paused body in if there is room; return whether there is."""
-        if not self._exchange.hold.promise(self._need_bytes):
+        # What was read before the pause is held already.
+        hold = self._exchange.hold
+        if not hold.promise(max(0, self._need_bytes - hold.held_bytes)):
             return False
         self._pause_timer.cancel()
         self._pause_timer = None
@@ -113,6 +118,10 @@
         self._connection.send_continue(self._exchange)
         return True
 
+    def is_reading(self):
+        """Return whether the body of a request that may run is being read."""
+        return self._exchange is not None and not self.is_dropping
+
     def check_stalled(self, now):
         """Withdraw the promise to an upload that sends nothing."""
         if self._exchange and now - self._data_at > STALL_S:
@@ -145,7 +154,7 @@
         self._connection.refuse_held(exchange, retry_after_s)
 
     def _end_dropping(self):
-        self._connection.close_gracefully()
+        self._connection.close_after_responses()
 
     def _end_at_deadline(self):
         exchange = self._exchange
--- a/godwitlanding/gateway/caller.py
+++ b/godwitlanding/gateway/caller.py
@@ -94,7 +94,6 @@
         self._unread_header_bytes = 0
         self._closing = False
         self._pauses = set()
-        self._requests = 0
         self._timer = None
         self._idle_since = self._loop.time()
         self._intake = None
@@ -147,11 +146,10 @@
             self._output.release()
 
     def resume_writing(self):
-        # Called when everything is sent if bytes are counted.
-        if self._output and not self._closing:
+        # Called when everything is sent if bytes are counted. A response
+        # may be streamed while no further requests are taken.
+        if self._output:
             self.flush()
-        elif self._output:
-            self._count_output()
 
     # Callbacks of the httptools parser.
 
@@ -208,7 +206,6 @@
         self._reading = None
         if self._closing or exchange is None:
             return
-        self._requests += 1
         if self._intake and not self._intake.complete():
             return
         self._exchanges.append(exchange)
@@ -220,9 +217,10 @@
 
     def must_close_after(self, exchange):
         """Return whether the connection closes after this response."""
-        return (
-            self._closing or not exchange.keep_alive or self._front.close_after_response
-        )
+        if self._exchanges and (self._closing or self._front.close_after_response):
+            # Later requests may have been handed on and get their responses.
+            self.close_after_responses()
+        return not exchange.keep_alive
 
     def flush(self):
         """Write the responses that are due, in request order."""
@@ -275,6 +273,8 @@
     def refuse_held(self, exchange, retry_after_s):
         """Refuse a request of which the body has not been read."""
         self._exchanges.append(exchange)
+        if not exchange.keep_alive:
+            self._closing = True
         self._front.refuse_held(exchange, retry_after_s)
 
     def reset(self):
@@ -286,6 +286,20 @@
         if not self._exchanges and self._reading is None and not self._closing:
             self.close_gracefully()
 
+    def is_busy(self):
+        """Return whether a response, or a counted body, is under way."""
+        if self._exchanges or self._transport.get_write_buffer_size():
+            return True
+        return bool(self._intake and self._intake.is_reading())
+
+    def close_after_responses(self):
+        """Take no further requests; close when those taken are answered."""
+        self._closing = True
+        if self._exchanges:
+            self._exchanges[-1].keep_alive = False
+        else:
+            self.close_gracefully()
+
     def close_gracefully(self):
         """Close after what is written; data that still arrives is dropped."""
         self._closing = True
@@ -314,7 +328,7 @@
     def refuse_and_close(self, status, reason):
         if self._intake and self._intake.is_dropping:
             # This request has been refused already.
-            self.close_gracefully()
+            self.close_after_responses()
             return
         # The start of the next request cannot be found in the remaining bytes,
         # so the connection closes after this response.
@@ -348,7 +362,7 @@
         self._output.update(unwritten + self._transport.get_write_buffer_size())
 
     def _resume_stream(self):
-        if not self._exchanges or self._closing:
+        if not self._exchanges:
             return
         first = self._exchanges[0]
         if first.on_drained and not self._transport.get_write_buffer_size():
--- a/godwitlanding/gateway/front.py
+++ b/godwitlanding/gateway/front.py
@@ -78,7 +78,7 @@
         await self._wait_until(started_at + REFUSE_AT_SHARE * self.stop_s)
         self._server.close()
         while loop.time() < started_at + END_AT_SHARE * self.stop_s:
-            if not self._request_handler.get_in_progress():
+            if not self._is_busy():
                 break
             await asyncio.sleep(_POLL_INTERVAL_S)
         log_message(
@@ -149,6 +149,16 @@
             now = asyncio.get_running_loop().time()
             self._previous_idle_until = now + previous.idle_timeout_s + IDLE_GRACE_S
 
+    def _is_busy(self):
+        """Return whether requests are in progress or responses are unsent.
+
+        The process holds what a slow caller has not read, since the buffers of
+        its socket may be small; it would be cut off at the end.
+        """
+        if self._request_handler.get_in_progress():
+            return True
+        return any(connection.is_busy() for connection in self._connections)
+
     def _close_idle(self):
         for connection in list(self._connections):
             connection.close_if_idle()
