--- a/godwitlanding/tests/soak/checker.py
+++ b/godwitlanding/tests/soak/checker.py
@@ -1,10 +1,10 @@
 """Checks the promises of the system against what a soak run recorded."""
 
 from godwitlanding.decisions.allotment import Tolerance
-from godwitlanding.tests.soak.caller import DEADLINE_S
+from godwitlanding.tests.soak.caller import DEADLINE_S, make_upload
 from godwitlanding.tests.soak.faultinjector import PAUSE_S, UPSTREAM_LIMIT_PER_S
 from godwitlanding.tests.soak.schedule import PLANNED_KINDS
-from godwitlanding.tests.soak.world import LIMIT_BURST, LIMIT_PER_S
+from godwitlanding.tests.soak.world import LIMIT_BURST, LIMIT_PER_S, LONG_PREFIX
 from godwitlanding.tests.standins.standin_worker import make_echo
 
 # Time limits from the users' rules, and an allowance for a busy machine.
@@ -29,7 +29,7 @@
 # The only workspace with a rate limit.
 LIMITED_WORKSPACE = "small"
 TOLERANCE = Tolerance()
-SERVICE_BY_ROUTE = {"look": "looks", "pay": "pays"}
+SERVICE_BY_ROUTE = {"look": "looks", "pay": "pays", "up": "looks"}
 # Faults that excuse no violation by a VM.
 HARMLESS_KINDS = frozenset(
     (*PLANNED_KINDS, "shed", "fail", "slow", "limit", "pause_asked")
@@ -57,6 +57,7 @@
         for record in self._records:
             problems.extend(self._check_response(record))
         problems.extend(self._check_runs())
+        problems.extend(self._check_uploads())
         problems.extend(self._check_workspaces())
         problems.extend(self._check_allotments())
         problems.extend(self._check_drains())
@@ -70,7 +71,8 @@
     def _check_response(self, record):
         runs = self._runs_by_request.get(record.request_id, [])
         if record.status == 200:
-            if record.body != make_echo(record.request_id.encode()):
+            request_id = record.request_id.encode()
+            if record.body != make_echo(request_id, record.path, LONG_PREFIX):
                 yield f"MIXED {record.request_id}: body is not its complete response"
             if not runs:
                 yield f"MIXED {record.request_id}: has a response but never ran"
@@ -86,10 +88,13 @@
                 f"DENIED {record.request_id}: 429 for workspace "
                 f"{record.workspace}, which has no limit"
             )
-        if record.status in (400, 401, 404):
+        if record.status in (400, 401, 404, 413):
             yield f"DENIED {record.request_id}: {record.status} for {record.path}"
-        if record.detail == "silent" and self._is_undisturbed(
-            record.sent_at, record.ended_at
+        # An upload that stalls is not promised a response.
+        if (
+            record.detail == "silent"
+            and not record.stalls
+            and self._is_undisturbed(record.sent_at, record.ended_at)
         ):
             yield (
                 f"HELD {record.request_id}: no response within the deadline "
@@ -113,6 +118,17 @@
                 if path and worker.service != SERVICE_BY_ROUTE[path.split("/")[1]]:
                     yield f"ROUTE {request_id}: {path} run by {worker.service}"
 
+    def _check_uploads(self):
+        """Check that each upload that ran had its whole body."""
+        for worker in self._workers:
+            for request_id, body in worker.bodies.items():
+                record = self._record_by_request.get(request_id)
+                if record is None or not record.upload_bytes:
+                    continue
+                whole = make_upload(request_id, record.upload_bytes)
+                if record.stalls or body != whole:
+                    yield f"PARTIAL {request_id}: run with {len(body)} bytes"
+
     def _check_workspaces(self):
         """Check that VMs set the tenant header and forward no API key."""
         workspace_by_request = {t.request_id: t.workspace for t in self._records}
--- a/godwitlanding/tests/soak/link.py
+++ b/godwitlanding/tests/soak/link.py
@@ -1,6 +1,7 @@
 """A TCP proxy that simulates a network link with faults."""
 
 import asyncio
+import socket
 
 from godwitlanding.tests.standins.listener import reset
 
@@ -18,11 +19,15 @@
       forwarded when the link is open again.
     - ``deaf_up``: drop the data sent to the target.
     - ``deaf_down``: drop the data sent by the target.
+
+    With ``buffer_bytes``, its socket buffers have this size, so that the
+    target notices that the other side does not read.
     """
 
-    def __init__(self, address, target):
+    def __init__(self, address, target, buffer_bytes=0):
         self.address = address
         self.target = target
+        self._buffer_bytes = buffer_bytes
         self.mode = "open"
         self.delay_s = 0.0
         self._server = None
@@ -65,6 +70,7 @@
             self._writers.discard(writer)
             return
         self._writers.add(target_streams[1])
+        self._bound_buffers(writer, target_streams[1])
         try:
             await asyncio.gather(
                 self._forward(reader, target_streams[1], "deaf_up"),
@@ -76,6 +82,14 @@
         finally:
             self._writers -= {writer, target_streams[1]}
 
+    def _bound_buffers(self, *writers):
+        if not self._buffer_bytes:
+            return
+        for writer in writers:
+            sock = writer.get_extra_info("socket")
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                sock.setsockopt(socket.SOL_SOCKET, option, self._buffer_bytes)
+
     async def _forward(self, reader, writer, loss_mode):
         while data := await reader.read(_READ_BYTES):
             if self.delay_s:
--- a/godwitlanding/tests/soak/run.py
+++ b/godwitlanding/tests/soak/run.py
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import itertools
 import logging
 import random
 import sys
@@ -117,18 +118,18 @@
     except TimeoutError:
         problems.append(f"RECOVER {vm.name} is not ready after {READY_TIMEOUT_S} s")
     await asyncio.sleep(SETTLE_S)
-    path = await world.change_config()
+    paths = await world.change_config()
     await asyncio.sleep(OBSERVATION_S + 0.5)
     before = len(records)
-    for vm in world.vms:
+    for vm, path in itertools.product(world.vms, paths):
         status = await _request_path(world, vm, path)
         if status != 200:
             problems.append(
                 f"CONFIG {vm.name}: status {status} for {path}, 200 expected"
             )
     await asyncio.sleep(OBSERVATION_S)
-    # Requests over an allotment need not be served.
-    counted = [row for row in records[before:] if row.status != 429]
+    # Requests over an allotment and uploads that stall need not be served.
+    counted = [r for r in records[before:] if r.status != 429 and not r.stalls]
     served = sum(row.status == 200 for row in counted)
     if not counted or served < MIN_SERVED_SHARE * len(counted):
         problems.append(
--- a/godwitlanding/tests/soak/test_soak.py
+++ b/godwitlanding/tests/soak/test_soak.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from godwitlanding.tests.soak.caller import RequestRecord
+from godwitlanding.tests.soak.caller import RequestRecord, make_upload
 from godwitlanding.tests.soak.checker import DRAIN_S, EVACUATE_S, SLACK_S, Checker
 from godwitlanding.tests.soak.link import Link
 from godwitlanding.tests.soak.regressions import REGRESSION_SCHEDULES
@@ -60,7 +60,9 @@
 SMALL_HEADERS = {b"godwitlanding-tenant": b"small"}
 
 
-def make_worker(*runs, service="pays", zone="a1", headers=OFFICE_HEADERS, paused=()):
+def make_worker(
+    *runs, service="pays", zone="a1", headers=OFFICE_HEADERS, paused=(), body=b""
+):
     arrivals = [("c01-1", at) for at in runs]
     return SimpleNamespace(
         id="w",
@@ -68,6 +70,7 @@
         zone=zone,
         arrivals=arrivals,
         arrived_at=list(runs),
+        bodies={"c01-1": body} if runs else {},
         paused=paused,
         ran=["c01-1"] * len(runs),
         ran_at=list(runs),
@@ -100,6 +103,12 @@
     return [problem.split()[0] for problem in found]
 
 
+def make_upload_record(**changes):
+    return make_record(path="/up/1", upload_bytes=UPLOAD_BYTES, **changes)
+
+
+UPLOAD_BYTES = 60_000
+UPLOADED = {"service": "looks", "body": make_upload("c01-1", UPLOAD_BYTES)}
 KILL = Fault(9.0, 0.5, "vm", "kill", 0)
 TERM = Fault(9.9, 0.5, "vm", "term", 0)
 STORE = Fault(9.0, 9.0, "store", "down", 0)
@@ -170,6 +179,40 @@
         ["QUOTA"],
         id="over its allotment",
     ),
+    pytest.param(
+        make_upload_record(), (make_worker(10.0, **UPLOADED),), {}, [], id="uploaded"
+    ),
+    pytest.param(
+        make_upload_record(),
+        (make_worker(10.0, service="looks", body=b"c01"),),
+        {},
+        ["PARTIAL"],
+        id="part of an upload run",
+    ),
+    pytest.param(
+        make_upload_record(status=408, stalls=True),
+        (make_worker(10.0, **UPLOADED),),
+        {},
+        ["REFUSED", "PARTIAL"],
+        id="stalled upload run",
+    ),
+    pytest.param(
+        make_upload_record(status=0, detail="silent", stalls=True),
+        (),
+        {},
+        [],
+        id="no response to a stalled upload",
+    ),
+    pytest.param(
+        make_upload_record(status=413), (), {}, ["DENIED"], id="upload too large"
+    ),
+    pytest.param(
+        make_record(unsafe=False, path="/look/31"),
+        (make_worker(10.0, service="looks"),),
+        {},
+        ["MIXED"],
+        id="short body for a long path",
+    ),
     pytest.param(
         make_record(status=0, detail="closed"),
         (make_worker(10.0),),
--- a/godwitlanding/tests/soak/world.py
+++ b/godwitlanding/tests/soak/world.py
@@ -27,6 +27,14 @@
 FIRST_WORKER_LINK_NUMBER = 170
 FIRST_CALLER_LINK_NUMBER = 215
 WORK_S = 0.03
+# Socket buffers of the links to callers: a slow reader is noticed by the VM.
+CALLER_LINK_BUFFER_BYTES = 32 << 10
+MEMORY_MB = 200
+MAX_UPLOAD_BYTES = 360_000
+# Paths with responses of about 600 KB.
+LONG_PREFIX = "/look/3"
+# What some upstreams report as their pace, true or not.
+PACES = (b"100", b"250", b"40", b"100", b"500", b"0", b"-3", b"fast", b"9" * 30)
 # Requests per second of the workspace ``small``; the others have no limit.
 LIMIT_PER_S = 6.0
 LIMIT_BURST = 6.0
@@ -73,7 +81,9 @@
         vm.store = f"{host}:{STORE_PORT}"
         caller_port = VM_PORTS[0]
         host = f"{self._prefix}{FIRST_CALLER_LINK_NUMBER + number}"
-        link = await Link((host, caller_port), (vm.ip, caller_port)).start()
+        link = await Link(
+            (host, caller_port), (vm.ip, caller_port), CALLER_LINK_BUFFER_BYTES
+        ).start()
         self.caller_links.append(link)
         self._link_by_vm_address[f"{vm.ip}:{caller_port}"] = link
 
@@ -81,6 +91,9 @@
         """Write an upstream's entry with the address of its link."""
         worker.echoes = True
         worker.work_s = WORK_S
+        worker.long_prefix = LONG_PREFIX
+        if worker.zone in ("a1", "b1"):
+            worker.paces = PACES
         link = self._link_by_worker_address.get(worker.address)
         if link is None:
             number = FIRST_WORKER_LINK_NUMBER + len(self.worker_links)
@@ -116,22 +129,37 @@
         await self.register(new_worker)
 
     async def change_config(self):
-        """Write the next configuration; return the path that it adds."""
+        """Write the next configuration; return the paths that it adds.
+
+        The second path is of a route whose kind the VMs do not know.
+        """
         self.config_number += 1
         rows = [
-            [f"v{n}", "h", f"/v{n}/", "safe", "2s", "400ms", 2]
+            [f"{name}{n}", "h", f"/{name}{n}/", kind, "2s", "400ms", 2]
             + [None, 2, True, [], "looks"]
             for n in range(8, self.config_number + 1)
+            for name, kind in (("v", "safe"), ("w", "teleport"))
         ]
-        version = f"r{self.config_number}"
-        await self.store.put("config", "main", make_config(version, rows, WORKSPACES))
-        return f"/v{self.config_number}/1"
+        await self._put_config(rows)
+        number = self.config_number
+        return f"/v{number}/1", f"/w{number}/1"
 
     async def start(self):
         """Start all VMs with a configuration that requires API keys."""
-        await self.store.put("config", "main", make_config(workspaces=WORKSPACES))
+        await self._put_config([])
+        for vm in self.vms:
+            limits = f"\n[self.limits]\nmemory_mb = {MEMORY_MB}\n"
+            vm.path.write_text(vm.path.read_text() + limits)
         await super().start()
 
+    async def _put_config(self, rows):
+        # Uploads share a service with more urgent requests.
+        upload = ["up", "h", "/up/", "upload", "2s", "1s", 3]
+        rows = [upload + [None, 2, True, [], "looks"], *rows]
+        config = make_config(f"r{self.config_number}", rows, WORKSPACES)
+        limits = {**config["limits"], "max_body_bytes": MAX_UPLOAD_BYTES}
+        await self.store.put("config", "main", {**config, "limits": limits})
+
     async def poll_directory(self):
         """Poll the directories of random VMs for addresses, as callers do."""
         while True:
--- a/godwitlanding/tests/standins/standin_worker.py
+++ b/godwitlanding/tests/standins/standin_worker.py
@@ -13,11 +13,17 @@
 _QUEUE_LENGTH = 9
 # About 4 KB with ids of ten letters, which is more than one packet.
 ECHO_REPEATS = 400
+# About 600 KB, which is more than the buffers on its way hold.
+LONG_ECHO_REPEATS = 80_000
 
 
-def make_echo(request_id):
-    """Return a response body that is unique to the request."""
-    return request_id * ECHO_REPEATS
+def make_echo(request_id, path="", long_prefix=""):
+    """Return a response body that is unique to the request.
+
+    It is long for paths that begin with ``long_prefix``, unless that is empty.
+    """
+    is_long = long_prefix and path.startswith(long_prefix)
+    return request_id * (LONG_ECHO_REPEATS if is_long else ECHO_REPEATS)
 
 
 class StandinWorker:
@@ -56,6 +62,10 @@
         self.crash_path = ""
         # Whether response bodies repeat the request id (``make_echo``).
         self.echoes = False
+        self.long_prefix = ""
+        # Fourth figures of successive load reports, repeated; may be empty.
+        self.paces = ()
+        self._reports = 0
         # Length of successful response bodies; 0: a short text.
         self.response_bytes = 0
         self.bodies = {}
@@ -65,7 +75,6 @@
         self.connections = set()
         self._slots = asyncio.Semaphore(_SLOTS)
         self._in_progress = 0
-        self._path = ""
         self._server = None
 
     @property
@@ -108,15 +117,15 @@
                 headers = {name.lower(): value for name, value in headers.items()}
                 length = int(headers.get(b"content-length", 0))
                 body = await reader.readexactly(length)
-                self._path = head.split(b" ", 2)[1].decode()
-                await self._handle_request(reader, writer, headers, body)
+                path = head.split(b" ", 2)[1].decode()
+                await self._handle_request(reader, writer, headers, body, path)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             self.connections.discard(writer)
             writer.close()
 
-    async def _handle_request(self, reader, writer, headers, body):
+    async def _handle_request(self, reader, writer, headers, body, path):
         request_id = headers[b"godwitlanding-request-id"]
         expected = headers.get(b"godwitlanding-expect-instance", b"").decode()
         if expected != self.id:
@@ -140,13 +149,13 @@
                 self.headers_by_request[request_id.decode()] = headers
                 deadline_ms = headers.get(b"godwitlanding-deadline-ms", b"0")
                 self.deadlines_ms.append(int(deadline_ms))
-                if self.crash_path and self._path == self.crash_path:
+                if self.crash_path and path == self.crash_path:
                     self.stop()
                     raise ConnectionError("the request crashed the upstream")
                 await self._do_work(reader)
         finally:
             self._in_progress -= 1
-        self._respond(writer, request_id)
+        self._respond(writer, request_id, path)
 
     async def _do_work(self, reader):
         # Data or an end of file during the work means that the sender has
@@ -159,7 +168,7 @@
         except TimeoutError:
             pass
 
-    def _respond(self, writer, request_id):
+    def _respond(self, writer, request_id, path):
         signature_header = b"Godwitlanding-Response-Signature: proof\r\n"
         if self.fault == "crash":
             self.stop()
@@ -176,7 +185,7 @@
         else:
             body = f"done by {self.id}".encode()
             if self.echoes:
-                body = make_echo(request_id)
+                body = make_echo(request_id, path, self.long_prefix)
             if self.response_bytes:
                 body = bytes(self.response_bytes)
             self._write(writer, b"200 OK", request_id, body, signature_header)
@@ -186,8 +195,12 @@
             extra += b"Server-Limit: %b\r\n" % self.limit.encode()
         if self.leaving:
             extra += b"Server-Leaving: 1\r\n"
+        pace = b""
+        if self.paces:
+            pace = b"," + self.paces[self._reports % len(self.paces)]
+            self._reports += 1
         writer.write(
             b"HTTP/1.1 %b\r\nGodwitlanding-Request-Id: %b\r\n"
-            b"Godwitlanding-Load-Report: %d,0,3\r\n%bContent-Length: %d\r\n\r\n%b"
-            % (status, request_id, self._in_progress, extra, len(body), body)
+            b"Godwitlanding-Load-Report: %d,0,3%b\r\n%bContent-Length: %d\r\n\r\n%b"
+            % (status, request_id, self._in_progress, pace, extra, len(body), body)
         )
