A cluster that does not start names the process that has ended

test_documented_commands_succeed failed once at the start of its cluster, and the error did not say which of its processes had ended, nor why. It now holds the end of its log.

--- a/godwitlanding/tests/tools/cluster.py
+++ b/godwitlanding/tests/tools/cluster.py
@@ -114,7 +114,7 @@
         try:
             await wait_until(is_done, START_TIMEOUT_S, "every daemon to be ready")
             if self._has_failed():
-                raise TimeoutError("a process has ended unexpectedly")
+                raise TimeoutError(self._describe_ended())
         except TimeoutError as error:
             raise TimeoutError(f"{error}{await self._describe_unready()}") from error
 
@@ -280,3 +280,12 @@
 
     def _has_failed(self):
         return any(map(self._processes.has_ended, self._processes.get_keys()))
+
+    def _describe_ended(self):
+        """Return the processes that have ended and the end of their logs."""
+        return "; ".join(
+            f"{'-'.join(key)} has ended unexpectedly:"
+            f" {self._processes.read_log(key)[-300:]}"
+            for key in self._processes.get_keys()
+            if self._processes.has_ended(key)
+        )
