--- a/godwitlanding/decisions/bytebudget.py
+++ b/godwitlanding/decisions/bytebudget.py
@@ -13,18 +13,17 @@
 sent, and freed memory is not all reused.
 
 Back-pressure comes before refusal. A body is let in while what is held and
-what is promised stays below ``TIGHT_SHARE`` of the limit. The rest is for
+what is reserved stays below ``TIGHT_SHARE`` of the limit. The rest is for
 responses: an upstream has done the work for these, so they are always taken
 (``add``), and requests are refused in their place.
 
-A body is promised its room before it is read. Without promises, bodies that
-arrive at the same time are all let in, and many are refused halfway after
-their bytes have crossed the link: of 1,200 uploads in 3 s, 171 were served
-in time without promises, 458 with them (``docs/design/bytes_held.rst``). A
-promise is withdrawn while its upload stalls, so that callers that announce
+Room for a body is reserved before it is read. Without reservations, bodies
+that arrive at the same time are all let in, and many are refused halfway after
+their bytes have crossed the link (``docs/design/bytes_held.rst``). A
+reservation is cancelled while its upload stalls, so that callers that announce
 much and send nothing do not keep others out. The copy of a body in the write
-buffer towards its upstream is counted while it exists, but not promised: it
-lasts for a moment, and promising it until the request ends would leave half
+buffer towards its upstream is counted while it exists, but not reserved: it
+lasts for a moment, and reserving it until the request ends would leave half
 of the budget unused.
 """
 
@@ -47,15 +46,15 @@
 
 
 class ByteBudget:
-    """The bytes held and promised, of at most ``limit_bytes``.
+    """The bytes held and reserved, of at most ``limit_bytes``.
 
-    ``on_eased`` is called when bytes or promises are given back.
+    ``on_eased`` is called when bytes or reservations are given back.
     """
 
     def __init__(self, limit_bytes):
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
-        self.promised_bytes = 0
+        self.reserved_bytes = 0
         self.on_eased = None
 
     @property
@@ -89,27 +88,27 @@
         """Return whether a body of this size fits when nothing is held."""
         return body_bytes <= TIGHT_SHARE * self.limit_bytes
 
-    def keeps_promises(self):
-        """Return whether all that is promised still fits within the limit."""
-        return self.held_bytes + self.promised_bytes <= self.limit_bytes
+    def covers_reservations(self):
+        """Return whether all that is reserved still fits within the limit."""
+        return self.held_bytes + self.reserved_bytes <= self.limit_bytes
 
-    def promise(self, count):
-        """Promise room for bytes to come; return whether there is room."""
-        expected_bytes = self.held_bytes + self.promised_bytes + count
+    def reserve(self, count):
+        """Reserve room for bytes to come; return whether there is room."""
+        expected_bytes = self.held_bytes + self.reserved_bytes + count
         if expected_bytes > TIGHT_SHARE * self.limit_bytes:
             return False
-        self.promised_bytes += count
+        self.reserved_bytes += count
         return True
 
-    def withdraw(self, count):
-        """Withdraw a promise, or the part of it that was taken meanwhile."""
-        self.promised_bytes -= count
+    def cancel_reservation(self, count):
+        """Cancel a reservation, or the part of it that was taken."""
+        self.reserved_bytes -= count
         if count and self.on_eased:
             self.on_eased()
 
 
 class Hold:
-    """What one holder has taken from a budget and was promised by it.
+    """What one holder has taken from a budget and has reserved in it.
 
     >>> budget = ByteBudget(1000)
     >>> hold = Hold(budget)
@@ -119,12 +118,12 @@
     0
     """
 
-    __slots__ = ("_budget", "held_bytes", "promised_bytes")
+    __slots__ = ("_budget", "held_bytes", "reserved_bytes")
 
     def __init__(self, budget):
         self._budget = budget
         self.held_bytes = 0
-        self.promised_bytes = 0
+        self.reserved_bytes = 0
 
     def set(self, count):
         """Set the bytes held, which are in memory already."""
@@ -137,29 +136,29 @@
         else:
             self._budget.give_back(-change)
 
-    def promise(self, count):
+    def reserve(self, count):
         """Ask for room for bytes to come; return whether there is room."""
-        if not self._budget.promise(count):
+        if not self._budget.reserve(count):
             return False
-        self.promised_bytes += count
+        self.reserved_bytes += count
         return True
 
-    def withdraw(self):
-        """Withdraw what is left of the promise."""
-        count, self.promised_bytes = self.promised_bytes, 0
-        self._budget.withdraw(count)
+    def cancel_reservation(self):
+        """Cancel what is left of the reservation."""
+        count, self.reserved_bytes = self.reserved_bytes, 0
+        self._budget.cancel_reservation(count)
 
     def grow(self, count):
         """Take bytes of a body, if they fit; return whether they did."""
         if not self._budget.take(count):
             return False
         self.held_bytes += count
-        fulfilled = min(count, self.promised_bytes)
-        self.promised_bytes -= fulfilled
-        self._budget.promised_bytes -= fulfilled
+        fulfilled = min(count, self.reserved_bytes)
+        self.reserved_bytes -= fulfilled
+        self._budget.reserved_bytes -= fulfilled
         return True
 
     def release(self):
         """Give back everything; may be called more than once."""
-        self.withdraw()
+        self.cancel_reservation()
         self.set(0)
--- a/godwitlanding/decisions/returns.py
+++ b/godwitlanding/decisions/returns.py
@@ -33,8 +33,7 @@
 # random delays of caller and network (some milliseconds).
 SLOT_S = 0.05
 # Share of the expected completions that may be booked: first attempts keep
-# at least as many slots. With 0.2 and 1.0 the model's results do not differ by
-# more than between two seeds.
+# at least as many slots.
 BOOKED_SHARE = 0.5
 # Time constant of the completion rate: about 20 responses at the usual rate
 # of a VM, and a third of the shortest bursts (3 s).
--- a/godwitlanding/gateway/bodyintake.py
+++ b/godwitlanding/gateway/bodyintake.py
@@ -11,19 +11,19 @@
 
 from godwitlanding.decisions.bytebudget import Hold
 
-# Uploads that wait for longer are served late: of 1,200 in 3 s, 475 were in
-# time with 0.1 s, 458 with 0.25 s and 265 with 0.6 s.
+# Uploads that wait for longer are served late, and keep those behind them
+# waiting.
 MAX_PAUSE_S = 0.1
 # The largest body (360 KB) is dropped at the speed of the caller's link.
 MAX_DROP_BYTES = 1_000_000
 # A body of 360 KB takes 0.6 s over the slowest link of 5 Mbit/s. A caller
 # that needs longer than this to send the rest shares its link with many.
 MAX_DROP_S = 5.0
-# Room that is promised to an upload, but not used for so long, is withdrawn at
+# A reservation of an upload that is not used for so long is cancelled at
 # the next check, at most a second later. A lost packet delays an upload by
 # less than half a second.
 STALL_S = 0.5
-# Promised to a body of unknown length, as for the mean upload.
+# Reserved for a body of unknown length, as for the mean upload.
 UNKNOWN_LENGTH_BYTES = 60_000
 
 
@@ -69,7 +69,7 @@
         self._need_bytes = body_bytes
         deadline_at = exchange.begun_at + self._front.get_body_s(exchange)
         self._deadline_timer = self._loop.call_at(deadline_at, self._end_at_deadline)
-        if exchange.hold.promise(self._need_bytes):
+        if exchange.hold.reserve(self._need_bytes):
             self._connection.send_continue(exchange)
             return
         self._held.wait(self)
@@ -92,15 +92,15 @@
 
     def complete(self):
         """End the body; return whether its request is to be handled."""
-        if self._pause_timer and not self._budget.keeps_promises():
+        if self._pause_timer and not self._budget.covers_reservations():
             # What was read before the pause was the whole body, which takes
             # the room of bodies that are under way.
             self._refuse()
         is_accepted = not self.is_dropping
         self._stop_timers()
         if is_accepted:
-            # A body of unknown length may be shorter than what was promised.
-            self._exchange.hold.withdraw()
+            # A body of unknown length may be shorter than what was reserved.
+            self._exchange.hold.cancel_reservation()
         self._exchange = None
         self.is_dropping = False
         return is_accepted
@@ -109,7 +109,7 @@
         """Let a paused body in if there is room; return whether there is."""
         # What was read before the pause is held already.
         hold = self._exchange.hold
-        if not hold.promise(max(0, self._need_bytes - hold.held_bytes)):
+        if not hold.reserve(max(0, self._need_bytes - hold.held_bytes)):
             return False
         self._pause_timer.cancel()
         self._pause_timer = None
@@ -125,9 +125,9 @@
         return self._loop.time() - self._data_at <= STALL_S
 
     def check_stalled(self, now):
-        """Withdraw the promise to an upload that sends nothing."""
+        """Cancel the reservation of an upload that sends nothing."""
         if self._exchange and now - self._data_at > STALL_S:
-            self._exchange.hold.withdraw()
+            self._exchange.hold.cancel_reservation()
 
     def end(self):
         """Give back what is held for a body that has not been read whole."""
--- a/godwitlanding/gateway/heldbytes.py
+++ b/godwitlanding/gateway/heldbytes.py
@@ -131,7 +131,7 @@
             return {}
         return {
             "held": self._budget.held_bytes,
-            "promised": self._budget.promised_bytes,
+            "reserved": self._budget.reserved_bytes,
             "limit": self._budget.limit_bytes,
         }
 
--- a/godwitlanding/tests/gateway/test_bytesheld.py
+++ b/godwitlanding/tests/gateway/test_bytesheld.py
@@ -95,7 +95,7 @@
         self.upstream.close()
         async with asyncio.timeout(3.0):
             await self.front.stop()
-            while self.budget.held_bytes or self.budget.promised_bytes:
+            while self.budget.held_bytes or self.budget.reserved_bytes:
                 await asyncio.sleep(0.01)
         assert not self.held._waiting
 
@@ -223,7 +223,7 @@
         await asyncio.sleep(1.3)
         assert setting.budget.held_bytes == 30_000
         # Guards against callers that keep others out without sending anything.
-        assert setting.budget.promised_bytes == 0
+        assert setting.budget.reserved_bytes == 0
         assert (await read_response(connection))[0] == 408
         assert 1.4 < loop.time() - began_at < 1.8
         assert setting.handler.handled == []
--- a/godwitlanding/tests/gateway/test_bytesheld_closing.py
+++ b/godwitlanding/tests/gateway/test_bytesheld_closing.py
@@ -89,14 +89,14 @@
         assert (await read_response(connection))[0] == 400
 
 
-async def test_promise_to_a_short_body_of_unknown_length_is_withdrawn():
+async def test_reservation_of_a_short_body_of_unknown_length_is_cancelled():
     # Guards against room that is kept for bytes that never come.
     async with Setting() as setting:
         body = b"5\r\nhello\r\n0\r\n\r\n"
         await setting.call("/1", body, None, CHUNKED, False)
         await asyncio.sleep(0.05)
         assert setting.handler.handled == [b"/1"]
-        assert (setting.budget.held_bytes, setting.budget.promised_bytes) == (5, 0)
+        assert (setting.budget.held_bytes, setting.budget.reserved_bytes) == (5, 0)
 
 
 @pytest.mark.parametrize("path", ["/long", "/big"])
--- a/godwitlanding/tests/gateway/test_bytesheld_states.py
+++ b/godwitlanding/tests/gateway/test_bytesheld_states.py
@@ -226,7 +226,7 @@
             getattr(history, name)(number, size)
             await asyncio.sleep(0)
         assert history.budget.held_bytes >= 0
-        assert history.budget.promised_bytes >= 0
+        assert history.budget.reserved_bytes >= 0
     for transport in history.callers:
         if ends == "reset":
             transport.abort()
@@ -236,7 +236,7 @@
         # Given back at once, and not only when the time for the body is over.
         await asyncio.sleep(0.01)
         if not history.tasks and not any(t.buffered for t in history.upstreams):
-            assert history.budget.promised_bytes == 0
+            assert history.budget.reserved_bytes == 0
     # Those left to themselves end by their time-outs.
     await asyncio.sleep(SETTLE_S)
     if ends != "left":
@@ -261,7 +261,7 @@
     finally:
         loop.close()
     assert history.budget.held_bytes == 0
-    assert history.budget.promised_bytes == 0
+    assert history.budget.reserved_bytes == 0
     assert not history.held_bytes._waiting
     assert not history.held_bytes._bytes_by_upstream
     assert not history.tasks
