One reading of a caller's deadline and of contended services

Found on reading the whole change once more: - The time for a body read the deadline header on its own, without the bound that admission had got: 400 digits raised OverflowError in the parser's callback.

--- a/godwitlanding/decisions/contention.py
+++ b/godwitlanding/decisions/contention.py
@@ -11,8 +11,8 @@
 
 The level is at least ``SLACK`` times the mean use of allotments. If all
 workspaces ask for too much alike, denying each its part serves nobody more:
-without this bound all of them were limited, and 0.43 of the requests of calm
-workspaces were in time, in place of 0.62 without any shares.
+without this bound all of them are limited, and fewer requests of calm
+workspaces are in time than without any shares.
 
 Equal shares instead of weighted ones would cut a large workspace at its usual
 rate; buckets for each workspace and service would need a rate that is known
--- a/godwitlanding/decisions/routes.py
+++ b/godwitlanding/decisions/routes.py
@@ -128,6 +128,24 @@
     problems: tuple[RowProblem, ...] = ()
 
 
+def get_contended_priorities(config):
+    """Return the priorities by service, for services that callers contend for.
+
+    These are all services of a configuration with workspaces, otherwise those
+    that have routes of different priorities.
+    """
+    priorities_by_service = {}
+    for route in config.route_by_prefix.values():
+        for part in route.parts:
+            priorities_by_service.setdefault(part.service, set()).add(route.priority)
+    has_workspaces = config.workspace_by_key is not None
+    return {
+        service: priorities
+        for service, priorities in priorities_by_service.items()
+        if has_workspaces or len(priorities) > 1
+    }
+
+
 def find_route(config, host, path):
     """Return the route with the longest prefix of ``path``, or ``None``.
 
--- a/godwitlanding/gateway/admission.py
+++ b/godwitlanding/gateway/admission.py
@@ -30,9 +30,6 @@
 CALLER_OVERHEAD_S = 0.02
 # A request that is retried after a refusal has waited for longer than this.
 MIN_WAITED_S = 0.03
-# A deadline of more digits, 30 years in milliseconds, is taken for none.
-# Beyond 300 digits it is not a finite number of seconds.
-MAX_DEADLINE_DIGITS = 12
 # Default Retry-After in seconds.
 NOT_READY_RETRY_S = 0.5
 # A VM that can read the route, or a corrected configuration, may serve it.
@@ -87,12 +84,10 @@
         if config is None or not self._registry.has_upstreams:
             return Err(Denial(Code.NOT_READY, 503, NOT_READY_RETRY_S))
         request_id = exchange.get_header(self._names.request_id)
-        host = exchange.get_header(b"host")
-        if not request_id or not host:
+        if not request_id or not exchange.get_header(b"host"):
             return Err(Denial(Code.MALFORMED_REQUEST, 400))
-        host_name = host.decode("latin-1").lower().partition(":")[0]
         target = exchange.target.decode("latin-1")
-        route = find_route(config, host_name, target)
+        route = find_route(config, exchange.get_host_name(), target)
         if route is None:
             self._log_unknown("admission:unknown_route", request_id)
             return Err(self._deny_unknown(Code.UNKNOWN_SERVICE, 404))
@@ -126,10 +121,7 @@
 
     def _make_request(self, exchange, route, key, workspace):
         started_at = exchange.begun_at
-        wait_s = route.timeout_s
-        deadline = exchange.get_header(self._names.deadline_ms)
-        if deadline.isdigit() and len(deadline) <= MAX_DEADLINE_DIGITS:
-            wait_s = int(deadline) / 1000
+        wait_s = exchange.get_deadline_s(self._names.deadline_ms, route.timeout_s)
         waited_s = self._get_waited_s(route, wait_s)
         object_key = (
             exchange.get_header(self._names.affinity_key) if route.sticky else b""
--- a/godwitlanding/gateway/contention.py
+++ b/godwitlanding/gateway/contention.py
@@ -16,6 +16,7 @@
 from godwitlanding.decisions.occupancy import get_upstream_number
 from godwitlanding.decisions.priority import FULL_AT, Ranks, sum_counts
 from godwitlanding.decisions.requestcounts import INTERVAL_S, Counts, RequestCounts
+from godwitlanding.decisions.routes import get_contended_priorities
 
 # The counts of requests in progress change with each gossip message, at most
 # every 25 ms. They are added up only for a service under pressure.
@@ -44,11 +45,10 @@
 
 
 class ContentionDenial(NamedTuple):
-    """Why a request is denied, and the values that led to it."""
+    """Why a request is denied, and when its caller may return."""
 
     reason: Code
     retry_after_s: float
-    fields: dict
 
 
 class _Service:
@@ -108,19 +108,14 @@
 
     def apply_config(self, config):
         """Track the services that a configuration calls for; drop others."""
-        priorities_by_name = {}
-        for route in config.route_by_prefix.values():
-            for part in route.parts:
-                priorities_by_name.setdefault(part.service, set()).add(route.priority)
         self._has_workspaces = config.workspace_by_key is not None
         former = self._service_by_name
         self._service_by_name = {}
-        for name, priorities in priorities_by_name.items():
-            if len(priorities) > 1 or self._has_workspaces:
-                service = _Service(name, frozenset(priorities))
-                if name in former and self._has_workspaces:
-                    service.shares = former[name].shares
-                self._service_by_name[name] = service
+        for name, priorities in get_contended_priorities(config).items():
+            service = _Service(name, frozenset(priorities))
+            if name in former and self._has_workspaces:
+                service.shares = former[name].shares
+            self._service_by_name[name] = service
         services = self._service_by_name.values()
         self._counts.set_keys(
             (service.number, priority)
@@ -145,9 +140,8 @@
             return None
         self._counts.note(key, _DENIED)
         retry_after_s = self._retry_times.get_retry_after_s(request)
-        fields = self._get_fields(service, request, now)
-        self._log(request, reason, retry_after_s, fields, now)
-        return ContentionDenial(reason, retry_after_s, fields)
+        self._log(service, request, reason, retry_after_s, now)
+        return ContentionDenial(reason, retry_after_s)
 
     def note_result(self, request, result, now):
         """Count how an admitted request has ended."""
@@ -237,7 +231,7 @@
             fields["workspace_share"] = round(share, 3)
         return fields
 
-    def _log(self, request, reason, retry_after_s, fields, now):
+    def _log(self, service, request, reason, retry_after_s, now):
         if int(now) != self._logged_second:
             self._logged_second = int(now)
             self._lines = 0
@@ -254,7 +248,7 @@
             came_back=request.came_back,
             retry_after_s=retry_after_s,
             unlogged=self._unlogged,
-            **fields,
+            **self._get_fields(service, request, now),
         )
         self._unlogged = 0
 
--- a/godwitlanding/gateway/exchange.py
+++ b/godwitlanding/gateway/exchange.py
@@ -2,6 +2,9 @@
 
 from godwitlanding.base.headers import HOP_BY_HOP
 
+# A deadline of more digits, 30 years in milliseconds, is taken for none.
+# Beyond 300 digits it is not a finite number of seconds.
+MAX_DEADLINE_DIGITS = 12
 _HOP_BY_HOP = frozenset(name.encode() for name in HOP_BY_HOP)
 _REASON_BY_STATUS = {
     200: b"OK",
@@ -69,6 +72,21 @@
                 return value
         return b""
 
+    def get_host_name(self):
+        """Return the host that the request names, in lower case, as text."""
+        host = self.get_header(b"host").decode("latin-1")
+        return host.lower().partition(":")[0]
+
+    def get_deadline_s(self, name, default_s):
+        """Return the caller's deadline in seconds, from the header ``name``.
+
+        A header that is missing or no usable number stands for ``default_s``.
+        """
+        value = self.get_header(name)
+        if value.isdigit() and len(value) <= MAX_DEADLINE_DIGITS:
+            return int(value) / 1000
+        return default_s
+
     def get_headers(self, name):
         """Return all values of a header."""
         return [value for header, value in self.headers if header == name]
--- a/godwitlanding/gateway/front.py
+++ b/godwitlanding/gateway/front.py
@@ -130,12 +130,12 @@
         This is the caller's deadline, but at most the timeout of the route.
         """
         config = self._registry.config
-        host = exchange.get_header(b"host").decode("latin-1").lower().partition(":")[0]
         target = exchange.target.decode("latin-1")
-        route = find_route(config, host, target) if config else None
+        host_name = exchange.get_host_name()
+        route = find_route(config, host_name, target) if config else None
         timeout_s = route.timeout_s if route else DEFAULT_BODY_S
-        deadline = exchange.get_header(self._names.deadline_ms)
-        return min(timeout_s, int(deadline) / 1000) if deadline.isdigit() else timeout_s
+        deadline_s = exchange.get_deadline_s(self._names.deadline_ms, timeout_s)
+        return min(timeout_s, deadline_s)
 
     def note_unreadable(self, exchange, status, reason):
         """Record a request that could not be parsed."""
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -290,7 +290,7 @@
         if counts:
             neighbours = pick_neighbours(self._identity.ip, active_hosts)
             self._send(neighbours, request_counts=counts, **fields)
-            recipients = set(recipients).difference(neighbours)
+            recipients = [host for host in recipients if host not in neighbours]
         self._send(recipients, **fields)
 
     def _is_busy(self):
--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -104,8 +104,9 @@
         denial = self._contention.admit(request, now)
         if denial:
             charge.release(now)
-            code, retry_after_s, _ = denial
-            self._refuse_with_retry(exchange, code, retry_after_s, request)
+            self._refuse_with_retry(
+                exchange, denial.reason, denial.retry_after_s, request
+            )
             return
         if request.is_idempotent:
             # When the caller disconnects, no one waits for the response, so
--- a/godwitlanding/gateway/retrytimes.py
+++ b/godwitlanding/gateway/retrytimes.py
@@ -18,6 +18,7 @@
     get_retry_after_s,
 )
 from godwitlanding.decisions.returns import Returns
+from godwitlanding.decisions.routes import get_contended_priorities
 
 
 class RetryTimes(Service):
@@ -100,23 +101,5 @@
         )
 
     def _apply_config(self, config):
-        self._contended_services = find_contended_services(config)
+        self._contended_services = frozenset(get_contended_priorities(config))
         self._returns.keep_services(self._contended_services)
-
-
-def find_contended_services(config):
-    """Return the services whose callers are told booked times.
-
-    These are all services of a configuration with workspaces, otherwise those
-    that have routes of different priorities.
-    """
-    priorities_by_service = {}
-    for route in config.route_by_prefix.values():
-        for part in route.parts:
-            priorities_by_service.setdefault(part.service, set()).add(route.priority)
-    has_workspaces = config.workspace_by_key is not None
-    return frozenset(
-        service
-        for service, priorities in priorities_by_service.items()
-        if has_workspaces or len(priorities) > 1
-    )
--- a/godwitlanding/tests/gateway/test_retrytimes.py
+++ b/godwitlanding/tests/gateway/test_retrytimes.py
@@ -14,10 +14,11 @@
     Service,
     SplitPart,
     Workspace,
+    get_contended_priorities,
 )
 from godwitlanding.gateway.attempt import AdmittedRequest
 from godwitlanding.gateway.registry import Registry
-from godwitlanding.gateway.retrytimes import RetryTimes, find_contended_services
+from godwitlanding.gateway.retrytimes import RetryTimes
 
 pytestmark = pytest.mark.looptime
 
@@ -65,7 +66,7 @@
 async def test_contended_services(routes, workspace_by_key, expected):
     # Guards against other retry times for deployments without contention.
     config = make_config(1, [make_route(*row) for row in routes], workspace_by_key)
-    assert find_contended_services(config) == expected
+    assert set(get_contended_priorities(config)) == expected
 
 
 async def test_bookings_follow_the_configuration():
