Ejections and directory changes are logged with what tells a lost view

Seven real VMs, one to five of them cut off: 0 of 15 first tries served at each of those, no directory changed.

--- a/godwitlanding/gateway/directory.py
+++ b/godwitlanding/gateway/directory.py
@@ -21,12 +21,15 @@
         own = self._own if self._is_ready() else None
         remote_vms = self._digests.get_carriers()
         addresses = choose_addresses(own, self._fleet, region, remote_vms)
-        if addresses != self._addresses_by_region.get(region):
+        former = self._addresses_by_region.get(region, ())
+        if addresses != former:
             self._addresses_by_region[region] = addresses
             log_message(
                 "directory:named",
                 region=region,
                 addresses=len(addresses),
+                added=sorted(set(addresses) - set(former)),
+                removed=sorted(set(former) - set(addresses)),
                 own=own is not None,
                 usable=len(self._fleet.get_usable(region)),
                 heard=len(self._fleet.peer_by_vm),
--- a/godwitlanding/gateway/upstreamclient.py
+++ b/godwitlanding/gateway/upstreamclient.py
@@ -73,6 +73,7 @@
         self._chooser = None
         self._registry = None
         self._peers = None
+        self._connected_at = None
         self.tasks = Tasks()
 
     async def start(self, kernel):
@@ -119,9 +120,11 @@
         """Open a connection within ``max_s`` seconds."""
         distance_s = self._chooser.distances.get_s(upstream.availability_zone)
         timeout_s = CONNECT_SLACK_S + CONNECT_ROUND_TRIPS * distance_s
-        return await self._pool.connect(
+        connection = await self._pool.connect(
             upstream.id, upstream.address, min(timeout_s, max(0.001, max_s))
         )
+        self._connected_at = asyncio.get_running_loop().time()
+        return connection
 
     async def _send_over(self, connection, exchange, request, choice, sink):
         upstream = choice.upstream
@@ -265,9 +268,22 @@
             return
         self._chooser.availability.ejected.add(upstream.id)
         self._counters.add("upstreams_ejected")
-        log_message("courier:ejected", level="warning", upstream=upstream.id)
+        log_message(
+            "courier:ejected",
+            level="warning",
+            upstream=upstream.id,
+            ejected=len(self._chooser.availability.ejected),
+            listed=len(self._registry.upstream_by_id),
+            connected_s=self._get_connected_age_s(),
+        )
         self.tasks.keep_running(self._probe_until_reachable, upstream)
 
+    def _get_connected_age_s(self):
+        """Return how long ago any upstream was connected to, or ``None``."""
+        if self._connected_at is None:
+            return None
+        return round(asyncio.get_running_loop().time() - self._connected_at, 3)
+
     def _eject_moved(self, upstream):
         # Connections can still be opened, and the entry stays until it
         # expires. Each request for an object that the upstream knew would fail
--- /dev/null
+++ b/godwitlanding/tests/gateway/test_cut_off_vms.py
@@ -0,0 +1,124 @@
+"""VMs that reach no upstream while callers, the store and peers reach them."""
+
+import asyncio
+import json
+from typing import NamedTuple
+
+import aiohttp
+import pytest
+
+from godwitlanding.tests.gateway.vm_with_cut_upstreams import SUFFIX
+from godwitlanding.tests.gateway.world import World
+
+ZONES = ("a1", "a1", "a1", "a2", "a2", "b1", "b1")
+REGION_A = (0, 1, 2, 3, 4)
+WORKERS = tuple(
+    (f"{service[:-1]}-{number}-{zone}", service, zone)
+    for service in ("looks", "pays")
+    for zone in ("a1", "a2", "b1")
+    for number in range(2)
+)
+# The users' rule: from this time after the cut, first tries at the VMs that
+# are cut off are served at least two thirds as often as those at the others.
+IN_TOUCH_S = 4.0
+MIN_RELATIVE_SHARE = 2 / 3
+ROUNDS = 15
+ROUND_S = 0.2
+
+
+class Cut(NamedTuple):
+    """Which VMs are cut off from all upstreams, and how."""
+
+    mode: str
+    vms: tuple[int, ...]
+
+
+class CutWorld(World):
+    """A ``World`` whose VMs can be cut off from all upstreams."""
+
+    def __init__(self, folder):
+        super().__init__(folder, ZONES, WORKERS)
+
+    async def prepare_vm(self, vm, number):
+        """Let the links of the VM be cut."""
+        vm.module = "godwitlanding.tests.gateway.vm_with_cut_upstreams"
+
+    def cut(self, cut):
+        """Cut off VMs; an empty mode ends it."""
+        for number in cut.vms:
+            path = self.vms[number].path.with_suffix(SUFFIX)
+            path.write_text(json.dumps(cut.mode))
+
+    async def send_first_tries(self, rounds=ROUNDS):
+        """Send requests to all VMs; return the share served, by VM number."""
+        tasks_by_vm = {number: [] for number in range(len(self.vms))}
+        for round_number in range(rounds):
+            for number, tasks in tasks_by_vm.items():
+                vm = self.vms[number]
+                path = f"/look/{round_number % 5}"
+                tasks.append(asyncio.create_task(self._is_served(vm, path)))
+            await asyncio.sleep(ROUND_S)
+        return {
+            number: sum(await asyncio.gather(*tasks)) / rounds
+            for number, tasks in tasks_by_vm.items()
+        }
+
+    async def send_payments(self, first, count=ROUNDS):
+        """Send payments to all VMs in turn; return how many are served."""
+        served = 0
+        for number in range(first, first + count):
+            response, _ = await self.pay(self.vms[number % len(self.vms)], number)
+            served += response.status == 200
+        return served
+
+    async def _is_served(self, vm, path):
+        try:
+            response, _ = await self.ask(vm, path)
+        except aiohttp.ClientError:
+            return False
+        return response.status == 200
+
+
+@pytest.fixture
+async def world(tmp_path):
+    async with CutWorld(tmp_path) as world:
+        await world.start()
+        for vm in world.vms:
+            await world.wait_until_ready(vm)
+        await world.send_first_tries(5)
+        yield world
+
+
+def get_relative_share(share_by_vm, cut):
+    """Return the share served at cut off VMs, relative to the other VMs."""
+    others = [share for vm, share in share_by_vm.items() if vm not in cut.vms]
+    isolated = [share for vm, share in share_by_vm.items() if vm in cut.vms]
+    return (sum(isolated) / len(isolated)) / (sum(others) / len(others))
+
+
+CUTS = [
+    pytest.param(Cut(mode, vms), id=f"{mode}-{name}")
+    for mode in ("hang", "reset", "refuse")
+    for name, vms in (("one", (1,)), ("most of a zone", (0, 1)), ("region", REGION_A))
+]
+
+
+@pytest.mark.parametrize("cut", CUTS)
+async def test_callers_of_vms_cut_off_from_upstreams_are_served(world, cut):
+    # Guards against refusals by a VM that reaches no upstream, though others do.
+    world.cut(cut)
+    await asyncio.sleep(IN_TOUCH_S)
+    share_by_vm = await world.send_first_tries()
+    assert get_relative_share(share_by_vm, cut) >= MIN_RELATIVE_SHARE, share_by_vm
+
+
+@pytest.mark.parametrize("cut", CUTS)
+async def test_directories_do_not_name_vms_cut_off_from_upstreams(world, cut):
+    # Guards against callers that are directed to VMs that reach no upstream.
+    world.cut(cut)
+    await world.send_first_tries(round(IN_TOUCH_S / ROUND_S))
+    isolated = {world.vms[number].address for number in cut.vms}
+    for vm in world.vms:
+        named = set(await world.resolve(vm))
+        assert named
+        assert not named & isolated
