--- a/godwitlanding/tests/gateway/test_cut_off_vms.py
+++ b/godwitlanding/tests/gateway/test_cut_off_vms.py
@@ -99,13 +99,13 @@
 CUTS = [
     pytest.param(Cut(mode, vms), id=f"{mode}-{name}")
     for mode in ("hang", "reset", "refuse")
-    for name, vms in (("one", (1,)), ("most of a zone", (0, 1)), ("region", REGION_A))
+    for name, vms in (("one", (1,)), ("most-of-zone", (0, 1)), ("region", REGION_A))
 ]
 
 
 @pytest.mark.parametrize("cut", CUTS)
 async def test_callers_of_vms_cut_off_from_upstreams_are_served(world, cut):
-    # Guards against refusals by a VM that reaches no upstream, though others do.
+    # Guards against refusals by a VM that reaches no upstream while others do.
     world.cut(cut)
     await asyncio.sleep(IN_TOUCH_S)
     share_by_vm = await world.send_first_tries()
@@ -122,3 +122,19 @@
         named = set(await world.resolve(vm))
         assert named
         assert not named & isolated
+
+
+@pytest.mark.parametrize("mode", ["hang", "reset"])
+async def test_cut_links_are_not_taken_for_crashed_upstreams(world, mode):
+    # Guards against requests that all VMs refuse because their upstreams
+    # seemed to crash to a VM that had lost its own links.
+    cut = Cut(mode, (0, 1))
+    for worker_id, _, _ in WORKERS:
+        world.get_worker(worker_id).work_s = 0.3
+    under_way = asyncio.create_task(world.send_first_tries(5))
+    await asyncio.sleep(2 * ROUND_S)
+    world.cut(cut)
+    await under_way
+    await asyncio.sleep(1.0)
+    reports = [vm.name for vm in world.vms if "courier:crash" in vm.read_log()]
+    assert not reports
