VMs that reach no upstream are not named to callers

Cause: each upstream was judged by itself, so nobody concluded that the VM was cut off, and a VM is ready by its configuration alone.

Directories leave it out while another VM, if need be of another region, is in touch; where none is, upstreams are down and nobody is left out.

--- a/godwitlanding/decisions/digest.py
+++ b/godwitlanding/decisions/digest.py
@@ -17,6 +17,7 @@
 from godwitlanding.decisions.fleet import find_high_capacity, pick_carriers
 from godwitlanding.decisions.objectmap import CacheEntry
 from godwitlanding.decisions.ratelimit import LimitedUpstream
+from godwitlanding.decisions.reach import Reach, select_in_touch
 from godwitlanding.decisions.tally import AskedRate
 
 REPRESENTATIVES = 2
@@ -73,6 +74,8 @@
     limited: tuple[LimitedUpstream, ...] = ()
     # Numbers of upstreams that are leaving but are not marked so in the store.
     leaving_upstreams: tuple[int, ...] = ()
+    # Whether all its VMs are cut off from upstreams.
+    cut_off: bool = False
 
 
 def pick_representatives(peers):
@@ -93,7 +96,8 @@
     for peer in peers:
         for service, rate in peer.rate_by_service.items():
             rate_by_service[service] = rate_by_service.get(service, 0.0) + rate
-    carriers = pick_carriers(usable, sum(rate_by_service.values()))
+    in_touch = select_in_touch(usable)
+    carriers = pick_carriers(in_touch, sum(rate_by_service.values()))
     addresses = sorted(peer.address for peer in carriers)
     source = max(peers, key=lambda peer: (peer.reads, peer.changed_at))
     return Digest(
@@ -106,6 +110,7 @@
         changed_at=source.changed_at,
         met=tuple(met),
         asked=tuple(asked),
+        cut_off=all(peer.reach is Reach.CUT_OFF for peer in in_touch),
     )
 
 
@@ -157,11 +162,15 @@
             self._direct_received_at_by_region.pop(region, None)
         return silent
 
-    def get_carriers(self, regions=None):
-        """Return the addresses of the carriers of ``regions``, or of all."""
+    def get_carriers(self, regions=None, in_touch=False):
+        """Return the addresses of the carriers of ``regions``, or of all.
+
+        With ``in_touch``, only of regions that reach upstreams.
+        """
         return [
             address
             for region, digest in self.digest_by_region.items()
             if regions is None or region in regions
+            if not (in_touch and digest.cut_off)
             for address in digest.carriers
         ]
--- a/godwitlanding/decisions/fleet.py
+++ b/godwitlanding/decisions/fleet.py
@@ -22,6 +22,7 @@
 from typing import NamedTuple
 
 from godwitlanding.base.rendezvous import rank
+from godwitlanding.decisions.reach import Reach, select_in_touch
 
 # As in ``occupancy``: ten messages in a row are missing.
 PEER_TIMEOUT_S = 1.5
@@ -84,6 +85,8 @@
     # order.
     changed_at: tuple[int, ...]
     received_at: float
+    # Whether it reaches upstreams.
+    reach: Reach = Reach.UNKNOWN
 
     @property
     def host(self):
@@ -144,6 +147,7 @@
             message.failed,
             message.changed_at,
             now,
+            message.reach,
         )
         return True
 
@@ -252,17 +256,25 @@
     if own and region in ("", own.region):
         peers.append(own)
         rate_per_s += fleet.own_rate_per_s
-    return pick_carriers(peers, rate_per_s)
+    return pick_carriers(select_in_touch(peers), rate_per_s)
 
 
 def choose_addresses(own, fleet, region, other_region_addresses=()):
     """Return the addresses for a caller of ``region``.
 
-    ``other_region_addresses`` are the carriers that other regions send in
-    their digests.
+    ``other_region_addresses`` are the carriers in touch with upstreams that
+    other regions send in their digests. Callers of a region whose VMs are all
+    cut off from upstreams are directed to those.
     """
-    addresses = [peer.address for peer in get_carriers(own, fleet, region)]
-    if not addresses:
-        carriers = get_carriers(own, fleet, "")
-        addresses = {*other_region_addresses, *(peer.address for peer in carriers)}
+    home = get_carriers(own, fleet, region)
+    addresses = {peer.address for peer in home}
+    if not any(_is_in_touch(peer) for peer in home):
+        others = get_carriers(own, fleet, "")
+        elsewhere = {peer.address for peer in others if _is_in_touch(peer)}
+        elsewhere.update(other_region_addresses)
+        addresses = elsewhere or addresses or {peer.address for peer in others}
     return sorted(addresses)[:MAX_ADDRESSES]
+
+
+def _is_in_touch(peer):
+    return peer.reach is not Reach.CUT_OFF
--- a/godwitlanding/decisions/worktime.py
+++ b/godwitlanding/decisions/worktime.py
@@ -164,6 +164,10 @@
         for upstream in self._failures_by_upstream:
             self._failures_by_upstream[upstream] *= 0.9
 
+    def forget_failures(self, upstream):
+        """Discard an upstream's failures, which were not its own."""
+        self._failures_by_upstream.pop(upstream, None)
+
     def forget(self, upstream):
         """Discard the values of an upstream that was removed."""
         self._factor_by_upstream.pop(upstream, None)
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -107,6 +107,7 @@
         self._homes = Homes()
         self._shift_guard = ShiftGuard()
         self._candidates = None
+        self.is_cut_off = lambda: False
         # Shared with the other services of the gateway.
         self.distances = None
         self.learning = None
@@ -136,6 +137,7 @@
             self.availability.ejected,
             self.learning,
         )
+        self._region_balancer.is_cut_off = self.is_cut_off
         self.tasks.repeat(UPDATE_INTERVAL_S, self._region_balancer.update)
         self.tasks.repeat(
             RECOVERY_INTERVAL_S,
--- a/godwitlanding/gateway/directory.py
+++ b/godwitlanding/gateway/directory.py
@@ -8,18 +8,21 @@
 class Directory:
     """Returns VM addresses by caller region and logs when they change."""
 
-    def __init__(self, identity, fleet, digests, is_ready):
+    def __init__(self, identity, fleet, digests, is_ready, get_reach):
         self._own = make_own_peer(identity)
         self._fleet = fleet
         self._digests = digests
         self._is_ready = is_ready
+        self._get_reach = get_reach
         self._addresses_by_region = {}
 
     def choose(self, region):
         """Return the addresses that a caller of ``region`` may use."""
         region = region or self._own.region
-        own = self._own if self._is_ready() else None
-        remote_vms = self._digests.get_carriers()
+        own = None
+        if self._is_ready():
+            own = self._own._replace(reach=self._get_reach())
+        remote_vms = self._digests.get_carriers(in_touch=True)
         addresses = choose_addresses(own, self._fleet, region, remote_vms)
         former = self._addresses_by_region.get(region, ())
         if addresses != former:
--- a/godwitlanding/gateway/gossipmessage.py
+++ b/godwitlanding/gateway/gossipmessage.py
@@ -14,6 +14,7 @@
 from godwitlanding.decisions.occupancy import get_upstream_number
 from godwitlanding.decisions.pace import PaceRow
 from godwitlanding.decisions.ratelimit import LimitedUpstream, LimitRow
+from godwitlanding.decisions.reach import Reach
 from godwitlanding.decisions.requestcounts import CountRow, Counts
 from godwitlanding.decisions.tally import AskedRate, Level, Tally
 
@@ -88,6 +89,8 @@
     paces: tuple[PaceRow, ...] = ()
     # Request counts of services under contention, empty in most messages.
     request_counts: tuple[CountRow, ...] = ()
+    # Whether the sender reaches upstreams.
+    reach: Reach = Reach.UNKNOWN
 
     @property
     def carries(self):
@@ -123,6 +126,7 @@
         leavingUpstreams=_pack_numbers(message.leaving_upstreams),
         paces=b"".join(map(_pack_pace, message.paces)),
         requestCounts=b"".join(map(_pack_count_row, message.request_counts)),
+        reach=int(message.reach),
     )
     return encoded.to_bytes_packed()
 
@@ -198,6 +202,7 @@
         "asked": _pack_amounts(digest.asked),
         "limited": _pack_amounts(digest.limited),
         "leavingUpstreams": _pack_numbers(digest.leaving_upstreams),
+        "cutOff": digest.cut_off,
     }
 
 
@@ -235,11 +240,17 @@
                 _unpack_count_row(*row)
                 for row in _COUNT_ROW.iter_unpack(encoded.requestCounts)
             ),
+            reach=_read_reach(encoded.reach),
         )
     except (capnp.KjException, UnicodeDecodeError, struct.error) as error:
         raise ValueError(f"not a gossip message: {error}") from None
 
 
+def _read_reach(number):
+    # A newer version may send a value that this one does not know.
+    return Reach(number) if number in set(Reach) else Reach.UNKNOWN
+
+
 def _read_rates(rows):
     return {row.service: row.perSecond for row in rows}
 
@@ -277,6 +288,7 @@
         asked=_unpack_amounts(AskedRate, row.asked),
         limited=_unpack_amounts(LimitedUpstream, row.limited),
         leaving_upstreams=_unpack_numbers(row.leavingUpstreams),
+        cut_off=row.cutOff,
     )
 
 
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -68,6 +68,9 @@
   # age of the crash in steps of 10 ms. With the number 0, the time since the
   # request succeeded.
   crashRows @25 :Data;
+  # Whether the VM can connect to upstreams: 0 if that is not known, 1 if it
+  # can, 2 if it can connect to none.
+  reach @26 :UInt8;
 }
 
 # Rate at which callers send requests for a service, per second.
@@ -108,4 +111,6 @@
   # As in ``GossipMessage``.
   leavingUpstreams @10 :Data;
   crashRows @11 :Data;
+  # Whether none of its VMs can connect to any upstream.
+  cutOff @12 :Bool;
 }
--- a/godwitlanding/gateway/peers.py
+++ b/godwitlanding/gateway/peers.py
@@ -24,6 +24,7 @@
     pick_representatives,
 )
 from godwitlanding.decisions.fleet import get_carriers, is_busy, make_own_peer
+from godwitlanding.decisions.reach import Reach
 from godwitlanding.decisions.recipients import (
     STATE_INTERVAL_S,
     is_active,
@@ -98,6 +99,7 @@
         self.digests = Digests(identity.region)
         self._known_vms = KnownVms(identity.region, fleet, self.digests)
         self.is_ready = lambda: False
+        self.get_reach = lambda: Reach.UNKNOWN
         self.get_store_state = lambda: StoreState(False, False, ())
         self.get_paces = tuple
         self.on_paces = lambda rows: None
@@ -384,6 +386,7 @@
             return None
         return make_own_peer(self._identity)._replace(
             rate_by_service=self._arrival_rates.rate_by_service,
+            reach=self.get_reach(),
             **self.get_store_state()._asdict(),
         )
 
@@ -423,6 +426,7 @@
             met=met,
             heard=self._known_vms.count_reachable(),
             leaving_upstreams=self._registry.get_leaving_numbers(),
+            reach=self.get_reach(),
             **self.get_store_state()._asdict(),
         )
 
--- a/godwitlanding/gateway/regionbalancer.py
+++ b/godwitlanding/gateway/regionbalancer.py
@@ -58,6 +58,8 @@
         self._homes = homes
         self._limit_gossip = limit_gossip
         self._ejected = ejected
+        # A VM that is cut off sees no slots anywhere, and keeps its shares.
+        self.is_cut_off = lambda: False
         self._learning = learning
         self._logged_by_service = {}
         self._slots_by_service = {}
@@ -76,7 +78,7 @@
     def update(self):
         """Update the shares; called every ``UPDATE_INTERVAL_S``."""
         config = self._registry.config
-        if config is None:
+        if config is None or self.is_cut_off():
             return
         now = asyncio.get_running_loop().time()
         for service in config.service_by_name:
--- a/godwitlanding/gateway/upstreamclient.py
+++ b/godwitlanding/gateway/upstreamclient.py
@@ -40,6 +40,13 @@
 _EXECUTED = frozenset((Outcome.ANSWERED, Outcome.FAILED))
 
 
+class _Ejection:
+    """Marks one ejection of an upstream, ``at`` a time on the loop's clock."""
+
+    def __init__(self, at):
+        self.at = at
+
+
 class UpstreamClient(Service):
     """Sends requests to upstreams and tracks which can be reached.
 
@@ -47,7 +54,7 @@
     """
 
     name = "courier"
-    needs = ("registry", "chooser", "peers")
+    needs = ("registry", "chooser", "peers", "reach")
 
     def __init__(
         self,
@@ -59,6 +66,7 @@
         limit_gossip,
         counters,
         poison,
+        reach,
         held_bytes=None,
     ):
         self._names = names
@@ -69,11 +77,14 @@
         self._limit_gossip = limit_gossip
         self._counters = counters
         self._poison = poison
+        self._reach = reach
+        reach.connect = self._probe
+        reach.on_restored.append(self._readmit_since)
         self._held_bytes = held_bytes
         self._chooser = None
         self._registry = None
         self._peers = None
-        self._connected_at = None
+        self._ejections_by_upstream = {}
         self.tasks = Tasks()
 
     async def start(self, kernel):
@@ -120,12 +131,24 @@
         """Open a connection within ``max_s`` seconds."""
         distance_s = self._chooser.distances.get_s(upstream.availability_zone)
         timeout_s = CONNECT_SLACK_S + CONNECT_ROUND_TRIPS * distance_s
-        connection = await self._pool.connect(
-            upstream.id, upstream.address, min(timeout_s, max(0.001, max_s))
-        )
-        self._connected_at = asyncio.get_running_loop().time()
+        try:
+            connection = await self._pool.connect(
+                upstream.id, upstream.address, min(timeout_s, max(0.001, max_s))
+            )
+        except UpstreamError:
+            self._reach.note_failed(upstream.id)
+            raise
+        self._reach.note_connected()
         return connection
 
+    async def _probe(self, upstream):
+        """Open a connection for later requests, if that is possible."""
+        try:
+            connection = await self._connect(upstream)
+        except UpstreamError:
+            return
+        self._pool.give_back(upstream.id, connection)
+
     async def _send_over(self, connection, exchange, request, choice, sink):
         upstream = choice.upstream
         loop = asyncio.get_running_loop()
@@ -274,15 +297,11 @@
             upstream=upstream.id,
             ejected=len(self._chooser.availability.ejected),
             listed=len(self._registry.upstream_by_id),
-            connected_s=self._get_connected_age_s(),
+            connected_s=self._reach.get_connected_age_s(),
         )
-        self.tasks.keep_running(self._probe_until_reachable, upstream)
-
-    def _get_connected_age_s(self):
-        """Return how long ago any upstream was connected to, or ``None``."""
-        if self._connected_at is None:
-            return None
-        return round(asyncio.get_running_loop().time() - self._connected_at, 3)
+        ejection = _Ejection(asyncio.get_running_loop().time())
+        self._ejections_by_upstream[upstream.id] = ejection
+        self.tasks.keep_running(self._probe_until_reachable, upstream, ejection)
 
     def _eject_moved(self, upstream):
         # Connections can still be opened, and the entry stays until it
@@ -300,18 +319,38 @@
         await asyncio.sleep(after_s)
         self._chooser.availability.ejected.discard(upstream_id)
 
-    async def _probe_until_reachable(self, upstream):
+    def _readmit_since(self, failing_since):
+        """Readmit what was ejected because this VM was cut off.
+
+        The failures of that time were not those of the upstreams. Each one is
+        connected to again when a request needs it, not all at once.
+        """
+        readmitted = [
+            upstream_id
+            for upstream_id, ejection in self._ejections_by_upstream.items()
+            if ejection.at >= failing_since
+        ]
+        for upstream_id in readmitted:
+            del self._ejections_by_upstream[upstream_id]
+            self._chooser.availability.ejected.discard(upstream_id)
+            self._worktimes.forget_failures(upstream_id)
+        log_message("courier:readmitted", upstreams=len(readmitted))
+
+    async def _probe_until_reachable(self, upstream, ejection):
         pause_s = FIRST_EJECT_S
         while True:
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_EJECT_S, pause_s * 2)
-            if upstream.id not in self._registry.upstream_by_id:
+            if self._ejections_by_upstream.get(upstream.id) is not ejection:
                 return
             try:
                 connection = await self._connect(upstream)
             except UpstreamError:
                 continue
             self._pool.give_back(upstream.id, connection)
+            if self._ejections_by_upstream.get(upstream.id) is not ejection:
+                return
+            del self._ejections_by_upstream[upstream.id]
             now = asyncio.get_running_loop().time()
             self._registry.note_reached_again(upstream.id, now)
             self._chooser.availability.ejected.discard(upstream.id)
@@ -319,6 +358,7 @@
             return
 
     def _forget(self, upstream_id):
+        self._ejections_by_upstream.pop(upstream_id, None)
         self._pool.forget(upstream_id)
         self._limit_gossip.forget(upstream_id)
         self._chooser.forget(upstream_id)
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -37,6 +37,7 @@
 from godwitlanding.gateway.pages import Page, PageServer
 from godwitlanding.gateway.peers import Peers
 from godwitlanding.gateway.presence import Presence
+from godwitlanding.gateway.reachmonitor import ReachMonitor
 from godwitlanding.gateway.registry import Registry
 from godwitlanding.gateway.requesthandler import RequestHandler
 from godwitlanding.gateway.retrytimes import RetryTimes
@@ -117,8 +118,14 @@
             CrashGossip(self.registry, self.poison_ledger, counters),
         )
         self.peers.is_ready = self.is_ready
+        self.reach = ReachMonitor(counters)
+        self.peers.get_reach = self.reach.get_reach
         self.directory = Directory(
-            settings, self.fleet, self.peers.digests, self.is_ready
+            settings,
+            self.fleet,
+            self.peers.digests,
+            self.is_ready,
+            self.reach.get_reach,
         )
         self.presence = Presence(self.store, VM_KIND, settings)
         self.chooser = Chooser(
@@ -129,6 +136,7 @@
             self.object_map,
             self.limit_gossip,
         )
+        self.chooser.is_cut_off = self.reach.is_cut_off
         self.held_bytes = HeldBytes(counters, settings.memory_mb)
         pool = pool or UpstreamPool(HEADER_NAMES.request_id, counters, self.held_bytes)
         self.upstream_client = UpstreamClient(
@@ -140,6 +148,7 @@
             self.limit_gossip,
             counters,
             self.poison_ledger,
+            self.reach,
             self.held_bytes,
         )
         self.admission = Admission(
@@ -230,6 +239,7 @@
             self.admission,
             self.contention,
             self.retry_times,
+            self.reach,
             self.request_handler,
             self.saved_object_map,
             self.loop_health,
--- a/godwitlanding/tests/gateway/test_cut_off_vms.py
+++ b/godwitlanding/tests/gateway/test_cut_off_vms.py
@@ -49,17 +49,21 @@
             path = self.vms[number].path.with_suffix(SUFFIX)
             path.write_text(json.dumps(cut.mode))
 
-    async def send_first_tries(self, rounds=ROUNDS):
-        """Send requests to all VMs; return the share served, by VM number."""
+    async def send_first_tries(self, rounds=ROUNDS, burst=1):
+        """Send requests to all VMs; return the share served, by VM number.
+
+        Each VM gets ``burst`` requests at a time.
+        """
         tasks_by_vm = {number: [] for number in range(len(self.vms))}
         for round_number in range(rounds):
             for number, tasks in tasks_by_vm.items():
                 vm = self.vms[number]
-                path = f"/look/{round_number % 5}"
-                tasks.append(asyncio.create_task(self._is_served(vm, path)))
+                for index in range(burst):
+                    path = f"/look/{(round_number + index) % 5}"
+                    tasks.append(asyncio.create_task(self._is_served(vm, path)))
             await asyncio.sleep(ROUND_S)
         return {
-            number: sum(await asyncio.gather(*tasks)) / rounds
+            number: sum(await asyncio.gather(*tasks)) / len(tasks)
             for number, tasks in tasks_by_vm.items()
         }
 
@@ -116,7 +120,8 @@
 async def test_directories_do_not_name_vms_cut_off_from_upstreams(world, cut):
     # Guards against callers that are directed to VMs that reach no upstream.
     world.cut(cut)
-    await world.send_first_tries(round(IN_TOUCH_S / ROUND_S))
+    # More at a time than connections are open, so that new ones are needed.
+    await world.send_first_tries(round(IN_TOUCH_S / ROUND_S), burst=4)
     isolated = {world.vms[number].address for number in cut.vms}
     for vm in world.vms:
         named = set(await world.resolve(vm))
--- a/godwitlanding/tests/gateway/test_upstreamclient.py
+++ b/godwitlanding/tests/gateway/test_upstreamclient.py
@@ -12,6 +12,7 @@
 from godwitlanding.gateway.attempt import Outcome
 from godwitlanding.gateway.limitgossip import LimitGossip
 from godwitlanding.gateway.paces import Paces
+from godwitlanding.gateway.reachmonitor import ReachMonitor
 from godwitlanding.gateway.registry import Registry, Upstream
 from godwitlanding.gateway.upstream import Response, UpstreamError, UpstreamFailure
 from godwitlanding.gateway.upstreamclient import (
@@ -84,6 +85,9 @@
             trim=lambda: None,
             close=lambda: None,
         )
+        self.reaches_others = True
+        self.reach = ReachMonitor(Counters())
+        self.reach.reaches_any_since = self.reaches_any_since
         self.upstream_client = UpstreamClient(
             HEADER_NAMES,
             read_self_report,
@@ -93,6 +97,7 @@
             self.limit_gossip,
             Counters(),
             PoisonLedger(),
+            self.reach,
         )
 
     async def __aenter__(self):
@@ -101,11 +106,17 @@
             "registry": self.registry,
             "peers": SimpleNamespace(note_crash=self.crashes.append),
         }
+        services["reach"] = self.reach
+        await self.reach.start(SimpleNamespace(get=services.get))
         await self.upstream_client.start(SimpleNamespace(get=services.get))
         return self
 
     async def __aexit__(self, *error):
         await self.upstream_client.stop()
+        await self.reach.stop()
+
+    async def reaches_any_since(self, began_at):
+        return self.reaches_others
 
     async def fail_to_connect(self, *arguments):
         raise UpstreamError(UpstreamFailure.CONNECT)
--- a/godwitlanding/tests/load/gateway_model.py
+++ b/godwitlanding/tests/load/gateway_model.py
@@ -334,6 +334,7 @@
             program.registry,
             program.peers,
             program.chooser,
+            program.reach,
             program.upstream_client,
             program.admission,
             program.contention,
@@ -355,7 +356,12 @@
 
 async def _stop(vm):
     program = vm.program
-    for service in (program.upstream_client, program.chooser, program.peers):
+    for service in (
+        program.reach,
+        program.upstream_client,
+        program.chooser,
+        program.peers,
+    ):
         await service.stop()
 
 
