A VM whose own links are cut does not report crashes of upstreams

RECOVER: four VMs whose connections were reset and refused told all ten of 76 crashes within 3 s; 31 requests were refused as crashing ones, three of them by VMs whose links were whole. A closed connection and a refused one were taken for a crash, whatever else the VM reached.

--- a/godwitlanding/gateway/upstreamclient.py
+++ b/godwitlanding/gateway/upstreamclient.py
@@ -265,10 +265,15 @@
         await asyncio.sleep(CRASH_CHECK_S)
         if upstream.id not in self._registry.upstream_by_id:
             return
+        began_at = asyncio.get_running_loop().time()
         try:
             connection = await self._connect(upstream)
         except UpstreamError:
-            if failure in _CLOSED_BY_UPSTREAM:
+            if not await self._reach.reaches_any_since(began_at):
+                # The links of this VM are cut, which says nothing of the
+                # upstream and must not stop the request at all VMs.
+                self._log_checked("courier:cut_off", upstream, fingerprint)
+            elif failure in _CLOSED_BY_UPSTREAM:
                 self._log_checked("courier:crash", upstream, fingerprint)
                 number = get_upstream_number(upstream.incarnation)
                 self._peers.note_crash(Crash(fingerprint, number))
--- a/godwitlanding/tests/gateway/test_upstreamclient.py
+++ b/godwitlanding/tests/gateway/test_upstreamclient.py
@@ -175,6 +175,17 @@
         assert len(setting.crashes) == crashes
 
 
+@pytest.mark.parametrize("failure", [UpstreamFailure.RESET, UpstreamFailure.BROKEN])
+async def test_lost_connection_of_a_vm_that_reaches_no_upstream_is_no_crash(failure):
+    # Guards against crash reports by a VM whose own links are cut.
+    async with Setting(200, [SIGNED]) as setting:
+        setting.failure = failure
+        setting.reaches_others = False
+        assert await setting.send() is Outcome.UNKNOWN
+        await asyncio.sleep(2 * CRASH_CHECK_S)
+        assert not setting.crashes
+
+
 async def test_crash_during_a_streamed_response_is_noted():
     # Guards against crashes that go unnoticed after a response has begun.
     async with Setting(200, [SIGNED]) as setting:
