Directories name all VMs of another region, and of one where all are cut off

With all upstreams stopped, a VM of region b named one of the five VMs of region a to its callers: those few that sent it counts hid the region's digest.

--- a/godwitlanding/decisions/digest.py
+++ b/godwitlanding/decisions/digest.py
@@ -74,8 +74,8 @@
     limited: tuple[LimitedUpstream, ...] = ()
     # Numbers of upstreams that are leaving but are not marked so in the store.
     leaving_upstreams: tuple[int, ...] = ()
-    # Whether all its VMs are cut off from upstreams.
-    cut_off: bool = False
+    # ``CUT_OFF`` if all its VMs are cut off from upstreams.
+    reach: Reach = Reach.UNKNOWN
 
 
 def pick_representatives(peers):
@@ -110,7 +110,7 @@
         changed_at=source.changed_at,
         met=tuple(met),
         asked=tuple(asked),
-        cut_off=all(peer.reach is Reach.CUT_OFF for peer in in_touch),
+        reach=min((peer.reach for peer in in_touch), default=Reach.UNKNOWN),
     )
 
 
@@ -171,6 +171,6 @@
             address
             for region, digest in self.digest_by_region.items()
             if regions is None or region in regions
-            if not (in_touch and digest.cut_off)
+            if not (in_touch and digest.reach is Reach.CUT_OFF)
             for address in digest.carriers
         ]
--- a/godwitlanding/decisions/fleet.py
+++ b/godwitlanding/decisions/fleet.py
@@ -259,22 +259,31 @@
     return pick_carriers(select_in_touch(peers), rate_per_s)
 
 
-def choose_addresses(own, fleet, region, other_region_addresses=()):
+def choose_addresses(own, fleet, region, digests=()):
     """Return the addresses for a caller of ``region``.
 
-    ``other_region_addresses`` are the carriers in touch with upstreams that
-    other regions send in their digests. Callers of a region whose VMs are all
-    cut off from upstreams are directed to those.
+    ``digests`` are those of the other regions. Callers of a region without
+    VMs, or whose VMs are all cut off from upstreams, are directed to VMs of
+    other regions that are in touch.
     """
     home = get_carriers(own, fleet, region)
-    addresses = {peer.address for peer in home}
-    if not any(_is_in_touch(peer) for peer in home):
+    home_digests = [digest for digest in digests if digest.region == region]
+    addresses = _get_addresses(_drop_cut_off(home), _drop_cut_off(home_digests))
+    if not addresses:
         others = get_carriers(own, fleet, "")
-        elsewhere = {peer.address for peer in others if _is_in_touch(peer)}
-        elsewhere.update(other_region_addresses)
-        addresses = elsewhere or addresses or {peer.address for peer in others}
+        addresses = (
+            _get_addresses(_drop_cut_off(others), _drop_cut_off(digests))
+            or _get_addresses(home, home_digests)
+            or _get_addresses(others, digests)
+        )
     return sorted(addresses)[:MAX_ADDRESSES]
 
 
-def _is_in_touch(peer):
-    return peer.reach is not Reach.CUT_OFF
+def _get_addresses(peers, digests):
+    addresses = {peer.address for peer in peers}
+    return addresses.union(*(digest.carriers for digest in digests))
+
+
+def _drop_cut_off(rows):
+    """Return those of some peers or digests that reach upstreams."""
+    return [row for row in rows if row.reach is not Reach.CUT_OFF]
--- a/godwitlanding/gateway/directory.py
+++ b/godwitlanding/gateway/directory.py
@@ -22,8 +22,8 @@
         own = None
         if self._is_ready():
             own = self._own._replace(reach=self._get_reach())
-        remote_vms = self._digests.get_carriers(in_touch=True)
-        addresses = choose_addresses(own, self._fleet, region, remote_vms)
+        digests = self._digests.digest_by_region.values()
+        addresses = choose_addresses(own, self._fleet, region, digests)
         former = self._addresses_by_region.get(region, ())
         if addresses != former:
             self._addresses_by_region[region] = addresses
--- a/godwitlanding/gateway/gossipmessage.py
+++ b/godwitlanding/gateway/gossipmessage.py
@@ -202,7 +202,7 @@
         "asked": _pack_amounts(digest.asked),
         "limited": _pack_amounts(digest.limited),
         "leavingUpstreams": _pack_numbers(digest.leaving_upstreams),
-        "cutOff": digest.cut_off,
+        "reach": int(digest.reach),
     }
 
 
@@ -288,7 +288,7 @@
         asked=_unpack_amounts(AskedRate, row.asked),
         limited=_unpack_amounts(LimitedUpstream, row.limited),
         leaving_upstreams=_unpack_numbers(row.leavingUpstreams),
-        cut_off=row.cutOff,
+        reach=_read_reach(row.reach),
     )
 
 
--- a/godwitlanding/gateway/peer.capnp
+++ b/godwitlanding/gateway/peer.capnp
@@ -111,6 +111,6 @@
   # As in ``GossipMessage``.
   leavingUpstreams @10 :Data;
   crashRows @11 :Data;
-  # Whether none of its VMs can connect to any upstream.
-  cutOff @12 :Bool;
+  # As in ``GossipMessage``; 2 if that holds for all its VMs.
+  reach @12 :UInt8;
 }
