VMs that reach no upstream relay requests through one that is in touch

It now sends each admitted request to a carrier of its region that is in touch, else to one of another region where the request may go. That VM makes one attempt and never relays itself.

--- a/godwitlanding/gateway/admission.py
+++ b/godwitlanding/gateway/admission.py
@@ -80,6 +80,42 @@
 
     def admit(self, exchange):
         """Return ``Ok(AdmittedRequest)`` or ``Err(Denial)`` for a request."""
+        authorized = self._authorize(exchange)
+        if authorized.is_err():
+            return authorized
+        request = self._make_request(exchange, *authorized.unwrap())
+        if request.allowed_regions == frozenset():
+            # Route and workspace have no allowed region in common.
+            return Err(Denial(Code.NO_REGION, 503, NOT_READY_RETRY_S))
+        return self._charge(request)
+
+    def admit_relayed(self, exchange, relayed):
+        """Return ``Ok`` or ``Err`` for a request that another VM admitted.
+
+        ``relayed`` are its ``RelayFields``. That VM has charged the request,
+        counted it as load and picked its service.
+        """
+        authorized = self._authorize(exchange)
+        if authorized.is_err():
+            return authorized
+        route, key, workspace = authorized.unwrap()
+        begun_at = exchange.begun_at
+        wait_s = exchange.get_deadline_s(self._names.deadline_ms, route.timeout_s)
+        request = self._fill_request(
+            exchange,
+            route,
+            key,
+            workspace,
+            service=relayed.service,
+            deadline_at=begun_at + wait_s,
+            target_at=begun_at + relayed.target_s,
+            respond_by=begun_at + min(wait_s, route.timeout_s),
+            came_back=relayed.came_back,
+        )
+        return Ok(request)
+
+    def _authorize(self, exchange):
+        """Return ``Ok((route, key, workspace))`` or ``Err(Denial)``."""
         config = self._registry.config
         if config is None or not self._registry.has_upstreams:
             return Err(Denial(Code.NOT_READY, 503, NOT_READY_RETRY_S))
@@ -102,11 +138,7 @@
         workspace = access.workspace
         if workspace and not self._freshness.may_trust_keys():
             return Err(Denial(Code.OUT_OF_TOUCH, 503, NOT_READY_RETRY_S))
-        request = self._make_request(exchange, route, key, workspace)
-        if request.allowed_regions == frozenset():
-            # Route and workspace have no allowed region in common.
-            return Err(Denial(Code.NO_REGION, 503, NOT_READY_RETRY_S))
-        return self._charge(request)
+        return Ok((route, key, workspace))
 
     def is_still_authorized(self, request):
         """Return whether the request's API key has not been revoked since."""
@@ -123,15 +155,12 @@
         started_at = exchange.begun_at
         wait_s = exchange.get_deadline_s(self._names.deadline_ms, route.timeout_s)
         waited_s = self._get_waited_s(route, wait_s)
-        object_key = (
-            exchange.get_header(self._names.affinity_key) if route.sticky else b""
-        )
-        return AdmittedRequest(
-            request_id=exchange.get_header(self._names.request_id),
-            route=route,
+        return self._fill_request(
+            exchange,
+            route,
+            key,
+            workspace,
             service="",
-            key=object_key.decode("latin-1"),
-            fingerprint=make_fingerprint(exchange, exchange.get_header(b"host")),
             deadline_at=started_at + wait_s,
             target_at=started_at
             + route.target_latency_s
@@ -139,9 +168,21 @@
             - CALLER_OVERHEAD_S,
             respond_by=started_at + min(wait_s, route.timeout_s),
             came_back=waited_s > MIN_WAITED_S,
+        )
+
+    def _fill_request(self, exchange, route, key, workspace, **fields):
+        object_key = (
+            exchange.get_header(self._names.affinity_key) if route.sticky else b""
+        )
+        return AdmittedRequest(
+            request_id=exchange.get_header(self._names.request_id),
+            route=route,
+            key=object_key.decode("latin-1"),
+            fingerprint=make_fingerprint(exchange, exchange.get_header(b"host")),
             api_key=key,
             workspace=workspace,
             strips_authorization=self._registry.config.workspace_by_key is not None,
+            **fields,
         )
 
     def _charge(self, request):
--- a/godwitlanding/gateway/attempt.py
+++ b/godwitlanding/gateway/attempt.py
@@ -61,6 +61,8 @@
     NOT_RUN = "not run"
     # Another upstream now uses the address.
     MOVED = "moved"
+    # The VM that the request was relayed to has no upstream for it now.
+    REJECTED = "rejected"
     # The request was sent, but there is no usable response.
     UNKNOWN = "unknown"
     # The caller disconnected or the time limit passed before the response.
@@ -68,7 +70,9 @@
 
 
 # Outcomes after which the request has certainly not started to run.
-_NOT_EXECUTED = frozenset((Outcome.UNREACHED, Outcome.NOT_RUN, Outcome.MOVED))
+_NOT_EXECUTED = frozenset(
+    (Outcome.UNREACHED, Outcome.NOT_RUN, Outcome.MOVED, Outcome.REJECTED)
+)
 
 
 class Charge:
@@ -124,14 +128,30 @@
     }
     if request.strips_authorization:
         own.add(names.authorization)
+    added = [
+        (names.deadline_ms, encode_ms(time_left_s)),
+        (names.expected_upstream, upstream_id.encode()),
+    ]
+    if request.workspace:
+        added.append((names.workspace, request.workspace_name.encode()))
+    return encode_request(exchange, own, added)
+
+
+def encode_ms(time_left_s):
+    """Return a remaining time in whole milliseconds, at least one."""
+    return b"%d" % max(1, int(time_left_s * 1000))
+
+
+def encode_request(exchange, dropped, added):
+    """Return a caller's request as bytes, to be sent on.
+
+    ``dropped`` are names of headers that are left out, ``added`` are pairs of
+    name and value. The body is framed by its length.
+    """
     lines = [b"%b %b HTTP/1.1" % (exchange.method, exchange.target)]
-    for pair in select_headers(exchange.headers, own):
+    for pair in select_headers(exchange.headers, dropped):
         lines.append(b"%b: %b" % pair)
-    left_ms = max(1, int(time_left_s * 1000))
-    lines.append(b"%b: %d" % (names.deadline_ms, left_ms))
-    lines.append(b"%b: %b" % (names.expected_upstream, upstream_id.encode()))
-    if request.workspace:
-        lines.append(b"%b: %b" % (names.workspace, request.workspace_name.encode()))
+    lines.extend(b"%b: %b" % pair for pair in added)
     if exchange.body or exchange.method not in (b"GET", b"HEAD", b"DELETE"):
         lines.append(b"content-length: %d" % len(exchange.body))
     lines.append(b"\r\n")
--- a/godwitlanding/gateway/front.py
+++ b/godwitlanding/gateway/front.py
@@ -38,7 +38,8 @@
     """
 
     name = "front"
-    needs = ("carrier", "peers", "registry")
+    needs = ("carrier", "peers", "registry", "relaylistener")
+    handler_name = "carrier"
 
     def __init__(self, address, stop_s, names=None, held_bytes=None):
         self._address = address
@@ -57,7 +58,7 @@
 
     async def start(self, kernel):
         """Start to listen; requests are refused until the VM is ready."""
-        self._request_handler = kernel.get("carrier")
+        self._request_handler = kernel.get(self.handler_name)
         self._peers = kernel.get("peers")
         self._registry = kernel.get("registry")
         self._registry.on_config.append(self._apply_limits)
--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -11,12 +11,14 @@
 from godwitlanding.gateway.contention import Result
 from godwitlanding.gateway.crashgossip import format_fingerprint
 from godwitlanding.gateway.exchange import select_headers
+from godwitlanding.gateway.relay import RelayTarget
+from godwitlanding.gateway.relaymessages import RESPONSE_HEADERS, RelayResult
 from godwitlanding.gateway.stream import StreamSink
 
 # How often a request is sent, including attempts that an upstream refuses or
 # that do not reach it. At-most-once execution does not depend on this limit.
 MAX_SENDS = 4
-_DROPPED_HEADERS = frozenset((b"content-length",))
+_DROPPED_HEADERS = RESPONSE_HEADERS | {b"content-length"}
 # HTTP requires a challenge with status 401.
 _BEARER_CHALLENGE = ((b"www-authenticate", b"Bearer"),)
 
@@ -35,6 +37,7 @@
         "courier",
         "contention",
         "retrytimes",
+        "relay",
     )
 
     def __init__(self, names, budget, poison, allotments, counters):
@@ -50,6 +53,7 @@
         self._upstream_client = None
         self._contention = None
         self._retry_times = None
+        self._relay = None
         self.get_vm_count = lambda: 1
 
     async def start(self, kernel):
@@ -60,6 +64,7 @@
         self._upstream_client = kernel.get("courier")
         self._contention = kernel.get("contention")
         self._retry_times = kernel.get("retrytimes")
+        self._relay = kernel.get("relay")
 
     def get_in_progress(self):
         """Return the number of requests in progress."""
@@ -140,32 +145,27 @@
             if sends and not self._admission.is_still_authorized(request):
                 self._refuse_revoked_key(exchange, request, runs)
                 return
-            choice = self._chooser.choose(request, tried, now)
+            choice = self._relay.choose_target(request, tried)
+            if choice is None:
+                choice = self._chooser.choose(request, tried, now)
             if isinstance(choice, Rejection):
                 self._log_rejection(request, choice)
                 rejection = choice
                 break
             if sends and not self._may_repeat(request, last, now):
                 break
-            tried.add(choice.upstream.id)
             sink = StreamSink(exchange, self._make_headers)
             charge.begin(now)
             self._poison.begin(request.fingerprint)
             try:
-                outcome, response, detail = await self._upstream_client.send(
-                    exchange, request, choice, sink
+                outcome, response = await self._send(
+                    choice, exchange, request, tried, sink
                 )
             except asyncio.CancelledError:
-                # The caller has disconnected or the time limit has passed.
-                # Which upstream had the request is known only here.
                 charge.note_outcome(Outcome.GIVEN_UP)
-                took_s = loop.time() - now
-                self._log_attempt(request, choice, Outcome.GIVEN_UP, None, "", took_s)
                 raise
             finally:
                 self._poison.end(request.fingerprint)
-            took_s = loop.time() - now
-            self._log_attempt(request, choice, outcome, response, detail, took_s)
             charge.note_outcome(outcome)
             last = (outcome, response)
             if outcome is Outcome.ANSWERED:
@@ -174,10 +174,10 @@
                 self._retry_times.note_completed(request.service, loop.time())
                 self._forward(exchange, request, response, sink)
                 return
-            if outcome is Outcome.NOT_RUN:
-                now = loop.time()
-                if self._chooser.may_try_again(request.service, choice.upstream, now):
-                    tried.discard(choice.upstream.id)
+            if outcome is Outcome.REJECTED:
+                break
+            if outcome is Outcome.UNREACHED:
+                await self._relay.settle()
             if outcome in (Outcome.FAILED, Outcome.UNKNOWN):
                 runs += 1
                 if not request.is_idempotent:
@@ -186,6 +186,57 @@
             self._note_result(request, Result.REFUSED)
         self._give_up(exchange, request, last, runs)
 
+    async def _send(self, choice, exchange, request, tried, sink):
+        """Make one attempt; return ``(Outcome, Response or None)``.
+
+        What it was sent to is added to ``tried``, unless it may be sent there
+        again.
+        """
+        begun_at = asyncio.get_running_loop().time()
+        if isinstance(choice, RelayTarget):
+            return await self._send_through(choice, exchange, request, tried, sink)
+        upstream = choice.upstream
+        tried.add(upstream.id)
+        try:
+            outcome, response, detail = await self._upstream_client.send(
+                exchange, request, choice, sink
+            )
+        except asyncio.CancelledError:
+            # The caller has disconnected or the time limit has passed.
+            # Which upstream had the request is known only here.
+            took_s = asyncio.get_running_loop().time() - begun_at
+            self._log_attempt(request, choice, Outcome.GIVEN_UP, None, "", took_s)
+            raise
+        now = asyncio.get_running_loop().time()
+        self._log_attempt(request, choice, outcome, response, detail, now - begun_at)
+        if outcome is Outcome.NOT_RUN:
+            if self._chooser.may_try_again(request.service, upstream, now):
+                tried.discard(upstream.id)
+        return outcome, response
+
+    async def _send_through(self, target, exchange, request, tried, sink):
+        begun_at = asyncio.get_running_loop().time()
+        result = RelayResult(Outcome.GIVEN_UP)
+        response = None
+        try:
+            result, response = await self._relay.send(
+                exchange, request, target, tried, sink
+            )
+        finally:
+            took_s = asyncio.get_running_loop().time() - begun_at
+            log_message(
+                "carrier:relayed",
+                request=request.request_id.decode("latin-1"),
+                service=request.service,
+                host=target.host,
+                upstream=result.upstream,
+                outcome=result.outcome.value,
+                detail=result.detail,
+                took_s=round(took_s, 4),
+            )
+        tried.add(result.upstream or target.host)
+        return result.outcome, response
+
     def _note_result(self, request, result):
         now = asyncio.get_running_loop().time()
         self._contention.note_result(request, result, now)
@@ -227,7 +278,8 @@
         elif runs:
             self._refuse(exchange, Code.UPSTREAM_FAILED, 502, request)
         else:
-            code = Code.DEADLINE_UNREACHABLE if last is None else Code.UPSTREAM_SHED
+            is_shed = last is not None and outcome is not Outcome.REJECTED
+            code = Code.UPSTREAM_SHED if is_shed else Code.DEADLINE_UNREACHABLE
             self._refuse_after_attempt(exchange, request, code, runs)
 
     def _refuse_revoked_key(self, exchange, request, runs):
@@ -362,7 +414,7 @@
     """
     if rejection and rejection.reason.startswith("full"):
         return True
-    return last is not None and last[0] is Outcome.NOT_RUN
+    return last is not None and last[0] in (Outcome.NOT_RUN, Outcome.REJECTED)
 
 
 def _make_retry_after(seconds):
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -39,6 +39,8 @@
 from godwitlanding.gateway.presence import Presence
 from godwitlanding.gateway.reachmonitor import ReachMonitor
 from godwitlanding.gateway.registry import Registry
+from godwitlanding.gateway.relay import RELAY_PORT_OFFSET, Relay
+from godwitlanding.gateway.relayhandler import RelayHandler, RelayListener
 from godwitlanding.gateway.requesthandler import RequestHandler
 from godwitlanding.gateway.retrytimes import RetryTimes
 from godwitlanding.gateway.savedobjectmap import SavedObjectMap
@@ -151,6 +153,15 @@
             self.reach,
             self.held_bytes,
         )
+        self.relay = Relay(
+            settings,
+            HEADER_NAMES,
+            self.fleet,
+            self.peers.digests,
+            UpstreamPool(HEADER_NAMES.request_id, None, self.held_bytes),
+            counters,
+        )
+        self.relay_handler = RelayHandler(HEADER_NAMES, self.poison_ledger, counters)
         self.admission = Admission(
             HEADER_NAMES,
             self.retry_budget,
@@ -189,6 +200,12 @@
         )
         self.peers.get_store_state = self.source_selector.get_store_state
         self.loop_health = LoopHealth(self._get_looping_services(), counters)
+        self.relay_listener = RelayListener(
+            (settings.ip, settings.peer_port + RELAY_PORT_OFFSET),
+            bounds.stop_s,
+            HEADER_NAMES,
+            self.held_bytes,
+        )
         self.front = Front(
             settings.caller_address, bounds.stop_s, HEADER_NAMES, self.held_bytes
         )
@@ -240,6 +257,9 @@
             self.contention,
             self.retry_times,
             self.reach,
+            self.relay,
+            self.relay_handler,
+            self.relay_listener,
             self.request_handler,
             self.saved_object_map,
             self.loop_health,
@@ -275,6 +295,7 @@
         self.limit_gossip.set_regions(settings.region_by_zone.values())
         self.registry.set_regions(settings.region_by_zone)
         self.front.stop_s = bounds.stop_s
+        self.relay_listener.stop_s = bounds.stop_s
         self.held_bytes.set_memory(settings.memory_mb)
 
     def is_ready(self):
--- a/godwitlanding/tests/gateway/test_cut_off_vms.py
+++ b/godwitlanding/tests/gateway/test_cut_off_vms.py
@@ -143,3 +143,121 @@
     await asyncio.sleep(1.0)
     reports = [vm.name for vm in world.vms if "courier:crash" in vm.read_log()]
     assert not reports
+
+
+ONE = Cut("reset", (1,))
+
+
+@pytest.mark.parametrize(
+    ("fault", "status", "runs"),
+    [
+        pytest.param("", 200, 1, id="served"),
+        pytest.param("shed", 503, 0, id="shed by all"),
+        pytest.param("reset", 502, 1, id="response lost"),
+        pytest.param("fail", 500, 1, id="failed by the upstream"),
+    ],
+)
+async def test_relayed_payment_runs_at_most_once(world, fault, status, runs):
+    # Guards against a payment that a second VM runs again.
+    await cut_and_settle(world, ONE)
+    for worker_id, _, _ in WORKERS:
+        world.get_worker(worker_id).fault = fault
+    response, _ = await world.pay(world.vms[1], 1)
+    assert response.status == status
+    assert world.count_runs("pay-1") == runs
+
+
+async def cut_and_settle(world, cut):
+    """Cut off VMs and wait until they have noticed it."""
+    world.cut(cut)
+    async with asyncio.timeout(IN_TOUCH_S):
+        while not all(is_relaying(world.vms[number]) for number in cut.vms):
+            await world.send_first_tries(1, burst=4)
+
+
+def is_relaying(vm):
+    """Return whether a VM has relayed a request with success."""
+    lines = [json.loads(line) for line in vm.read_log().splitlines()]
+    return any(
+        line["message_type"] == "carrier:relayed" and line["outcome"] == "answered"
+        for line in lines
+    )
+
+
+@pytest.mark.parametrize("size", [4_000, 3_000_000])
+async def test_relayed_response_of_any_length_is_whole(world, size):
+    # Guards against responses that end at the relay's buffer.
+    await cut_and_settle(world, ONE)
+    for worker_id, _, _ in WORKERS:
+        world.get_worker(worker_id).response_bytes = size
+    response, body = await world.ask(world.vms[1], "/look/1")
+    assert response.status == 200
+    assert len(body) == size
+    assert not [name for name in response.headers if name.startswith("godwit-relay")]
+
+
+async def test_relayed_request_keeps_the_deadline_and_ends_with_its_caller(world):
+    # Guards against upstreams that work longer than the caller waits.
+    await cut_and_settle(world, ONE)
+    workers = [world.get_worker(worker_id) for worker_id, _, _ in WORKERS]
+    for worker in workers:
+        worker.work_s = 1.5
+        worker.deadlines_ms.clear()
+        worker.dropped = 0
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.5):
+            await world.ask(world.vms[1], "/look/1")
+    await asyncio.sleep(0.3)
+    assert sum(worker.dropped for worker in workers) == 1
+    deadlines_ms = [left for worker in workers for left in worker.deadlines_ms]
+    assert 1500 < max(deadlines_ms) <= 2000
+
+
+async def test_outage_of_all_upstreams_takes_no_vm_out(world):
+    # Guards against callers without an address when upstreams are down.
+    for worker_id, _, _ in WORKERS:
+        world.get_worker(worker_id).stop()
+    await world.send_first_tries(10, burst=2)
+    await asyncio.sleep(IN_TOUCH_S)
+    for vm in world.vms:
+        assert len(await world.resolve(vm)) == len(REGION_A)
+    response, _ = await world.ask(world.vms[0])
+    assert response.status == 503
+    assert "Retry-After" in response.headers
+
+
+async def test_vm_that_starts_cut_off_serves_and_is_not_named(world):
+    # Guards against a new VM that nobody knows to be cut off.
+    vm = world.vms[1]
+    await vm.end()
+    world.cut(ONE)
+    await vm.start()
+    await world.wait_until_ready(vm)
+    await asyncio.sleep(IN_TOUCH_S / 2)
+    assert vm.address not in await world.resolve(world.vms[0])
+    share_by_vm = await world.send_first_tries(10)
+    assert get_relative_share(share_by_vm, ONE) >= MIN_RELATIVE_SHARE, share_by_vm
+
+
+async def test_vms_serve_and_are_named_when_the_cut_has_ended(world):
+    # Guards against what a VM noted while it was cut off, such as ejections.
+    cut = Cut("hang", REGION_A)
+    await cut_and_settle(world, cut)
+    world.cut(cut._replace(mode=""))
+    share_by_vm = await world.send_first_tries(15)
+    assert min(share_by_vm.values()) >= MIN_RELATIVE_SHARE, share_by_vm
+    named = set(await world.resolve(world.vms[0]))
+    assert named == {world.vms[number].address for number in REGION_A}
+
+
+async def test_vm_cut_off_again_and_again_serves(world):
+    # Guards against links that come and go.
+    async def flap():
+        for mode in ("reset", "", "hang", "", "refuse", "", "reset"):
+            world.cut(ONE._replace(mode=mode))
+            await asyncio.sleep(1.0)
+
+    flapping = asyncio.create_task(flap())
+    share_by_vm = await world.send_first_tries(35)
+    await flapping
+    assert get_relative_share(share_by_vm, ONE) >= MIN_RELATIVE_SHARE, share_by_vm
--- a/godwitlanding/tests/gateway/test_requesthandler.py
+++ b/godwitlanding/tests/gateway/test_requesthandler.py
@@ -54,6 +54,9 @@
                 note_result=lambda request, result, now: self.results.append(result)
             ),
             "retrytimes": SimpleNamespace(get_retry_after_s=lambda request: 0.3),
+            "relay": SimpleNamespace(
+                choose_target=lambda request, tried: None, settle=self.settle
+            ),
         }
         self.kernel = SimpleNamespace(get=service_by_name.__getitem__)
 
@@ -71,6 +74,9 @@
         await self.handler._attempt_until_answered(exchange, request, charge)
         return exchange
 
+    async def settle(self):
+        pass
+
     def choose(self, request, tried, now):
         if not self.outcomes:
             return Rejection(self.reason, None, 0.1)
--- a/godwitlanding/tests/load/gateway_model.py
+++ b/godwitlanding/tests/load/gateway_model.py
@@ -335,6 +335,7 @@
             program.peers,
             program.chooser,
             program.reach,
+            program.relay,
             program.upstream_client,
             program.admission,
             program.contention,
@@ -357,6 +358,7 @@
 async def _stop(vm):
     program = vm.program
     for service in (
+        program.relay,
         program.reach,
         program.upstream_client,
         program.chooser,
