Keep-alive probes of upstreams' connections outlast one lost packet

A user timeout also decides when keep-alive probes give up: with 0.9 s a connection whose response takes longer than the first probe (2 s) is ended when that single probe or its answer is lost, instead of after two of them. Callers of slow upstreams on a link that loses packets got 502, and a watch of the store was cut off.

The user timeout holds for 1.5 s after a request is sent, which is as long as its data can stay unacknowledged, and is lifted before the first probe. The test fails on the former code, where it stays at 900 ms.

--- a/godwitlanding/gateway/caller.py
+++ b/godwitlanding/gateway/caller.py
@@ -42,7 +42,7 @@
 IDLE_GRACE_S = 5.0
 
 
-def set_keepalive(transport, user_timeout_ms=0):
+def set_keepalive(transport):
     """Enable TCP keep-alive to detect a peer that vanishes without a reset."""
     sock = transport.get_extra_info("socket")
     if sock is None:
@@ -56,8 +56,13 @@
     )
     for level, name, value in options:
         sock.setsockopt(level, name, value)
-    if user_timeout_ms:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+
+
+def set_user_timeout(transport, timeout_ms):
+    """End the connection when sent data stays unacknowledged; 0: never."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
 def set_buffer_sizes(transport):
--- a/godwitlanding/gateway/upstream.py
+++ b/godwitlanding/gateway/upstream.py
@@ -17,11 +17,15 @@
 import httptools
 
 from godwitlanding.decisions.bytebudget import Hold
-from godwitlanding.gateway.caller import set_keepalive
+from godwitlanding.gateway.caller import set_keepalive, set_user_timeout
 
 # A connection ends when sent data is not acknowledged within this time; the
 # longest round trip is 110 ms.
 USER_TIMEOUT_MS = 900
+# A user timeout also ends a connection at the first keep-alive probe that is
+# lost, whatever their count. So it is lifted when a request has been
+# acknowledged, before the first probe.
+USER_TIMEOUT_FOR_S = 1.5
 # An idle connection is reused only within this share of the upstream's idle
 # timeout. A request that is sent while the upstream closes it is lost.
 IDLE_REUSE_SHARE = 0.6
@@ -93,6 +97,8 @@
         self._sink = None
         self._expected_id = b""
         self._without_body = False
+        self._sent_at = 0.0
+        self._timeout_timer = None
         self.is_open = False
         self.reusable = True
         self.idle_since = 0.0
@@ -101,7 +107,7 @@
     def connection_made(self, transport):
         self._transport = transport
         self.is_open = True
-        set_keepalive(transport, USER_TIMEOUT_MS)
+        set_keepalive(transport)
         if self._hold:
             # ``resume_writing`` is called when everything is sent.
             transport.set_write_buffer_limits(high=0, low=0)
@@ -118,6 +124,7 @@
         # beginning of this one's when the connection is lost.
         self._reset_response()
         self._waiter = self._loop.create_future()
+        self._begin_user_timeout()
         self._transport.write(data)
         self._count()
         return self._waiter
@@ -180,6 +187,8 @@
             failure = UpstreamFailure.TIMEOUT
         self._fail(failure, repr(error) if error else "closed")
         self._chunks = []
+        if self._timeout_timer:
+            self._timeout_timer.cancel()
         if self._hold:
             self._hold.release()
 
@@ -237,6 +246,25 @@
             return
         self._complete()
 
+    def _begin_user_timeout(self):
+        self._sent_at = self._loop.time()
+        if self._timeout_timer is None:
+            set_user_timeout(self._transport, USER_TIMEOUT_MS)
+            self._timeout_timer = self._loop.call_later(
+                USER_TIMEOUT_FOR_S, self._end_user_timeout
+            )
+
+    def _end_user_timeout(self):
+        left_s = self._sent_at + USER_TIMEOUT_FOR_S - self._loop.time()
+        if self._transport.get_write_buffer_size():
+            left_s = USER_TIMEOUT_FOR_S
+        if left_s > 0:
+            self._timeout_timer = self._loop.call_later(left_s, self._end_user_timeout)
+            return
+        self._timeout_timer = None
+        if self.is_open and not self._transport.is_closing():
+            set_user_timeout(self._transport, 0)
+
     def _reset_response(self):
         self._status = 0
         self._headers = []
--- a/godwitlanding/tests/gateway/test_upstream.py
+++ b/godwitlanding/tests/gateway/test_upstream.py
@@ -10,6 +10,8 @@
 from godwitlanding.base.metrics import Counters
 from godwitlanding.gateway.upstream import (
     MAX_BUFFERED_BYTES,
+    USER_TIMEOUT_FOR_S,
+    USER_TIMEOUT_MS,
     UpstreamConnection,
     UpstreamError,
     UpstreamFailure,
@@ -282,3 +284,23 @@
     with pytest.raises(UpstreamError) as caught:
         await answered
     assert caught.value.failure is UpstreamFailure.TIMEOUT
+
+
+async def test_user_timeout_does_not_end_a_response_at_one_lost_probe():
+    # Guards against a user timeout that applies to keep-alive probes: a slow
+    # response would be lost with the first of them.
+    async with ScriptedUpstream(make_response(b"", length=5)) as upstream:
+        connection = await upstream.pool.connect("u", upstream.address, 1.0)
+
+        def get_user_timeout_ms():
+            sock = connection._transport.get_extra_info("socket")
+            return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+
+        for _ in range(2):
+            connection.send(REQUEST, ID, False)
+            assert get_user_timeout_ms() == USER_TIMEOUT_MS
+            await asyncio.sleep(USER_TIMEOUT_FOR_S / 2)
+            assert get_user_timeout_ms() == USER_TIMEOUT_MS
+        await asyncio.sleep(USER_TIMEOUT_FOR_S)
+        assert get_user_timeout_ms() == 0
+        connection.abort()
