A success lifts the stop of a request that ran beside a crash

A request that crashes upstreams by its content never succeeds, so any success refutes the crashes before it.

--- a/godwitlanding/decisions/poison.py
+++ b/godwitlanding/decisions/poison.py
@@ -102,10 +102,12 @@
     def note_success(self, fingerprint, now):
         """Record a success: the request does not cause the crashes.
 
-        Returns whether it was a suspect until now.
+        A copy that was under way when the request was stopped counts too: a
+        request that crashes upstreams by its content never succeeds. Returns
+        whether it was a suspect, or stopped, until now.
         """
         crashes = self.count_crashes(fingerprint, now)
-        if not fingerprint or crashes >= CRASHES_TO_STOP:
+        if not fingerprint:
             return False
         self._record_by_fingerprint.pop(fingerprint, None)
         self._known_good[fingerprint] = now
--- a/godwitlanding/tests/decisions/test_policies.py
+++ b/godwitlanding/tests/decisions/test_policies.py
@@ -136,6 +136,20 @@
     assert not ledger.is_stopped(POISON_FINGERPRINT, 40.0)
 
 
+@pytest.mark.parametrize("crashes", [1, 2, 3])
+def test_request_that_has_succeeded_since_its_crashes_is_not_stopped(crashes):
+    # Guards against refusing a request that only ran beside the cause, while
+    # a copy that was under way at the stop has succeeded.
+    ledger = PoisonLedger()
+    for number in range(crashes):
+        ledger.note_crash(POISON_FINGERPRINT, f"s{number}", 1.0)
+    assert ledger.note_success(POISON_FINGERPRINT, 1.3)
+    assert ledger.may_send(POISON_FINGERPRINT, 1.3)
+    for number in range(crashes):
+        ledger.note_report(POISON_FINGERPRINT, f"s{number}", 1, 2.0, 1.0)
+    assert ledger.may_send(POISON_FINGERPRINT, 2.0)
+
+
 def test_suspect_request_runs_one_copy_at_a_time():
     """Three copies of a crashing request arrive together.
 
