An entry process that is cut off does not take upstreams from its zone

A process whose own links are cut ended half of a zone's upstreams for all others.

Failures of one holder at different upstreams count against the first only, until it has a success. Those of one request always count.

--- a/godwitlanding/daemons/arbiter.py
+++ b/godwitlanding/daemons/arbiter.py
@@ -162,12 +162,15 @@
         self._intake.withdraw(request_id)
         return self.tick(now)
 
-    def release(self, permit_id, outcome, took_s, now):
-        """Free a permit's slot; ``outcome`` is from ``messages.OUTCOMES``."""
+    def release(self, permit_id, outcome, took_s, now, holder=""):
+        """Free a permit's slot; ``outcome`` is from ``messages.OUTCOMES``.
+
+        ``holder`` is the VM that had the permit.
+        """
         permit = self._permits.get(permit_id)
         if permit:
             self._permits.close(permit_id, now)
-            self._outcome_recorder.record(permit, outcome, took_s, now)
+            self._outcome_recorder.record(permit, outcome, took_s, now, holder)
         return self.tick(now)
 
     def end_spill(self, request_id, now):
--- a/godwitlanding/daemons/permitserver.py
+++ b/godwitlanding/daemons/permitserver.py
@@ -90,14 +90,14 @@
         self._forget(key)
         self.answer_decisions(self.arbiter.withdraw(key, now), now)
 
-    def release(self, message, now):
-        """Free the slot of a returned permit."""
+    def release(self, message, now, holder=""):
+        """Free the slot of a permit that the VM ``holder`` returns."""
         self._open_by_permit.pop(message.permit_id, None)
         if message.outcome not in (OUTCOME_UNUSED,):
             self.counts["served"] += 1
         self.answer_decisions(
             self.arbiter.release(
-                message.permit_id, message.outcome, message.took_s, now
+                message.permit_id, message.outcome, message.took_s, now, holder
             ),
             now,
         )
--- a/godwitlanding/daemons/services/arbitration.py
+++ b/godwitlanding/daemons/services/arbitration.py
@@ -266,7 +266,7 @@
             config = self._configuration.config
             service = config.service_by_name.get(permit_server.service)
             if service and message.upstream in service.upstream_by_id:
-                permit_server.release(message, now)
+                permit_server.release(message, now, channel.peer.vm)
                 self._record_outcome(permit_server.service, message, now)
         if message.outcome == OUTCOME_CRASHED and message.fingerprint:
             self._crash_reports.report(Poison(message.fingerprint, message.upstream, 1))
--- a/godwitlanding/tests/decisions/test_policies.py
+++ b/godwitlanding/tests/decisions/test_policies.py
@@ -9,10 +9,12 @@
     OUTCOME_LEAVING,
     OUTCOME_OK,
     OUTCOME_SHED,
+    OUTCOME_TIMEOUT,
 )
 from godwitlanding.base.timers import Timers
 from godwitlanding.daemons.arbiter import Arbiter, Ask, Grant, Spill
 from godwitlanding.decisions.health import DRAINING, FAILED, READY, UpstreamHealth
+from godwitlanding.decisions.holderfailures import HolderFailures
 from godwitlanding.decisions.outlier import OutlierDetector
 from godwitlanding.decisions.poison import STOP_KNOWN_GOOD_S, STOP_S, PoisonLedger
 from godwitlanding.decisions.retrybucket import RetryTokenBucket
@@ -240,6 +242,42 @@
     assert sum(detector.is_ejected(name, 1.0) for name in names) == ejected
 
 
+@pytest.mark.parametrize(
+    ("holders", "ejected"), [(["vm-1"] * 4, 1), (["vm-1", "vm-2", "vm-3", "vm-4"], 3)]
+)
+def test_holder_that_is_cut_off_ejects_one_upstream_at_most(holders, ejected):
+    # Guards against upstreams that are taken from all VMs of a zone because
+    # one VM has lost its links to them.
+    arbiter = make_arbiter(upstreams=6, slots=1)
+    grants = [ask(arbiter, f"r{number}") for number in range(len(holders))]
+    for holder, grant in zip(holders, grants):
+        arbiter.release(grant.permit_id, OUTCOME_CRASHED, 0.1, 0.1, holder)
+    names = [f"s{number}" for number in range(1, 7)]
+    assert sum(arbiter.outliers.is_ejected(name, 0.2) for name in names) == ejected
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "counted"),
+    [
+        pytest.param([("s1", 1, OUTCOME_CRASHED), ("s2", 2, OUTCOME_CRASHED)], 1),
+        pytest.param([("s1", 1, OUTCOME_CRASHED), ("s2", 1, OUTCOME_CRASHED)], 2),
+        pytest.param([("s1", 1, OUTCOME_FAILED), ("s1", 2, OUTCOME_FAILED)], 2),
+        pytest.param(
+            [
+                ("s1", 1, OUTCOME_FAILED),
+                ("s3", 3, OUTCOME_OK),
+                ("s2", 2, OUTCOME_FAILED),
+            ],
+            3,
+        ),
+        pytest.param([("s1", 0, OUTCOME_TIMEOUT), ("s2", 0, OUTCOME_TIMEOUT)], 1),
+    ],
+)
+def test_failures_of_a_holder_count_for_one_upstream_or_request(outcomes, counted):
+    failures = HolderFailures()
+    assert sum(failures.counts("vm-1", *row) for row in outcomes) == counted
+
+
 @pytest.mark.parametrize(("others", "ejected"), [(OUTCOME_OK, 1), (OUTCOME_FAILED, 0)])
 def test_failures_shared_by_all_upstreams_eject_none(others, ejected):
     """A dependency is down and all upstreams fail alike, or one alone fails.
