--- a/godwitlanding/tests/gateway/test_cut_off_vms.py
+++ b/godwitlanding/tests/gateway/test_cut_off_vms.py
@@ -8,7 +8,7 @@
 import pytest
 
 from godwitlanding.tests.gateway.vm_with_cut_upstreams import SUFFIX
-from godwitlanding.tests.gateway.world import World
+from godwitlanding.tests.gateway.world import World, make_config
 
 ZONES = ("a1", "a1", "a1", "a2", "a2", "b1", "b1")
 REGION_A = (0, 1, 2, 3, 4)
@@ -213,6 +213,24 @@
     assert 1500 < max(deadlines_ms) <= 2000
 
 
+async def test_request_bound_to_its_region_is_not_relayed_to_another(world):
+    # Guards against bodies that leave the regions where they are allowed.
+    row = ["home", "h", "/home/", "safe", "2s", "400ms", 2, None, 2, True, ["a"]]
+    config = make_config("r8", extra=[[*row, "looks"]])
+    await world.store.put("config", "main", config)
+    await asyncio.sleep(1.0)
+    response, _ = await world.ask(world.vms[1], "/home/1")
+    assert response.status == 200
+    await cut_and_settle(world, Cut("reset", REGION_A))
+    response, _ = await world.ask(world.vms[1], "/home/1")
+    assert response.status == 503
+    assert "Retry-After" in response.headers
+    await cut_and_settle(world, Cut("", REGION_A[2:]))
+    await asyncio.sleep(IN_TOUCH_S)
+    response, _ = await world.ask(world.vms[1], "/home/1")
+    assert response.status == 200
+
+
 async def test_outage_of_all_upstreams_takes_no_vm_out(world):
     # Guards against callers without an address when upstreams are down.
     for worker_id, _, _ in WORKERS:
--- a/godwitlanding/tests/soak/test_soak.py
+++ b/godwitlanding/tests/soak/test_soak.py
@@ -33,7 +33,7 @@
     assert report.count_by_outcome["200"] > 300
 
 
-@pytest.mark.parametrize("seed", [3, 313])
+@pytest.mark.parametrize("seed", [3, 313, 318])
 async def test_crashing_requests_are_stopped_in_all_regions(seed, tmp_path):
     # Guards against a request that crashes upstreams where its news does not
     # arrive: at VMs that are cut off, restarted or started late.
