--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -7,6 +7,12 @@
 from godwitlanding.base.codes import ROW_BY_CODE, Code
 from godwitlanding.base.kernel import Service
 from godwitlanding.gateway.attempt import Charge, Outcome
+from godwitlanding.gateway.attemptlog import (
+    AttemptEnd,
+    log_attempt,
+    log_rejection,
+    log_relayed,
+)
 from godwitlanding.gateway.chooser import Rejection
 from godwitlanding.gateway.contention import Result
 from godwitlanding.gateway.crashgossip import format_fingerprint
@@ -149,7 +155,9 @@
             if choice is None:
                 choice = self._chooser.choose(request, tried, now)
             if isinstance(choice, Rejection):
-                self._log_rejection(request, choice)
+                log_rejection(
+                    request, choice, self._registry.config, self.get_vm_count()
+                )
                 rejection = choice
                 break
             if sends and not self._may_repeat(request, last, now):
@@ -204,11 +212,10 @@
         except asyncio.CancelledError:
             # The caller has disconnected or the time limit has passed.
             # Which upstream had the request is known only here.
-            took_s = asyncio.get_running_loop().time() - begun_at
-            self._log_attempt(request, choice, Outcome.GIVEN_UP, None, "", took_s)
+            self._log_attempt(request, choice, Outcome.GIVEN_UP, None, "", begun_at)
             raise
         now = asyncio.get_running_loop().time()
-        self._log_attempt(request, choice, outcome, response, detail, now - begun_at)
+        self._log_attempt(request, choice, outcome, response, detail, begun_at)
         if outcome is Outcome.NOT_RUN:
             if self._chooser.may_try_again(request.service, upstream, now):
                 tried.discard(upstream.id)
@@ -224,16 +231,7 @@
             )
         finally:
             took_s = asyncio.get_running_loop().time() - begun_at
-            log_message(
-                "carrier:relayed",
-                request=request.request_id.decode("latin-1"),
-                service=request.service,
-                host=target.host,
-                upstream=result.upstream,
-                outcome=result.outcome.value,
-                detail=result.detail,
-                took_s=round(took_s, 4),
-            )
+            log_relayed(request, target, result, took_s)
         tried.add(result.upstream or target.host)
         return result.outcome, response
 
@@ -339,56 +337,11 @@
         self._counters.add("requests_refused", code=Code.MALFORMED_REQUEST.name)
         log_message("carrier:unreadable", status=status, reason=reason)
 
-    def _log_rejection(self, request, rejection):
-        fields = {}
-        if rejection.placement:
-            candidate = rejection.placement.candidate
-            fields = {
-                "best": candidate.upstream,
-                "expected_s": round(rejection.placement.finish_s, 3),
-                "wait_s": round(rejection.placement.wait_s, 3),
-                "occupied": round(candidate.occupied, 2),
-                "slots": candidate.slots,
-                "failure_share": round(candidate.failure_share, 2),
-            }
-        log_message(
-            "carrier:rejected",
-            request=request.request_id.decode("latin-1"),
-            service=request.service,
-            workspace=request.workspace_name,
-            key=request.key,
-            reason=rejection.reason,
-            to_target_s=round(rejection.to_target_s, 3),
-            came_back=request.came_back,
-            config=self._registry.config.version,
-            vms=self.get_vm_count(),
-            **fields,
-        )
-
-    def _log_attempt(self, request, choice, outcome, response, detail, took_s):
-        log_message(
-            "carrier:attempt",
-            request=request.request_id.decode("latin-1"),
-            fingerprint=format_fingerprint(request.fingerprint),
-            upstream=choice.upstream.id,
-            service=request.service,
-            expected_s=round(choice.finish_s, 3),
-            wait_s=round(choice.wait_s, 3),
-            occupied=round(choice.occupied, 2),
-            report_age_s=_round_or_none(choice.report_age_s),
-            pace=round(choice.pace, 2),
-            pace_age_s=_round_or_none(choice.pace_age_s),
-            why=choice.why.value,
-            warmth=choice.warmth.value,
-            depth=choice.depth,
-            config=self._registry.config.version,
-            key=request.key,
-            workspace=request.workspace_name,
-            took_s=round(took_s, 4),
-            outcome=outcome.value,
-            status=response.status if response else 0,
-            detail=detail,
-        )
+    def _log_attempt(self, request, choice, outcome, response, detail, begun_at):
+        took_s = asyncio.get_running_loop().time() - begun_at
+        status = response.status if response else 0
+        end = AttemptEnd(outcome, status, detail, took_s)
+        log_attempt(request, choice, end, self._registry.config)
 
     def _log_done(self, exchange, outcome, status, request=None):
         now = asyncio.get_running_loop().time()
@@ -419,7 +372,3 @@
 
 def _make_retry_after(seconds):
     return ((b"retry-after", b"%.3f" % seconds),)
-
-
-def _round_or_none(seconds):
-    return None if seconds is None else round(seconds, 3)
