--- a/godwitlanding/tests/gateway/test_cut_off_vms.py
+++ b/godwitlanding/tests/gateway/test_cut_off_vms.py
@@ -10,6 +10,7 @@
 
 from godwitlanding.tests.gateway.vm_with_cut_upstreams import SUFFIX
 from godwitlanding.tests.gateway.world import World, make_config
+from godwitlanding.tests.soak import vm_with_bad_links
 
 ZONES = ("a1", "a1", "a1", "a2", "a2", "b1", "b1")
 REGION_A = (0, 1, 2, 3, 4)
@@ -282,6 +283,19 @@
     assert get_relative_share(share_by_vm, ONE) >= MIN_RELATIVE_SHARE, share_by_vm
 
 
+async def test_vm_that_is_cut_off_is_known_where_gossip_is_lost(world):
+    # Guards against directories that miss the message of a lost link.
+    links = json.dumps({"loss_share": 0.3, "cut_hosts": []})
+    for vm in world.vms:
+        vm.path.with_suffix(vm_with_bad_links.SUFFIX).write_text(links)
+    await cut_and_settle(world, ONE)
+    await asyncio.sleep(IN_TOUCH_S / 2)
+    named = [await world.resolve(vm) for vm in world.vms]
+    assert not any(world.vms[1].address in addresses for addresses in named)
+    share_by_vm = await world.send_first_tries()
+    assert get_relative_share(share_by_vm, ONE) >= MIN_RELATIVE_SHARE, share_by_vm
+
+
 @pytest.mark.parametrize(
     ("number", "min_share"), [(signal.SIGTERM, 1.0), (signal.SIGKILL, 0.9)]
 )
--- a/godwitlanding/tests/gateway/vm_with_cut_upstreams.py
+++ b/godwitlanding/tests/gateway/vm_with_cut_upstreams.py
@@ -1,7 +1,8 @@
 """A ``godwit-vm`` whose links to upstreams are cut as a file tells.
 
 The file has the suffix ``.cut`` and holds the mode as JSON; without it no link
-is cut. Links to the store, to other VMs and to callers are never affected.
+is cut. Links to the store and to callers are never affected; gossip messages
+are lost as in ``soak.vm_with_bad_links``.
 
 - ``hang``: nothing passes in either direction, and connecting times out.
 - ``reset``: open connections are reset, and connecting is refused.
@@ -15,6 +16,7 @@
 from pathlib import Path
 
 from godwitlanding import vm
+from godwitlanding.gateway.datagrams import DatagramSocket
 from godwitlanding.gateway.upstream import (
     UpstreamConnection,
     UpstreamError,
@@ -22,6 +24,7 @@
     UpstreamPool,
 )
 from godwitlanding.tests.gateway.world import WORKER_PORT
+from godwitlanding.tests.soak import vm_with_bad_links
 
 SUFFIX = ".cut"
 POLL_INTERVAL_S = 0.02
@@ -116,6 +119,10 @@
     path = Path(sys.argv[sys.argv.index("--settings") + 1]).with_suffix(SUFFIX)
     links = CutLinks(path)
     install(links)
+    lossy_path = path.with_suffix(vm_with_bad_links.SUFFIX)
+    DatagramSocket.send = vm_with_bad_links.make_lossy_send(
+        DatagramSocket.send, lossy_path
+    )
     original_init = UpstreamPool.__init__
     tasks = []
 
