Crash reports of an entry process that is cut off are not passed on

What a release tells of an upstream is judged once for all services now: failures of a holder at other upstreams than the first count only if the same request failed before, so that one which crashes two upstreams is still stopped.

--- a/godwitlanding/daemons/arbiter.py
+++ b/godwitlanding/daemons/arbiter.py
@@ -162,15 +162,17 @@
         self._intake.withdraw(request_id)
         return self.tick(now)
 
-    def release(self, permit_id, outcome, took_s, now, holder=""):
+    def release(self, permit_id, outcome, took_s, now, tells_of_upstream=True):
         """Free a permit's slot; ``outcome`` is from ``messages.OUTCOMES``.
 
-        ``holder`` is the VM that had the permit.
+        ``tells_of_upstream`` is as in ``OutcomeRecorder.record``.
         """
         permit = self._permits.get(permit_id)
         if permit:
             self._permits.close(permit_id, now)
-            self._outcome_recorder.record(permit, outcome, took_s, now, holder)
+            self._outcome_recorder.record(
+                permit, outcome, took_s, now, tells_of_upstream
+            )
         return self.tick(now)
 
     def end_spill(self, request_id, now):
--- a/godwitlanding/daemons/permits.py
+++ b/godwitlanding/daemons/permits.py
@@ -18,7 +18,6 @@
     OUTCOME_TIMEOUT,
 )
 from godwitlanding.base.timers import Timers
-from godwitlanding.decisions.holderfailures import HolderFailures
 
 # A cancellation may reach the upstream after the permit has expired, and the
 # slot must not be reused before. A one-way trip in the zone takes 1 ms and a
@@ -105,10 +104,12 @@
         self._poison = poison
         self._admission = admission
         self._long_jobs = long_jobs
-        self._holder_failures = HolderFailures()
 
-    def record(self, permit, outcome, took_s, now, holder=""):
-        """Record the outcome of a permit that ``holder``, a VM, released."""
+    def record(self, permit, outcome, took_s, now, tells_of_upstream=True):
+        """Record the outcome of a permit that its holder has released.
+
+        Without ``tells_of_upstream``, only the holder's links have failed.
+        """
         held_s = took_s if permit.granted_at is None else now - permit.granted_at
         took_s = took_s or held_s
         if outcome in _WORK_TIME_OUTCOMES and held_s > 0:
@@ -116,11 +117,9 @@
         usual_s = self._long_jobs.get_usual_s(permit.fingerprint)
         if outcome in (OUTCOME_OK, OUTCOME_TIMEOUT):
             self._long_jobs.note(permit.fingerprint, took_s)
-        self._record_poison(permit, outcome, now)
-        if not self._holder_failures.counts(
-            holder, permit.upstream_id, permit.fingerprint, outcome
-        ):
+        if not tells_of_upstream:
             return
+        self._record_poison(permit, outcome, now)
         self._outliers.note(permit.upstream_id, outcome, took_s / usual_s, now)
         if outcome == OUTCOME_OK:
             self._record_warmth(permit, took_s)
--- a/godwitlanding/daemons/permitserver.py
+++ b/godwitlanding/daemons/permitserver.py
@@ -90,14 +90,18 @@
         self._forget(key)
         self.answer_decisions(self.arbiter.withdraw(key, now), now)
 
-    def release(self, message, now, holder=""):
-        """Free the slot of a permit that the VM ``holder`` returns."""
+    def release(self, message, now, tells_of_upstream=True):
+        """Free the slot of a returned permit, as ``Arbiter.release``."""
         self._open_by_permit.pop(message.permit_id, None)
         if message.outcome not in (OUTCOME_UNUSED,):
             self.counts["served"] += 1
         self.answer_decisions(
             self.arbiter.release(
-                message.permit_id, message.outcome, message.took_s, now, holder
+                message.permit_id,
+                message.outcome,
+                message.took_s,
+                now,
+                tells_of_upstream,
             ),
             now,
         )
--- a/godwitlanding/daemons/services/arbitration.py
+++ b/godwitlanding/daemons/services/arbitration.py
@@ -22,6 +22,7 @@
 from godwitlanding.daemons.permitserver import PERMIT_ID_BITS, PermitServer
 from godwitlanding.daemons.services.crashreports import CrashReports
 from godwitlanding.decisions.health import DRAINING, UpstreamHealth
+from godwitlanding.decisions.holderfailures import HolderFailures
 from godwitlanding.decisions.poison import PoisonLedger
 from godwitlanding.decisions.spill import LinkLimiter
 
@@ -40,6 +41,7 @@
         self._context = context
         self._tasks = Tasks()
         self._poison = PoisonLedger()
+        self._holder_failures = HolderFailures()
         self._limiter_by_zone = {}
         self._timer = None
         self._stopping = False
@@ -262,13 +264,17 @@
 
     async def _handle_release(self, channel, message):
         now = self._now()
+        tells_of_upstream = self._holder_failures.counts(
+            channel.peer.vm, message.upstream, message.fingerprint, message.outcome
+        )
         for permit_server in self.permit_server_by_service.values():
             config = self._configuration.config
             service = config.service_by_name.get(permit_server.service)
             if service and message.upstream in service.upstream_by_id:
-                permit_server.release(message, now, channel.peer.vm)
+                permit_server.release(message, now, tells_of_upstream)
                 self._record_outcome(permit_server.service, message, now)
-        if message.outcome == OUTCOME_CRASHED and message.fingerprint:
+        is_crash = message.outcome == OUTCOME_CRASHED and tells_of_upstream
+        if is_crash and message.fingerprint:
             self._crash_reports.report(Poison(message.fingerprint, message.upstream, 1))
         self._schedule_tick()
 
--- a/godwitlanding/decisions/holderfailures.py
+++ b/godwitlanding/decisions/holderfailures.py
@@ -7,11 +7,10 @@
 
 Failures of one holder at different upstreams, without a success in between,
 therefore count against the first of them only. While other upstreams work,
-successes come between, and other holders report as well. Failures of the same
-request always count: it may be what crashes the upstreams.
+successes come between, and other holders report as well. A further failure of
+the same request always counts: it may be what crashes the upstreams.
 """
 
-from collections import OrderedDict
 from typing import NamedTuple
 
 from godwitlanding.base.messages import (
@@ -21,25 +20,27 @@
     OUTCOME_TIMEOUT,
 )
 
-MAX_HOLDERS = 1000
+# Bounds what is remembered of one holder during a long cut.
+MAX_REQUESTS = 1000
 _FAILURES = frozenset({OUTCOME_FAILED, OUTCOME_TIMEOUT, OUTCOME_CRASHED})
 
 
-class _FirstFailure(NamedTuple):
-    upstream_id: str
-    fingerprint: int
+class _Failures(NamedTuple):
+    first_upstream_id: str
+    fingerprints: set
 
 
 class HolderFailures:
-    """The first failure of each holder since its last success."""
+    """The failures of each holder since its last success."""
 
     def __init__(self):
-        self._first_by_holder = OrderedDict()
+        self._failures_by_holder = {}
 
     def counts(self, holder, upstream_id, fingerprint, outcome):
         """Record an outcome; return whether it tells of the upstream.
 
-        An empty ``holder`` stands for an unknown one, whose outcomes count.
+        ``holder`` is the VM of the entry process, ``fingerprint`` that of the
+        request, 0 if it has none.
 
         >>> failures = HolderFailures()
         >>> failures.counts("vm-1", "s1", 7, OUTCOME_CRASHED)
@@ -48,12 +49,13 @@
         False
         """
         if outcome == OUTCOME_OK:
-            self._first_by_holder.pop(holder, None)
-        if not holder or outcome not in _FAILURES:
+            self._failures_by_holder.pop(holder, None)
+        if outcome not in _FAILURES:
             return True
-        failure = _FirstFailure(upstream_id, fingerprint)
-        first = self._first_by_holder.setdefault(holder, failure)
-        if len(self._first_by_holder) > MAX_HOLDERS:
-            self._first_by_holder.popitem(last=False)
-        is_same_request = bool(fingerprint) and fingerprint == first.fingerprint
-        return upstream_id == first.upstream_id or is_same_request
+        failures = self._failures_by_holder.setdefault(
+            holder, _Failures(upstream_id, set())
+        )
+        is_repeated = fingerprint in failures.fingerprints
+        if fingerprint and len(failures.fingerprints) < MAX_REQUESTS:
+            failures.fingerprints.add(fingerprint)
+        return is_repeated or upstream_id == failures.first_upstream_id
--- a/godwitlanding/tests/decisions/test_policies.py
+++ b/godwitlanding/tests/decisions/test_policies.py
@@ -249,9 +249,11 @@
     # Guards against upstreams that are taken from all VMs of a zone because
     # one VM has lost its links to them.
     arbiter = make_arbiter(upstreams=6, slots=1)
+    failures = HolderFailures()
     grants = [ask(arbiter, f"r{number}") for number in range(len(holders))]
     for holder, grant in zip(holders, grants):
-        arbiter.release(grant.permit_id, OUTCOME_CRASHED, 0.1, 0.1, holder)
+        counts = failures.counts(holder, grant.upstream, 0, OUTCOME_CRASHED)
+        arbiter.release(grant.permit_id, OUTCOME_CRASHED, 0.1, 0.1, counts)
     names = [f"s{number}" for number in range(1, 7)]
     assert sum(arbiter.outliers.is_ejected(name, 0.2) for name in names) == ejected
 
@@ -271,6 +273,14 @@
             3,
         ),
         pytest.param([("s1", 0, OUTCOME_TIMEOUT), ("s2", 0, OUTCOME_TIMEOUT)], 1),
+        pytest.param(
+            [
+                ("s1", 1, OUTCOME_CRASHED),
+                ("s1", 2, OUTCOME_CRASHED),
+                ("s2", 2, OUTCOME_CRASHED),
+            ],
+            3,
+        ),
     ],
 )
 def test_failures_of_a_holder_count_for_one_upstream_or_request(outcomes, counted):
