--- a/godwitlanding/gateway/front.py
+++ b/godwitlanding/gateway/front.py
@@ -39,6 +39,7 @@
 
     name = "front"
     needs = ("carrier", "peers", "registry", "relaylistener")
+    # The service that handles its requests.
     handler_name = "carrier"
 
     def __init__(self, address, stop_s, names=None, held_bytes=None):
--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -222,6 +222,7 @@
         return outcome, response
 
     async def _send_through(self, target, exchange, request, tried, sink):
+        """Make one attempt through another VM, as ``_send``."""
         begun_at = asyncio.get_running_loop().time()
         result = RelayResult(Outcome.GIVEN_UP)
         response = None
