--- a/godwitlanding/tests/soak/crashing.py
+++ b/godwitlanding/tests/soak/crashing.py
@@ -5,7 +5,8 @@
 Each seed starts three regions of 3, 4 and 5 VMs as real processes with twelve
 upstreams. A few requests crash each upstream that begins to run them, while
 VMs are killed, stopped, paused, started late and cut off, and datagrams are
-lost. Other callers are served meanwhile, on connections that stay open.
+lost. Other callers are served meanwhile, on connections that stay open. With
+``--cuts``, VMs also lose their links to all upstreams.
 """
 
 import argparse
@@ -22,6 +23,7 @@
 
 import aiohttp
 
+from godwitlanding.tests.gateway.vm_with_cut_upstreams import SUFFIX as CUT_SUFFIX
 from godwitlanding.tests.gateway.world import World
 from godwitlanding.tests.soak.vm_with_bad_links import SUFFIX
 
@@ -36,6 +38,7 @@
 CRASHING_REQUESTS = 3
 RESTART_S = 2.0
 KINDS = ("kill", "kill", "term", "pause", "late", "cut", "cut_region", "loss", "loss")
+CUT_KINDS = ("hang", "reset", "refuse")
 FAULT_WINDOW_S = 9.0
 DURATION_S = 16.0
 CALLERS = 6
@@ -82,6 +85,20 @@
     )
 
 
+def draw_cuts(seed):
+    """Return faults in which VMs lose their links to all upstreams."""
+    rng = random.Random(f"cuts {seed}")
+    return [
+        Fault(
+            at_s=round(rng.uniform(0.2, FAULT_WINDOW_S), 2),
+            for_s=round(rng.uniform(0.5, 5.0), 2),
+            kind=rng.choice(CUT_KINDS),
+            target=rng.randrange(len(ZONES)),
+        )
+        for _ in range(rng.randint(1, 6))
+    ]
+
+
 class CrashingWorld(World):
     """A ``World`` of three regions whose VMs may lose gossip messages."""
 
@@ -95,7 +112,7 @@
 
     async def prepare_vm(self, vm, number):
         """Let the VM lose gossip messages when asked."""
-        vm.module = "godwitlanding.tests.soak.vm_with_bad_links"
+        vm.module = "godwitlanding.tests.gateway.vm_with_cut_upstreams"
 
     async def start(self):
         """Start the upstreams' faults and all VMs but those that come late."""
@@ -115,7 +132,12 @@
         """Inject a fault and repair it."""
         await asyncio.sleep(fault.at_s)
         vm = self.vms[fault.target]
-        if fault.kind in ("cut", "cut_region", "loss"):
+        if fault.kind in CUT_KINDS:
+            path = vm.path.with_suffix(CUT_SUFFIX)
+            path.write_text(json.dumps(fault.kind))
+            await asyncio.sleep(fault.for_s)
+            path.write_text(json.dumps(""))
+        elif fault.kind in ("cut", "cut_region", "loss"):
             await self._harm_links(fault, vm)
         elif fault.kind == "late" or vm.name not in self.down:
             began = time.monotonic()
@@ -255,11 +277,12 @@
     return Report(seed, tuple(faults), crashes, served, tuple(problems))
 
 
-def run_seed(seed):
+def run_seed(seed, with_cuts=False):
     """Run one seed in this process."""
+    faults = draw_faults(seed) + (draw_cuts(seed) if with_cuts else [])
     logging.disable(logging.CRITICAL)
     with tempfile.TemporaryDirectory(prefix=f"crashing-{seed}-") as folder:
-        return asyncio.run(run_faults(seed, draw_faults(seed), Path(folder)))
+        return asyncio.run(run_faults(seed, faults, Path(folder)))
 
 
 def format_report(report):
@@ -286,10 +309,16 @@
         metavar=("FIRST", "LAST"),
         help="Seeds to run, both included; default: 1 4",
     )
-    first, last = parser.parse_args(argv).seeds
+    parser.add_argument(
+        "--cuts",
+        action="store_true",
+        help="Cut VMs off from all upstreams too.",
+    )
+    arguments = parser.parse_args(argv)
+    first, last = arguments.seeds
     broken = []
     for seed in range(first, last + 1):
-        report = run_seed(seed)
+        report = run_seed(seed, arguments.cuts)
         print(format_report(report), flush=True)
         if report.problems:
             broken.append(seed)
--- a/godwitlanding/tests/soak/test_soak.py
+++ b/godwitlanding/tests/soak/test_soak.py
@@ -41,6 +41,13 @@
     assert not report.problems, crashing.format_report(report)
 
 
+async def test_vms_that_lose_their_upstreams_harm_no_others(tmp_path):
+    # Guards against what VMs that are cut off from upstreams tell the others.
+    faults = crashing.draw_faults(5) + crashing.draw_cuts(5)
+    report = await crashing.run_faults(5, faults, tmp_path)
+    assert not report.problems, crashing.format_report(report)
+
+
 def test_seed_always_draws_the_same_faults():
     assert draw_faults(5) == draw_faults(5)
     assert draw_faults(5) != draw_faults(6)
