--- a/godwitlanding/tests/soak/test_soak.py
+++ b/godwitlanding/tests/soak/test_soak.py
@@ -41,10 +41,11 @@
     assert not report.problems, crashing.format_report(report)
 
 
-async def test_vms_that_lose_their_upstreams_harm_no_others(tmp_path):
+@pytest.mark.parametrize("seed", [5, 9])
+async def test_vms_that_lose_their_upstreams_harm_no_others(seed, tmp_path):
     # Guards against what VMs that are cut off from upstreams tell the others.
-    faults = crashing.draw_faults(5) + crashing.draw_cuts(5)
-    report = await crashing.run_faults(5, faults, tmp_path)
+    faults = crashing.draw_faults(seed) + crashing.draw_cuts(seed)
+    report = await crashing.run_faults(seed, faults, tmp_path)
     assert not report.problems, crashing.format_report(report)
 
 
