Rows that are cut off are dropped in one place, soak faults drawn in one

fleet filtered peers and digests as reach did, and the soak's cuts repeated how a fault is drawn. Ejections are named by their key as other collections are.

--- a/godwitlanding/decisions/fleet.py
+++ b/godwitlanding/decisions/fleet.py
@@ -22,7 +22,7 @@
 from typing import NamedTuple
 
 from godwitlanding.base.rendezvous import rank
-from godwitlanding.decisions.reach import Reach, select_in_touch
+from godwitlanding.decisions.reach import Reach, drop_cut_off, select_in_touch
 
 # As in ``occupancy``: ten messages in a row are missing.
 PEER_TIMEOUT_S = 1.5
@@ -268,11 +268,11 @@
     """
     home = get_carriers(own, fleet, region)
     home_digests = [digest for digest in digests if digest.region == region]
-    addresses = _get_addresses(_drop_cut_off(home), _drop_cut_off(home_digests))
+    addresses = _get_addresses(drop_cut_off(home), drop_cut_off(home_digests))
     if not addresses:
         others = get_carriers(own, fleet, "")
         addresses = (
-            _get_addresses(_drop_cut_off(others), _drop_cut_off(digests))
+            _get_addresses(drop_cut_off(others), drop_cut_off(digests))
             or _get_addresses(home, home_digests)
             or _get_addresses(others, digests)
         )
@@ -282,8 +282,3 @@
 def _get_addresses(peers, digests):
     addresses = {peer.address for peer in peers}
     return addresses.union(*(digest.carriers for digest in digests))
-
-
-def _drop_cut_off(rows):
-    """Return those of some peers or digests that reach upstreams."""
-    return [row for row in rows if row.reach is not Reach.CUT_OFF]
--- a/godwitlanding/decisions/reach.py
+++ b/godwitlanding/decisions/reach.py
@@ -102,11 +102,15 @@
         return Reach.CONNECTED if self._has_connected else Reach.UNKNOWN
 
 
+def drop_cut_off(rows):
+    """Return those of some peers or digests that are not cut off."""
+    return [row for row in rows if row.reach is not Reach.CUT_OFF]
+
+
 def select_in_touch(peers):
     """Return those of ``peers`` that are not cut off, or all if none is.
 
     If none reaches an upstream, the upstreams are down or all links are cut,
     and no VM serves callers better than another.
     """
-    in_touch = [peer for peer in peers if peer.reach is not Reach.CUT_OFF]
-    return in_touch or list(peers)
+    return drop_cut_off(peers) or list(peers)
--- a/godwitlanding/gateway/upstreamclient.py
+++ b/godwitlanding/gateway/upstreamclient.py
@@ -84,7 +84,7 @@
         self._chooser = None
         self._registry = None
         self._peers = None
-        self._ejections_by_upstream = {}
+        self._ejection_by_upstream = {}
         self.tasks = Tasks()
 
     async def start(self, kernel):
@@ -305,7 +305,7 @@
             connected_s=self._reach.get_connected_age_s(),
         )
         ejection = _Ejection(asyncio.get_running_loop().time())
-        self._ejections_by_upstream[upstream.id] = ejection
+        self._ejection_by_upstream[upstream.id] = ejection
         self.tasks.keep_running(self._probe_until_reachable, upstream, ejection)
 
     def _eject_moved(self, upstream):
@@ -332,11 +332,11 @@
         """
         readmitted = [
             upstream_id
-            for upstream_id, ejection in self._ejections_by_upstream.items()
+            for upstream_id, ejection in self._ejection_by_upstream.items()
             if ejection.at >= failing_since
         ]
         for upstream_id in readmitted:
-            del self._ejections_by_upstream[upstream_id]
+            del self._ejection_by_upstream[upstream_id]
             self._chooser.availability.ejected.discard(upstream_id)
             self._worktimes.forget_failures(upstream_id)
         log_message("courier:readmitted", upstreams=len(readmitted))
@@ -346,16 +346,16 @@
         while True:
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_EJECT_S, pause_s * 2)
-            if self._ejections_by_upstream.get(upstream.id) is not ejection:
+            if self._ejection_by_upstream.get(upstream.id) is not ejection:
                 return
             try:
                 connection = await self._connect(upstream)
             except UpstreamError:
                 continue
             self._pool.give_back(upstream.id, connection)
-            if self._ejections_by_upstream.get(upstream.id) is not ejection:
+            if self._ejection_by_upstream.get(upstream.id) is not ejection:
                 return
-            del self._ejections_by_upstream[upstream.id]
+            del self._ejection_by_upstream[upstream.id]
             now = asyncio.get_running_loop().time()
             self._registry.note_reached_again(upstream.id, now)
             self._chooser.availability.ejected.discard(upstream.id)
@@ -363,7 +363,7 @@
             return
 
     def _forget(self, upstream_id):
-        self._ejections_by_upstream.pop(upstream_id, None)
+        self._ejection_by_upstream.pop(upstream_id, None)
         self._pool.forget(upstream_id)
         self._limit_gossip.forget(upstream_id)
         self._chooser.forget(upstream_id)
--- a/godwitlanding/tests/soak/crashing.py
+++ b/godwitlanding/tests/soak/crashing.py
@@ -74,29 +74,22 @@
 def draw_faults(seed):
     """Return the faults of a seed, ordered by start time."""
     rng = random.Random(f"crashing {seed}")
-    return sorted(
-        Fault(
-            at_s=round(rng.uniform(0.2, FAULT_WINDOW_S), 2),
-            for_s=round(rng.uniform(0.5, 5.0), 2),
-            kind=rng.choice(KINDS),
-            target=rng.randrange(len(ZONES)),
-        )
-        for _ in range(rng.randint(2, 7))
-    )
+    return sorted(_draw_fault(rng, KINDS) for _ in range(rng.randint(2, 7)))
 
 
 def draw_cuts(seed):
     """Return faults in which VMs lose their links to all upstreams."""
     rng = random.Random(f"cuts {seed}")
-    return [
-        Fault(
-            at_s=round(rng.uniform(0.2, FAULT_WINDOW_S), 2),
-            for_s=round(rng.uniform(0.5, 5.0), 2),
-            kind=rng.choice(CUT_KINDS),
-            target=rng.randrange(len(ZONES)),
-        )
-        for _ in range(rng.randint(1, 6))
-    ]
+    return [_draw_fault(rng, CUT_KINDS) for _ in range(rng.randint(1, 6))]
+
+
+def _draw_fault(rng, kinds):
+    return Fault(
+        at_s=round(rng.uniform(0.2, FAULT_WINDOW_S), 2),
+        for_s=round(rng.uniform(0.5, 5.0), 2),
+        kind=rng.choice(kinds),
+        target=rng.randrange(len(ZONES)),
+    )
 
 
 class CrashingWorld(World):
