--- a/godwitlanding/base/wire.py
+++ b/godwitlanding/base/wire.py
@@ -39,6 +39,7 @@
 # A peer whose machine has lost power never resets the connection. The
 # connection ends when sent data is not acknowledged for this long.
 USER_TIMEOUT_MS = 3000
+_READ_BYTES = 16 << 10
 
 
 class Channel:
@@ -55,6 +56,9 @@
         self._call_by_id = {}
         self._tasks = set()
         self._next_id = 0
+        # Bytes of frames, also of incomplete ones, and when the last came.
+        self.received_bytes = 0
+        self.received_at = 0.0
         sock = writer.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
@@ -139,7 +143,20 @@
         if length > MAX_FRAME_BYTES:
             self._counters.add("wire_refused", code=Code.FRAME_TOO_LARGE.name)
             raise ValueError(f"frame of {length} bytes is over {MAX_FRAME_BYTES}")
-        return decode(await self._reader.readexactly(length))
+        return decode(await self._read_body(length))
+
+    async def _read_body(self, length):
+        parts = []
+        left = length
+        while left:
+            part = await self._reader.read(min(left, _READ_BYTES))
+            if not part:
+                raise asyncio.IncompleteReadError(b"".join(parts), length)
+            self.received_bytes += len(part)
+            self.received_at = asyncio.get_running_loop().time()
+            parts.append(part)
+            left -= len(part)
+        return b"".join(parts)
 
     def _write(self, envelope):
         if self.closed.is_set():
--- a/godwitlanding/gateway/feed.py
+++ b/godwitlanding/gateway/feed.py
@@ -36,6 +36,8 @@
 from godwitlanding.gateway.changeset import ChangeSet
 
 ROLE = "vm"
+# Why following a VM has ended: this VM has chosen another one.
+REPLACED = "replaced"
 # A source in another region answers within 0.2 s.
 FOLLOW_TIMEOUT_S = 1.0
 # Half of the longest frame. The largest object that the store accepts is 1 MB;
@@ -70,6 +72,7 @@
         self._task = None
         self._channel = None
         self._last_received_at = 0.0
+        self._followed_at = 0.0
         # IP address of the source, empty for none.
         self.source = ""
         self.source_reads = False
@@ -103,11 +106,13 @@
             return
         if self._task:
             self._task.cancel()
+            self._log_end(REPLACED)
         if self.source:
             self._pool.drop(self._get_address(self.source))
         self._channel = None
         self.source = host
         self.source_reads = False
+        self._followed_at = _now()
         self._task = self.tasks.run(self._follow(host)) if host else None
 
     def has_reading_source(self):
@@ -126,13 +131,30 @@
             # follows a reading source, and never learn of changes again.
             log_failed_round("Feed._follow", error)
             detail = repr(error)
-        log_message("feed:lost", level="warning", source=host, detail=detail)
+        self._log_end(detail)
         self.source = ""
         self.source_reads = False
         self._channel = None
         self._task = None
         self._pool.drop(address)
 
+    def _log_end(self, reason):
+        """Log what had arrived from the source when following it ended."""
+        received_bytes = 0
+        quiet_s = None
+        if self._channel:
+            received_bytes = self._channel.received_bytes
+            quiet_s = round(_now() - self._channel.received_at, 3)
+        log_message(
+            "feed:left" if reason == REPLACED else "feed:lost",
+            level="warning",
+            source=self.source,
+            detail=reason,
+            followed_s=round(_now() - self._followed_at, 3),
+            received_bytes=received_bytes,
+            quiet_s=quiet_s,
+        )
+
     async def _follow_until_lost(self, host, address):
         """Follow a VM; return why that has ended."""
         detail = await self._subscribe(address)
@@ -182,14 +204,17 @@
         mirror.apply_change_set(change_set)
 
     async def _add_follower(self, channel, follow):
+        bytes_by_kind = {}
         for position in follow.positions:
             mirror = self._mirror_by_kind.get(position.kind)
             if mirror is None or not mirror.is_known:
                 continue
             if _is_behind(position, mirror):
-                self._send_change_set(
-                    channel, position.kind, mirror.make_full_change_set()
-                )
+                change_set = mirror.make_full_change_set()
+                self._send_change_set(channel, position.kind, change_set)
+                sizes = (len(stored.value) for stored in change_set.objects)
+                bytes_by_kind[position.kind] = sum(sizes)
+        log_message("feed:follower", vm=channel.peer.vm, bytes_by_kind=bytes_by_kind)
         channel.send(Sign(self.is_reading()))
         self._followers.add(channel)
 
