Failing test: large configurations do not reach VMs on narrow links

Eight real VMs, links of 5 and 10 Mbit/s, 1,400 and 2,800 routes added, another version 1.6 s later: 2 of 8 VMs have it in force after 4 s in each case; the others never.

--- /dev/null
+++ b/godwitlanding/tests/gateway/test_large_config.py
@@ -0,0 +1,154 @@
+"""Large configurations on links that take seconds to pass them."""
+
+import asyncio
+from typing import NamedTuple
+
+import aiohttp
+import pytest
+
+from godwitlanding.tests.gateway.narrow_links import PORT_OFFSET, LinkEnd, NarrowLink
+from godwitlanding.tests.gateway.world import (
+    READY_S,
+    STORE_PORT,
+    VM_PORTS,
+    World,
+    make_config,
+)
+
+ZONES = ("a1", "a2") * 4
+FIRST_STORE_LINK_NUMBER = 150
+POLL_S = 0.1
+SETTLE_S = 1.5
+# The time within which a change has to be in force on the deployments with
+# such links.
+CONFIG_S = 4.0
+FAST_MBPS = 1000.0
+
+
+class Links(NamedTuple):
+    """The links of eight VMs; the first ``fast`` have the fast ones."""
+
+    mbps: float
+    fast: int = 0
+    share_taken: float = 0.0
+    loss_share: float = 0.0
+
+
+class NarrowWorld(World):
+    """A ``World`` whose VMs reach each other and the store by narrow links."""
+
+    def __init__(self, folder, links):
+        super().__init__(folder, ZONES)
+        self._links = links
+        self._end_by_host = {}
+        self.ends = []
+        self._proxies = []
+
+    async def __aexit__(self, *error):
+        await super().__aexit__(*error)
+        for proxy in self._proxies:
+            proxy.stop()
+
+    async def start(self):
+        """Start all VMs; wait until all are ready and know who reads."""
+        for vm in self.vms:
+            await vm.start()
+        async with asyncio.timeout(READY_S):
+            for vm in self.vms:
+                await self.wait_until_ready(vm)
+        await asyncio.sleep(SETTLE_S)
+
+    async def prepare_vm(self, vm, number):
+        """Put the VM behind its link."""
+        mbps, fast, share_taken, loss_share = self._links
+        if number < fast:
+            mbps, share_taken, loss_share = FAST_MBPS, 0.0, 0.0
+        vm.module = "godwitlanding.tests.gateway.vm_with_narrow_links"
+        vm.link_mbps = mbps
+        end = LinkEnd(mbps, share_taken, loss_share)
+        self._end_by_host[vm.ip] = end
+        self.ends.append(end)
+        peer_port = VM_PORTS[3]
+        await self._add_proxy((vm.ip, peer_port), (vm.ip, peer_port + PORT_OFFSET), end)
+        host = f"{self._prefix}{FIRST_STORE_LINK_NUMBER + number}"
+        store = (f"{self._prefix}1", STORE_PORT)
+        await self._add_proxy((host, STORE_PORT), store, LinkEnd(FAST_MBPS))
+        vm.store = f"{host}:{STORE_PORT}"
+
+    async def _add_proxy(self, address, target, end):
+        proxy = NarrowLink(address, target, end, self._end_by_host)
+        self._proxies.append(await proxy.start())
+
+    async def add_routes(self, version, count):
+        """Write a configuration with ``count`` routes more."""
+        await self.store.put("config", "main", make_large_config(version, count))
+
+    async def measure_in_force(self, version, vms, limit_s):
+        """Return when the VMs serve a version's last route, by VM's name.
+
+        The times are in seconds from now; VMs that do not within ``limit_s``
+        are left out.
+        """
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        took_by_vm = {}
+
+        async def poll(vm):
+            while loop.time() - begun < limit_s:
+                if await self._serves(vm, f"/v{version}/1"):
+                    took_by_vm[vm.name] = round(loop.time() - begun, 2)
+                    return
+                await asyncio.sleep(POLL_S)
+
+        await asyncio.gather(*map(poll, vms))
+        return took_by_vm
+
+    async def _serves(self, vm, path):
+        try:
+            response, _ = await self.ask(vm, path)
+        except aiohttp.ClientError:
+            return False
+        return response.status == 200
+
+
+def make_large_config(version, count):
+    """Return a configuration with ``count`` routes of about 100 bytes."""
+    prefixes = [f"/added-{number * 7919:08x}/" for number in range(count)]
+    rows = [
+        [
+            f"r{number}",
+            "h",
+            prefix,
+            "safe",
+            "2s",
+            "400ms",
+            2,
+            None,
+            2,
+            True,
+            [],
+            "looks",
+        ]
+        for number, prefix in enumerate([*prefixes, f"/v{version}/"])
+    ]
+    return make_config(f"r{version}", rows)
+
+
+CASES = [
+    pytest.param(Links(5.0, fast=2), 2800, id="5-mbit-fast-readers"),
+    pytest.param(Links(5.0), 1400, id="5-mbit-all"),
+    pytest.param(Links(10.0), 2800, id="10-mbit-all"),
+]
+
+
+@pytest.mark.parametrize(("links", "routes"), CASES)
+async def test_large_config_reaches_vms_on_narrow_links(tmp_path, links, routes):
+    # Guards against a transfer that is abandoned and begun anew for ever as it
+    # takes longer than small changes do.
+    async with NarrowWorld(tmp_path, links) as world:
+        await world.start()
+        await world.add_routes(8, routes)
+        await asyncio.sleep(1.6)
+        await world.add_routes(9, routes)
+        took_by_vm = await world.measure_in_force(9, world.vms, CONFIG_S)
+        assert len(took_by_vm) == len(world.vms), took_by_vm
--- a/godwitlanding/tests/gateway/world.py
+++ b/godwitlanding/tests/gateway/world.py
@@ -121,11 +121,16 @@
         self.store = f"{prefix}1:{STORE_PORT}"
         self.process = None
         self.module = "godwitlanding.vm"
+        # Bandwidth that the settings state; ``None`` for none.
+        self.link_mbps = None
 
     def write_settings(self, grace_s=GRACE_S):
         """Write the settings file in the platform's format."""
         front, ready, directory, peer, metrics = VM_PORTS
         zones = "\n".join(f'{z} = "{r}"' for z, r in self.region_by_zone.items())
+        limits = (
+            f"[self.limits]\nlink_mbps = {self.link_mbps}" if self.link_mbps else ""
+        )
         self.front = f"http://{self.ip}:{front}"
         self.ready = f"http://{self.ip}:{ready}/readyz"
         self.directory = f"http://{self.ip}:{directory}/resolve"
@@ -138,6 +143,7 @@
 ip = "{self.ip}"
 zone = "{self.zone}"
 region = "{self.region_by_zone[self.zone]}"
+{limits}
 [network]
 internal_port_range = [{peer},{peer + 1}]
 [network.listen]
