Calls of the store are timed out by progress

A call is now extended with each part of its response, and a write has as much more time as its body takes at 64 KB/s.

Evidence: three of the four new tests (list, watch and write of 1 MB at 2.5 Mbit/s) fail on the former client; the fourth shows that a response that stops arriving is still given up.

--- a/godwitlanding/gateway/upstream.py
+++ b/godwitlanding/gateway/upstream.py
@@ -82,11 +82,14 @@
 
     ``id_header`` is the name of the header with the request id of a response,
     empty if responses have none. With a ``ByteBudget``, the connection counts
-    what it has not sent yet and what it buffers.
+    what it has not sent yet and what it buffers. ``on_data``, if set, is
+    called whenever data has arrived.
     """
 
-    def __init__(self, id_header, budget=None):
+    def __init__(self, id_header, budget=None, user_timeout_ms=USER_TIMEOUT_MS):
         self._id_header = id_header
+        self._user_timeout_ms = user_timeout_ms
+        self.on_data = None
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpResponseParser(self)
         self._transport = None
@@ -166,6 +169,8 @@
             self.reusable = False
             self._transport.abort()
             return
+        if self.on_data:
+            self.on_data()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -249,7 +254,7 @@
     def _begin_user_timeout(self):
         self._sent_at = self._loop.time()
         if self._timeout_timer is None:
-            set_user_timeout(self._transport, USER_TIMEOUT_MS)
+            set_user_timeout(self._transport, self._user_timeout_ms)
             self._timeout_timer = self._loop.call_later(
                 USER_TIMEOUT_FOR_S, self._end_user_timeout
             )
@@ -350,8 +355,15 @@
     they hold in ``held_bytes``.
     """
 
-    def __init__(self, id_header, counters=None, held_bytes=None):
+    def __init__(
+        self,
+        id_header,
+        counters=None,
+        held_bytes=None,
+        user_timeout_ms=USER_TIMEOUT_MS,
+    ):
         self._id_header = id_header
+        self._user_timeout_ms = user_timeout_ms
         self._counters = counters
         self._held_bytes = held_bytes
         self._loop = asyncio.get_running_loop()
@@ -379,7 +391,10 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await self._loop.create_connection(
-                    lambda: UpstreamConnection(self._id_header, budget), *address
+                    lambda: UpstreamConnection(
+                        self._id_header, budget, self._user_timeout_ms
+                    ),
+                    *address,
                 )
         except (OSError, TimeoutError) as error:
             raise UpstreamError(UpstreamFailure.CONNECT, repr(error)) from None
--- a/godwitlanding/platform/store.py
+++ b/godwitlanding/platform/store.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import json
+import math
+from functools import partial
 from typing import NamedTuple
 from urllib.parse import quote, urlencode
 
@@ -31,6 +33,11 @@
 CALL_TIMEOUT_S = 1.5
 # The response to a watch may arrive this long after the watch's own timeout.
 WATCH_GRACE_S = 1.5
+# Both are extended while a response arrives: 1 MB takes 1.6 s on a link of
+# 5 Mbit/s. A write has as much more time as its body takes at this rate.
+MIN_BYTES_PER_S = 64 << 10
+# The link may be full of responses to callers.
+USER_TIMEOUT_MS = 3000
 _CODE_BY_STATUS = {
     404: Code.NOT_FOUND,
     409: Code.VERSION_CONFLICT,
@@ -66,10 +73,19 @@
     def __init__(self, address, counters):
         self._address = address
         self._counters = counters
-        self._pool = UpstreamPool(b"")
+        self._pool = UpstreamPool(b"", user_timeout_ms=USER_TIMEOUT_MS)
+        self._received_at_by_kind = {}
         # The highest era received, ``None`` before the first response.
         self._era = None
 
+    def get_received_at(self, kind):
+        """Return when a part of an incomplete response arrived.
+
+        The time is that of the event loop, minus infinity if there is no such
+        response to a list or watch of ``kind``.
+        """
+        return self._received_at_by_kind.get(kind, -math.inf)
+
     async def snapshot(self, kind, allow_stale=False):
         """Return ``Ok(Snapshot)`` of all objects of a kind.
 
@@ -175,11 +191,14 @@
     async def _send(self, method, path, query, body, extra_s):
         grace_s = WATCH_GRACE_S if extra_s else CALL_TIMEOUT_S
         data = self._make_request(method, path, query, body)
+        timeout_s = extra_s + grace_s + len(data) / MIN_BYTES_PER_S
         try:
-            async with asyncio.timeout(extra_s + grace_s):
-                response = await self._exchange(data)
+            async with asyncio.timeout(timeout_s) as timeout:
+                response = await self._exchange(data, path, timeout)
         except (UpstreamError, TimeoutError) as error:
             return _make_unavailable(repr(error))
+        finally:
+            self._received_at_by_kind.pop(path, None)
         era = _read_era(response)
         self._update_era(era)
         if response.status in (200, 201):
@@ -208,24 +227,35 @@
     def _is_expired(self, version):
         return self._era is not None and get_era(version) < self._era
 
-    async def _exchange(self, data):
-        """Send a request and return its response."""
+    async def _exchange(self, data, path, timeout):
+        """Send a request and return its response.
+
+        ``timeout`` is extended with each part of the response.
+        """
         connection = self._pool.take(_POOL_KEY, True)
         if connection is None:
             connection = await self._pool.connect(
                 _POOL_KEY, self._address, CALL_TIMEOUT_S
             )
         is_whole = False
+        connection.on_data = partial(self._note_data, path, timeout)
         try:
             response = await connection.send(data, b"", False)
             is_whole = True
         finally:
+            connection.on_data = None
             if not is_whole:
                 # A late response must not be taken for that of another call.
                 connection.abort()
         self._pool.give_back(_POOL_KEY, connection)
         return response
 
+    def _note_data(self, path, timeout):
+        now = asyncio.get_running_loop().time()
+        self._received_at_by_kind[path] = now
+        if not timeout.expired():
+            timeout.reschedule(max(timeout.when(), now + CALL_TIMEOUT_S))
+
     def _make_request(self, method, path, query, body):
         host, port = self._address
         target = "/objects/" + quote(path)
--- a/godwitlanding/tests/gateway/test_platform_store.py
+++ b/godwitlanding/tests/gateway/test_platform_store.py
@@ -1,13 +1,16 @@
 """Contract tests of the client of the platform's store, and of its faults."""
 
 import asyncio
+import math
 
+import orjson
 import pytest
 
 from godwitlanding.base.codes import Code
 from godwitlanding.base.metrics import Counters
 from godwitlanding.platform import store as platform_store
 from godwitlanding.platform.store import ObjectStore
+from godwitlanding.tests.gateway.narrow_links import LinkEnd, NarrowLink
 from godwitlanding.tests.standins.standin_store import StandinStore
 from godwitlanding.tests.tools.network import claim_address_prefix
 
@@ -205,3 +208,60 @@
     await standin.restore_copy(copy)
     await store.snapshot(KIND)
     assert (await writing).unwrap_err().code is Code.PLATFORM_UNAVAILABLE
+
+
+class SlowLink:
+    """A client that reaches the store by a link of 5 Mbit/s."""
+
+    def __init__(self, standin, share_taken=0.0):
+        host, port = standin.address
+        # It carries both directions, as the client's own address is not known.
+        end = LinkEnd(5.0, share_taken)
+        self._link = NarrowLink((host, port + 1), standin.address, end, {})
+        self._store = ObjectStore((host, port + 1), Counters())
+
+    async def __aenter__(self):
+        await self._link.start()
+        return self._store
+
+    async def __aexit__(self, *error):
+        await self._store.close()
+        self._link.stop()
+
+
+LARGE_SPEC = {"rows": ["x" * 100] * 9_900}
+
+
+async def test_list_that_goes_on_arriving_is_not_timed_out(standin):
+    # Guards against a list of 1 MB that is read again for ever, as it takes
+    # longer than the time-out of a small call.
+    await standin.put(KIND, "a", LARGE_SPEC)
+    async with SlowLink(standin, share_taken=0.5) as store:
+        reading = asyncio.create_task(store.snapshot(KIND))
+        await asyncio.sleep(1.0)
+        now = asyncio.get_running_loop().time()
+        assert now - store.get_received_at(KIND) < 0.5
+        assert (await reading).is_ok()
+        assert store.get_received_at(KIND) == -math.inf
+
+
+async def test_watch_that_goes_on_arriving_is_not_timed_out(standin):
+    async with SlowLink(standin, share_taken=0.5) as store:
+        waiting = asyncio.create_task(store.watch(KIND, standin.revision, 0.5))
+        await asyncio.sleep(0.2)
+        await standin.put(KIND, "a", LARGE_SPEC)
+        assert len((await waiting).unwrap().events) == 1
+
+
+async def test_large_write_has_time_for_its_body(standin):
+    async with SlowLink(standin, share_taken=0.5) as store:
+        value = orjson.dumps(LARGE_SPEC)
+        assert (await store.put(KIND, "a", value, 0)).is_ok()
+
+
+async def test_list_that_stops_arriving_is_timed_out(standin, monkeypatch):
+    monkeypatch.setattr(platform_store, "CALL_TIMEOUT_S", 0.3)
+    await standin.put(KIND, "a", LARGE_SPEC)
+    async with SlowLink(standin, share_taken=0.9999) as store:
+        failed = await store.snapshot(KIND)
+        assert failed.unwrap_err().code is Code.PLATFORM_UNAVAILABLE
