A change that goes on arriving is not asked for again

Cause: a VM that missed a change for BEHIND_S (0.3 s) dropped its source and followed another VM. 280 KB take longer than that on a link of 5 or 10 Mbit/s, so the transfer was cut off half-way and begun anew every 0.4 s, for ever, with 530 to 635 KB a second on a link that was full of it. The answer to Follow came after all the data, which was one more reason to give up. The class: a bound made for small messages takes slow for lost.

With the new log lines eight real VMs say 127 of 232 KB received, the last bytes 0 to 0.007 s before.

Now what counts is whether anything arrives (decisions.catchup): a transfer in progress is left alone, also that of a store's list or watch. A VM to which nothing arrives follows another VM, then reads the store itself, by turns and ever more rarely; the VMs that miss a change are spread over those that have it. A source answers Follow first, sends each follower a change when it has taken the former ones and those that came meanwhile as one (gateway.followers), and encodes and deflates each once for all. A follower applies a change in several parts as a whole; before, later parts of one that was not whole were refused as known. Followers are sent a configuration before it is read.

--- a/godwitlanding/decisions/storereaders.py
+++ b/godwitlanding/decisions/storereaders.py
@@ -14,9 +14,9 @@
 another one. A reader that the store does not answer reports that, and the next
 VM in the order reads in its place. And the gossip messages of each VM contain
 the latest change of each kind that it knows; a VM that learns of a newer
-change and has not received it after ``BEHIND_S`` fetches it from the sender of
-that message, in any region, so that even all readers of a region may miss
-changes.
+change and receives nothing of it within ``BEHIND_S`` fetches it from the
+sender of that message, in any region, so that even all readers of a region may
+miss changes (``decisions.catchup``).
 """
 
 from typing import NamedTuple
@@ -32,6 +32,9 @@
 HEARTBEAT_TIMEOUT_S = 1.0
 # A push takes some milliseconds within a region, a digest up to 0.5 s.
 BEHIND_S = 0.3
+# A transfer of which nothing arrives for this long has stalled. At a full link
+# packets wait for half a second, and a lost one is sent again 0.2 s later.
+STALLED_S = 1.0
 # If no VM reads, the first in the order has this long to begin, and each
 # further one as much longer.
 NO_READER_S = 0.5
@@ -63,6 +66,18 @@
     return rank("reader", high_capacity) + rank("reader", names - high_capacity)
 
 
+def rank_sources(own, peers):
+    """Return the names of a region's VMs in the order to follow them.
+
+    VMs with a high capacity come first. Each VM ``own`` has an order of its
+    own, so that the readers share the work of sending a large change.
+    """
+    names = {peer.vm for peer in peers}
+    high_capacity = {peer.vm for peer in find_high_capacity(peers)}
+    key = f"source {own}"
+    return rank(key, high_capacity) + rank(key, names - high_capacity)
+
+
 def should_read(own, order, access_by_vm, nobody_for_s):
     """Return whether the VM ``own`` (a ``StoreAccess``) has to read the store.
 
--- a/godwitlanding/gateway/changeset.py
+++ b/godwitlanding/gateway/changeset.py
@@ -37,3 +37,29 @@
     return ChangeSet(
         batch.version, changed_at, tuple(stored_by_name.values()), tuple(removed)
     )
+
+
+def merge_change_sets(change_sets):
+    """Return one change set with the effect of several, oldest first."""
+    first, *others = change_sets
+    if not others:
+        return first
+    stored_by_name = {stored.name: stored for stored in first.objects}
+    removed = dict.fromkeys(first.removed)
+    whole = first.whole
+    for change_set in others:
+        if change_set.whole:
+            stored_by_name, removed, whole = {}, {}, True
+        for stored in change_set.objects:
+            removed.pop(stored.name, None)
+            stored_by_name[stored.name] = stored
+        for name in change_set.removed:
+            stored_by_name.pop(name, None)
+            removed[name] = None
+    return ChangeSet(
+        max(change_set.revision for change_set in change_sets),
+        max(change_set.changed_at for change_set in change_sets),
+        tuple(stored_by_name.values()),
+        () if whole else tuple(removed),
+        whole,
+    )
--- a/godwitlanding/gateway/feed.py
+++ b/godwitlanding/gateway/feed.py
@@ -20,7 +20,6 @@
 from godwitlanding.base.messages import (
     PROTOCOL_VERSION,
     Follow,
-    HeldObject,
     Hello,
     Position,
     Sign,
@@ -32,17 +31,16 @@
 from godwitlanding.decisions.storereaders import (
     HEARTBEAT_INTERVAL_S,
     HEARTBEAT_TIMEOUT_S,
+    STALLED_S,
 )
 from godwitlanding.gateway.changeset import ChangeSet
+from godwitlanding.gateway.followers import Follower, UpdateEncoder
 
 ROLE = "vm"
 # Why following a VM has ended: this VM has chosen another one.
 REPLACED = "replaced"
 # A source in another region answers within 0.2 s.
 FOLLOW_TIMEOUT_S = 1.0
-# Half of the longest frame. The largest object that the store accepts is 1 MB;
-# configurations have some tens of KB.
-MAX_PART_BYTES = 500_000
 
 
 class Feed(Service):
@@ -66,12 +64,12 @@
             {Update: self._receive_update, Sign: self._receive_heartbeat},
             counters,
         )
-        self._followers = set()
+        self._follower_by_channel = {}
+        self._encoder = UpdateEncoder()
         self._parts_by_kind = {}
         self.tasks = Tasks()
         self._task = None
         self._channel = None
-        self._last_received_at = 0.0
         self._followed_at = 0.0
         # IP address of the source, empty for none.
         self.source = ""
@@ -98,7 +96,7 @@
 
     def get_status(self):
         """Return the source and the number of followers."""
-        return {"source": self.source, "fed": len(self._followers)}
+        return {"source": self.source, "fed": len(self._follower_by_channel)}
 
     def follow(self, host):
         """Follow the VM at ``host``; an empty one stops following."""
@@ -119,6 +117,10 @@
         """Return whether the source reads the store itself."""
         return self.source_reads
 
+    def is_receiving(self):
+        """Return whether parts of a large change arrive from the source."""
+        return self._channel is not None and self._channel.is_receiving(STALLED_S)
+
     def _get_address(self, host):
         return f"{host}:{self._identity.peer_port}"
 
@@ -161,7 +163,7 @@
         if detail:
             return detail
         log_message("feed:following", source=host)
-        while _now() - self._last_received_at <= HEARTBEAT_TIMEOUT_S:
+        while _now() - self._channel.received_at <= HEARTBEAT_TIMEOUT_S:
             if self._channel.closed.is_set():
                 return "closed"
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
@@ -173,7 +175,6 @@
         if connected.is_err():
             return connected.unwrap_err().detail
         self._channel = connected.unwrap()
-        self._last_received_at = _now()
         self._parts_by_kind = {}
         positions = tuple(map(_make_position, self._mirror_by_kind.values()))
         answer = await self._channel.call(Follow(positions), FOLLOW_TIMEOUT_S)
@@ -181,29 +182,28 @@
 
     async def _receive_heartbeat(self, channel, sign):
         if channel is self._channel:
-            self._last_received_at = _now()
             self.source_reads = sign.reads
 
     async def _receive_update(self, channel, update):
         mirror = self._mirror_by_kind.get(update.kind)
         if channel is not self._channel or mirror is None:
             return
-        self._last_received_at = _now()
         objects = tuple(
             StoredObject(update.kind, held.name, held.version, held.value)
             for held in update.objects
         )
-        if update.whole:
-            objects = self._parts_by_kind.pop(update.kind, ()) + objects
-            if not update.last:
-                self._parts_by_kind[update.kind] = objects
-                return
+        objects = self._parts_by_kind.pop(update.kind, ()) + objects
+        if not update.last:
+            self._parts_by_kind[update.kind] = objects
+            return
         change_set = ChangeSet(
             update.revision, update.changed_at, objects, update.removed, update.whole
         )
         mirror.apply_change_set(change_set)
 
     async def _add_follower(self, channel, follow):
+        follower = Follower(channel, self._encoder)
+        self._follower_by_channel[channel] = follower
         bytes_by_kind = {}
         for position in follow.positions:
             mirror = self._mirror_by_kind.get(position.kind)
@@ -211,43 +211,27 @@
                 continue
             if _is_behind(position, mirror):
                 change_set = mirror.make_full_change_set()
-                self._send_change_set(channel, position.kind, change_set)
+                follower.send(mirror, change_set)
                 sizes = (len(stored.value) for stored in change_set.objects)
                 bytes_by_kind[position.kind] = sum(sizes)
         log_message("feed:follower", vm=channel.peer.vm, bytes_by_kind=bytes_by_kind)
         channel.send(Sign(self.is_reading()))
-        self._followers.add(channel)
 
     def _forward(self, mirror, change_set):
-        for channel in list(self._followers):
-            self._send_change_set(channel, mirror.kind, change_set)
+        for follower in self._get_followers():
+            follower.send(mirror, change_set)
 
-    def _send_change_set(self, channel, kind, change_set):
-        if channel.closed.is_set():
-            self._followers.discard(channel)
-            return
-        parts = list(_split_into_parts(change_set.objects))
-        for number, part in enumerate(parts, 1):
-            last = number == len(parts)
-            removed = change_set.removed if last else ()
-            update = Update(
-                kind=kind,
-                revision=change_set.revision,
-                whole=change_set.whole,
-                last=last,
-                objects=part,
-                removed=removed,
-                changed_at=change_set.changed_at,
-            )
-            channel.send(update)
+    def _get_followers(self):
+        """Return the connected followers; forget the others."""
+        for channel in list(self._follower_by_channel):
+            if channel.closed.is_set():
+                del self._follower_by_channel[channel]
+        return list(self._follower_by_channel.values())
 
     def _send_heartbeats(self):
         sign = Sign(self.is_reading())
-        for channel in list(self._followers):
-            if channel.closed.is_set():
-                self._followers.discard(channel)
-            else:
-                channel.send(sign)
+        for follower in self._get_followers():
+            follower.channel.send(sign)
 
 
 def _make_position(mirror):
@@ -263,19 +247,5 @@
     return position.objects != len(mirror.get_objects())
 
 
-def _split_into_parts(objects):
-    """Yield the objects in parts that fit a frame; at least one part."""
-    part = []
-    size = 0
-    for stored in objects:
-        if part and size + len(stored.value) > MAX_PART_BYTES:
-            yield tuple(part)
-            part = []
-            size = 0
-        part.append(HeldObject(stored.name, stored.version, stored.value))
-        size += len(stored.value)
-    yield tuple(part)
-
-
 def _now():
     return asyncio.get_running_loop().time()
--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -25,6 +25,7 @@
 from godwitlanding.base.storetypes import get_era, make_version
 from godwitlanding.base.tasks import Tasks
 from godwitlanding.decisions.removalguard import STALE_ENTRY_TTL_S
+from godwitlanding.decisions.storereaders import STALLED_S
 from godwitlanding.gateway.changeset import ChangeSet, make_change_set
 
 # A call that the store accepted during an outage may never be answered
@@ -90,6 +91,7 @@
         # last change of this kind.
         self.revision = 0
         self.changed_at = 0
+        self._full_change_set = None
 
     async def stop(self):
         """Stop following the store and cancel the pending timer."""
@@ -145,9 +147,13 @@
         return held
 
     def make_full_change_set(self):
-        """Return all objects as a ``ChangeSet``."""
-        objects = tuple(self._object_by_name.values())
-        return ChangeSet(self.revision, self.changed_at, objects, (), True)
+        """Return all objects as a ``ChangeSet``, cached until a change."""
+        full = self._full_change_set
+        if full is None or full.revision != self.revision:
+            objects = tuple(self._object_by_name.values())
+            full = ChangeSet(self.revision, self.changed_at, objects, (), True)
+            self._full_change_set = full
+        return full
 
     def apply_change_set(self, change_set):
         """Apply a change set of another mirror of this kind."""
@@ -164,6 +170,10 @@
             else:
                 revision = await self._watch(revision)
 
+    def is_receiving(self):
+        """Return whether a part of the store's response has just arrived."""
+        return _now() - self._store.get_received_at(self.kind) < STALLED_S
+
     def was_just_listed(self):
         """Return whether the list was read within ``FRESH_LIST_S``."""
         return (
@@ -187,6 +197,12 @@
         self.stop_following()
         return False
 
+    async def read_list(self):
+        """Read the list while another VM is followed."""
+        await self._list()
+        if not self.is_following():
+            self.stop_following()
+
     async def _list(self, allow_stale=False, reached=None):
         answer = await self._store.snapshot(self.kind, allow_stale)
         if answer.is_err():
@@ -331,6 +347,7 @@
 
     def _put(self, stored):
         self._object_by_name[stored.name] = stored
+        self._full_change_set = None
         self._updated.append(stored)
         self._reappeared.pop(stored.name, None)
         if self._may_be_gone(stored):
@@ -352,6 +369,7 @@
 
     def _drop(self, name):
         if self._object_by_name.pop(name, None) is not None:
+            self._full_change_set = None
             self._removed.append(name)
             self._reappeared.pop(name, None)
             if self._guard:
--- a/godwitlanding/gateway/sourceselector.py
+++ b/godwitlanding/gateway/sourceselector.py
@@ -9,16 +9,18 @@
 from eliot import log_message
 
 from godwitlanding.base.kernel import Service
+from godwitlanding.base.rendezvous import rank
 from godwitlanding.base.tasks import Tasks
-from godwitlanding.decisions.fleet import make_own_peer
+from godwitlanding.decisions.catchup import CatchUp, CatchUpStep
+from godwitlanding.decisions.fleet import find_high_capacity, make_own_peer
 from godwitlanding.decisions.storereaders import (
-    BEHIND_S,
     FAILED_BACKOFF_S,
     START_WAIT_S,
     StoreAccess,
     choose_source,
     may_stop_reading,
     rank_readers,
+    rank_sources,
     should_read,
 )
 from godwitlanding.gateway.gossipmessage import StoreState
@@ -48,8 +50,8 @@
         self._failed_until = 0.0
         self._reader_seen_at = 0.0
         self._current_at = 0.0
-        self._behind_since = None
-        self._is_catching_up = False
+        self._catch_up = CatchUp()
+        self._store_read = None
         self._distrusted_until_by_host = {}
 
     async def start(self, kernel):
@@ -66,7 +68,8 @@
 
     def get_status(self):
         """Return whether this VM reads the store, and if it is behind."""
-        return {"reads": self.is_reading(), "behind": self._behind_since is not None}
+        is_behind = self._catch_up.since is not None
+        return {"reads": self.is_reading(), "behind": is_behind}
 
     def is_reading(self):
         """Return whether every mirror follows the store and is answered."""
@@ -132,7 +135,8 @@
         order = rank_readers([self._own, *region_peers])
         if self._may_decide_reading:
             self._decide_reading(order, access_by_vm, now)
-        self._decide_source(order, access_by_vm, now)
+        sources = rank_sources(self._own.vm, [self._own, *region_peers])
+        self._decide_source(sources, access_by_vm, now)
 
     def _follows_reader(self):
         peers = self._fleet.peer_by_vm.values()
@@ -188,25 +192,52 @@
             elif first.is_lost:
                 mirror.stop_following()
 
-    def _decide_source(self, order, access_by_vm, now):
-        newer = self._find_newer()
-        if not newer:
-            self._behind_since = None
-            self._is_catching_up = False
-        elif self._behind_since is None:
-            self._behind_since = now
-        elif now - self._behind_since > BEHIND_S:
-            self._behind_since = now
-            self._is_catching_up = True
-            self._catch_up(newer, now)
-        if self._is_catching_up:
+    def _decide_source(self, sources, access_by_vm, now):
+        kinds = self._find_missed_kinds()
+        if kinds:
+            self._get_missed(kinds, now)
+        else:
+            self._catch_up.note_current()
+        if self._catch_up.attempts:
             return
         if self.is_reading():
             self._feed.follow("")
         else:
-            self._follow_peer(order, access_by_vm, now)
+            self._follow_peer(sources, access_by_vm, now)
+
+    def _get_missed(self, kinds, now):
+        step = self._catch_up.decide(
+            now, self._is_receiving(kinds), self._source_has_changes(kinds)
+        )
+        if step is CatchUpStep.NONE:
+            return
+        if step is CatchUpStep.READ_STORE and self._has_failed():
+            step = CatchUpStep.FOLLOW_OTHER
+        newer = self._choose_newer(kinds)
+        log_message(
+            "reader:behind",
+            level="warning",
+            newer=newer,
+            kinds=kinds,
+            source=self._feed.source,
+            step=step.value,
+            attempts=self._catch_up.attempts,
+            behind_s=round(now - self._catch_up.since, 2),
+        )
+        if step is CatchUpStep.READ_STORE:
+            self._read_store(kinds)
+        else:
+            self._follow_other(newer, kinds, now)
 
-    def _follow_peer(self, order, access_by_vm, now):
+    def _is_receiving(self, kinds):
+        if self._feed.is_receiving():
+            return True
+        return any(mirror.is_receiving() for mirror in self._get_mirrors(kinds))
+
+    def _get_mirrors(self, kinds):
+        return [mirror for mirror in self._mirrors if mirror.kind in kinds]
+
+    def _follow_peer(self, sources, access_by_vm, now):
         trusted = {
             vm: access
             for vm, access in access_by_vm.items()
@@ -217,7 +248,7 @@
         current = self._feed.source
         vm_by_host = {self._fleet.peer_by_vm[vm].host: vm for vm in trusted}
         source = choose_source(
-            order, trusted, vm_by_host.get(current, current), remote_sources
+            sources, trusted, vm_by_host.get(current, current), remote_sources
         )
         peer = self._fleet.peer_by_vm.get(source)
         self._feed.follow(peer.host if peer else source)
@@ -225,47 +256,104 @@
     def _is_trusted(self, host, now):
         return now >= self._distrusted_until_by_host.get(host, 0.0)
 
-    def _catch_up(self, newer, now):
-        """Follow the VM in ``newer`` to get the changes that were missed."""
-        host, kinds = newer
-        log_message(
-            "reader:behind",
-            level="warning",
-            newer=host,
-            kinds=kinds,
-            source=self._feed.source,
-        )
+    def _follow_other(self, newer, kinds, now):
+        """Follow the VM at ``newer`` to get the changes that were missed."""
         if self._feed.source:
             self._distrusted_until_by_host[self._feed.source] = now + FAILED_BACKOFF_S
-        self._distrusted_until_by_host.pop(host, None)
-        for mirror in self._mirrors:
-            if mirror.kind in kinds and mirror.is_following():
+        self._distrusted_until_by_host.pop(newer, None)
+        for mirror in self._get_mirrors(kinds):
+            if mirror.is_following():
                 mirror.stop_following()
                 mirror.follow()
         self._feed.follow("")
-        self._feed.follow(host)
+        self._feed.follow(newer)
 
-    def _find_newer(self):
-        """Return the IP address of a VM with newer changes, and their kinds.
+    def _read_store(self, kinds):
+        """Read the missed kinds once; the source is followed meanwhile."""
+        if self._store_read and not self._store_read.done():
+            return
+        mirrors = [m for m in self._get_mirrors(kinds) if not m.is_following()]
+        self._store_read = self.tasks.run(_read_lists(mirrors))
 
-        ``None`` if there is no such VM.
-        """
-        for peer in self._fleet.peer_by_vm.values():
-            kinds = self._get_newer_kinds(peer.changed_at)
-            if kinds:
-                return peer.host, kinds
-        for digest in self._digests.digest_by_region.values():
-            kinds = self._get_newer_kinds(digest.changed_at)
-            if kinds:
-                return digest.source, kinds
-        return None
-
-    def _get_newer_kinds(self, changed_at):
+    def _find_missed_kinds(self):
+        """Return the kinds of which some VM knows a newer change."""
+        newest_by_kind = self._get_newest_changes()
         return [
             mirror.kind
-            for mirror, revision in zip(self._mirrors, changed_at)
-            if revision > mirror.revision
+            for mirror in self._mirrors
+            if newest_by_kind.get(mirror.kind, 0) > mirror.revision
+        ]
+
+    def _get_newest_changes(self):
+        """Return the revision of the newest known change, by kind."""
+        newest_by_kind = {}
+        for revision_by_kind in self._get_changes_by_host().values():
+            for kind, revision in revision_by_kind.items():
+                newest = max(newest_by_kind.get(kind, 0), revision)
+                newest_by_kind[kind] = newest
+        return newest_by_kind
+
+    def _get_changes_by_host(self):
+        """Return the revisions of the latest changes that other VMs know.
+
+        They are dicts by kind, by the VM's IP address.
+        """
+        kinds = [mirror.kind for mirror in self._mirrors]
+        digests = self._digests.digest_by_region.values()
+        changed_at_by_host = {digest.source: digest.changed_at for digest in digests}
+        for peer in self._fleet.peer_by_vm.values():
+            changed_at_by_host[peer.host] = peer.changed_at
+        return {
+            host: dict(zip(kinds, changed_at))
+            for host, changed_at in changed_at_by_host.items()
+        }
+
+    def _choose_newer(self, kinds):
+        """Return the IP address of a VM to get the missed changes from.
+
+        VMs that know all of them come before those that know some, and then
+        those of the own region and those with a high capacity. The present
+        source comes last. Equal ones are spread, so that the VMs that miss a
+        change do not all ask the same one.
+        """
+        newest_by_kind = self._get_newest_changes()
+        changes_by_host = self._get_changes_by_host()
+        region_peers = [
+            peer
+            for peer in self._fleet.peer_by_vm.values()
+            if peer.region == self._own.region
         ]
+        near = {peer.host for peer in region_peers}
+        strong = {peer.host for peer in find_high_capacity(region_peers)}
+
+        def count_newest(host):
+            revision_by_kind = changes_by_host[host]
+            return sum(
+                revision_by_kind.get(kind, 0) >= newest_by_kind[kind] for kind in kinds
+            )
+
+        hosts = [host for host in changes_by_host if count_newest(host)]
+        return max(
+            rank(f"catch up {self._own.vm}", hosts),
+            key=lambda host: (
+                host != self._feed.source,
+                count_newest(host),
+                host in near,
+                host in strong,
+            ),
+            default="",
+        )
+
+    def _source_has_changes(self, kinds):
+        """Return whether the source knows the newest change of all kinds."""
+        newest_by_kind = self._get_newest_changes()
+        known = self._get_changes_by_host().get(self._feed.source, {})
+        return all(known.get(kind, 0) >= newest_by_kind[kind] for kind in kinds)
+
+
+async def _read_lists(mirrors):
+    for mirror in mirrors:
+        await mirror.read_list()
 
 
 def _now():
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -318,6 +318,11 @@
     def _apply_config(self, name, version, value):
         if name != CONFIG_NAME or value is None:
             return
+        # A large one takes 0.2 s to read; followers are sent it before that.
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._read_config, name, version, value)
+
+    def _read_config(self, name, version, value):
         try:
             config = read_config(orjson.loads(value))
         except _DECODE_ERRORS as error:
--- a/godwitlanding/tests/gateway/test_feed.py
+++ b/godwitlanding/tests/gateway/test_feed.py
@@ -8,7 +8,8 @@
 from godwitlanding.base.metrics import Counters
 from godwitlanding.base.storetypes import StoredObject
 from godwitlanding.gateway.changeset import ChangeSet
-from godwitlanding.gateway.feed import MAX_PART_BYTES, Feed
+from godwitlanding.gateway.feed import Feed
+from godwitlanding.gateway.followers import MAX_PART_BYTES
 from godwitlanding.gateway.mirror import Mirror
 from godwitlanding.tests.tools.network import claim_address_prefix
 
@@ -140,9 +141,9 @@
 async def test_updates_of_the_former_source_are_ignored(vms):
     first, second, fed = vms
     fed.feed.follow(first.ip)
-    await wait_until(lambda: first.feed._followers)
+    await wait_until(lambda: first.feed._follower_by_channel)
     fed.feed.follow(second.ip)
-    await wait_until(lambda: second.feed._followers)
+    await wait_until(lambda: second.feed._follower_by_channel)
     first.mirror.apply_change_set(ChangeSet(5, 5, (make_object("a"),), (), True))
     second.mirror.apply_change_set(ChangeSet(6, 6, (make_object("b", 6),), (), True))
     await wait_until(lambda: fed.held)
@@ -175,3 +176,39 @@
     assert not fed.feed.has_reading_source()
     fed.feed.follow(source.ip)
     await wait_until(fed.feed.has_reading_source)
+
+
+async def test_change_in_several_parts_is_applied_as_a_whole(vms):
+    # Guards against objects of a later part that are taken for known ones, as
+    # the first part has the revision of all.
+    source, fed, _ = vms
+    fed.feed.follow(source.ip)
+    await wait_until(lambda: source.feed.get_status()["fed"])
+    value = b"x" * (MAX_PART_BYTES // 2)
+    objects = tuple(make_object(f"n{number}", 4, value) for number in range(5))
+    source.mirror.apply_change_set(ChangeSet(3, 3, (make_object("a"),), (), True))
+    source.mirror.apply_change_set(ChangeSet(5, 5, objects, ()))
+    await wait_until(lambda: len(fed.held) == 6)
+
+
+@pytest.mark.parametrize("follows_late", [False, True])
+async def test_changes_that_pile_up_are_sent_as_one(vms, follows_late):
+    # Guards against versions that pile up in front of a slow follower.
+    source, fed, _ = vms
+    received = []
+    original = fed.mirror.apply_change_set
+    fed.mirror.apply_change_set = lambda c: (received.append(c), original(c))
+    if not follows_late:
+        fed.feed.follow(source.ip)
+        await wait_until(lambda: source.feed.get_status()["fed"])
+    for revision in range(2, 200):
+        name = f"n{revision % 3}"
+        objects = (make_object(name, revision, b"%d" % revision),)
+        removed = ("n0",) if revision == 199 else ()
+        source.mirror.apply_change_set(
+            ChangeSet(revision, revision, objects, removed, revision == 2)
+        )
+    fed.feed.follow(source.ip)
+    await wait_until(lambda: fed.mirror.revision == 199)
+    assert fed.held == source.held == {"n1": b"199", "n2": b"197"}
+    assert len(received) == 1
--- a/godwitlanding/tests/gateway/test_large_config.py
+++ b/godwitlanding/tests/gateway/test_large_config.py
@@ -23,6 +23,10 @@
 # such links.
 CONFIG_S = 4.0
 FAST_MBPS = 1000.0
+# Nearly the largest value that the store accepts.
+LARGEST_ROUTES = 11_500
+# The version that is written last.
+NEWEST = 30
 
 
 class Links(NamedTuple):
@@ -149,6 +153,86 @@
         await world.start()
         await world.add_routes(8, routes)
         await asyncio.sleep(1.6)
-        await world.add_routes(9, routes)
-        took_by_vm = await world.measure_in_force(9, world.vms, CONFIG_S)
-        assert len(took_by_vm) == len(world.vms), took_by_vm
+        await world.add_routes(NEWEST, routes)
+        await check_in_force(world)
+
+
+async def check_in_force(world):
+    took_by_vm = await world.measure_in_force(NEWEST, world.vms, CONFIG_S)
+    assert len(took_by_vm) == len(world.vms), took_by_vm
+
+
+async def change_links(world):
+    await world.add_routes(NEWEST, 1400)
+
+
+async def write_largest(world):
+    await world.add_routes(NEWEST, LARGEST_ROUTES)
+
+
+async def write_storm(world):
+    for version in range(10, 22):
+        await world.add_routes(version, 2800)
+        await asyncio.sleep(0.33)
+    await world.add_routes(NEWEST, 2800)
+
+
+async def lose_fast_vms(world):
+    for vm in world.vms[:2]:
+        vm.process.kill()
+    del world.vms[:2]
+    await asyncio.sleep(0.1)
+    await world.add_routes(8, 2800)
+    await asyncio.sleep(0.5)
+    await world.add_routes(NEWEST, 2800)
+
+
+async def slow_store(world):
+    world.store.faults.delay_answer_s = 0.25
+    await world.add_routes(8, 2800)
+    await asyncio.sleep(0.5)
+    await world.add_routes(NEWEST, 2800)
+
+
+async def lose_answers(world):
+    await world.add_routes(8, 2800)
+    world.store.faults.lose_answers = 20
+    await asyncio.sleep(0.5)
+    await world.add_routes(NEWEST, 2800)
+
+
+async def restart_vm(world):
+    await world.vms[-1].end()
+    await world.add_routes(8, 2800)
+    await world.vms[-1].start()
+    await asyncio.sleep(0.3)
+    await world.add_routes(NEWEST, 2800)
+
+
+class Trouble(NamedTuple):
+    """Links and what happens on them, until the newest version is written."""
+
+    links: Links
+    act: object
+
+
+TROUBLES = [
+    pytest.param(Trouble(Links(10.0, loss_share=0.03), change_links), id="lossy"),
+    pytest.param(Trouble(Links(5.0, share_taken=0.8), change_links), id="full"),
+    pytest.param(Trouble(Links(10.0), write_largest), id="largest-value"),
+    pytest.param(Trouble(Links(5.0, fast=2), write_storm), id="storm"),
+    pytest.param(Trouble(Links(5.0, fast=2), lose_fast_vms), id="fast-vms-lost"),
+    pytest.param(Trouble(Links(5.0), slow_store), id="slow-store"),
+    pytest.param(Trouble(Links(5.0), lose_answers), id="answers-lost"),
+    pytest.param(Trouble(Links(5.0, fast=2), restart_vm), id="vm-starts"),
+]
+
+
+@pytest.mark.parametrize("trouble", TROUBLES)
+async def test_large_config_is_in_force_in_time_despite(tmp_path, trouble):
+    # Guards against VMs that serve by an old configuration while a large one
+    # and another trouble coincide.
+    async with NarrowWorld(tmp_path, trouble.links) as world:
+        await world.start()
+        await trouble.act(world)
+        await check_in_force(world)
--- a/godwitlanding/tests/gateway/test_sourceselector.py
+++ b/godwitlanding/tests/gateway/test_sourceselector.py
@@ -32,6 +32,8 @@
         self.lost_at = None
         self.begins_old = False
         self._follows = False
+        self.receives = False
+        self.reads = 0
 
     async def list_once(self, reached=None):
         self.reached = await reached if reached else None
@@ -40,6 +42,12 @@
     def was_just_listed(self):
         return False
 
+    def is_receiving(self):
+        return self.receives
+
+    async def read_list(self):
+        self.reads += 1
+
     def is_following(self):
         return self._follows
 
@@ -64,6 +72,10 @@
         self.source = ""
         self.is_reading = None
         self.source_reads = False
+        self.receives = False
+
+    def is_receiving(self):
+        return self.receives
 
     def follow(self, host):
         self.source = host
@@ -269,3 +281,48 @@
     first.answers = answers
     async with harness:
         assert second.reached == reached
+
+
+@pytest.mark.parametrize("receiver", ["feed", "mirror"])
+async def test_transfer_in_progress_is_not_abandoned(receiver):
+    # Guards against a large change that is dropped half-way and begun anew
+    # for ever, since it takes longer than small ones.
+    async with SelectorHarness(ORDER[3]) as harness:
+        harness.receive_states(reading=ORDER[:2])
+        await asyncio.sleep(0.3)
+        receives = harness.feed if receiver == "feed" else harness.mirrors[1]
+        receives.receives = True
+        for _ in range(20):
+            harness.receive_states(reading=ORDER[:2], changed_at=(5, 9))
+            await asyncio.sleep(0.2)
+        assert harness.feed.source == ORDER[0]
+        assert harness.mirrors[1].reads == 0
+
+
+async def test_vm_that_gets_nothing_from_others_reads_the_store():
+    # Guards against a VM that is behind while the links of all VMs that have
+    # the change are full.
+    async with SelectorHarness(ORDER[3]) as harness:
+        harness.receive_states(reading=ORDER[:2])
+        await asyncio.sleep(0.3)
+        harness.receive_states(reading=ORDER[:2], changed_at=(5, 9))
+        await asyncio.sleep(3.0)
+        assert [mirror.reads for mirror in harness.mirrors] == [0, 1]
+
+
+async def test_vms_that_miss_a_change_ask_different_vms():
+    # Guards against a VM that all VMs of a region ask for a large change.
+    sources = set()
+    for number in range(20):
+        harness = SelectorHarness(f"own-{number}")
+        harness.receive_states(reading=VMS, changed_at=(5, 9))
+        sources.add(harness.selector._choose_newer(["b"]))
+    assert len(sources) == len(VMS)
+
+
+async def test_source_that_brings_nothing_is_asked_last():
+    harness = SelectorHarness("own")
+    for source in VMS:
+        harness.feed.source = source
+        harness.receive_states(reading=VMS, changed_at=(5, 9))
+        assert harness.selector._choose_newer(["b"]) != source
