Daemons do not ask again for what is arriving

A zone daemon requested an object anew with every heartbeat of every member that has a newer version, 0.3 s apart, while the first answer was on its way. The platform's HTTP client allowed 2 s for a whole value, 1 MB of which takes 1.6 s at 5 Mbit/s and does not pass at 4.

An object is requested once at a time. The client limits the pauses of a response instead of its whole duration, and gives a write as much more time as its value takes at 64 KB/s.

--- a/godwitlanding/base/store.py
+++ b/godwitlanding/base/store.py
@@ -40,6 +40,8 @@
 # Rate limits are counted per second, so a retry one second later falls into
 # another interval.
 _RATE_LIMIT_RETRY_S = 1.0
+# A write has as much more time as its value takes at this rate.
+_MIN_BYTES_PER_S = 64 << 10
 # High enough that slow calls do not block others on a full connection pool.
 _MAX_CONNECTIONS = 64
 
@@ -47,10 +49,10 @@
 class HttpStore:
     """The platform's object API over HTTP.
 
-    ``timeout_s`` limits each call; a watch may take its own timeout in
-    addition. If the platform was restored from a backup, a write conditional
-    on a version that was lost is a conflict, and a watch from such a version
-    has expired.
+    ``timeout_s`` limits each call, or the pauses of a long response; a watch
+    may take its own timeout in addition. If the platform was restored from a
+    backup, a write conditional on a version that was lost is a conflict, and a
+    watch from such a version has expired.
 
     >>> store = HttpStore("http://10.0.0.5:8000", 2.0)
     >>> (await store.get("config", "main")).unwrap().version
@@ -134,7 +136,7 @@
         return result
 
     async def _send(self, method, path, extra_s, keywords):
-        timeout = aiohttp.ClientTimeout(total=self._timeout_s + extra_s)
+        timeout = self._make_timeout(extra_s, keywords.get("data"))
         url = URL(self._url + path, encoded=True)
         try:
             async with self._get_session().request(
@@ -155,6 +157,19 @@
         retry_after_s = _RATE_LIMIT_RETRY_S if code is Code.RATE_LIMITED else 0.0
         return Err(make_refusal(code, retry_after_s))
 
+    def _make_timeout(self, extra_s, data):
+        """Return the time-outs of a call; a long response has no limit.
+
+        What counts is that it goes on arriving: 1 MB takes 1.6 s on a link of
+        5 Mbit/s.
+        """
+        if data is not None:
+            total_s = self._timeout_s + len(data) / _MIN_BYTES_PER_S
+            return aiohttp.ClientTimeout(total=total_s)
+        return aiohttp.ClientTimeout(
+            total=None, connect=self._timeout_s, sock_read=self._timeout_s + extra_s
+        )
+
     def _read_written_version(self, reply):
         if len(reply.copies) < len(self._copies):
             return _make_unavailable("written before the platform was restored")
--- a/godwitlanding/daemons/services/members.py
+++ b/godwitlanding/daemons/services/members.py
@@ -48,6 +48,8 @@
         self._alive_since_by_vm = {}
         self._published_count = 0
         self._heartbeat_count = 0
+        # Kind and name of the objects that are being fetched.
+        self._fetching = set()
 
     async def start(self, kernel):
         """Start sending and handling heartbeats."""
@@ -261,11 +263,23 @@
         for row in heartbeat.versions:
             if row.version <= replica.get_version(row.kind, row.name):
                 continue
-            timeout_s = self._context.settings["member_timeout_s"]
-            fetched = await channel.call(Fetch(row.kind, row.name), timeout_s)
-            if fetched.is_ok() and isinstance(fetched.unwrap(), State):
-                self._context.counters.add("versions_fetched", kind=row.kind)
-                replica.offer(fetched.unwrap())
+            key = (row.kind, row.name)
+            # An object that takes longer than a heartbeat interval must not be
+            # requested again with each heartbeat of each member.
+            if key in self._fetching:
+                continue
+            self._fetching.add(key)
+            try:
+                await self._fetch(channel, row)
+            finally:
+                self._fetching.discard(key)
+
+    async def _fetch(self, channel, row):
+        timeout_s = self._context.settings["member_timeout_s"]
+        fetched = await channel.call(Fetch(row.kind, row.name), timeout_s)
+        if fetched.is_ok() and isinstance(fetched.unwrap(), State):
+            self._context.counters.add("versions_fetched", kind=row.kind)
+            self._context.replica.offer(fetched.unwrap())
 
     def _apply_state(self, state):
         if state.kind == VMS_KIND:
--- a/godwitlanding/tests/base/test_store.py
+++ b/godwitlanding/tests/base/test_store.py
@@ -8,6 +8,7 @@
 from godwitlanding.base.codes import Code
 from godwitlanding.base.store import HttpStore
 from godwitlanding.base.storetypes import MAX_VALUE_BYTES
+from godwitlanding.tests.gateway.narrow_links import LinkEnd, NarrowLink
 from godwitlanding.tests.standins.listener import Listener
 from godwitlanding.tests.standins.standin_platform import Platform
 from godwitlanding.tests.support import FakeStore
@@ -15,6 +16,7 @@
 
 HOST = "127.0.10.250"
 PORT = find_free_port(HOST)
+LINK_PORT = find_free_port(HOST)
 URL = f"http://{HOST}:{PORT}"
 VM = {"vm": "a1", "address": "127.0.10.1", "availability_zone": "a", "state": "live"}
 
@@ -305,3 +307,28 @@
         assert (await call).unwrap_err().code is Code.PLATFORM_UNAVAILABLE
     await store.close()
     listener.crash()
+
+
+@pytest.mark.parametrize("operation", ["get", "put", "watch"])
+async def test_large_value_that_goes_on_arriving_is_not_timed_out(operation):
+    # Guards against a value of 1 MB that is read again for ever, as it takes
+    # longer on a slow link than a small one may.
+    harness = await HttpHarness().start()
+    link = NarrowLink((HOST, LINK_PORT), (HOST, PORT), LinkEnd(5.0), {})
+    await link.start()
+    store = HttpStore(f"http://{HOST}:{LINK_PORT}", timeout_s=0.5)
+    value = bytes(MAX_VALUE_BYTES)
+    try:
+        if operation == "put":
+            assert (await store.put("blocks", "a", value, 0)).is_ok()
+            return
+        await harness.store.put("blocks", "a", value, 0)
+        if operation == "get":
+            assert (await store.get("blocks", "a")).unwrap().value == value
+        else:
+            batch = (await store.watch("blocks", 0, 0.1)).unwrap()
+            assert batch.events[0].stored.value == value
+    finally:
+        await store.close()
+        link.stop()
+        await harness.close()
