A delayed write does not bring an earlier configuration back

A write of the operator that got no answer may be executed seconds later and put an earlier version into the store, under a newer revision. VMs in service refuse it, but their mirrors took it: a VM that started then served by it for as long as the store had it, and a VM that was still being sent the newer version was sent the earlier one in its place.

A mirror of the configuration now keeps the value of the highest version of the operator's, with the revision of the later write, and sends that to others. Positions and gossip messages contain that version, so that a VM that has read the earlier one from the store, readers included, gets the newer one from another VM.

A gossip message is 8 bytes longer.

--- a/godwitlanding/base/messages.capnp
+++ b/godwitlanding/base/messages.capnp
@@ -203,6 +203,7 @@
   revision @1 :UInt64;
   # Number of objects held.
   objects @2 :UInt32;
+  order @3 :UInt64;
 }
 
 # Changes of the objects of a kind. A whole update may be split into parts, the
--- a/godwitlanding/base/messages.py
+++ b/godwitlanding/base/messages.py
@@ -248,6 +248,8 @@
     revision: int
     # Number of objects held.
     objects: int
+    # The highest order of a value, 0 if values have none.
+    order: int = 0
 
 
 class Follow(NamedTuple):
--- a/godwitlanding/gateway/feed.py
+++ b/godwitlanding/gateway/feed.py
@@ -236,7 +236,8 @@
 
 def _make_position(mirror):
     revision = mirror.revision if mirror.is_known else 0
-    return Position(mirror.kind, revision, len(mirror.get_objects()))
+    count = len(mirror.get_objects())
+    return Position(mirror.kind, revision, count, mirror.order)
 
 
 def _is_behind(position, mirror):
@@ -244,7 +245,10 @@
     # change in the store, which only the number of objects shows.
     if position.revision < mirror.changed_at or not position.revision:
         return True
-    return position.objects != len(mirror.get_objects())
+    if position.objects != len(mirror.get_objects()):
+        return True
+    # A delayed write of an older value may be all that the store still has.
+    return position.order < mirror.order
 
 
 def _now():
--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -53,12 +53,24 @@
     ``ChangeSet``. Those in ``on_restored`` are called when the store is found
     to be restored from an older copy, before its objects are applied. With
     ``begins_old`` the list that is read at the start may be some seconds
-    stale.
+    stale. With ``get_order(value)``, an object never goes back to a value of a
+    lower order, such as the operator's earlier version that a delayed write
+    brings. The mirror then keeps the value that it holds, with the version of
+    the later one.
     """
 
     needs = ("registry",)
 
-    def __init__(self, store, kind, apply, guard=None, on_known=None, begins_old=False):
+    def __init__(
+        self,
+        store,
+        kind,
+        apply,
+        guard=None,
+        on_known=None,
+        begins_old=False,
+        get_order=None,
+    ):
         self.name = f"mirror-{kind}"
         self.kind = kind
         self._store = store
@@ -66,6 +78,8 @@
         self._guard = guard
         self._on_known = on_known
         self.begins_old = begins_old
+        self._get_order = get_order
+        self._order_by_name = {}
         self._object_by_name = {}
         # Objects that reappeared when the store was restored, not applied yet,
         # and the store's revision when the restoration was detected: objects
@@ -132,6 +146,16 @@
         self.is_lost = False
         self.has_answered = False
 
+    @property
+    def is_ordered(self):
+        """Return whether values have an order of their own."""
+        return self._get_order is not None
+
+    @property
+    def order(self):
+        """Return the highest order of a value, 0 if there is none."""
+        return max(self._order_by_name.values(), default=0)
+
     def get_objects(self):
         """Return the mirrored objects."""
         return list(self._object_by_name.values())
@@ -269,7 +293,8 @@
             return None
         self._note_success()
         batch = answer.unwrap()
-        for stored in self._merge(make_change_set(batch), self._remove):
+        change_set = make_change_set(batch, self._get_order)
+        for stored in self._merge(change_set, self._remove):
             self._log_refused(stored)
         left_s = MIN_WATCH_INTERVAL_S - (_now() - begun)
         if left_s > 0:
@@ -302,6 +327,8 @@
             known_revision = held.version if held else self.revision
             if stored.version > known_revision or not self.is_known:
                 self._put(stored)
+            elif self._is_ahead(stored, held):
+                self._put(stored)
             elif stored.version < known_revision:
                 refused.append(stored)
         gone = set(change_set.removed)
@@ -345,7 +372,34 @@
         if self._on_known:
             self._on_known()
 
+    def _is_ahead(self, stored, held):
+        """Return whether another mirror kept a value of a higher order."""
+        if self._get_order is None or held is None or stored.version != held.version:
+            return False
+        return self._get_order(stored.value) > self._order_by_name[stored.name]
+
+    def _keep_newest(self, stored):
+        """Return the object to hold; its value may be that of a former one."""
+        if self._get_order is None:
+            return stored
+        order = self._get_order(stored.value)
+        held = self._object_by_name.get(stored.name)
+        if held and order < self._order_by_name[stored.name]:
+            log_message(
+                "mirror:older_value",
+                level="warning",
+                kind=self.kind,
+                name=stored.name,
+                version=stored.version,
+                order=order,
+                held=self._order_by_name[stored.name],
+            )
+            return held._replace(version=stored.version)
+        self._order_by_name[stored.name] = order
+        return stored
+
     def _put(self, stored):
+        stored = self._keep_newest(stored)
         self._object_by_name[stored.name] = stored
         self._full_change_set = None
         self._updated.append(stored)
@@ -368,6 +422,7 @@
         self._drop(name)
 
     def _drop(self, name):
+        self._order_by_name.pop(name, None)
         if self._object_by_name.pop(name, None) is not None:
             self._full_change_set = None
             self._removed.append(name)
--- a/godwitlanding/gateway/sourceselector.py
+++ b/godwitlanding/gateway/sourceselector.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from enum import Enum
+from typing import NamedTuple
 
 from eliot import log_message
 
@@ -28,6 +30,24 @@
 CHECK_INTERVAL_S = 0.2
 
 
+class MarkType(Enum):
+    """What a ``Mark`` counts."""
+
+    REVISION = "revision"
+    ORDER = "order"
+
+
+class Mark(NamedTuple):
+    """A number that VMs tell each other, of the objects of a kind.
+
+    It is the store's revision of the last change, or the highest order of a
+    value (see ``gateway.mirror``).
+    """
+
+    kind: str
+    type: MarkType
+
+
 class SourceSelector(Service):
     """Starts and stops the mirrors, and sets the feed's source.
 
@@ -94,8 +114,9 @@
     def get_store_state(self):
         """Return the ``StoreState`` to send to peers."""
         failed = self._has_failed() or self._is_lost()
-        changed_at = tuple(mirror.changed_at for mirror in self._mirrors)
-        return StoreState(self.is_reading(), failed, changed_at)
+        changed_at = [mirror.changed_at for mirror in self._mirrors]
+        changed_at += [mirror.order for mirror in self._mirrors if mirror.is_ordered]
+        return StoreState(self.is_reading(), failed, tuple(changed_at))
 
     def _has_failed(self):
         return _now() < self._failed_until
@@ -193,9 +214,9 @@
                 mirror.stop_following()
 
     def _decide_source(self, sources, access_by_vm, now):
-        kinds = self._find_missed_kinds()
-        if kinds:
-            self._get_missed(kinds, now)
+        missed = self._find_missed_marks()
+        if missed:
+            self._get_missed(missed, now)
         else:
             self._catch_up.note_current()
         if self._catch_up.attempts:
@@ -205,15 +226,16 @@
         else:
             self._follow_peer(sources, access_by_vm, now)
 
-    def _get_missed(self, kinds, now):
+    def _get_missed(self, missed, now):
+        kinds = sorted({mark.kind for mark in missed})
         step = self._catch_up.decide(
-            now, self._is_receiving(kinds), self._source_has_changes(kinds)
+            now, self._is_receiving(kinds), self._source_has(missed)
         )
         if step is CatchUpStep.NONE:
             return
         if step is CatchUpStep.READ_STORE and self._has_failed():
             step = CatchUpStep.FOLLOW_OTHER
-        newer = self._choose_newer(kinds)
+        newer = self._choose_newer(missed)
         log_message(
             "reader:behind",
             level="warning",
@@ -275,49 +297,50 @@
         mirrors = [m for m in self._get_mirrors(kinds) if not m.is_following()]
         self._store_read = self.tasks.run(_read_lists(mirrors))
 
-    def _find_missed_kinds(self):
-        """Return the kinds of which some VM knows a newer change."""
-        newest_by_kind = self._get_newest_changes()
-        return [
-            mirror.kind
-            for mirror in self._mirrors
-            if newest_by_kind.get(mirror.kind, 0) > mirror.revision
-        ]
-
-    def _get_newest_changes(self):
-        """Return the revision of the newest known change, by kind."""
-        newest_by_kind = {}
-        for revision_by_kind in self._get_changes_by_host().values():
-            for kind, revision in revision_by_kind.items():
-                newest = max(newest_by_kind.get(kind, 0), revision)
-                newest_by_kind[kind] = newest
-        return newest_by_kind
-
-    def _get_changes_by_host(self):
-        """Return the revisions of the latest changes that other VMs know.
-
-        They are dicts by kind, by the VM's IP address.
-        """
-        kinds = [mirror.kind for mirror in self._mirrors]
+    def _find_missed_marks(self):
+        """Return the marks that some VM has reached and this one has not."""
+        own = self._get_own_marks()
+        newest = self._get_newest_marks()
+        return [mark for mark in own if newest.get(mark, 0) > own[mark]]
+
+    def _get_own_marks(self):
+        """Return what this VM has reached, by ``Mark``."""
+        own = {Mark(m.kind, MarkType.REVISION): m.revision for m in self._mirrors}
+        for mirror in self._mirrors:
+            if mirror.is_ordered:
+                own[Mark(mirror.kind, MarkType.ORDER)] = mirror.order
+        return own
+
+    def _get_newest_marks(self):
+        """Return the most that any other VM has reached, by ``Mark``."""
+        newest = {}
+        for marks in self._get_marks_by_host().values():
+            for mark, number in marks.items():
+                newest[mark] = max(newest.get(mark, 0), number)
+        return newest
+
+    def _get_marks_by_host(self):
+        """Return what other VMs have reached, by IP address and ``Mark``."""
         digests = self._digests.digest_by_region.values()
         changed_at_by_host = {digest.source: digest.changed_at for digest in digests}
         for peer in self._fleet.peer_by_vm.values():
             changed_at_by_host[peer.host] = peer.changed_at
+        order = list(self._get_own_marks())
         return {
-            host: dict(zip(kinds, changed_at))
+            host: dict(zip(order, changed_at))
             for host, changed_at in changed_at_by_host.items()
         }
 
-    def _choose_newer(self, kinds):
-        """Return the IP address of a VM to get the missed changes from.
+    def _choose_newer(self, missed):
+        """Return the IP address of a VM to get the ``missed`` marks from.
 
-        VMs that know all of them come before those that know some, and then
-        those of the own region and those with a high capacity. The present
-        source comes last. Equal ones are spread, so that the VMs that miss a
-        change do not all ask the same one.
+        VMs that have reached all of them come before those that have some, and
+        then those of the own region and those with a high capacity. The
+        present source comes last. Equal ones are spread, so that the VMs that
+        miss a change do not all ask the same one.
         """
-        newest_by_kind = self._get_newest_changes()
-        changes_by_host = self._get_changes_by_host()
+        newest = self._get_newest_marks()
+        marks_by_host = self._get_marks_by_host()
         region_peers = [
             peer
             for peer in self._fleet.peer_by_vm.values()
@@ -327,12 +350,10 @@
         strong = {peer.host for peer in find_high_capacity(region_peers)}
 
         def count_newest(host):
-            revision_by_kind = changes_by_host[host]
-            return sum(
-                revision_by_kind.get(kind, 0) >= newest_by_kind[kind] for kind in kinds
-            )
+            marks = marks_by_host[host]
+            return sum(marks.get(mark, 0) >= newest[mark] for mark in missed)
 
-        hosts = [host for host in changes_by_host if count_newest(host)]
+        hosts = [host for host in marks_by_host if count_newest(host)]
         return max(
             rank(f"catch up {self._own.vm}", hosts),
             key=lambda host: (
@@ -344,11 +365,11 @@
             default="",
         )
 
-    def _source_has_changes(self, kinds):
-        """Return whether the source knows the newest change of all kinds."""
-        newest_by_kind = self._get_newest_changes()
-        known = self._get_changes_by_host().get(self._feed.source, {})
-        return all(known.get(kind, 0) >= newest_by_kind[kind] for kind in kinds)
+    def _source_has(self, missed):
+        """Return whether the source has reached all ``missed`` marks."""
+        newest = self._get_newest_marks()
+        marks = self._get_marks_by_host().get(self._feed.source, {})
+        return all(marks.get(mark, 0) >= newest[mark] for mark in missed)
 
 
 async def _read_lists(mirrors):
--- a/godwitlanding/platform/objects.py
+++ b/godwitlanding/platform/objects.py
@@ -11,6 +11,8 @@
 import ipaddress
 import math
 
+import orjson
+
 from godwitlanding.decisions.routes import (
     Limits,
     Route,
@@ -222,6 +224,18 @@
     return Limits()._replace(**fields), problems
 
 
+def get_config_order(value):
+    """Return the version of an encoded configuration, 0 if it has none.
+
+    Its versions increase, while a delayed write may bring an earlier one back
+    under a new revision of the store.
+    """
+    try:
+        return read_version(orjson.loads(value)["version"])
+    except _ROW_ERRORS:
+        return 0
+
+
 def read_config(spec):
     """Return the ``RouteConfig`` in ``spec``.
 
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -58,6 +58,7 @@
     OBJECT_MAP_KIND,
     UPSTREAM_KIND,
     VM_KIND,
+    get_config_order,
     read_config,
     read_upstream,
     read_vm,
@@ -231,7 +232,9 @@
             begins_old=True,
         )
         return [
-            self._make_mirror(CONFIG_KIND, self._apply_config),
+            self._make_mirror(
+                CONFIG_KIND, self._apply_config, get_order=get_config_order
+            ),
             upstream_mirror,
             evacuation_mirror,
             self.vm_mirror,
--- a/godwitlanding/tests/gateway/test_large_config.py
+++ b/godwitlanding/tests/gateway/test_large_config.py
@@ -1,6 +1,7 @@
 """Large configurations on links that take seconds to pass them."""
 
 import asyncio
+from functools import partial
 from typing import NamedTuple
 
 import aiohttp
@@ -209,6 +210,17 @@
     await world.add_routes(NEWEST, 2800)
 
 
+async def delay_write(world, restarted):
+    """Write an older version again and restart VMs, by their numbers."""
+    await world.add_routes(NEWEST, 2800)
+    await asyncio.sleep(1.0)
+    await world.add_routes(8, 1400)
+    for number in restarted:
+        vm = world.vms[number]
+        await vm.end()
+        await vm.start()
+
+
 class Trouble(NamedTuple):
     """Links and what happens on them, until the newest version is written."""
 
@@ -225,6 +237,14 @@
     pytest.param(Trouble(Links(5.0), slow_store), id="slow-store"),
     pytest.param(Trouble(Links(5.0), lose_answers), id="answers-lost"),
     pytest.param(Trouble(Links(5.0, fast=2), restart_vm), id="vm-starts"),
+    pytest.param(
+        Trouble(Links(10.0, fast=2), partial(delay_write, restarted=(7,))),
+        id="delayed-write",
+    ),
+    pytest.param(
+        Trouble(Links(10.0, fast=2), partial(delay_write, restarted=(0, 1))),
+        id="delayed-write-readers",
+    ),
 ]
 
 
--- a/godwitlanding/tests/gateway/test_mirror.py
+++ b/godwitlanding/tests/gateway/test_mirror.py
@@ -497,3 +497,60 @@
         3, list_step(5, make_object("b", 4)), watch_step(9, deleted, created._replace())
     )
     assert held == {"b": b"v"}
+
+
+def read_order(value):
+    return int(value)
+
+
+def make_ordered_mirror(*steps):
+    applied = []
+    mirror = Mirror(
+        ScriptedStore(*steps), KIND, lambda *a: applied.append(a), get_order=read_order
+    )
+    return mirror, applied
+
+
+def make_late(version, value):
+    return make_object("a", version, value)
+
+
+DELAYED_WRITES = [
+    pytest.param([(5, b"18"), (7, b"14")], (7, b"18"), id="later-change"),
+    pytest.param([(5, b"14"), (7, b"18")], (7, b"18"), id="newer-change"),
+    pytest.param([(7, b"14"), (7, b"18")], (7, b"18"), id="kept-by-another-vm"),
+    pytest.param([(7, b"18"), (7, b"14")], (7, b"18"), id="lost-by-another-vm"),
+    pytest.param([(7, b"18"), (5, b"20")], (7, b"18"), id="late-message"),
+]
+
+
+@pytest.mark.parametrize(("changes", "expected"), DELAYED_WRITES)
+async def test_delayed_write_does_not_bring_an_older_value_back(changes, expected):
+    # Guards against an earlier configuration that is in force again, or sent
+    # to others in place of the newest.
+    mirror, _ = make_ordered_mirror()
+    for version, value in changes:
+        stored = (make_late(version, value),)
+        mirror.apply_change_set(ChangeSet(version, version, stored, ()))
+    (held,) = mirror.get_objects()
+    assert (held.version, held.value) == expected
+    assert mirror.order == int(expected[1])
+    assert mirror.make_full_change_set().objects == (held,)
+
+
+async def test_delayed_write_in_the_same_batch_does_not_hide_a_newer_value():
+    batch = WatchBatch(
+        9,
+        (
+            WatchEvent(make_late(5, b"14"), False),
+            WatchEvent(make_late(7, b"18"), False),
+            WatchEvent(make_late(9, b"16"), False),
+        ),
+    )
+    mirror, applied = make_ordered_mirror(
+        ("snapshot", Ok(Snapshot(3, ()))), ("watch", Ok(batch))
+    )
+    mirror.follow()
+    await asyncio.sleep(0.1)
+    assert applied[-1] == ("a", 9, b"18")
+    await mirror.stop()
--- a/godwitlanding/tests/gateway/test_sourceselector.py
+++ b/godwitlanding/tests/gateway/test_sourceselector.py
@@ -8,11 +8,17 @@
 from godwitlanding.decisions.digest import Digest, Digests
 from godwitlanding.decisions.fleet import Fleet
 from godwitlanding.decisions.storereaders import BEHIND_S, START_WAIT_S, rank_readers
-from godwitlanding.gateway.sourceselector import CHECK_INTERVAL_S, SourceSelector
+from godwitlanding.gateway.sourceselector import (
+    CHECK_INTERVAL_S,
+    Mark,
+    MarkType,
+    SourceSelector,
+)
 from godwitlanding.tests.support_fleet import CAPACITY, make_gossip_message, make_peer
 
 pytestmark = pytest.mark.looptime
 
+MISSED = Mark("b", MarkType.REVISION)
 VMS = [f"vm-{number}" for number in range(4)]
 ORDER = rank_readers([make_peer(vm) for vm in VMS])
 DIGEST = Digest("q", 3, (), {}, (), "far", (0, 0))
@@ -31,6 +37,8 @@
         self.starts = 0
         self.lost_at = None
         self.begins_old = False
+        self.is_ordered = kind == "a"
+        self.order = 5
         self._follows = False
         self.receives = False
         self.reads = 0
@@ -316,7 +324,7 @@
     for number in range(20):
         harness = SelectorHarness(f"own-{number}")
         harness.receive_states(reading=VMS, changed_at=(5, 9))
-        sources.add(harness.selector._choose_newer(["b"]))
+        sources.add(harness.selector._choose_newer([MISSED]))
     assert len(sources) == len(VMS)
 
 
@@ -325,4 +333,15 @@
     for source in VMS:
         harness.feed.source = source
         harness.receive_states(reading=VMS, changed_at=(5, 9))
-        assert harness.selector._choose_newer(["b"]) != source
+        assert harness.selector._choose_newer([MISSED]) != source
+
+
+async def test_vm_with_an_older_value_follows_one_with_a_newer():
+    # Guards against a VM that serves by an earlier configuration since it has
+    # started after a delayed write brought that back.
+    async with SelectorHarness(ORDER[0]) as harness:
+        assert harness.feed.source == ""
+        harness.receive_states(reading=ORDER[1:2], changed_at=(5, 5, 7))
+        await asyncio.sleep(BEHIND_S + 2 * CHECK_INTERVAL_S)
+        assert harness.feed.source == ORDER[1]
+        assert harness.selector.get_store_state().changed_at == (5, 5, 5)
