Saved cache entries are read after the lists that a VM needs

At its start a VM read the saved entries of all regions, up to 430 KB each, beside its configuration and its upstreams: on a link of 5 Mbit/s 1.3 MB more, which delays the first answer by up to 2 s (worked out from the sizes, not measured). Without the entries some responses are late; without the lists there is none. The new test fails without the change, as the entries are read at once.

--- a/godwitlanding/gateway/savedobjectmap.py
+++ b/godwitlanding/gateway/savedobjectmap.py
@@ -26,6 +26,8 @@
 
 # Most objects are cached within seconds of a start, and few later.
 SAVE_INTERVAL_S = 4.0
+# Interval of the checks whether to read at the start.
+CHECK_INTERVAL_S = 0.1
 # 8 bytes each, and a third more for the encoding: half of the largest value
 # that the store accepts.
 MAX_CACHE_ENTRIES = 40_000
@@ -73,6 +75,8 @@
         # Version of the region's object, ``None`` if not known.
         self._version = None
         self._saved = frozenset()
+        # Whether what a VM cannot serve without has been read.
+        self.may_read = lambda: True
 
     async def start(self, kernel):
         """Begin to read the entries and then to save them."""
@@ -94,6 +98,10 @@
         self._saved = frozenset()
 
     async def _run(self):
+        # On a narrow link the entries, up to 430 KB of each region, would
+        # delay the configuration and the upstreams.
+        while not self.may_read():
+            await asyncio.sleep(CHECK_INTERVAL_S)
         await self._read()
         while True:
             await asyncio.sleep(SAVE_INTERVAL_S)
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -190,6 +190,7 @@
         self.saved_object_map = SavedObjectMap(
             self.store, OBJECT_MAP_KIND, settings.region, self.object_map
         )
+        self.saved_object_map.may_read = self.registry.is_complete
         self.vm_mirror.on_restored.append(self.saved_object_map.note_restored)
         self.feed = Feed(settings, self.mirrors, counters)
         self.source_selector = SourceSelector(
--- a/godwitlanding/tests/gateway/test_savedobjectmap.py
+++ b/godwitlanding/tests/gateway/test_savedobjectmap.py
@@ -175,3 +175,21 @@
 def test_cache_entries_round_trip():
     cache_entries = [CacheEntry(2**32 - 1, 0), CacheEntry(5, 7)]
     assert decode_cache_entries(encode_cache_entries(cache_entries)) == cache_entries
+
+
+async def test_entries_are_read_after_what_a_vm_cannot_serve_without():
+    # Guards against a VM on a narrow link whose configuration arrives seconds
+    # late, beside cache entries that it can do without.
+    store = FakeStore()
+    async with Vm(store) as vm:
+        vm.add_cache_entries(1)
+        await asyncio.sleep(SAVE_INTERVAL_S + 0.1)
+    vm = Vm(store, first=False)
+    known = []
+    vm.saved.may_read = lambda: bool(known)
+    async with vm:
+        await asyncio.sleep(1.0)
+        assert vm.object_map.count_known(vm.local_upstream) == 0
+        known.append(True)
+        await asyncio.sleep(0.2)
+        assert vm.object_map.count_known(vm.local_upstream) == 1
