A VM that is being sent a configuration does not take itself for current

It answered 404 for a route that had been added, where 503 tells the caller to come back, and trusted keys that the configuration may take away. A VM that knows from others that it misses a change of the configuration is not current now, however the rest stands. The new test fails on the former code, which cannot tell kinds apart.

--- a/godwitlanding/gateway/sourceselector.py
+++ b/godwitlanding/gateway/sourceselector.py
@@ -69,16 +69,17 @@
         self._may_decide_reading = False
         self._failed_until = 0.0
         self._reader_seen_at = 0.0
-        self._current_at = 0.0
+        self._current_at_by_kind = {}
         self._catch_up = CatchUp()
         self._store_read = None
+        self._missed_kinds = frozenset()
         self._distrusted_until_by_host = {}
 
     async def start(self, kernel):
         """Read the lists and begin to decide periodically."""
         self._feed.is_reading = self.is_reading
         self._reader_seen_at = _now()
-        self._current_at = _now()
+        self._current_at_by_kind = {mirror.kind: _now() for mirror in self._mirrors}
         self.tasks.keep_running(self._read_lists)
         self.tasks.repeat(CHECK_INTERVAL_S, self._decide)
 
@@ -98,8 +99,15 @@
             for mirror in self._mirrors
         )
 
+    def misses(self, kind):
+        """Return whether a change of a kind is known to others only."""
+        return kind in self._missed_kinds
+
     def is_fresh(self):
-        """Return whether changes in the store reach this VM without delay."""
+        """Return whether changes in the store reach this VM without delay.
+
+        A large change may still be on its way (see ``misses``).
+        """
         if self.is_reading() or self._feed.has_reading_source():
             return True
         # At the start, before it is decided which VMs read.
@@ -107,9 +115,9 @@
             mirror.begins_old or mirror.was_just_listed() for mirror in self._mirrors
         )
 
-    def get_staleness_s(self):
-        """Return for how many seconds this VM may have missed changes."""
-        return _now() - self._current_at
+    def get_staleness_s(self, kind):
+        """Return for how many seconds changes of a kind may be missing."""
+        return _now() - self._current_at_by_kind[kind]
 
     def get_store_state(self):
         """Return the ``StoreState`` to send to peers."""
@@ -147,8 +155,12 @@
 
     def _decide(self):
         now = _now()
+        missed = self._find_missed_marks()
+        self._missed_kinds = frozenset(mark.kind for mark in missed)
         if self.is_reading() or self._follows_reader():
-            self._current_at = now
+            for mirror in self._mirrors:
+                if not self.misses(mirror.kind):
+                    self._current_at_by_kind[mirror.kind] = now
         access_by_vm = self._get_store_access()
         if any(access.reads for access in access_by_vm.values()):
             self._reader_seen_at = now
@@ -157,7 +169,7 @@
         if self._may_decide_reading:
             self._decide_reading(order, access_by_vm, now)
         sources = rank_sources(self._own.vm, [self._own, *region_peers])
-        self._decide_source(sources, access_by_vm, now)
+        self._decide_source(missed, sources, access_by_vm, now)
 
     def _follows_reader(self):
         peers = self._fleet.peer_by_vm.values()
@@ -213,8 +225,7 @@
             elif first.is_lost:
                 mirror.stop_following()
 
-    def _decide_source(self, sources, access_by_vm, now):
-        missed = self._find_missed_marks()
+    def _decide_source(self, missed, sources, access_by_vm, now):
         if missed:
             self._get_missed(missed, now)
         else:
@@ -227,7 +238,7 @@
             self._follow_peer(sources, access_by_vm, now)
 
     def _get_missed(self, missed, now):
-        kinds = sorted({mark.kind for mark in missed})
+        kinds = sorted(self._missed_kinds)
         step = self._catch_up.decide(
             now, self._is_receiving(kinds), self._source_has(missed)
         )
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -311,13 +311,14 @@
         return self.registry.is_complete()
 
     def _is_config_fresh(self):
-        return self.source_selector.is_fresh()
+        selector = self.source_selector
+        return selector.is_fresh() and not selector.misses(CONFIG_KIND)
 
     def _may_trust_keys(self):
         bounds = self._settings.bounds
         if not bounds.strict_revoke:
             return True
-        return self.source_selector.get_staleness_s() <= bounds.revoke_s
+        return self.source_selector.get_staleness_s(CONFIG_KIND) <= bounds.revoke_s
 
     def _apply_config(self, name, version, value):
         if name != CONFIG_NAME or value is None:
--- a/godwitlanding/tests/gateway/test_sourceselector.py
+++ b/godwitlanding/tests/gateway/test_sourceselector.py
@@ -345,3 +345,23 @@
         await asyncio.sleep(BEHIND_S + 2 * CHECK_INTERVAL_S)
         assert harness.feed.source == ORDER[1]
         assert harness.selector.get_store_state().changed_at == (5, 5, 5)
+
+
+async def test_vm_knows_which_kind_it_misses_while_a_change_arrives():
+    # Guards against 404 for a route that is added by a configuration on its
+    # way, and against keys that are trusted though they may be revoked by it.
+    async with SelectorHarness(ORDER[3]) as harness:
+        harness.receive_states(reading=ORDER[:2])
+        harness.feed.source_reads = harness.feed.receives = True
+        await asyncio.sleep(0.3)
+        assert not harness.selector.misses("b")
+        harness.receive_states(reading=ORDER[:2], changed_at=(5, 9))
+        await asyncio.sleep(2.0)
+        assert harness.selector.misses("b")
+        assert not harness.selector.misses("a")
+        assert harness.selector.get_staleness_s("b") > 1.5
+        assert harness.selector.get_staleness_s("a") < 0.3
+        harness.mirrors[1].revision = 9
+        await asyncio.sleep(0.3)
+        assert not harness.selector.misses("b")
+        assert harness.selector.get_staleness_s("b") < 0.3
