At most 64 large messages are begun on a connection at once

The reading side refuses a connection with more, and a member that answers many fetches of large objects at the same time could begin more. The new test is red without the change.

--- a/godwitlanding/base/pieces.py
+++ b/godwitlanding/base/pieces.py
@@ -23,7 +23,7 @@
 # Names and configurations shrink to a fifth at the fastest level and to hardly
 # less at the others.
 _DEFLATE_LEVEL = 1
-# Streams that a peer may have begun and not ended.
+# Large messages that are sent at the same time over a connection.
 MAX_OPEN_STREAMS = 64
 
 
@@ -76,7 +76,8 @@
     async def run(self):
         """Send until nothing is left; raises ``OSError`` if disconnected."""
         while self.has_unsent():
-            for key in [*self._frames_by_key, *self._produce_by_key]:
+            keys = [*self._frames_by_key, *self._produce_by_key]
+            for key in keys[:MAX_OPEN_STREAMS]:
                 await self._drain()
                 self._send_frame(key)
 
--- a/godwitlanding/tests/base/test_pieces.py
+++ b/godwitlanding/tests/base/test_pieces.py
@@ -105,6 +105,17 @@
     assert sent.read_messages() == [make_state(1), make_state(3)]
 
 
+async def test_many_large_messages_are_sent_a_few_at_a_time():
+    # Guards against a peer that refuses the connection for too many messages
+    # that have begun.
+    sent = Sent()
+    states = [make_state(n, LARGE_BODY, f"n{n}") for n in range(MAX_OPEN_STREAMS + 9)]
+    for state in states:
+        sent.put(state.name, state)
+    await sent.sender.run()
+    assert sent.read_messages() == states
+
+
 BAD_PIECES = [
     pytest.param([Piece(1, 0, True, b"garbage")], id="not-deflated"),
     pytest.param([Piece(1, 0, False, bytes(LIMIT_BYTES + 1))], id="long"),
