--- a/godwitlanding/decisions/catchup.py
+++ b/godwitlanding/decisions/catchup.py
@@ -24,8 +24,8 @@
     """What a VM that misses a change does now."""
 
     NONE = "none"
-    FOLLOW_OTHER = "follow other"
-    READ_STORE = "read store"
+    FOLLOW_OTHER = "follow_other"
+    READ_STORE = "read_store"
 
 
 class CatchUp:
--- a/godwitlanding/gateway/sourceselector.py
+++ b/godwitlanding/gateway/sourceselector.py
@@ -59,11 +59,12 @@
     name = "reader"
     needs = ("feed", "peers", "registry")
 
-    def __init__(self, identity, fleet, digests, feed, mirrors):
+    def __init__(self, identity, fleet, digests, feed, mirrors, counters):
         self._own = make_own_peer(identity)
         self._fleet = fleet
         self._digests = digests
         self._feed = feed
+        self._counters = counters
         self._mirrors = sorted(mirrors, key=lambda mirror: mirror.kind)
         self.tasks = Tasks()
         self._may_decide_reading = False
@@ -246,6 +247,7 @@
             return
         if step is CatchUpStep.READ_STORE and self._has_failed():
             step = CatchUpStep.FOLLOW_OTHER
+        self._counters.add("catch_ups", step=step.value)
         newer = self._choose_newer(missed)
         log_message(
             "reader:behind",
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -199,6 +199,7 @@
             self.peers.digests,
             self.feed,
             self.mirrors,
+            counters,
         )
         self.peers.get_store_state = self.source_selector.get_store_state
         self.loop_health = LoopHealth(self._get_looping_services(), counters)
--- a/godwitlanding/tests/gateway/test_sourceselector.py
+++ b/godwitlanding/tests/gateway/test_sourceselector.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from godwitlanding.base.metrics import Counters
 from godwitlanding.decisions.digest import Digest, Digests
 from godwitlanding.decisions.fleet import Fleet
 from godwitlanding.decisions.storereaders import BEHIND_S, START_WAIT_S, rank_readers
@@ -102,6 +103,7 @@
         self.fleet = Fleet()
         self.digests = Digests("r")
         self.feed = StandinFeed()
+        self.counters = Counters()
         self.mirrors = [StandinMirror("a"), StandinMirror("b")]
         self.selector = SourceSelector(
             identity,
@@ -109,6 +111,7 @@
             self.digests,
             self.feed,
             self.mirrors,
+            self.counters,
         )
         self._vm = vm
         self._sequence = 0
@@ -316,6 +319,7 @@
         harness.receive_states(reading=ORDER[:2], changed_at=(5, 9))
         await asyncio.sleep(3.0)
         assert [mirror.reads for mirror in harness.mirrors] == [0, 1]
+        assert harness.counters.get("catch_ups", step="read_store") == 1
 
 
 async def test_vms_that_miss_a_change_ask_different_vms():
