A popular request that ran beside a crash is tried again after 5 seconds

A request that has succeeded before is now stopped for 5 s. Then one copy at a time may run, as of a suspect: a success clears it everywhere, and with each further crash the stop is twice as long, up to 30 s. One that has begun to crash upstreams costs one at 5, 15, 35 and 65 s after the first two, where it cost two every 30 s. Requests that never succeeded are stopped for ten minutes as before.

--- a/godwitlanding/decisions/poison.py
+++ b/godwitlanding/decisions/poison.py
@@ -16,8 +16,11 @@
 The stop lasts 10 minutes: longer than a caller keeps retrying, short enough
 that a repaired upstream is used again within the hour. A request that
 crashes upstreams by its content never succeeds; so a fingerprint that
-succeeded before is stopped for 30 seconds only, since a failing rack takes
-down two upstreams at once with whatever popular request they were running.
+succeeded before is stopped for 5 seconds only, since a failing rack, or a
+request that does crash upstreams, takes down two upstreams at once with
+whatever popular request they were running. After that one copy at a time may
+run, as of a suspect: a success clears it, and with each further crash it is
+stopped for twice as long, up to 30 seconds.
 """
 
 from collections import Counter, OrderedDict
@@ -25,6 +28,9 @@
 
 CRASHES_TO_STOP = 2
 STOP_S = 600.0
+# Of a request that succeeded before: the first stop, and the longest one, for
+# which its crashes count after that.
+FIRST_STOP_KNOWN_GOOD_S = 5.0
 STOP_KNOWN_GOOD_S = 30.0
 MAX_FINGERPRINTS = 10_000
 
@@ -33,6 +39,8 @@
     crashed_at_by_upstream: dict
     until: float
     crashes: int
+    # When one copy at a time may be sent although it crashed several.
+    stopped_until: float
 
 
 class PoisonLedger:
@@ -86,14 +94,21 @@
         if not fingerprint or is_outdated or crashed_at + stop_s <= now:
             return record.crashes if record else 0
         if record is None:
-            record = _Record({}, 0.0, 0)
+            record = _Record({}, 0.0, 0, 0.0)
         crashed_at_by_upstream = dict(record.crashed_at_by_upstream)
         known_at = crashed_at_by_upstream.get(upstream, crashed_at)
         crashed_at_by_upstream[upstream] = max(known_at, crashed_at)
         crashes = max(len(crashed_at_by_upstream), crashes, record.crashes)
-        until = max(record.until, crashed_at + stop_s)
+        until = stopped_until = crashed_at + stop_s
+        if good_at is not None:
+            stopped_until = crashed_at + _get_stop_known_good_s(crashes)
+            if crashes >= CRASHES_TO_STOP:
+                until = stopped_until + STOP_KNOWN_GOOD_S
         self._record_by_fingerprint[fingerprint] = _Record(
-            crashed_at_by_upstream, until, crashes
+            crashed_at_by_upstream,
+            max(record.until, until),
+            crashes,
+            max(record.stopped_until, stopped_until),
         )
         self._record_by_fingerprint.move_to_end(fingerprint)
         self._evict_oldest(self._record_by_fingerprint)
@@ -133,8 +148,10 @@
 
     def is_stopped(self, fingerprint, now):
         """Return whether the request must not be sent to any upstream."""
-        crashes = self.count_crashes(fingerprint, now)
-        return crashes + self._unsettled[fingerprint] >= CRASHES_TO_STOP
+        unsettled = self._unsettled[fingerprint]
+        if self.count_crashes(fingerprint, now) + unsettled < CRASHES_TO_STOP:
+            return False
+        return bool(unsettled) or now < self._get(fingerprint, now).stopped_until
 
     def may_send(self, fingerprint, now):
         """Return whether one more copy may be sent to an upstream."""
@@ -175,9 +192,9 @@
         return [row for row in fingerprints if self._get(row, now) is not None]
 
     def get_retry_after_s(self, fingerprint, now):
-        """Return the seconds until the record expires, 0 if there is none."""
+        """Return the seconds until the stop ends, 0 if there is none."""
         record = self._get(fingerprint, now)
-        return max(0.0, record.until - now) if record else 0.0
+        return max(0.0, record.stopped_until - now) if record else 0.0
 
     def _get(self, fingerprint, now):
         record = self._record_by_fingerprint.get(fingerprint)
@@ -191,6 +208,11 @@
             entries.popitem(last=False)
 
 
+def _get_stop_known_good_s(crashes):
+    doublings = max(0, crashes - CRASHES_TO_STOP)
+    return min(STOP_KNOWN_GOOD_S, FIRST_STOP_KNOWN_GOOD_S * 2**doublings)
+
+
 def _decrease(count_by_fingerprint, fingerprint):
     if count_by_fingerprint[fingerprint] > 1:
         count_by_fingerprint[fingerprint] -= 1
--- a/godwitlanding/tests/decisions/test_policies.py
+++ b/godwitlanding/tests/decisions/test_policies.py
@@ -138,6 +138,60 @@
     assert not ledger.is_stopped(POISON_FINGERPRINT, 40.0)
 
 
+def play_known_good(crashes, ends_well=False):
+    """Return when copies of a popular request are sent, each of which fails.
+
+    With ``ends_well`` the last one succeeds. The first two crashes are at 0 s.
+    """
+    ledger = PoisonLedger()
+    ledger.note_success(POISON_FINGERPRINT, -1.0)
+    for upstream in ("s0", "s1"):
+        ledger.note_crash(POISON_FINGERPRINT, upstream, 0.0)
+    sent = []
+    for step in range(1200):
+        now = step / 10
+        if not ledger.may_send(POISON_FINGERPRINT, now):
+            continue
+        sent.append(now)
+        if len(sent) < crashes or not ends_well:
+            ledger.note_crash(POISON_FINGERPRINT, f"s{len(sent) + 1}", now)
+        else:
+            ledger.note_success(POISON_FINGERPRINT, now)
+        if len(sent) == crashes:
+            return ledger, sent
+    return ledger, sent
+
+
+def test_popular_request_that_ran_beside_the_cause_is_soon_served():
+    # Guards against half a minute of refusals of a request that did not cause
+    # the crashes.
+    ledger, sent = play_known_good(1, ends_well=True)
+    assert sent == [5.0]
+    assert not ledger.is_suspect(POISON_FINGERPRINT, 5.0)
+
+
+def test_request_that_has_begun_to_crash_upstreams_is_tried_ever_more_rarely():
+    # Guards against a request that succeeded before, and now costs an upstream
+    # every few seconds.
+    _, sent = play_known_good(5)
+    assert sent == [5.0, 15.0, 35.0, 65.0, 95.0]
+
+
+def test_only_one_copy_is_sent_after_a_short_stop():
+    # Guards against several copies that each crash an upstream before the
+    # first crash is known.
+    ledger = PoisonLedger()
+    ledger.note_success(POISON_FINGERPRINT, -1.0)
+    for upstream in ("s0", "s1"):
+        ledger.note_crash(POISON_FINGERPRINT, upstream, 0.0)
+    assert ledger.may_send(POISON_FINGERPRINT, 6.0)
+    ledger.begin(POISON_FINGERPRINT)
+    assert not ledger.may_send(POISON_FINGERPRINT, 6.0)
+    ledger.begin_check(POISON_FINGERPRINT)
+    ledger.end(POISON_FINGERPRINT)
+    assert not ledger.may_send(POISON_FINGERPRINT, 6.0)
+
+
 @pytest.mark.parametrize("crashes", [1, 2, 3])
 def test_request_that_has_succeeded_since_its_crashes_is_not_stopped(crashes):
     # Guards against refusing a request that only ran beside the cause, while
