A VM that keeps up with frequent changes is not behind

A VM counted as behind when some other VM knew of a newer change at each look, 0.2 s apart, also if it received changes all the time: at a rate above a few a second that is always so, and it drops its source again and again. What arrives of a missed kind is progress now, however small. And a VM that loses its source while it is behind follows another at once; it waited up to 4 s for its next attempt.

The order of values stands in a module of its own, gateway.valueorder.

--- a/godwitlanding/decisions/catchup.py
+++ b/godwitlanding/decisions/catchup.py
@@ -47,7 +47,7 @@
     def decide(self, now, is_receiving, source_has_change):
         """Return the ``CatchUpStep`` of a VM that misses a change.
 
-        ``is_receiving`` tells whether a large change is arriving, and
+        ``is_receiving`` tells whether anything of it is arriving, and
         ``source_has_change`` whether the VM that is followed has the change,
         so that it may be sending it over a full link.
         """
--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -27,6 +27,7 @@
 from godwitlanding.decisions.removalguard import STALE_ENTRY_TTL_S
 from godwitlanding.decisions.storereaders import STALLED_S
 from godwitlanding.gateway.changeset import ChangeSet, make_change_set
+from godwitlanding.gateway.valueorder import ValueOrder
 
 # A call that the store accepted during an outage may never be answered
 # although its connection stays open; a watch that hangs like this is detected
@@ -54,9 +55,7 @@
     to be restored from an older copy, before its objects are applied. With
     ``begins_old`` the list that is read at the start may be some seconds
     stale. With ``get_order(value)``, an object never goes back to a value of a
-    lower order, such as the operator's earlier version that a delayed write
-    brings. The mirror then keeps the value that it holds, with the version of
-    the later one.
+    lower order (see ``gateway.valueorder``).
     """
 
     needs = ("registry",)
@@ -78,8 +77,7 @@
         self._guard = guard
         self._on_known = on_known
         self.begins_old = begins_old
-        self._get_order = get_order
-        self._order_by_name = {}
+        self._value_order = ValueOrder(get_order)
         self._object_by_name = {}
         # Objects that reappeared when the store was restored, not applied yet,
         # and the store's revision when the restoration was detected: objects
@@ -149,12 +147,12 @@
     @property
     def is_ordered(self):
         """Return whether values have an order of their own."""
-        return self._get_order is not None
+        return self._value_order.get_order is not None
 
     @property
     def order(self):
         """Return the highest order of a value, 0 if there is none."""
-        return max(self._order_by_name.values(), default=0)
+        return self._value_order.highest
 
     def get_objects(self):
         """Return the mirrored objects."""
@@ -293,7 +291,7 @@
             return None
         self._note_success()
         batch = answer.unwrap()
-        change_set = make_change_set(batch, self._get_order)
+        change_set = make_change_set(batch, self._value_order.get_order)
         for stored in self._merge(change_set, self._remove):
             self._log_refused(stored)
         left_s = MIN_WATCH_INTERVAL_S - (_now() - begun)
@@ -325,9 +323,8 @@
                 self._guard.cancel_removal(stored.name)
             held = self._object_by_name.get(stored.name)
             known_revision = held.version if held else self.revision
-            if stored.version > known_revision or not self.is_known:
-                self._put(stored)
-            elif self._is_ahead(stored, held):
+            is_newer = stored.version > known_revision or not self.is_known
+            if is_newer or self._value_order.is_ahead(stored, held):
                 self._put(stored)
             elif stored.version < known_revision:
                 refused.append(stored)
@@ -372,34 +369,9 @@
         if self._on_known:
             self._on_known()
 
-    def _is_ahead(self, stored, held):
-        """Return whether another mirror kept a value of a higher order."""
-        if self._get_order is None or held is None or stored.version != held.version:
-            return False
-        return self._get_order(stored.value) > self._order_by_name[stored.name]
-
-    def _keep_newest(self, stored):
-        """Return the object to hold; its value may be that of a former one."""
-        if self._get_order is None:
-            return stored
-        order = self._get_order(stored.value)
-        held = self._object_by_name.get(stored.name)
-        if held and order < self._order_by_name[stored.name]:
-            log_message(
-                "mirror:older_value",
-                level="warning",
-                kind=self.kind,
-                name=stored.name,
-                version=stored.version,
-                order=order,
-                held=self._order_by_name[stored.name],
-            )
-            return held._replace(version=stored.version)
-        self._order_by_name[stored.name] = order
-        return stored
-
     def _put(self, stored):
-        stored = self._keep_newest(stored)
+        held = self._object_by_name.get(stored.name)
+        stored = self._value_order.choose(stored, held)
         self._object_by_name[stored.name] = stored
         self._full_change_set = None
         self._updated.append(stored)
@@ -422,7 +394,7 @@
         self._drop(name)
 
     def _drop(self, name):
-        self._order_by_name.pop(name, None)
+        self._value_order.forget(name)
         if self._object_by_name.pop(name, None) is not None:
             self._full_change_set = None
             self._removed.append(name)
--- a/godwitlanding/gateway/sourceselector.py
+++ b/godwitlanding/gateway/sourceselector.py
@@ -74,6 +74,8 @@
         self._catch_up = CatchUp()
         self._store_read = None
         self._missed_kinds = frozenset()
+        self._former_marks = {}
+        self._has_progressed = False
         self._distrusted_until_by_host = {}
 
     async def start(self, kernel):
@@ -158,6 +160,7 @@
         now = _now()
         missed = self._find_missed_marks()
         self._missed_kinds = frozenset(mark.kind for mark in missed)
+        self._note_progress(missed)
         if self.is_reading() or self._follows_reader():
             for mirror in self._mirrors:
                 if not self.misses(mirror.kind):
@@ -231,18 +234,24 @@
             self._get_missed(missed, now)
         else:
             self._catch_up.note_current()
-        if self._catch_up.attempts:
+        if self._catch_up.attempts and (self._feed.source or self.is_reading()):
             return
         if self.is_reading():
             self._feed.follow("")
         else:
             self._follow_peer(sources, access_by_vm, now)
 
+    def _note_progress(self, missed):
+        own = self._get_own_marks()
+        self._has_progressed = any(
+            own[mark] > self._former_marks.get(mark, 0) for mark in missed
+        )
+        self._former_marks = own
+
     def _get_missed(self, missed, now):
         kinds = sorted(self._missed_kinds)
-        step = self._catch_up.decide(
-            now, self._is_receiving(kinds), self._source_has(missed)
-        )
+        is_receiving = self._has_progressed or self._is_receiving(kinds)
+        step = self._catch_up.decide(now, is_receiving, self._source_has(missed))
         if step is CatchUpStep.NONE:
             return
         if step is CatchUpStep.READ_STORE and self._has_failed():
--- a/godwitlanding/tests/gateway/test_sourceselector.py
+++ b/godwitlanding/tests/gateway/test_sourceselector.py
@@ -369,3 +369,27 @@
         await asyncio.sleep(0.3)
         assert not harness.selector.misses("b")
         assert harness.selector.get_staleness_s("b") < 0.3
+
+
+async def test_vm_that_keeps_up_with_frequent_changes_is_not_behind():
+    # Guards against a VM that drops its source as some VM knows of a newer
+    # change at every look, while changes come many times a second.
+    async with SelectorHarness(ORDER[3]) as harness:
+        harness.receive_states(reading=ORDER[:2])
+        await asyncio.sleep(0.3)
+        for revision in range(6, 40):
+            harness.receive_states(reading=ORDER[:2], changed_at=(5, revision + 1))
+            harness.mirrors[1].revision = revision
+            await asyncio.sleep(0.1)
+        assert harness.feed.source == ORDER[0]
+
+
+async def test_vm_that_loses_its_source_while_it_is_behind_follows_another_at_once():
+    # Guards against a VM that waits for its next attempt without any source.
+    async with SelectorHarness(ORDER[3]) as harness:
+        harness.receive_states(reading=ORDER[:2], changed_at=(5, 9))
+        await asyncio.sleep(3.0)
+        harness.receive_states(reading=ORDER[:2], changed_at=(5, 9))
+        harness.feed.source = ""
+        await asyncio.sleep(2 * CHECK_INTERVAL_S)
+        assert harness.feed.source
