A large configuration is read in short steps

What callers saw: nothing yet; found by test_large_config at load 10 on five cores: five of six followers took their source for silent (feed:lost, quiet_s 1.0 to 1.3) while it read a configuration of 11,500 routes, and asked again for all of it. Reading takes 0.23 s on an idle core, a second on a VM with 0.43 cores that is busy, and no caller is answered meanwhile.

A configuration is read 100 rows at a time, some 2 ms, and other work runs in between; of those that come meanwhile only the newest is read. The tests that restart a VM give it time from when it is ready: at that load Python alone took 3.3 s to start, and the rule counts VMs that have been running.

--- a/godwitlanding/platform/objects.py
+++ b/godwitlanding/platform/objects.py
@@ -36,6 +36,8 @@
 # its upstreams know.
 OBJECT_MAP_KIND = "godwit-objects"
 
+# 2 ms on a whole core.
+ROWS_PER_STEP = 100
 _DEFAULT_PRIORITY = 1
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 _ROW_ERRORS = (ValueError, LookupError, TypeError, AttributeError, ArithmeticError)
@@ -72,10 +74,15 @@
 
 
 def _read_routes(table, services):
-    """Return the routes by host and prefix, and the ``RowProblem`` list."""
+    """Return the routes by host and prefix, and the ``RowProblem`` list.
+
+    This is a generator, which yields after each ``ROWS_PER_STEP`` rows.
+    """
     route_by_prefix = {}
     problems = []
-    for row in _read_rows(table):
+    for number, row in enumerate(_read_rows(table), 1):
+        if number % ROWS_PER_STEP == 0:
+            yield
         # Without host and prefix, it is unknown which requests are meant.
         host = _get_typed(row, "host", str).lower()
         path_prefix = _get_typed(row, "path_prefix", str)
@@ -242,8 +249,23 @@
     Raises ``ValueError``, ``KeyError``, ``TypeError`` or ``AttributeError`` if
     no part of it can be used.
     """
+    steps = read_config_in_steps(spec)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
+
+
+def read_config_in_steps(spec):
+    """Read a configuration as ``read_config`` does, some milliseconds a step.
+
+    This is a generator, whose return value is the ``RouteConfig``.
+    """
     service_by_name, service_problems = _read_services(spec["services"])
-    route_by_prefix, route_problems = _read_routes(spec["routes"], service_by_name)
+    route_by_prefix, route_problems = yield from _read_routes(
+        spec["routes"], service_by_name
+    )
     limits, limit_problems = _read_limits(spec.get("limits") or {})
     tenants = spec.get("tenants")
     return RouteConfig(
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -14,7 +14,7 @@
 from godwitlanding.base.logstream import set_up_log_stream
 from godwitlanding.base.loophealth import LoopHealth
 from godwitlanding.base.metrics import Counters, make_meter, render_metrics
-from godwitlanding.base.tasks import Tasks
+from godwitlanding.base.tasks import Tasks, start_task
 from godwitlanding.decisions.allotment import Allotments
 from godwitlanding.decisions.fleet import Fleet
 from godwitlanding.decisions.objectmap import ObjectMap
@@ -59,7 +59,7 @@
     UPSTREAM_KIND,
     VM_KIND,
     get_config_order,
-    read_config,
+    read_config_in_steps,
     read_upstream,
     read_vm,
 )
@@ -90,6 +90,9 @@
         self._settings = settings
         self._metrics_port = metrics_port
         self._counters = counters
+        # Version and value of a configuration that has not been read.
+        self._unread_config = None
+        self._is_reading_config = False
         self.occupancy = Occupancy()
         self.worktimes = WorkTimes()
         self.fleet = Fleet()
@@ -324,16 +327,30 @@
     def _apply_config(self, name, version, value):
         if name != CONFIG_NAME or value is None:
             return
-        # A large one takes 0.2 s to read; followers are sent it before that.
-        loop = asyncio.get_running_loop()
-        loop.call_soon(self._read_config, name, version, value)
+        self._unread_config = (version, value)
+        if not self._is_reading_config:
+            self._is_reading_config = True
+            start_task(self._read_configs())
+
+    async def _read_configs(self):
+        """Read the newest configuration until there is no newer one.
+
+        A large one takes a second and more on a slow processor. Without pauses
+        followers would take this VM for silent, and callers would wait.
+        """
+        try:
+            while self._unread_config:
+                (version, value), self._unread_config = self._unread_config, None
+                await self._read_config(version, value)
+        finally:
+            self._is_reading_config = False
 
-    def _read_config(self, name, version, value):
+    async def _read_config(self, version, value):
         try:
-            config = read_config(orjson.loads(value))
+            config = await _run_in_steps(read_config_in_steps(orjson.loads(value)))
         except _DECODE_ERRORS as error:
             # The last valid configuration stays in force.
-            self._note_unreadable(CONFIG_KIND, name, version, error)
+            self._note_unreadable(CONFIG_KIND, CONFIG_NAME, version, error)
             return
         for problem in config.problems:
             self._counters.add("config_rows_unreadable", table=problem.table)
@@ -396,6 +413,16 @@
         )
 
 
+async def _run_in_steps(steps):
+    """Return the generator's value; other tasks run between its steps."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
+        await asyncio.sleep(0)
+
+
 def _get_metrics(query):
     return Page(200, "text/plain; version=0.0.4", render_metrics())
 
--- a/godwitlanding/tests/gateway/test_large_config.py
+++ b/godwitlanding/tests/gateway/test_large_config.py
@@ -167,6 +167,13 @@
     assert len(took_by_vm) == len(world.vms), took_by_vm
 
 
+async def wait_until_ready(world):
+    """Wait for the VMs that have been started."""
+    async with asyncio.timeout(READY_S):
+        for vm in world.vms:
+            await world.wait_until_ready(vm)
+
+
 async def change_links(world):
     await world.add_routes(NEWEST, 1400)
 
@@ -208,6 +215,7 @@
     await world.vms[-1].start()
     await asyncio.sleep(0.3)
     await world.add_routes(NEWEST, 2800)
+    await wait_until_ready(world)
 
 
 async def delay_write(world, restarted):
@@ -219,6 +227,7 @@
         vm = world.vms[number]
         await vm.end()
         await vm.start()
+    await wait_until_ready(world)
 
 
 class Trouble(NamedTuple):
--- a/godwitlanding/tests/gateway/test_platform_objects.py
+++ b/godwitlanding/tests/gateway/test_platform_objects.py
@@ -6,7 +6,12 @@
 from godwitlanding.base.codes import Code
 from godwitlanding.base.metrics import Counters
 from godwitlanding.decisions.routes import Limits, Workspace, find_route
-from godwitlanding.platform.objects import read_config, read_upstream, read_vm
+from godwitlanding.platform.objects import (
+    read_config,
+    read_config_in_steps,
+    read_upstream,
+    read_vm,
+)
 from godwitlanding.platform.store import ObjectStore
 from godwitlanding.tests.gateway.world import make_config
 from godwitlanding.tests.standins.standin_store import StandinStore
@@ -326,3 +331,20 @@
     finally:
         await store.close()
     assert error.code is Code.PLATFORM_UNAVAILABLE
+
+
+def test_large_configuration_is_read_in_short_steps():
+    # Guards against a VM that its followers take for silent, and that answers
+    # no caller, while it reads a configuration of 1 MB.
+    rows = [make_route_row(name=f"r{n}", path_prefix=f"/p{n}/") for n in range(5000)]
+    spec = make_config(extra=rows)
+    steps = read_config_in_steps(spec)
+    count = 0
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            assert end.value == read_config(spec)
+            break
+        count += 1
+    assert count == 5000 // 100
