Tests of large configurations run one after the other

Each case starts eight processes and has a bound in real time; run side by side they took each other's processors. Bounds and cases stay as they are.

--- a/godwitlanding/tests/gateway/test_large_config.py
+++ b/godwitlanding/tests/gateway/test_large_config.py
@@ -17,6 +17,9 @@
     make_config,
 )
 
+# Each case has eight processes and bounds in real time.
+pytestmark = pytest.mark.xdist_group("large_config")
+
 ZONES = ("a1", "a2") * 4
 FIRST_STORE_LINK_NUMBER = 150
 POLL_S = 0.1
