--- a/review/3/case.py
+++ b/review/3/case.py
@@ -36,6 +36,8 @@
 ROUNDS = 5
 CALLERS = 12
 WORK_S = 0.12
+# ``SERVER_LEAVING=1``: endpoints that drain also say so in their answers.
+SAYS_LEAVING = os.environ.get("SERVER_LEAVING", "0") != "0"
 
 
 class Leaver:
@@ -66,6 +68,7 @@
             is_lost = TROUBLE and number == 2
             await self.write(LATE_S if is_lost else 0.0)
         await asyncio.sleep(max(0.0, began + 8.6 - loop.time()))
+        self.endpoint.says_leaving = SAYS_LEAVING
         self.endpoint.state = "draining"
         await self.write()
         drained_at = loop.time()
--- a/review/standins/endpoint.py
+++ b/review/standins/endpoint.py
@@ -39,6 +39,8 @@
         self.seq = 0
         # Whether the world writes its heartbeats.
         self.beats = True
+        # Whether its answers say that it is leaving (``Server-Leaving``).
+        self.says_leaving = False
         self.running = 0
         self.waiting = 0
         self.address = ""
@@ -160,6 +162,8 @@
             self.id.encode(),
             proof,
         )
+        if self.says_leaving and self.state == "draining":
+            lines += b"Server-Leaving: 1\r\n"
         return HEAD % (status, raw_id, lines + load, len(answer)) + answer
 
     async def _work(self, reader, work_s):
