--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,6 +9,7 @@
 import asyncio
 import os
 import random
+import signal
 import sys
 import tempfile
 from collections import Counter
@@ -116,4 +117,11 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    # Ends the machines too if the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        code = main()
+    except Exception as error:
+        print(f"the case couldn't run: {error!r}")
+        code = 2
+    sys.exit(code)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,6 +11,7 @@
 import asyncio
 import os
 import random
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -173,4 +174,11 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    # Ends the machines too if the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        code = main()
+    except Exception as error:
+        print(f"the case couldn't run: {error!r}")
+        code = 2
+    sys.exit(code)
