--- a/review/2/case.py
+++ b/review/2/case.py
@@ -129,7 +129,8 @@
     print(f"LOST: {len(lost)} payments were passed on, ran and were cut")
     for request_id, begun_s, ended_s in lost[:5]:
         print(f"  {request_id}: sent {begun_s} s after SIGTERM, cut at {ended_s} s")
-    if served < len(sent) / 4:
+    # Refusals are allowed; with hardly any payment served nothing was tried.
+    if served < 100:
         return 2
     return 1 if lost else 0
 
