Log the requests that the end of a stop cuts off

front:stopped did not tell which requests were in progress, when they were taken and how long they had run. front:cut names each of them, 20 at most.

--- a/godwitlanding/gateway/caller.py
+++ b/godwitlanding/gateway/caller.py
@@ -297,6 +297,10 @@
             return True
         return bool(self._intake and self._intake.is_reading())
 
+    def get_unanswered(self):
+        """Return the requests that were read and have no complete response."""
+        return [exchange for exchange in self._exchanges if not exchange.done]
+
     def close_after_responses(self):
         """Take no further requests; close when those taken are answered."""
         self._closing = True
--- a/godwitlanding/gateway/front.py
+++ b/godwitlanding/gateway/front.py
@@ -25,6 +25,8 @@
 REFUSE_AT_SHARE = 0.52
 END_AT_SHARE = 0.92
 _POLL_INTERVAL_S = 0.02
+# Requests that are logged when the end of the process cuts them off.
+MAX_LOGGED_CUTS = 20
 # Time for the body of a request that has no route, and will be refused.
 DEFAULT_BODY_S = 5.0
 
@@ -83,9 +85,30 @@
             if not self._is_busy():
                 break
             await asyncio.sleep(_POLL_INTERVAL_S)
+        self._log_stopped(started_at)
+
+    def _log_stopped(self, started_at):
+        now = asyncio.get_running_loop().time()
+        cut = [
+            (self.get_request_id(exchange), exchange.begun_at)
+            for connection in self._connections
+            for exchange in connection.get_unanswered()
+        ]
         log_message(
-            "front:stopped", in_progress=self._request_handler.get_in_progress()
+            "front:stopped",
+            after_s=round(now - started_at, 3),
+            in_progress=self._request_handler.get_in_progress(),
+            connections=len(self._connections),
+            unanswered=len(cut),
         )
+        for request_id, begun_at in cut[:MAX_LOGGED_CUTS]:
+            log_message(
+                "front:cut",
+                level="warning",
+                request=request_id,
+                taken_s=round(begun_at - started_at, 3),
+                age_s=round(now - begun_at, 3),
+            )
 
     def is_listening(self):
         """Return whether callers can connect."""
