A stopping VM refuses what may not end before it does

Callers saw payments cut off: the VM took them until 3.12 s after SIGTERM (0.52 of a grace of 6 s) and ended at 5.52 s (0.92), with upstreams at work.

Cause: the phases of a stop say when the VM listens and when it ends, but nothing compared the end with how long a request may take. A request that is taken at 3.1 s with a route timeout of 3 s may be answered at 6.1 s.

StopSchedule refuses a request unless its response is due before the end, or, while callers cannot know yet that the VM leaves, it is expected to end long before. The same cause on related paths: - kept connections, retries and uploads, before the body is read; - relays: the listener of the other VMs' requests ended a quarter of grace after the front, whatever it had taken. It now ends with the front, and what it can't finish goes to another VM (UNREACHED, not run); - connections that had just been opened were closed as idle while their first request was in transit; they are now left for a second; - a reload during a stop moved its phases; they are now set once.

--- a/godwitlanding/decisions/worktime.py
+++ b/godwitlanding/decisions/worktime.py
@@ -96,6 +96,10 @@
         """Record that the upstream failed, shed or did not respond."""
         self._update_failures(service, upstream, 1.0)
 
+    def is_measured(self, service):
+        """Return whether a response of the service has been measured."""
+        return any((service, warmth) in self._mean_by_service for warmth in Warmth)
+
     def get_warm_s(self, service):
         """Return a service's mean work time for cached objects."""
         return self._mean_by_service.get((service, Warmth.WARM), INITIAL_WARM_S)
--- a/godwitlanding/gateway/bodyintake.py
+++ b/godwitlanding/gateway/bodyintake.py
@@ -9,7 +9,9 @@
 
 import asyncio
 
+from godwitlanding.base.codes import Code
 from godwitlanding.decisions.bytebudget import Hold
+from godwitlanding.decisions.stopschedule import STOPPING_RETRY_S
 
 # Uploads that wait for longer are served late, and keep those behind them
 # waiting.
@@ -68,6 +70,9 @@
             return
         self._need_bytes = body_bytes
         deadline_at = exchange.begun_at + self._front.get_body_s(exchange)
+        if not self._front.may_read_body(deadline_at):
+            self._drop_body(Code.STOPPING, STOPPING_RETRY_S)
+            return
         self._deadline_timer = self._loop.call_at(deadline_at, self._end_at_deadline)
         if exchange.hold.reserve(self._need_bytes):
             self._connection.send_continue(exchange)
@@ -138,22 +143,27 @@
 
     def _refuse(self):
         exchange = self._exchange
-        self._stop_timers()
         now = self._loop.time()
         request_id = self._front.get_request_id(exchange)
         waited_s = now - self._began_at
         self._held.note_refused(request_id, self._need_bytes, waited_s, now)
+        left_s = exchange.begun_at + self._front.get_body_s(exchange) - now
+        retry_after_s = self._held.get_retry_after_s(max(0.0, left_s))
+        self._drop_body(Code.BYTES_HELD, retry_after_s)
+
+    def _drop_body(self, code, retry_after_s):
+        """Refuse the request; drop what arrives of its body."""
+        exchange = self._exchange
+        self._stop_timers()
         exchange.hold.release()
         exchange.body = bytearray()
         self.is_dropping = True
         self._dropped_bytes = 0
-        left_s = exchange.begun_at + self._front.get_body_s(exchange) - now
-        retry_after_s = self._held.get_retry_after_s(max(0.0, left_s))
         if not self._may_drop or self._left_bytes > MAX_DROP_BYTES:
             exchange.keep_alive = False
         else:
             self._deadline_timer = self._loop.call_later(MAX_DROP_S, self._end_dropping)
-        self._connection.refuse_held(exchange, retry_after_s)
+        self._connection.refuse_unread(exchange, code, retry_after_s)
 
     def _end_dropping(self):
         self._connection.close_after_responses()
--- a/godwitlanding/gateway/caller.py
+++ b/godwitlanding/gateway/caller.py
@@ -37,6 +37,9 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
+# Time for a caller's next request to arrive on a connection. Callers allow a
+# new connection one second to be established.
+REQUEST_ARRIVAL_S = 1.0
 # Callers learn of a shorter idle timeout later than this VM does. The longer
 # one stays in force for the maximum propagation delay plus a margin.
 IDLE_GRACE_S = 5.0
@@ -98,6 +101,7 @@
         self._header_bytes = 0
         self._unread_header_bytes = 0
         self._closing = False
+        self._is_new = True
         self._pauses = set()
         self._timer = None
         self._idle_since = self._loop.time()
@@ -162,6 +166,7 @@
         if self._closing:
             return
         self._reading = Exchange(self, self._loop.time())
+        self._is_new = False
         self._in_header = True
         self._header_bytes = 0
         self._unread_header_bytes = 0
@@ -275,22 +280,42 @@
             if not self._exchanges:
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def refuse_held(self, exchange, retry_after_s):
+    def refuse_unread(self, exchange, code, retry_after_s):
         """Refuse a request of which the body has not been read."""
         self._exchanges.append(exchange)
         if not exchange.keep_alive:
             self._closing = True
-        self._front.refuse_held(exchange, retry_after_s)
+        self._front.refuse_unread(exchange, code, retry_after_s)
 
     def reset(self):
         """Reset the connection, so that no partial response looks complete."""
         self._transport.abort()
 
+    def awaits_first_request(self):
+        """Return whether a first request may be in transit."""
+        is_open = self._is_new and not self._closing
+        return is_open and self._get_idle_s() < REQUEST_ARRIVAL_S
+
     def close_if_idle(self):
+        """Close the connection if no request is in progress or in transit.
+
+        A caller whose request crosses the close of its connection does not
+        know whether it ran.
+        """
+        if self._get_idle_s() >= REQUEST_ARRIVAL_S:
+            self.close_if_unused()
+
+    def close_if_unused(self):
         """Close the connection if no request is in progress."""
-        if not self._exchanges and self._reading is None and not self._closing:
+        if self._is_unused():
             self.close_gracefully()
 
+    def _get_idle_s(self):
+        return self._loop.time() - self._idle_since
+
+    def _is_unused(self):
+        return not self._exchanges and self._reading is None and not self._closing
+
     def is_busy(self):
         """Return whether a response, or a counted body, is under way."""
         if self._exchanges or self._transport.get_write_buffer_size():
@@ -399,10 +424,9 @@
                 self._set_timer()
             return
         self._set_timer()
-        idle_s = self._loop.time() - self._idle_since
         if self._reading is not None:
             reading_s = self._loop.time() - self._reading.begun_at
             if self._in_header and reading_s > self._front.limits.header_timeout_s:
                 self.refuse_and_close(408, "the header did not arrive in time")
-        elif not self._exchanges and idle_s > self._front.get_idle_s():
+        elif not self._exchanges and self._get_idle_s() > self._front.get_idle_s():
             self.close_gracefully()
--- a/godwitlanding/gateway/chooser.py
+++ b/godwitlanding/gateway/chooser.py
@@ -1,6 +1,7 @@
 """Selects the upstream for each attempt of a request."""
 
 import asyncio
+import math
 from enum import Enum
 from typing import NamedTuple
 
@@ -177,6 +178,16 @@
             return False
         return self._occupancy.get(upstream.id, now) < upstream.slots
 
+    def get_finish_s(self, request, choice):
+        """Return the estimated time to the response of an attempt.
+
+        It is infinite if the request's service has not been measured, and
+        for a request that is relayed.
+        """
+        if self._worktimes.is_measured(request.service):
+            return choice.finish_s
+        return math.inf
+
     def get_turnover_s(self, request, now):
         """Return the seconds after which a refused request may be accepted.
 
--- a/godwitlanding/gateway/front.py
+++ b/godwitlanding/gateway/front.py
@@ -2,7 +2,8 @@
 
 A planned shutdown takes these steps, so that no request is cut off. The VM
 announces that it is leaving, so that no directory returns its address. It
-keeps serving callers that still use an earlier directory response. Then each
+keeps serving callers that still use an earlier directory response, and refuses
+requests that may not end in time (see ``decisions.stopschedule``). Then each
 connection closes after its next response, and idle connections are closed.
 Then the listening socket is closed. The process ends when no request is in
 progress, and in any case before it is killed.
@@ -12,19 +13,16 @@
 
 from eliot import log_message
 
-from godwitlanding.base.codes import Code
 from godwitlanding.base.kernel import Service
 from godwitlanding.decisions.routes import Limits, find_route
+from godwitlanding.decisions.stopschedule import StopSchedule
 from godwitlanding.gateway.caller import IDLE_GRACE_S, CallerConnection
 
 BACKLOG = 1024
-# Shares of the time until the process is killed. Callers learn within 1 s (the
-# lifetime of a directory response) that the VM is leaving. Those that keep a
-# response three times as long learn it within 3 s, half of a 6 s timeout.
-CLOSE_AT_SHARE = 0.35
-REFUSE_AT_SHARE = 0.52
-END_AT_SHARE = 0.92
 _POLL_INTERVAL_S = 0.02
+# Time for callers to close their side of the connections at the end of a stop.
+# A round trip to another region takes 0.13 s.
+CLOSE_S = 0.15
 # Requests that are logged when the end of the process cuts them off.
 MAX_LOGGED_CUTS = 20
 # Time for the body of a request that has no route, and will be refused.
@@ -36,7 +34,8 @@
 
     ``stop_s`` is the time in seconds between the stop signal and the kill.
     ``names`` are the header names and ``held_bytes`` is a ``HeldBytes``; both
-    may be ``None`` where bytes are not counted.
+    may be ``None`` where bytes are not counted. The front begins the
+    ``stop_schedule``, which it shares with whatever accepts requests.
     """
 
     name = "front"
@@ -44,11 +43,14 @@
     # The service that handles its requests.
     handler_name = "carrier"
 
-    def __init__(self, address, stop_s, names=None, held_bytes=None):
+    def __init__(
+        self, address, stop_s, names=None, held_bytes=None, stop_schedule=None
+    ):
         self._address = address
         self._names = names
         self.held_bytes = held_bytes
         self.stop_s = stop_s
+        self._stop_schedule = stop_schedule or StopSchedule()
         self._server = None
         self._connections = set()
         self._request_handler = None
@@ -73,22 +75,33 @@
 
     async def stop(self):
         """Drain connections; see the module docstring for the steps."""
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
+        schedule = self._stop_schedule
+        schedule.begin(_now(), self.stop_s)
         self._peers.leave()
-        await self._wait_until(started_at + CLOSE_AT_SHARE * self.stop_s)
+        await self._wait_until(schedule.close_at)
         self.close_after_response = True
-        self._close_idle()
-        await self._wait_until(started_at + REFUSE_AT_SHARE * self.stop_s)
+        while _now() < schedule.refuse_at:
+            self._close_idle()
+            await self._wait_until(min(schedule.refuse_at, _now() + 0.25))
+        await self._finish()
+
+    async def _finish(self):
+        """Stop listening; end when no request is in progress."""
+        began_at = _now()
+        end_at = self._stop_schedule.end_at
         self._server.close()
-        while loop.time() < started_at + END_AT_SHARE * self.stop_s:
-            if not self._is_busy():
-                break
+        while self._is_busy() and _now() < end_at:
+            self._close_idle()
+            await asyncio.sleep(_POLL_INTERVAL_S)
+        self._log_stopped(began_at)
+        for connection in list(self._connections):
+            connection.close_if_unused()
+        closed_by = min(end_at, _now() + CLOSE_S)
+        while self._connections and _now() < closed_by:
             await asyncio.sleep(_POLL_INTERVAL_S)
-        self._log_stopped(started_at)
 
-    def _log_stopped(self, started_at):
-        now = asyncio.get_running_loop().time()
+    def _log_stopped(self, began_at):
+        now = _now()
         cut = [
             (self.get_request_id(exchange), exchange.begun_at)
             for connection in self._connections
@@ -96,7 +109,8 @@
         ]
         log_message(
             "front:stopped",
-            after_s=round(now - started_at, 3),
+            closed_for_s=round(now - began_at, 3),
+            left_s=round(self._stop_schedule.end_at - now, 3),
             in_progress=self._request_handler.get_in_progress(),
             connections=len(self._connections),
             unanswered=len(cut),
@@ -106,7 +120,6 @@
                 "front:cut",
                 level="warning",
                 request=request_id,
-                taken_s=round(begun_at - started_at, 3),
                 age_s=round(now - begun_at, 3),
             )
 
@@ -141,9 +154,16 @@
             # after its caller has disconnected.
             task.add_done_callback(lambda _: exchange.hold.release())
 
-    def refuse_held(self, exchange, retry_after_s):
+    def refuse_unread(self, exchange, code, retry_after_s):
         """Refuse a request of which the body has not been read."""
-        self._request_handler.refuse_unread(exchange, Code.BYTES_HELD, retry_after_s)
+        self._request_handler.refuse_unread(exchange, code, retry_after_s)
+
+    def may_read_body(self, respond_by):
+        """Return whether a request may end after its body has been read.
+
+        ``respond_by`` is when its caller gets a response in any case.
+        """
+        return self._stop_schedule.may_accept(respond_by, 0.0, _now())
 
     def get_request_id(self, exchange):
         """Return the caller's id of a request as text."""
@@ -178,16 +198,24 @@
         """Return whether requests are in progress or responses are unsent.
 
         The process holds what a slow caller has not read, since the buffers of
-        its socket may be small; it would be cut off at the end.
+        its socket may be small; it would be cut off at the end. The first
+        request of a new connection may be in transit.
         """
         if self._request_handler.get_in_progress():
             return True
-        return any(connection.is_busy() for connection in self._connections)
+        return any(
+            connection.is_busy() or connection.awaits_first_request()
+            for connection in self._connections
+        )
 
     def _close_idle(self):
         for connection in list(self._connections):
             connection.close_if_idle()
 
     async def _wait_until(self, deadline):
-        while (left_s := deadline - asyncio.get_running_loop().time()) > 0:
+        while (left_s := deadline - _now()) > 0:
             await asyncio.sleep(min(left_s, 0.25))
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- a/godwitlanding/gateway/relay.py
+++ b/godwitlanding/gateway/relay.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 import random
 from typing import NamedTuple
 
@@ -37,6 +38,11 @@
     host: str
     distance_s: float
 
+    @property
+    def finish_s(self):
+        """Return the estimated time to a response, which only the VM knows."""
+        return math.inf
+
 
 class Relay(Service):
     """Sends requests to VMs that are in touch with upstreams."""
--- a/godwitlanding/gateway/relayhandler.py
+++ b/godwitlanding/gateway/relayhandler.py
@@ -8,7 +8,9 @@
 
 from eliot import log_message
 
+from godwitlanding.base.codes import Code
 from godwitlanding.base.kernel import Service
+from godwitlanding.decisions.stopschedule import StopSchedule
 from godwitlanding.gateway.attempt import Outcome
 from godwitlanding.gateway.chooser import Rejection
 from godwitlanding.gateway.exchange import select_headers
@@ -24,10 +26,6 @@
 # Requests of other VMs that are in progress here at once. It is about what a
 # VM can carry beside its own callers when most of a region is cut off.
 MAX_IN_PROGRESS = 128
-# Share of the time until the process is killed that requests may still take
-# after the front has stopped.
-STOP_SHARE = 0.25
-_POLL_INTERVAL_S = 0.02
 _DROPPED_HEADERS = frozenset((b"content-length",))
 
 
@@ -45,6 +43,7 @@
         self._admission = None
         self._chooser = None
         self._upstream_client = None
+        self.stop_schedule = StopSchedule()
 
     async def start(self, kernel):
         """Look up the services that this one uses."""
@@ -121,6 +120,10 @@
         if isinstance(choice, Rejection):
             self._respond(exchange, RelayResult(Outcome.REJECTED, choice.reason))
             return
+        finish_s = self._chooser.get_finish_s(request, choice)
+        if not self.stop_schedule.may_accept(request.respond_by, finish_s, now):
+            self._respond(exchange, RelayResult(Outcome.UNREACHED, Code.STOPPING.name))
+            return
         result = RelayResult(Outcome.GIVEN_UP, "", choice.upstream.id)
         sink = StreamSink(
             exchange, lambda response: self._make_headers(response, result)
@@ -177,14 +180,11 @@
     async def stop(self):
         """Stop listening and wait for the requests in progress.
 
-        Other VMs have sent none since this one announced that it is leaving.
+        The front has begun the schedule, and other VMs know since then that
+        this one is leaving.
         """
         self.close_after_response = True
-        self._close_idle()
-        self._server.close()
-        limit_at = asyncio.get_running_loop().time() + STOP_SHARE * self.stop_s
-        while self._is_busy() and asyncio.get_running_loop().time() < limit_at:
-            await asyncio.sleep(_POLL_INTERVAL_S)
+        await self._finish()
 
     def _apply_limits(self, config):
         super()._apply_limits(config)
--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -6,6 +6,7 @@
 
 from godwitlanding.base.codes import ROW_BY_CODE, Code
 from godwitlanding.base.kernel import Service
+from godwitlanding.decisions.stopschedule import STOPPING_RETRY_S, StopSchedule
 from godwitlanding.gateway.attempt import Charge, Outcome
 from godwitlanding.gateway.attemptlog import (
     AttemptEnd,
@@ -61,6 +62,7 @@
         self._retry_times = None
         self._relay = None
         self.get_vm_count = lambda: 1
+        self.stop_schedule = StopSchedule()
 
     async def start(self, kernel):
         """Look up the services that this one uses."""
@@ -160,6 +162,9 @@
                 )
                 rejection = choice
                 break
+            if not self._may_end(choice, request, now):
+                self._refuse_stopping(exchange, request, runs)
+                return
             if sends and not self._may_repeat(request, last, now):
                 break
             sink = StreamSink(exchange, self._make_headers)
@@ -257,6 +262,29 @@
         )
         return False
 
+    def _may_end(self, choice, request, now):
+        """Return whether an attempt may end before this VM does."""
+        schedule = self.stop_schedule
+        if not schedule.is_begun:
+            return True
+        finish_s = self._chooser.get_finish_s(request, choice)
+        if schedule.may_accept(request.respond_by, finish_s, now):
+            return True
+        log_message(
+            "carrier:stopping",
+            request=request.request_id.decode("latin-1"),
+            finish_s=round(finish_s, 3),
+            respond_in_s=round(request.respond_by - now, 3),
+            end_in_s=round(schedule.end_at - now, 3),
+        )
+        return False
+
+    def _refuse_stopping(self, exchange, request, runs):
+        exchange.connection.close_after_responses()
+        self._refuse_after_attempt(
+            exchange, request, Code.STOPPING, runs, STOPPING_RETRY_S
+        )
+
     def _refuse_poison(self, exchange, request, runs, now):
         fingerprint = request.fingerprint
         is_stopped = self._poison.is_stopped(fingerprint, now)
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -22,6 +22,7 @@
 from godwitlanding.decisions.poison import PoisonLedger
 from godwitlanding.decisions.removalguard import RemovalGuard
 from godwitlanding.decisions.retrybudget import RetryBudget
+from godwitlanding.decisions.stopschedule import StopSchedule
 from godwitlanding.decisions.worktime import WorkTimes
 from godwitlanding.gateway.admission import Admission, ConfigFreshness
 from godwitlanding.gateway.allotmentgossip import AllotmentGossip
@@ -103,6 +104,7 @@
         )
         self.store = ObjectStore(settings.store_address, counters)
         self.registry = Registry(settings.region_by_zone)
+        self.stop_schedule = StopSchedule()
         self.object_map = ObjectMap()
         self.allotments = Allotments(
             settings.region,
@@ -166,6 +168,7 @@
             counters,
         )
         self.relay_handler = RelayHandler(HEADER_NAMES, self.poison_ledger, counters)
+        self.relay_handler.stop_schedule = self.stop_schedule
         self.admission = Admission(
             HEADER_NAMES,
             self.retry_budget,
@@ -183,6 +186,7 @@
             counters,
         )
         self.request_handler.get_vm_count = self.peers.count_vms
+        self.request_handler.stop_schedule = self.stop_schedule
         self.vm_mirror = self._make_mirror(
             VM_KIND,
             self._apply_vm,
@@ -211,9 +215,14 @@
             bounds.stop_s,
             HEADER_NAMES,
             self.held_bytes,
+            self.stop_schedule,
         )
         self.front = Front(
-            settings.caller_address, bounds.stop_s, HEADER_NAMES, self.held_bytes
+            settings.caller_address,
+            bounds.stop_s,
+            HEADER_NAMES,
+            self.held_bytes,
+            self.stop_schedule,
         )
         self.front.needs += ("directory", "readiness", "metrics", "presence", "reader")
 
--- a/godwitlanding/tests/gateway/test_bytesheld_states.py
+++ b/godwitlanding/tests/gateway/test_bytesheld_states.py
@@ -123,8 +123,11 @@
     def note_unreadable(self, exchange, status, reason):
         pass
 
-    def refuse_held(self, exchange, retry_after_s):
-        exchange.respond(503, [], b"2015")
+    def may_read_body(self, respond_by):
+        return True
+
+    def refuse_unread(self, exchange, code, retry_after_s):
+        exchange.respond(503, [], b"%d" % code)
 
     def take(self, exchange):
         task = asyncio.ensure_future(self._handle(exchange))
--- a/godwitlanding/tests/gateway/world.py
+++ b/godwitlanding/tests/gateway/world.py
@@ -206,7 +206,7 @@
         self._folder = folder
         self._region_by_zone = region_by_zone
         self._zones = zones
-        self._workers = workers
+        self.workers = workers
         self._ids = itertools.count(1)
         self._workers_by_id = {}
 
@@ -214,7 +214,7 @@
         self._prefix = claim_address_prefix()
         self.store = await StandinStore(f"{self._prefix}1", STORE_PORT).start()
         self.session = aiohttp.ClientSession()
-        for worker_id, service, zone in self._workers:
+        for worker_id, service, zone in self.workers:
             await self.add_worker(worker_id, service, zone)
         await self.store.put("config", "main", make_config())
         self.vms = []
