A request is sent once on a connection

Callers' payments ran twice, or were answered 503 although they ran, when an upstream rejected them and a copy of the rejection arrived late.

Cause: responses are told apart by the request's id. After a rejection the same upstream may be the best one again, the pool hands out the connection that was used last, and so the id was in use twice on one connection: the late copy of the rejection, in front of the second response, passed for it.

Fix: a connection keeps the ids that it has sent until their requests can't be sent again (respond_by), and the pool skips it for these. That is a few ids a connection. The repeat itself stays, so nothing is served less often. The same holds for the connections between VMs. Looked at besides: requests after 421 (the upstream's connections are closed), unfinished requests and streams (the connection is reset), probes (they send nothing), the store (no ids; a call without a response resets its connection), the daemons (payments use a new connection each).

Tests, red on the former code: test_payment_runs_once_if_a_copy_of_its_rejection_arrives_late[both] (503 after 2 runs, 503 after 1). test_request_is_sent_again_on_another_connection tests the pool. Two tests of the reuse of connections sent one id twice and now send two ids.

--- a/godwitlanding/gateway/relay.py
+++ b/godwitlanding/gateway/relay.py
@@ -100,7 +100,9 @@
         """
         self._counters.add("requests_relayed")
         loop = asyncio.get_running_loop()
-        connection = self._pool.take(target.host, request.is_idempotent)
+        connection = self._pool.take(
+            target.host, request.is_idempotent, request.request_id
+        )
         if connection is None:
             timeout_s = min(
                 CONNECT_SLACK_S + 2 * target.distance_s,
@@ -125,7 +127,11 @@
         is_complete = False
         try:
             response = await connection.send(
-                data, request.request_id, exchange.method == b"HEAD", sink
+                data,
+                request.request_id,
+                exchange.method == b"HEAD",
+                sink,
+                request.respond_by,
             )
             is_complete = True
         except UpstreamError as error:
--- a/godwitlanding/gateway/upstream.py
+++ b/godwitlanding/gateway/upstream.py
@@ -7,9 +7,15 @@
 send a surplus response, which the next request would read as its own. The
 request id in a response identifies the request: a response with another id is
 skipped. Without this check a caller would get the pass of another caller.
+
+An id identifies one send only if it is sent once on a connection. A request
+that is sent again, after the upstream has rejected it, uses another
+connection: a late copy of the rejection would pass for the second response,
+and the request would run twice or be reported as not run.
 """
 
 import asyncio
+import math
 from collections import deque
 from enum import Enum
 from typing import NamedTuple
@@ -99,6 +105,8 @@
         self._waiter = None
         self._sink = None
         self._expected_id = b""
+        # Ids sent on this connection, and until when each may be sent again.
+        self._resent_until_by_id = {}
         self._without_body = False
         self._sent_at = 0.0
         self._timeout_timer = None
@@ -115,12 +123,14 @@
             # ``resume_writing`` is called when everything is sent.
             transport.set_write_buffer_limits(high=0, low=0)
 
-    def send(self, data, request_id, without_body, sink=None):
+    def send(self, data, request_id, without_body, sink=None, respond_by=math.inf):
         """Send a request; return a future of its ``Response``.
 
         ``sink`` gets the rest of a response that is too long to buffer.
+        ``respond_by`` is the time from which the request is not sent again.
         """
         self._expected_id = request_id
+        self._note_sent(request_id, respond_by)
         self._without_body = without_body
         self._sink = sink
         # Otherwise the response to an earlier request would pass for the
@@ -132,6 +142,23 @@
         self._count()
         return self._waiter
 
+    def has_sent(self, request_id):
+        """Return whether a request of this id was sent, and may be again."""
+        return request_id in self._resent_until_by_id
+
+    def _note_sent(self, request_id, respond_by):
+        if not request_id:
+            return
+        now = self._loop.time()
+        ended = [
+            known_id
+            for known_id, until in self._resent_until_by_id.items()
+            if until < now
+        ]
+        for known_id in ended:
+            del self._resent_until_by_id[known_id]
+        self._resent_until_by_id[request_id] = respond_by
+
     def pause_reading(self):
         """Stop to read, so that the upstream stops to send."""
         self._transport.pause_reading()
@@ -369,16 +396,26 @@
         self._loop = asyncio.get_running_loop()
         self._idle_by_upstream = {}
 
-    def take(self, upstream, is_idempotent):
-        """Return a reusable idle connection, or ``None``."""
+    def take(self, upstream, is_idempotent, request_id=b""):
+        """Return a reusable idle connection, or ``None``.
+
+        It has not sent the request of this id before.
+        """
         idle = self._idle_by_upstream.get(upstream)
         max_idle_s = DEFAULT_IDLE_S * 10 if is_idempotent else UNSAFE_IDLE_S
-        while idle:
+        skipped = []
+        taken = None
+        while idle and taken is None:
             connection = idle.pop()
-            if connection.can_reuse(self._loop.time(), max_idle_s):
-                return connection
-            connection.close()
-        return None
+            if not connection.can_reuse(self._loop.time(), max_idle_s):
+                connection.close()
+            elif connection.has_sent(request_id):
+                skipped.append(connection)
+            else:
+                taken = connection
+        if skipped:
+            idle.extend(reversed(skipped))
+        return taken
 
     async def connect(self, upstream, address, timeout_s):
         """Open a connection.
--- a/godwitlanding/gateway/upstreamclient.py
+++ b/godwitlanding/gateway/upstreamclient.py
@@ -112,7 +112,9 @@
         """
         upstream = choice.upstream
         loop = asyncio.get_running_loop()
-        connection = self._pool.take(upstream.id, request.is_idempotent)
+        connection = self._pool.take(
+            upstream.id, request.is_idempotent, request.request_id
+        )
         if connection is None:
             started_at = loop.time()
             try:
@@ -164,7 +166,11 @@
             self._held_bytes.note_sent(upstream.id, size)
         try:
             answered = connection.send(
-                data, request.request_id, exchange.method == b"HEAD", sink
+                data,
+                request.request_id,
+                exchange.method == b"HEAD",
+                sink,
+                request.respond_by,
             )
             # The copy of the body is not needed while the upstream works.
             del data
--- a/godwitlanding/tests/gateway/test_upstream.py
+++ b/godwitlanding/tests/gateway/test_upstream.py
@@ -1,6 +1,7 @@
 """Tests of upstream connections, mainly with faulty upstreams."""
 
 import asyncio
+import math
 import socket
 import struct
 from types import SimpleNamespace
@@ -67,23 +68,49 @@
         elif self._end == "close":
             writer.close()
 
-    async def request(self, request_id=ID, sink=None, data=REQUEST):
-        connection = self.pool.take("u", True)
+    async def request(
+        self, request_id=ID, sink=None, data=REQUEST, respond_by=math.inf
+    ):
+        connection = self.pool.take("u", True, request_id)
         if connection is None:
             connection = await self.pool.connect("u", self.address, 1.0)
-        response = await connection.send(data, request_id, False, sink)
+        response = await connection.send(data, request_id, False, sink, respond_by)
         if not response.is_stream:
             self.pool.give_back("u", connection)
         return response
 
 
 async def test_connection_is_reused():
-    async with ScriptedUpstream(make_response(), make_response(b"b")) as upstream:
+    scripts = (make_response(), make_response(b"b", request_id=b"r2"))
+    async with ScriptedUpstream(*scripts) as upstream:
         assert (await upstream.request()).body == b"hello"
-        assert (await upstream.request()).body == b"b"
+        assert (await upstream.request(b"r2")).body == b"b"
         assert upstream.connections == 1
 
 
+@pytest.mark.parametrize(
+    ("second_id", "respond_in_s", "connections"),
+    [
+        pytest.param(ID, 1.0, 2, id="sent again"),
+        pytest.param(b"r2", 1.0, 1, id="another request"),
+        pytest.param(ID, 0.0, 1, id="no longer sent again"),
+    ],
+)
+async def test_request_is_sent_again_on_another_connection(
+    second_id, respond_in_s, connections
+):
+    # Guards against a late copy of the first response that passes for the
+    # second one.
+    scripts = [make_response(request_id=i) for i in (ID, b"r0", second_id)]
+    async with ScriptedUpstream(*scripts) as upstream:
+        loop = asyncio.get_running_loop()
+        await upstream.request(ID, respond_by=loop.time() + respond_in_s)
+        await asyncio.sleep(0.01)
+        await upstream.request(b"r0")
+        await upstream.request(second_id)
+        assert upstream.connections == connections
+
+
 @pytest.mark.parametrize(
     "script",
     [
@@ -176,10 +203,10 @@
     # An upstream responds to one request twice. The next request must not read
     # the surplus response as its own.
     async with ScriptedUpstream(
-        make_response() + make_response(), make_response(b"b")
+        make_response() + make_response(), make_response(b"b", request_id=b"r2")
     ) as upstream:
         assert (await upstream.request()).body == b"hello"
-        assert (await upstream.request()).body == b"b"
+        assert (await upstream.request(b"r2")).body == b"b"
         assert upstream.connections == 2
 
 
--- a/godwitlanding/tests/gateway/test_upstreamclient.py
+++ b/godwitlanding/tests/gateway/test_upstreamclient.py
@@ -40,7 +40,7 @@
         self._failure = failure
         self._is_stream = is_stream
 
-    def send(self, data, request_id, without_body, sink):
+    def send(self, data, request_id, without_body, sink, respond_by):
         answered = asyncio.get_running_loop().create_future()
         if self._failure and not self._is_stream:
             answered.set_exception(UpstreamError(self._failure))
@@ -76,7 +76,7 @@
         )
         self.limit_gossip = LimitGossip(self.registry, "a", ("a",), Counters())
         self.pool = SimpleNamespace(
-            take=lambda upstream, idempotent: Connection(
+            take=lambda upstream, idempotent, request_id: Connection(
                 self.status, self.headers, self.failure, self.is_stream
             ),
             connect=self.fail_to_connect,
--- a/godwitlanding/tests/gateway/test_whole_path.py
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -58,6 +58,29 @@
     assert ("Retry-After" in response.headers) is (status == 503)
 
 
+@pytest.mark.parametrize("workers", [("pay-1", "pay-2"), ("pay-1",)])
+async def test_payment_runs_once_if_a_copy_of_its_rejection_arrives_late(
+    world, workers
+):
+    # Guards against a late copy that passes for the response to the second
+    # send of the same request.
+    for worker_id in {"pay-1", "pay-2"}.difference(workers):
+        await world.register(world.get_worker(worker_id), "draining")
+        await asyncio.sleep(0.5)
+    for worker_id in workers:
+        world.get_worker(worker_id).copies_rejections = True
+    served = 0
+    for number in range(30):
+        for worker_id in workers:
+            # An upstream that rejects more is not tried again.
+            world.get_worker(worker_id).rejects_first = number % 5 == 4
+        response, _ = await world.pay(world.vms[0], number)
+        runs = world.count_runs(f"pay-{number}")
+        assert (response.status, runs) in ((200, 1), (503, 0))
+        served += runs
+    assert served > 24
+
+
 @pytest.mark.parametrize("fault", ["reset", "cut", "fail", "shed", "crash"])
 async def test_lookup_is_retried_on_another_upstream(world, fault):
     # One of two upstreams fails every request. A look-up may run twice, so its
--- a/godwitlanding/tests/load/upstream_model.py
+++ b/godwitlanding/tests/load/upstream_model.py
@@ -129,7 +129,7 @@
         self._zone = zone
         self._idle = Counter()
 
-    def take(self, upstream, is_idempotent):
+    def take(self, upstream, is_idempotent, request_id=b""):
         if not self._idle[upstream]:
             return None
         self._idle[upstream] -= 1
@@ -163,7 +163,7 @@
         self._model = fleet.upstream_by_id[upstream]
         self._one_way_delay_s = fleet.get_one_way_delay_s(zone, upstream)
 
-    async def send(self, data, request_id, without_body, sink):
+    async def send(self, data, request_id, without_body, sink, respond_by):
         await asyncio.sleep(self._one_way_delay_s)
         response = await self._model.handle(data)
         await asyncio.sleep(self._one_way_delay_s)
--- a/godwitlanding/tests/standins/standin_worker.py
+++ b/godwitlanding/tests/standins/standin_worker.py
@@ -60,6 +60,12 @@
         self.deadlines_ms = []
         # Requests for paths that begin so crash it when they begin to run.
         self.crash_path = ""
+        # Whether it rejects the first send of each request, and sends a copy
+        # of each rejection in front of the connection's next response.
+        self.rejects_first = False
+        self.copies_rejections = False
+        self._rejected_ids = set()
+        self._copy_by_writer = {}
         # The paths of the requests that crashed it.
         self.crashed_by = []
         # Whether it listens again after a crash, and how many seconds later.
@@ -135,6 +141,7 @@
             pass
         finally:
             self.connections.discard(writer)
+            self._copy_by_writer.pop(writer, None)
             writer.close()
 
     async def _handle_request(self, reader, writer, headers, body, path):
@@ -145,7 +152,10 @@
             return
         arrival = (request_id.decode(), asyncio.get_running_loop().time())
         self.arrivals.append(arrival)
-        if self.fault == "shed" or self._in_progress >= _SLOTS + _QUEUE_LENGTH:
+        is_first = self.rejects_first and request_id not in self._rejected_ids
+        self._rejected_ids.add(request_id)
+        is_full = self._in_progress >= _SLOTS + _QUEUE_LENGTH
+        if self.fault == "shed" or is_first or is_full:
             extra = b"Godwitlanding-Not-Executed: 1\r\n"
             if self.retry_after:
                 extra += b"Retry-After: %b\r\n" % self.retry_after.encode()
@@ -212,8 +222,11 @@
         if self.paces:
             pace = b"," + self.paces[self._reports % len(self.paces)]
             self._reports += 1
-        writer.write(
+        response = (
             b"HTTP/1.1 %b\r\nGodwitlanding-Request-Id: %b\r\n"
             b"Godwitlanding-Load-Report: %d,0,3%b\r\n%bContent-Length: %d\r\n\r\n%b"
             % (status, request_id, self._in_progress, pace, extra, len(body), body)
         )
+        writer.write(self._copy_by_writer.pop(writer, b"") + response)
+        if self.copies_rejections and status.startswith(b"503"):
+            self._copy_by_writer[writer] = response
