An older entry of an upstream does not replace a newer one

Callers lost payments at an upstream that was leaving: it had reported that it is draining, and VMs sent it requests again for up to a heartbeat.

Cause: a heartbeat that got no answer is executed by the store seconds later, after the report. It has the higher revision, and only revisions (and the upstream's start, which these entries do not name) were compared. The number that the upstream counts in its entry (seq) was checked and dropped.

Fix: EntryOrder keeps a value from going back within one creation of an entry, by start and number, as ValueOrder does for the configuration's version. It is asked where news meet: list, watch, several events of one watch, changes from other VMs. The held value gets the new revision, so VMs that follow receive it too; a VM that has read the older entry alone learns from the others that the upstream is leaving, as it does of one that says so in its responses. What goes back rightly is believed at once: a later start, an entry that was removed and created again (create_rev, which VMs now pass on), a restored store. A value that is refused and still there after 10 s of contact with the store is accepted, so that no upstream stays unused. The same cause elsewhere: an upstream without a start time that was removed while leaving stayed leaving under its id for ever, also by a late report of another VM; its next entry is now another start unless the store was restored. Looked at besides: the configuration (ordered by its version), VMs and saved maps (written under a condition), evacuations (they have no order; the operator's last write counts).

--- a/godwitlanding/base/messages.capnp
+++ b/godwitlanding/base/messages.capnp
@@ -223,6 +223,7 @@
   name @0 :Text;
   version @1 :UInt64;
   value @2 :Data;
+  created @3 :UInt64;
 }
 
 # A keep-alive message; `reads` is set if the sender reads the store itself.
--- a/godwitlanding/base/messages.py
+++ b/godwitlanding/base/messages.py
@@ -264,6 +264,8 @@
     name: str
     version: int
     value: bytes
+    # Version at which the object was created.
+    created: int = 0
 
 
 class Update(NamedTuple):
--- a/godwitlanding/base/storetypes.py
+++ b/godwitlanding/base/storetypes.py
@@ -51,13 +51,16 @@
     """An object of the platform's store.
 
     ``version`` increases with every write, also after the store was restored
-    from a backup.
+    from a backup. ``created`` is the version at which the object was created,
+    0 if it is not known; an object that was removed and created again has a
+    higher one.
     """
 
     kind: str
     name: str
     version: int
     value: bytes
+    created: int = 0
 
 
 class VmEntry(NamedTuple):
--- a/godwitlanding/gateway/changeset.py
+++ b/godwitlanding/gateway/changeset.py
@@ -20,11 +20,11 @@
     whole: bool = False
 
 
-def make_change_set(batch, get_order=None):
-    """Return a watch's events as a change set; the last one per name wins.
+def make_change_set(batch, choose):
+    """Return a watch's events as a change set, one object per name.
 
-    With ``get_order(value)``, the last one of the highest order gives the
-    value.
+    ``choose(stored, former)`` returns the object to keep of two successive
+    ones; ``former`` may be ``None``.
     """
     stored_by_name = {}
     removed = {}
@@ -35,7 +35,7 @@
         if event.deleted:
             removed[name] = True
         else:
-            stored_by_name[name] = _choose_value(event.stored, former, get_order)
+            stored_by_name[name] = choose(event.stored, former)
     # The version in a deletion event is the revision of the deletion.
     changed_at = max((event.stored.version for event in batch.events), default=0)
     return ChangeSet(
@@ -43,14 +43,6 @@
     )
 
 
-def _choose_value(stored, former, get_order):
-    if not former or not get_order:
-        return stored
-    if get_order(stored.value) >= get_order(former.value):
-        return stored
-    return stored._replace(value=former.value)
-
-
 def merge_change_sets(change_sets):
     """Return one change set with the effect of several, oldest first."""
     first, *others = change_sets
--- a/godwitlanding/gateway/feed.py
+++ b/godwitlanding/gateway/feed.py
@@ -188,10 +188,7 @@
         mirror = self._mirror_by_kind.get(update.kind)
         if channel is not self._channel or mirror is None:
             return
-        objects = tuple(
-            StoredObject(update.kind, held.name, held.version, held.value)
-            for held in update.objects
-        )
+        objects = tuple(StoredObject(update.kind, *held) for held in update.objects)
         objects = self._parts_by_kind.pop(update.kind, ()) + objects
         if not update.last:
             self._parts_by_kind[update.kind] = objects
--- a/godwitlanding/gateway/followers.py
+++ b/godwitlanding/gateway/followers.py
@@ -91,6 +91,8 @@
             yield tuple(part)
             part = []
             size = 0
-        part.append(HeldObject(stored.name, stored.version, stored.value))
+        part.append(
+            HeldObject(stored.name, stored.version, stored.value, stored.created)
+        )
         size += len(stored.value)
     yield tuple(part)
--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -27,7 +27,7 @@
 from godwitlanding.decisions.removalguard import STALE_ENTRY_TTL_S
 from godwitlanding.decisions.storereaders import STALLED_S
 from godwitlanding.gateway.changeset import ChangeSet, make_change_set
-from godwitlanding.gateway.valueorder import ValueOrder
+from godwitlanding.gateway.valueorder import EntryOrder, ValueOrder
 
 # A call that the store accepted during an outage may never be answered
 # although its connection stays open; a watch that hangs like this is detected
@@ -43,6 +43,7 @@
 # A VM reads every list at its start and begins to watch soon after; a list
 # that is older than this is read again.
 FRESH_LIST_S = 1.0
+CHECK_REFUSED_S = 1.0
 
 
 class Mirror(Service):
@@ -55,7 +56,10 @@
     to be restored from an older copy, before its objects are applied. With
     ``begins_old`` the list that is read at the start may be some seconds
     stale. With ``get_order(value)``, an object never goes back to a value of a
-    lower order (see ``gateway.valueorder``).
+    lower order, and with ``get_entry_order(value)`` an entry does not (see
+    ``gateway.valueorder``). The functions in ``on_refused`` are called with
+    the name of each object whose value in the store is older than the one
+    held.
     """
 
     needs = ("registry",)
@@ -69,6 +73,7 @@
         on_known=None,
         begins_old=False,
         get_order=None,
+        get_entry_order=None,
     ):
         self.name = f"mirror-{kind}"
         self.kind = kind
@@ -78,6 +83,8 @@
         self._on_known = on_known
         self.begins_old = begins_old
         self._value_order = ValueOrder(get_order)
+        if get_entry_order:
+            self._value_order = EntryOrder(get_entry_order)
         self._object_by_name = {}
         # Objects that reappeared when the store was restored, not applied yet,
         # and the store's revision when the restoration was detected: objects
@@ -95,6 +102,10 @@
         self._listed_revision = None
         self.on_change = []
         self.on_restored = []
+        self.on_refused = []
+        # Whether changes in the store reach this VM without delay.
+        self.is_current = lambda: True
+        self._refused_timer = None
         self.is_known = False
         self.is_lost = False
         # Whether the store has answered since this mirror began to follow it.
@@ -108,8 +119,9 @@
     async def stop(self):
         """Stop following the store and cancel the pending timer."""
         self.stop_following()
-        if self._reappeared_timer:
-            self._reappeared_timer.cancel()
+        for timer in (self._reappeared_timer, self._refused_timer):
+            if timer:
+                timer.cancel()
 
     def get_status(self):
         """Return the state of the mirror and its number of objects."""
@@ -146,8 +158,8 @@
 
     @property
     def is_ordered(self):
-        """Return whether values have an order of their own."""
-        return self._value_order.get_order is not None
+        """Return whether values have an order that VMs compare."""
+        return self._value_order.is_total
 
     @property
     def order(self):
@@ -291,7 +303,7 @@
             return None
         self._note_success()
         batch = answer.unwrap()
-        change_set = make_change_set(batch, self._value_order.get_order)
+        change_set = make_change_set(batch, self._value_order.choose_event)
         for stored in self._merge(change_set, self._remove):
             self._log_refused(stored)
         left_s = MIN_WATCH_INTERVAL_S - (_now() - begun)
@@ -371,10 +383,23 @@
 
     def _put(self, stored):
         held = self._object_by_name.get(stored.name)
-        stored = self._value_order.choose(stored, held)
+        if self._value_order.begins_anew(stored, held):
+            log_message(
+                "mirror:created_anew",
+                kind=self.kind,
+                name=stored.name,
+                version=stored.version,
+            )
+            self._apply(stored.name, 0, None)
+        chosen = self._value_order.choose(stored, held)
+        is_refused = chosen.value is not stored.value
+        stored = chosen
         self._object_by_name[stored.name] = stored
         self._full_change_set = None
         self._updated.append(stored)
+        if is_refused:
+            self._note_refused(stored.name)
+            return
         self._reappeared.pop(stored.name, None)
         if self._may_be_gone(stored):
             log_message("mirror:return_held", kind=self.kind, name=stored.name)
@@ -382,6 +407,25 @@
             return
         self._apply(stored.name, stored.version, stored.value)
 
+    def _note_refused(self, name):
+        for notify in self.on_refused:
+            notify(name)
+        if self._refused_timer is None:
+            self._check_refused_later()
+
+    def _check_refused_later(self):
+        loop = asyncio.get_running_loop()
+        self._refused_timer = loop.call_later(CHECK_REFUSED_S, self._check_refused)
+
+    def _check_refused(self):
+        """Accept values that have stayed in the store although refused."""
+        self._refused_timer = None
+        for stored in self._value_order.take_due(_now(), self.is_current()):
+            self._put(stored)
+        self._notify()
+        if self._value_order.has_refused():
+            self._check_refused_later()
+
     def _may_be_gone(self, stored):
         if self._guard is None or stored.version > self._restored_revision:
             return False
--- a/godwitlanding/gateway/registry.py
+++ b/godwitlanding/gateway/registry.py
@@ -1,6 +1,7 @@
 """Holds the current configuration, upstreams and evacuated zones of a VM."""
 
 import asyncio
+import math
 from collections import OrderedDict
 from typing import NamedTuple
 
@@ -16,6 +17,9 @@
 MAX_DEPARTED = 4096
 # Leaving upstreams that fit into a datagram with its other contents.
 MAX_REPORTED = 64
+# Other VMs know within this time that an entry was created again, and no
+# longer report that the upstream is leaving.
+RECREATION_KNOWN_S = 4.0
 
 
 class Upstream(NamedTuple):
@@ -66,6 +70,11 @@
         # Incarnations that are leaving or have left, whatever their entries
         # say, and the ids of those whose entries do not say so, by number.
         self._departed = OrderedDict()
+        # Incarnations without a start time of their own that were removed
+        # while they were leaving.
+        self._removed_leaving = OrderedDict()
+        # When entries of these ids were created again.
+        self._recreated_at_by_id = {}
         self._id_by_unlisted_number = {}
         # VMs identify the current incarnations of upstreams by number.
         self.number_by_id = {}
@@ -141,10 +150,16 @@
         upstream = self.upstream_by_id.get(upstream_id)
         if upstream is None or upstream.leaving:
             return
+        if told_by and self._was_just_recreated(upstream_id):
+            return
         log_message("registry:leaving", upstream=upstream_id, told_by=told_by)
         self._remember_departed(upstream)
         self.put_upstream(upstream)
 
+    def _was_just_recreated(self, upstream_id):
+        recreated_at = self._recreated_at_by_id.get(upstream_id, -math.inf)
+        return _now() - recreated_at < RECREATION_KNOWN_S
+
     def note_restored(self):
         """Record that the store was restored from an older backup.
 
@@ -154,11 +169,23 @@
         for upstream in self.upstream_by_id.values():
             if upstream.leaving:
                 self._remember_departed(upstream)
+        for incarnation in self._removed_leaving:
+            _remember(self._departed, incarnation)
+        self._removed_leaving.clear()
+
+    def note_older_entry(self, upstream_id):
+        """Record that an upstream's entry in the store is an older one.
+
+        A VM that starts reads it and does not know that the upstream is
+        leaving.
+        """
+        upstream = self.upstream_by_id.get(upstream_id)
+        if upstream and upstream.leaving:
+            number = self.number_by_id[upstream_id]
+            self._id_by_unlisted_number[number] = upstream_id
 
     def _remember_departed(self, upstream):
-        self._departed[upstream.incarnation] = None
-        if len(self._departed) > MAX_DEPARTED:
-            self._departed.popitem(last=False)
+        _remember(self._departed, upstream.incarnation)
 
     def get_leaving_numbers(self):
         """Return leaving upstreams whose entries do not say so, as numbers."""
@@ -202,6 +229,9 @@
                 known_born_ms=current.born_ms,
             )
             return
+        if upstream.incarnation in self._removed_leaving:
+            del self._removed_leaving[upstream.incarnation]
+            self._recreated_at_by_id[upstream.id] = _now()
         restarted = current is not None and upstream.born_ms > current.born_ms > 0
         if restarted:
             self._forget_previous_start(upstream, current)
@@ -246,12 +276,18 @@
     def remove_upstream(self, upstream_id):
         """Remove an upstream whose entry was removed."""
         upstream = self.upstream_by_id.pop(upstream_id, None)
+        self._recreated_at_by_id.pop(upstream_id, None)
         if upstream is None:
             return
         log_message("registry:upstream_gone", upstream=upstream_id)
-        if upstream.leaving:
+        if upstream.born_ms and upstream.leaving:
             # A store restored from an older backup contains the entry again.
             self._remember_departed(upstream)
+        elif upstream.leaving:
+            # Without a restore, an entry that is created again under this id
+            # is that of another start.
+            self._departed.pop(upstream.incarnation, None)
+            _remember(self._removed_leaving, upstream.incarnation)
         self._cold_until_by_upstream.pop(upstream_id, None)
         self._assumed_cold_until_by_upstream.pop(upstream_id, None)
         self._is_stale = True
@@ -330,5 +366,11 @@
         }
 
 
+def _remember(incarnations, incarnation):
+    incarnations[incarnation] = None
+    if len(incarnations) > MAX_DEPARTED:
+        incarnations.popitem(last=False)
+
+
 def _now():
     return asyncio.get_running_loop().time()
--- a/godwitlanding/platform/objects.py
+++ b/godwitlanding/platform/objects.py
@@ -299,6 +299,21 @@
     )
 
 
+def get_upstream_order(value):
+    """Return the order of an upstream's encoded entry, ``None`` without one.
+
+    It grows with each write of the upstream: first with its starts, then with
+    the number that it counts from 1 at each start. A delayed write may bring
+    an earlier entry back.
+    """
+    try:
+        spec = orjson.loads(value)
+        born_ms = _get_typed(spec, "born", int) if "born" in spec else 0
+        return born_ms, _get_typed(spec, "seq", int)
+    except _ROW_ERRORS:
+        return None
+
+
 def read_vm(spec):
     """Return the IP address and the availability zone of an entry VM.
 
--- a/godwitlanding/platform/store.py
+++ b/godwitlanding/platform/store.py
@@ -316,6 +316,7 @@
         metadata = item["metadata"]
         name = str(metadata["name"])
         version = make_version(era, int(metadata["rev"]))
+        created = make_version(era, int(metadata.get("create_rev", 0)))
     except (KeyError, TypeError, ValueError) as error:
         log_message("store:unnamed_object", level="error", kind=kind, error=repr(error))
         return None
@@ -331,4 +332,4 @@
             error=repr(error),
         )
         value = b""
-    return StoredObject(kind, name, version, value)
+    return StoredObject(kind, name, version, value, created)
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -60,6 +60,7 @@
     UPSTREAM_KIND,
     VM_KIND,
     get_config_order,
+    get_upstream_order,
     read_config_in_steps,
     read_upstream,
     read_vm,
@@ -237,8 +238,11 @@
             guard=RemovalGuard(),
             begins_old=True,
             on_known=self._note_upstreams_known,
+            get_entry_order=get_upstream_order,
         )
         upstream_mirror.on_restored.append(self.registry.note_restored)
+        upstream_mirror.on_refused.append(self.registry.note_older_entry)
+        upstream_mirror.is_current = lambda: self.source_selector.is_fresh()
         evacuation_mirror = self._make_mirror(
             EVACUATION_KIND,
             self._apply_evacuation,
--- a/godwitlanding/tests/gateway/test_registry.py
+++ b/godwitlanding/tests/gateway/test_registry.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from godwitlanding.gateway.registry import MAX_ENTRY_DELAY_S, Registry, Upstream
+from godwitlanding.gateway.registry import (
+    MAX_ENTRY_DELAY_S,
+    RECREATION_KNOWN_S,
+    Registry,
+    Upstream,
+)
 
 pytestmark = pytest.mark.looptime
 
@@ -113,6 +118,42 @@
     assert registry.get_leaving_numbers() == (registry.number_by_id["u"],)
 
 
+@pytest.mark.parametrize("is_restored", [False, True])
+async def test_upstream_that_is_registered_again_is_usable(is_restored):
+    # Guards against an upstream that is never used again because an earlier
+    # start of the same id has left. A restored entry is that earlier start's.
+    registry, _ = make_registry(make_upstream(0, leaving=True))
+    registry.remove_upstream("u")
+    if is_restored:
+        registry.note_restored()
+    registry.put_upstream(make_upstream(0))
+    assert registry.get_usable_ids("s", "a") == (() if is_restored else ("u",))
+
+
+async def test_late_report_of_another_vm_does_not_concern_the_next_start():
+    # Guards against an upstream that is never used again because a VM that
+    # does not know of its new entry yet reports that it is leaving.
+    registry, _ = make_registry(make_upstream(0, leaving=True))
+    registry.remove_upstream("u")
+    registry.put_upstream(make_upstream(0))
+    registry.note_leaving("u", "vm-2")
+    assert registry.get_usable_ids("s", "a") == ("u",)
+    # The upstream itself is believed at once, and other VMs later.
+    await asyncio.sleep(RECREATION_KNOWN_S)
+    registry.note_leaving("u", "vm-2")
+    assert registry.get_usable_ids("s", "a") == ()
+
+
+async def test_leaving_is_reported_while_the_store_has_an_older_entry():
+    # Guards against a VM that starts and reads the older entry only.
+    registry, _ = make_registry(make_upstream(0, leaving=True))
+    registry.note_older_entry("u")
+    assert registry.get_leaving_numbers() == (registry.number_by_id["u"],)
+    registry.put_upstream(make_upstream(0, leaving=True))
+    assert registry.get_leaving_numbers() == ()
+    registry.note_older_entry("unknown")
+
+
 async def test_leaving_is_reported_while_entries_do_not_say_so():
     registry, _ = make_registry(make_upstream(100))
     registry.note_leaving("u")
--- a/godwitlanding/tests/gateway/test_whole_path.py
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -218,6 +218,42 @@
     assert await world.resolve(world.vms[0]) == [world.vms[0].address]
 
 
+async def ask_all(world, vms, prefix, count=12):
+    """Send look-ups to each of the VMs."""
+    for number in range(count):
+        for vm in vms:
+            await world.ask(vm, f"/look/{prefix}-{number}")
+
+
+async def test_delayed_heartbeat_does_not_take_a_leaving_upstream_into_use(world):
+    # Guards against a VM that believes the older of two entries because the
+    # store has executed it last.
+    leaving = world.get_worker("look-1")
+    await world.register(leaving, "ready", 7)
+    await world.register(leaving, "draining", 10)
+    await asyncio.sleep(0.7)
+    await world.register(leaving, "ready", 8)
+    await asyncio.sleep(0.7)
+    leaving.ran.clear()
+    await ask_all(world, world.vms, "late")
+    assert not leaving.ran
+    # A VM that starts reads the delayed entry only; the others tell it.
+    started = world.vms[1]
+    await world.stop(started)
+    await started.start()
+    await world.wait_until_ready(started)
+    await asyncio.sleep(1.0)
+    leaving.ran.clear()
+    await ask_all(world, [started], "start")
+    assert not leaving.ran
+    # The entry is removed, and another start counts from 1 again.
+    await world.store.remove("servers", leaving.id)
+    await world.register(leaving, "ready", 1)
+    await asyncio.sleep(0.7)
+    await ask_all(world, world.vms, "again", 30)
+    assert leaving.ran
+
+
 async def test_planned_stop_fails_no_request(world):
     # A VM is stopped while callers use it. They continue until their directory
     # responses expire, and none of their requests may fail.
--- a/godwitlanding/tests/gateway/world.py
+++ b/godwitlanding/tests/gateway/world.py
@@ -249,9 +249,9 @@
         await self.register(worker)
         return worker
 
-    async def register(self, worker, state="ready"):
-        """Write an upstream's entry."""
-        await self.store.put("servers", worker.id, worker.make_entry(state))
+    async def register(self, worker, state="ready", seq=1):
+        """Write an upstream's entry, its ``seq``-th one."""
+        await self.store.put("servers", worker.id, worker.make_entry(state, seq))
 
     async def start(self):
         """Start all VMs; wait until all are ready and know each other."""
--- a/godwitlanding/tests/standins/standin_worker.py
+++ b/godwitlanding/tests/standins/standin_worker.py
@@ -92,8 +92,8 @@
         """Return the arrival time of each request."""
         return [at for _, at in self.arrivals]
 
-    def make_entry(self, state="ready"):
-        """Return the upstream's entry for the store."""
+    def make_entry(self, state="ready", seq=1):
+        """Return the upstream's entry for the store, its ``seq``-th one."""
         host, port = self.address
         return {
             "service": self.service,
@@ -103,7 +103,7 @@
             "slots": _SLOTS,
             "state": state,
             "cold_remaining": "0ms",
-            "seq": 1,
+            "seq": seq,
         }
 
     async def start(self):
