A request that offers an upgrade is answered once, with its body

Callers whose client offers an upgrade (Connection: Upgrade, Upgrade: h2c) got their response and then a 400 that belongs to no request.

Cause: after the header of such a request the parser takes what follows for the other protocol and stops. That was treated as a malformed request, although the request had been taken. A request with a body was complete for the parser at its header: it was forwarded without the body.

Fix: a new parser reads on, with the framing of the body if there is one.

--- a/godwitlanding/gateway/caller.py
+++ b/godwitlanding/gateway/caller.py
@@ -81,6 +81,15 @@
 _HEADER_LINE_OVERHEAD_BYTES = 4
 
 
+def get_framing(exchange):
+    """Return the header that frames the body, ``None`` without a body."""
+    for name in (b"transfer-encoding", b"content-length"):
+        value = exchange.get_header(name)
+        if value:
+            return name, value
+    return None
+
+
 class CallerConnection(asyncio.Protocol):
     """Reads requests and writes their responses in request order.
 
@@ -97,6 +106,8 @@
         self._transport = None
         self._exchanges = []
         self._reading = None
+        # Whether the parser is given the framing of a body once more.
+        self._resumes_body = False
         self._in_header = False
         self._header_bytes = 0
         self._unread_header_bytes = 0
@@ -126,8 +137,8 @@
         if self._reading is None:
             self._idle_since = self._loop.time()
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._parse(data)
+        except httptools.HttpParserError as error:
             if not self._closing:
                 self.refuse_and_close(400, repr(error))
             return
@@ -137,6 +148,29 @@
             self._unread_header_bytes += len(data)
             self._check_header(self._unread_header_bytes)
 
+    def _parse(self, data):
+        while data:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                (parsed_bytes,) = upgrade.args
+                data = data[parsed_bytes:]
+                self._replace_parser()
+
+    def _replace_parser(self):
+        """Go on after a request that asks for another protocol.
+
+        The parser takes what follows its header for that protocol. None is
+        offered, so it is the body of the request, or the next request.
+        """
+        self._parser = httptools.HttpRequestParser(self)
+        if self._reading:
+            framing = get_framing(self._reading)
+            self._resumes_body = True
+            self._parser.feed_data(b"POST / HTTP/1.1\r\n%b: %b\r\n\r\n" % framing)
+            self._resumes_body = False
+
     def eof_received(self):
         return False
 
@@ -163,7 +197,7 @@
     # Callbacks of the httptools parser.
 
     def on_message_begin(self):
-        if self._closing:
+        if self._closing or self._resumes_body:
             return
         self._reading = Exchange(self, self._loop.time())
         self._is_new = False
@@ -172,7 +206,7 @@
         self._unread_header_bytes = 0
 
     def on_url(self, url):
-        if self._closing:
+        if self._closing or self._resumes_body:
             return
         self._reading.target += url
         self._check_header(len(self._reading.target))
@@ -187,6 +221,8 @@
         self._check_header(self._header_bytes)
 
     def on_headers_complete(self):
+        if self._resumes_body:
+            return
         exchange = self._reading
         self._in_header = False
         if self._closing:
@@ -213,6 +249,9 @@
 
     def on_message_complete(self):
         exchange = self._reading
+        if exchange and self._parser.should_upgrade() and get_framing(exchange):
+            # Its body follows.
+            return
         self._reading = None
         if self._closing or exchange is None:
             return
--- a/godwitlanding/tests/gateway/test_whole_path.py
+++ b/godwitlanding/tests/gateway/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 import signal
 
 import aiohttp
@@ -379,6 +380,51 @@
     writer.close()
 
 
+@pytest.mark.parametrize(
+    ("request_line", "framing", "body", "expected"),
+    [
+        pytest.param(b"GET /look/1", b"", b"", b"", id="no body"),
+        pytest.param(
+            b"POST /pay/1", b"content-length: 5\r\n", b"hello", b"hello", id="length"
+        ),
+        pytest.param(
+            b"POST /pay/1", b"content-length: 0\r\n", b"", b"", id="empty body"
+        ),
+        pytest.param(
+            b"POST /pay/1",
+            b"transfer-encoding: chunked\r\n",
+            b"5\r\nhello\r\n0\r\n\r\n",
+            b"hello",
+            id="chunked",
+        ),
+    ],
+)
+async def test_request_that_offers_an_upgrade_is_answered_once(
+    world, request_line, framing, body, expected
+):
+    # Guards against a second response, which belongs to no request, and
+    # against a body that is lost.
+    host, _, port = world.vms[0].address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    upgrade = b"connection: upgrade\r\nupgrade: h2c\r\n"
+    first = b"%b HTTP/1.1\r\nhost: h\r\ngodwitlanding-request-id: u1\r\n%b%b\r\n%b"
+    second = b"GET /look/2 HTTP/1.1\r\nhost: h\r\ngodwitlanding-request-id: u2\r\n\r\n"
+    writer.write(first % (request_line, upgrade, framing, body) + second)
+    async with asyncio.timeout(5.0):
+        for request_id in (b"u1", b"u2"):
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            assert head.startswith(b"http/1.1 200 ")
+            assert b"godwitlanding-request-id: " + request_id in head
+            length = int(re.search(rb"content-length: (\d+)", head).group(1))
+            await reader.readexactly(length)
+    bodies = [worker.bodies.get("u1") for worker in world.get_all_workers()]
+    assert [body for body in bodies if body is not None] == [expected]
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.3):
+            await reader.read(1)
+    writer.close()
+
+
 async def test_pipelined_requests_are_answered_in_order(world):
     # A caller sends eight requests without waiting, and some take longer than
     # later ones. Responses sent in order of completion would be assigned to
--- a/godwitlanding/tests/gateway/world.py
+++ b/godwitlanding/tests/gateway/world.py
@@ -236,6 +236,10 @@
     async def prepare_vm(self, vm, number):
         """Hook for subclasses, called before a VM's settings are written."""
 
+    def get_all_workers(self):
+        """Return the stand-ins of all upstreams."""
+        return list(self._workers_by_id.values())
+
     def get_worker(self, worker_id):
         """Return the stand-in of an upstream."""
         return self._workers_by_id[worker_id]
