A leaving entry process refuses what may not end before it does

A request whose deadline is later than that end is now refused with STOPPING (not run) as soon as the process leaves, and goes to another VM.

Looked at besides: godwit-steer answers look-ups without waiting; godwit-zone hands over permits, which end with their requests.

--- a/godwitlanding/daemons/services/entryshutdown.py
+++ b/godwitlanding/daemons/services/entryshutdown.py
@@ -43,7 +43,7 @@
         """Drain and stop within ``stop_limit_s``; log pending requests."""
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        self._requests.begin_leaving()
+        self._requests.begin_leaving(started_at + self._limit_s - STOP_MARGIN_S)
         await self._announce()
         log_message("linger:serving_on", for_s=self._drain_s)
         await self._sleep(self._drain_s)
--- a/godwitlanding/daemons/services/requesthandler.py
+++ b/godwitlanding/daemons/services/requesthandler.py
@@ -1,6 +1,7 @@
 """Parses callers' requests, executes them and sends the responses."""
 
 import asyncio
+import math
 import re
 import uuid
 
@@ -20,6 +21,7 @@
 from godwitlanding.daemons.request import Request, compute_fingerprint
 from godwitlanding.daemons.requestreader import RequestReader
 from godwitlanding.daemons.responsewriter import ResponseWriter
+from godwitlanding.decisions.stopschedule import STOPPING_RETRY_S
 
 # A body up to this size is buffered before a permit is acquired, so that a
 # slow upload occupies no slot and the request can be retried.
@@ -37,6 +39,7 @@
 
     def __init__(self, context):
         self.is_leaving = False
+        self._end_at = math.inf
         self._started_at_by_id = {}
         self._context = context
         self._counters = context.counters
@@ -48,9 +51,13 @@
         self._executor = kernel.get("carrier")
         self._claims = kernel.get("claims")
 
-    def begin_leaving(self):
-        """Close each caller's connection after its next response."""
+    def begin_leaving(self, end_at):
+        """Close each caller's connection after its next response.
+
+        Requests that may not end by ``end_at`` are refused from now on.
+        """
         self.is_leaving = True
+        self._end_at = end_at
 
     def get_status(self):
         """Return the number of open requests and the age of the oldest."""
@@ -171,6 +178,8 @@
         if remaining.is_err():
             return remaining
         deadline = asyncio.get_running_loop().time() + remaining.unwrap()
+        if deadline > self._end_at:
+            return Err(make_refusal(Code.STOPPING, STOPPING_RETRY_S))
         length_refusal = self._check_length(value_by_name)
         body = (
             b""
--- a/godwitlanding/tests/daemons/test_entryshutdown.py
+++ b/godwitlanding/tests/daemons/test_entryshutdown.py
@@ -5,6 +5,7 @@
 import aiohttp
 import pytest
 
+from godwitlanding.base.headers import DEADLINE
 from godwitlanding.tests.daemons.support_entry import (
     ADDRESS,
     EntryHarness,
@@ -59,6 +60,25 @@
             await fetch(harness)
 
 
+@pytest.mark.parametrize(
+    ("deadline_s", "status"), [("0.5", 200), ("5", 503)], ids=["ends", "may not end"]
+)
+async def test_leaving_process_refuses_what_may_not_end(deadline_s, status):
+    # Guards against requests that run and are cut off by the end of the stop.
+    async def serve(writer, head, body):
+        writer.write(make_raw_response(head, b"x"))
+
+    async with EntryHarness(ADDRESS, [serve], stop_limit_s=3.0) as harness:
+        harness.kernel.get("linger")._sleep = lambda seconds: asyncio.sleep(0.5)
+        stop = asyncio.ensure_future(harness.kernel.stop())
+        await wait_until(lambda: harness.kernel.get("requests").is_leaving)
+        headers = {DEADLINE: deadline_s}
+        result, headers, _ = await fetch(harness, headers=headers)
+        assert result == status
+        assert len(harness.upstreams[0].heads) == (status == 200)
+        await stop
+
+
 async def test_stop_ends_at_its_limit():
     """A request that does not end must not block the stop forever."""
 
