The phases of a stop begin with the signal

A VM that got SIGTERM while it started counted its phases from the end of the start, so that it accepted requests that its kill could cut off. The kernel now tells when the signal arrives; a second one changes nothing.

--- a/godwitlanding/base/kernel.py
+++ b/godwitlanding/base/kernel.py
@@ -52,6 +52,8 @@
         self._stop_requested = asyncio.Event()
         self._has_failed = False
         self.stopping = asyncio.Event()
+        # Called when a stop signal arrives, also while services start.
+        self.on_stop_requested = []
 
     def get(self, name):
         """Return the service ``name``; raise ``KernelError`` if unknown."""
@@ -103,6 +105,11 @@
         self._has_failed = True
         self._stop_requested.set()
 
+    def _request_stop(self):
+        for callback in self.on_stop_requested:
+            callback()
+        self._stop_requested.set()
+
     async def run(self, reload=None):
         """Start, run until SIGTERM or SIGINT, then stop gracefully.
 
@@ -112,7 +119,7 @@
         """
         loop = asyncio.get_running_loop()
         for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, self._stop_requested.set)
+            loop.add_signal_handler(number, self._request_stop)
         loop.add_signal_handler(signal.SIGHUP, reload or _ignore_hangup)
         await self.start()
         log_message("kernel:started", services=self.get_names())
--- a/godwitlanding/decisions/stopschedule.py
+++ b/godwitlanding/decisions/stopschedule.py
@@ -48,7 +48,12 @@
         self._learned_at = 0.0
 
     def begin(self, now, stop_s):
-        """Begin the stop of a process that is killed after ``stop_s``."""
+        """Begin the stop of a process that is killed after ``stop_s``.
+
+        Only the first call counts.
+        """
+        if self.is_begun:
+            return
         self.is_begun = True
         self.close_at = now + CLOSE_AT_SHARE * stop_s
         self.refuse_at = now + REFUSE_AT_SHARE * stop_s
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -319,6 +319,11 @@
         self.relay_listener.stop_s = bounds.stop_s
         self.held_bytes.set_memory(settings.memory_mb)
 
+    def begin_stop(self):
+        """Count the time until the process is killed from now on."""
+        now = asyncio.get_running_loop().time()
+        self.stop_schedule.begin(now, self._settings.bounds.stop_s)
+
     def is_ready(self):
         """Return whether callers should be directed to this VM."""
         if not self.front.is_listening() or self.peers.leaving:
@@ -448,6 +453,7 @@
     path = arguments.settings
     program = Program(settings, arguments.metrics_port, counters)
     kernel = Kernel(program.make_services())
+    kernel.on_stop_requested.append(program.begin_stop)
     tasks = Tasks()
     tasks.repeat(FLUSH_INTERVAL_S, stream.flush)
     watch = SettingsWatch(program, path, changed_at)
--- a/godwitlanding/tests/decisions/test_stopschedule.py
+++ b/godwitlanding/tests/decisions/test_stopschedule.py
@@ -38,6 +38,14 @@
     assert StopSchedule().may_accept(1e9, math.inf, 0.0)
 
 
+def test_second_stop_signal_does_not_extend_the_stop():
+    schedule = StopSchedule()
+    schedule.begin(100.0, 6.0)
+    end_at = schedule.end_at
+    schedule.begin(102.0, 60.0)
+    assert schedule.end_at == end_at
+
+
 @pytest.mark.parametrize("stop_s", [1.0, 6.0, 10.0, 60.0])
 def test_phases_follow_each_other_before_the_kill(stop_s):
     schedule = StopSchedule()
