A delayed write does not bring a removed entry back

An upstream that never reports draining leaves by the removal of its entry. A heartbeat that the store executes after that creates the entry again, and VMs sent it requests until it expired.

A created entry is now held back for 10 s if it counts on at or below the last number that was known before the removal, at the same start of the upstream. One that has expired goes on above that number, and another start counts from 1: both are believed at once.

--- a/godwitlanding/gateway/mirror.py
+++ b/godwitlanding/gateway/mirror.py
@@ -27,7 +27,11 @@
 from godwitlanding.decisions.removalguard import STALE_ENTRY_TTL_S
 from godwitlanding.decisions.storereaders import STALLED_S
 from godwitlanding.gateway.changeset import ChangeSet, make_change_set
-from godwitlanding.gateway.valueorder import EntryOrder, ValueOrder
+from godwitlanding.gateway.valueorder import (
+    ACCEPT_AFTER_S,
+    EntryOrder,
+    ValueOrder,
+)
 
 # A call that the store accepted during an outage may never be answered
 # although its connection stays open; a watch that hangs like this is detected
@@ -381,9 +385,10 @@
         if self._on_known:
             self._on_known()
 
-    def _put(self, stored):
+    def _put(self, stored, is_trusted=False):
         held = self._object_by_name.get(stored.name)
         if self._value_order.begins_anew(stored, held):
+            self._value_order.forget(stored.name, held)
             log_message(
                 "mirror:created_anew",
                 kind=self.kind,
@@ -391,6 +396,7 @@
                 version=stored.version,
             )
             self._apply(stored.name, 0, None)
+            held = None
         chosen = self._value_order.choose(stored, held)
         is_refused = chosen.value is not stored.value
         stored = chosen
@@ -400,13 +406,28 @@
         if is_refused:
             self._note_refused(stored.name)
             return
-        self._reappeared.pop(stored.name, None)
+        was_reappeared = self._reappeared.pop(stored.name, None) is not None
         if self._may_be_gone(stored):
             log_message("mirror:return_held", kind=self.kind, name=stored.name)
             self._reappeared[stored.name] = stored
             return
+        is_new = held is None or was_reappeared
+        if is_new and not is_trusted and self._value_order.is_late_return(stored):
+            self._hold_late_return(stored)
+            return
         self._apply(stored.name, stored.version, stored.value)
 
+    def _hold_late_return(self, stored):
+        log_message("mirror:late_return_held", kind=self.kind, name=stored.name)
+        self._reappeared[stored.name] = stored
+        loop = asyncio.get_running_loop()
+        loop.call_later(ACCEPT_AFTER_S, self._apply_late_return, stored)
+
+    def _apply_late_return(self, stored):
+        if self._reappeared.get(stored.name) is stored:
+            del self._reappeared[stored.name]
+            self._apply(stored.name, stored.version, stored.value)
+
     def _note_refused(self, name):
         for notify in self.on_refused:
             notify(name)
@@ -421,7 +442,7 @@
         """Accept values that have stayed in the store although refused."""
         self._refused_timer = None
         for stored in self._value_order.take_due(_now(), self.is_current()):
-            self._put(stored)
+            self._put(stored, is_trusted=True)
         self._notify()
         if self._value_order.has_refused():
             self._check_refused_later()
@@ -438,8 +459,9 @@
         self._drop(name)
 
     def _drop(self, name):
-        self._value_order.forget(name)
-        if self._object_by_name.pop(name, None) is not None:
+        held = self._object_by_name.pop(name, None)
+        self._value_order.forget(name, held)
+        if held is not None:
             self._full_change_set = None
             self._removed.append(name)
             self._reappeared.pop(name, None)
--- a/godwitlanding/gateway/valueorder.py
+++ b/godwitlanding/gateway/valueorder.py
@@ -10,6 +10,8 @@
 """
 
 import asyncio
+import math
+from collections import OrderedDict
 
 from eliot import log_message
 
@@ -18,6 +20,7 @@
 # Delayed writes are executed within 6 s. A value of a lower order that is in
 # the store for longer is no delayed one: its writer counts anew.
 ACCEPT_AFTER_S = 10.0
+MAX_REMOVED = 4096
 
 
 class ValueOrder:
@@ -41,10 +44,14 @@
         """Return whether ``highest`` tells how many versions are known."""
         return self.get_order is not None
 
-    def forget(self, name):
-        """Forget an object that was removed."""
+    def forget(self, name, held):
+        """Forget an object that was removed; ``held`` is its last value."""
         self._order_by_name.pop(name, None)
 
+    def is_late_return(self, stored):
+        """Return whether an object was created again by a delayed write."""
+        return False
+
     def begins_anew(self, stored, held):
         """Return whether ``stored`` is of another object than ``held``."""
         return False
@@ -91,10 +98,10 @@
 class EntryOrder:
     """The order of entries that their writers renew.
 
-    ``get_order(value)`` returns a value that grows with each write within one
-    creation of an entry, ``None`` if it has no order. An entry that was
-    removed and created again, or comes from a restored copy of the store,
-    begins anew.
+    ``get_order(value)`` returns a pair that grows with each write within one
+    creation of an entry: the writer's start, and a number that it counts from
+    1; ``None`` without an order. An entry that was removed and created again,
+    or comes from a restored copy of the store, begins anew.
     """
 
     highest = 0
@@ -104,10 +111,34 @@
         self._get_order = get_order
         # Refused objects, and since when they are in the store.
         self._refused_by_name = {}
+        # The last objects of removed entries, and when they were removed.
+        self._removed_by_name = OrderedDict()
 
-    def forget(self, name):
-        """Forget an entry that was removed."""
+    def forget(self, name, held):
+        """Forget an entry that was removed; ``held`` is its last object."""
         self._refused_by_name.pop(name, None)
+        self._removed_by_name.pop(name, None)
+        if held is not None:
+            self._removed_by_name[name] = (held, _now())
+        if len(self._removed_by_name) > MAX_REMOVED:
+            self._removed_by_name.popitem(last=False)
+
+    def is_late_return(self, stored):
+        """Return whether an entry was created again by a delayed write.
+
+        Such a write goes on counting below the last one before the removal.
+        An entry that has expired is created again with a higher number, and
+        another start of its writer counts from 1.
+        """
+        last, removed_at = self._removed_by_name.get(stored.name, (None, -math.inf))
+        if _now() - removed_at > ACCEPT_AFTER_S:
+            return False
+        if get_era(stored.created) > get_era(last.version):
+            return False
+        order, last_order = self._get_order(stored.value), self._get_order(last.value)
+        if None in (order, last_order) or order[0] != last_order[0]:
+            return False
+        return 1 < order[1] <= last_order[1]
 
     def begins_anew(self, stored, held):
         """Return whether ``stored`` is of another start than ``held``.
--- a/godwitlanding/tests/base/test_store.py
+++ b/godwitlanding/tests/base/test_store.py
@@ -91,7 +91,7 @@
     second = (await store.put("config", "main", b"two", first)).unwrap()
     assert first < other < second
     found = (await store.get("config", "main")).unwrap()
-    assert found == ("config", "main", second, b"two")
+    assert found == ("config", "main", second, b"two", 0)
     assert (await store.list("config")).unwrap() == (found,)
     assert (await store.list("nothing")).unwrap() == ()
 
--- a/godwitlanding/tests/gateway/test_entry_order.py
+++ b/godwitlanding/tests/gateway/test_entry_order.py
@@ -60,6 +60,11 @@
         "ready",
         id="removed and created again",
     ),
+    pytest.param(
+        [Write(11, 5, 0, None), Write(14, 14, 42, "ready", 100)],
+        "ready",
+        id="expired and written again",
+    ),
     pytest.param(
         [Write(NEXT_ERA + 6, NEXT_ERA + 5, 30, "ready", 100)],
         "ready",
@@ -152,6 +157,24 @@
     assert setting.mirror.make_full_change_set().objects[0].version == 12
 
 
+@pytest.mark.parametrize("way", ["feed", "watch", "batch"])
+async def test_delayed_write_does_not_bring_a_removed_entry_back(way):
+    # Guards against requests to an upstream whose entry has been removed.
+    writes = [Write(11, 5, 0, None), Write(14, 14, 38, "ready", 100)]
+    if way == "feed":
+        setting = Setting()
+        setting.change(HELD, *writes)
+    else:
+        setting = Setting(*make_steps([HELD, *writes], way == "batch"))
+        setting.mirror.follow()
+        await asyncio.sleep(1.0)
+    assert setting.applied[-1] is None
+    # It is believed with its next write, or after some time.
+    await asyncio.sleep(ACCEPT_AFTER_S + 0.5)
+    assert setting.applied_state == "ready"
+    await setting.mirror.stop()
+
+
 @pytest.mark.parametrize("outage_s", [0.0, 30.0])
 async def test_entry_that_stays_in_the_store_is_accepted(outage_s):
     # Guards against an upstream that is never used again because it counts
