The soak stores late heartbeats and copies rejections

Upstreams that drain have an earlier heartbeat stored 0.4 s later, before their next one, and every upstream sends a copy of each rejection in front of the connection's next response.

--- a/godwitlanding/tests/soak/faultinjector.py
+++ b/godwitlanding/tests/soak/faultinjector.py
@@ -9,6 +9,10 @@
 # three heartbeats of 1.5 s; it may be removed earlier, as here.
 ENTRY_EXPIRY_S = 1.5
 DRAIN_S = 3.0
+# A draining upstream's earlier heartbeat is stored late, before its next one.
+DRAINING_SEQ = 10
+LATE_HEARTBEAT_S = 0.4
+NEXT_HEARTBEAT_S = 1.4
 SLOW_S = 0.6
 DELAY_S = 0.4
 STORE_DELAY_S = 0.7
@@ -165,9 +169,13 @@
     async def _drain(self, worker):
         if worker.id in self.drained_at_by_worker:
             return
-        await self._world.register(worker, "draining")
+        await self._world.register(worker, "draining", DRAINING_SEQ)
         self.drained_at_by_worker[worker.id] = self._loop.time()
-        await asyncio.sleep(DRAIN_S)
+        await asyncio.sleep(LATE_HEARTBEAT_S)
+        await self._world.register(worker, "ready", DRAINING_SEQ - 2)
+        await asyncio.sleep(NEXT_HEARTBEAT_S)
+        await self._world.register(worker, "draining", DRAINING_SEQ + 1)
+        await asyncio.sleep(DRAIN_S - LATE_HEARTBEAT_S - NEXT_HEARTBEAT_S)
         await self._restart(worker)
 
     async def _inject_store(self, fault):
--- a/godwitlanding/tests/soak/world.py
+++ b/godwitlanding/tests/soak/world.py
@@ -87,9 +87,10 @@
         self.caller_links.append(link)
         self._link_by_vm_address[f"{vm.ip}:{caller_port}"] = link
 
-    async def register(self, worker, state="ready"):
+    async def register(self, worker, state="ready", seq=1):
         """Write an upstream's entry with the address of its link."""
         worker.echoes = True
+        worker.copies_rejections = True
         worker.work_s = WORK_S
         worker.long_prefix = LONG_PREFIX
         if worker.zone in ("a1", "b1"):
@@ -102,7 +103,7 @@
             self._link_by_worker_address[worker.address] = link
             self.worker_links.append(link)
         host, port = link.address
-        entry = {**worker.make_entry(state), "address": f"{host}:{port}"}
+        entry = {**worker.make_entry(state, seq), "address": f"{host}:{port}"}
         await self.store.put("servers", worker.id, entry)
 
     def get_workers(self):
