Log the retries that the budget grants, with its counts

The log named only the retries that were denied. carrier:retry and carrier:retry_denied give the requests and retries that the process had counted and the VMs that it knew, which tells a restart that forgets apart from a fixed allowance granted anew and from callers who moved.

--- a/godwitlanding/decisions/retrybudget.py
+++ b/godwitlanding/decisions/retrybudget.py
@@ -15,6 +15,7 @@
 """
 
 from collections import deque
+from typing import NamedTuple
 
 USED_RATIO_SHARE = 0.75
 USED_SLACK_SHARE = 0.5
@@ -23,6 +24,13 @@
 MIN_SHARES = 8
 
 
+class RetryCounts(NamedTuple):
+    """What a VM counted for a service in the window that ends now."""
+
+    requests: int
+    retries: int
+
+
 class _Window:
     def __init__(self):
         self.requests = deque()
@@ -62,6 +70,11 @@
         window.retries.append(now)
         return True
 
+    def get_counts(self, service, now):
+        """Return the ``RetryCounts`` of a service."""
+        window = self._get_window(service, now)
+        return RetryCounts(len(window.requests), len(window.retries))
+
     def _get_window(self, service, now):
         window = self._window_by_service.get(service)
         if window is None:
--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -249,18 +249,19 @@
         if last[0] is Outcome.UNREACHED:
             # The request was not sent, so this is no repeat.
             return True
-        if self._budget.take(request.service, self.get_vm_count(), now):
-            self._counters.add("retries", reason=last[0].name)
-            return True
-        self._counters.add("retries_denied", reason=last[0].name)
+        vms = self.get_vm_count()
+        is_allowed = self._budget.take(request.service, vms, now)
+        counter = "retries" if is_allowed else "retries_denied"
+        self._counters.add(counter, reason=last[0].name)
         log_message(
-            "carrier:retry_denied",
+            "carrier:retry" if is_allowed else "carrier:retry_denied",
             request=request.request_id.decode("latin-1"),
             service=request.service,
             reason=last[0].name,
-            vms=self.get_vm_count(),
+            vms=vms,
+            **self._budget.get_counts(request.service, now)._asdict(),
         )
-        return False
+        return is_allowed
 
     def _may_end(self, choice, request, now):
         """Return whether an attempt may end before this VM does."""
--- a/godwitlanding/tests/decisions/test_retrybudget.py
+++ b/godwitlanding/tests/decisions/test_retrybudget.py
@@ -53,3 +53,12 @@
     while budget.take("s", 12, 0.0):
         pass
     assert budget.take("t", 12, 0.0)
+
+
+def test_counts_are_those_of_the_window():
+    budget = RetryBudget(RATIO, WINDOW_S, SLACK)
+    for now in (0.0, 5.0, 9.0):
+        budget.note_request("s", now)
+    assert budget.take("s", 12, 9.0)
+    assert budget.get_counts("s", 9.0) == (3, 1)
+    assert budget.get_counts("s", 12.0) == (2, 1)
--- a/godwitlanding/tests/gateway/test_requesthandler.py
+++ b/godwitlanding/tests/gateway/test_requesthandler.py
@@ -7,6 +7,7 @@
 
 from godwitlanding.base.metrics import Counters
 from godwitlanding.decisions.poison import STOP_S, PoisonLedger
+from godwitlanding.decisions.retrybudget import RetryCounts
 from godwitlanding.gateway.attempt import Outcome
 from godwitlanding.gateway.chooser import Choice, ChoiceReason, Rejection
 from godwitlanding.gateway.contention import Result
@@ -33,7 +34,10 @@
         self.reason = reason
         self.results = []
         self.running = self.most_running = 0
-        budget = SimpleNamespace(take=lambda *arguments: True)
+        budget = SimpleNamespace(
+            take=lambda *arguments: True,
+            get_counts=lambda *arguments: RetryCounts(0, 0),
+        )
         poison = poison or SimpleNamespace(
             is_stopped=lambda *row: True,
             may_send=lambda *row: bool(reason or self.outcomes),
