--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -14,6 +14,7 @@
 from godwitlanding.base.logstream import set_up_log_stream
 from godwitlanding.base.loophealth import LoopHealth
 from godwitlanding.base.metrics import Counters, make_meter, render_metrics
+from godwitlanding.base.suspension import get_suspended_s
 from godwitlanding.base.tasks import Tasks, start_task
 from godwitlanding.decisions.allotment import Allotments
 from godwitlanding.decisions.fleet import Fleet
@@ -101,7 +102,11 @@
         self.poison_ledger = PoisonLedger()
         bounds = settings.bounds
         self.retry_budget = RetryBudget(
-            bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+            bounds.retry_ratio,
+            bounds.retry_window_s,
+            bounds.retry_slack,
+            loop.time(),
+            get_suspended_s,
         )
         self.store = ObjectStore(settings.store_address, counters)
         self.registry = Registry(settings.region_by_zone)
@@ -323,6 +328,7 @@
         """Count the time until the process is killed from now on."""
         now = asyncio.get_running_loop().time()
         self.stop_schedule.begin(now, self._settings.bounds.stop_s)
+        self.retry_budget.begin_stop()
 
     def is_ready(self):
         """Return whether callers should be directed to this VM."""
--- a/godwitlanding/tests/gateway/test_requesthandler.py
+++ b/godwitlanding/tests/gateway/test_requesthandler.py
@@ -36,7 +36,7 @@
         self.running = self.most_running = 0
         budget = SimpleNamespace(
             take=lambda *arguments: True,
-            get_counts=lambda *arguments: RetryCounts(0, 0),
+            get_counts=lambda *arguments: RetryCounts(0, 0.0),
         )
         poison = poison or SimpleNamespace(
             is_stopped=lambda *row: True,
