Retries are paid by what a process has earned

Cause: a bound on a sum over all VMs was kept by parts in each process's memory. A process spent in a burst what the requests of the 10 s before had earned; its successor earned anew from its first request, got its part of the fixed allowance at once (2.8 retries with one to four requests counted), and knew nothing of the former retries.

Only the first start of the whole system begins with a part, as nobody has spent any before; the tests' VMs state that it is one, as the platform does.

--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -251,13 +251,16 @@
             return True
         vms = self.get_vm_count()
         is_allowed = self._budget.take(request.service, vms, now)
-        counter = "retries" if is_allowed else "retries_denied"
-        self._counters.add(counter, reason=last[0].name)
+        reason = last[0].name
+        if is_allowed:
+            self._counters.add("retries", reason=reason)
+        else:
+            self._counters.add("retries_denied", reason=reason)
         log_message(
             "carrier:retry" if is_allowed else "carrier:retry_denied",
             request=request.request_id.decode("latin-1"),
             service=request.service,
-            reason=last[0].name,
+            reason=reason,
             vms=vms,
             **self._budget.get_counts(request.service, now)._asdict(),
         )
--- a/godwitlanding/platform/settings.py
+++ b/godwitlanding/platform/settings.py
@@ -61,6 +61,8 @@
     bounds: Bounds
     # Memory of the VM in MB; ``None`` if it is not stated.
     memory_mb: float | None = None
+    # Whether the whole system starts for the first time.
+    is_first_start: bool = False
 
 
 _MISSING = object()
@@ -139,6 +141,7 @@
         capacity=_build_capacity(reader),
         bounds=_build_bounds(reader),
         memory_mb=reader.get_value("self.limits.memory_mb", _read_memory_mb, None),
+        is_first_start=reader.get_value("self.bootstrap", bool, False),
     )
 
 
--- a/godwitlanding/program.py
+++ b/godwitlanding/program.py
@@ -105,7 +105,7 @@
             bounds.retry_ratio,
             bounds.retry_window_s,
             bounds.retry_slack,
-            loop.time(),
+            _get_earning_start(settings, loop.time()),
             get_suspended_s,
         )
         self.store = ObjectStore(settings.store_address, counters)
@@ -437,6 +437,16 @@
         )
 
 
+def _get_earning_start(settings, now):
+    """Return since when this VM earns a part of the allowance of retries.
+
+    Before the first start of the whole system nobody has spent any.
+    """
+    if settings.is_first_start:
+        return now - settings.bounds.retry_window_s
+    return now
+
+
 async def _run_in_steps(steps):
     """Return the generator's value; other tasks run between its steps."""
     while True:
--- a/godwitlanding/tests/gateway/world.py
+++ b/godwitlanding/tests/gateway/world.py
@@ -143,6 +143,7 @@
 ip = "{self.ip}"
 zone = "{self.zone}"
 region = "{self.region_by_zone[self.zone]}"
+bootstrap = true
 {limits}
 [network]
 internal_port_range = [{peer},{peer + 1}]
@@ -161,6 +162,11 @@
 
     async def start(self):
         """Start the process."""
+        if self.process:
+            settings = self.path.read_text()
+            self.path.write_text(
+                settings.replace("bootstrap = true", "bootstrap = false")
+            )
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", self.module),
