Answers without end hold neither memory nor callers

Upstreams in trouble may send without end, in a head or a body. Eight callers of such an upstream, a VM of 200 MB: its process grew to 246 MB (a header line), 334 (headers), 187 (a header name), 243 (a trailer line), beyond what the VM has, so that it is killed with all its requests. Others (status line, interim responses, chunk extension, an answer to another request) held their callers until the deadline, though another upstream was there. A caller's endless trailer line took 141 MB of 120 in 3 s. Each reply of the store, and of the daemons' platform, was held whole however long.

Cause: the parser reports a line when it is complete and keeps it until then, and only bodies were counted.

A connection now fails after 64 KB in a row that bring no part of a body, after 1 MB of an answer to another request, and after 16 MB of one that is not streamed. A streamed response of unknown length, or of more than 16 MB, that the upstream has not ended at the caller's deadline is aborted, logged (carrier:stream_expired) and counted (streams_expired); one of stated length goes on to a slow caller. The daemons' client bounds head, pauses and body.

Tests with the stand-in EndlessServer: before, 18 of 26 cases of VM and store red, the trailer line of 7 of callers, and the daemons' client had no bound; after, all 46 green.

--- a/godwitlanding/base/httpclient.py
+++ b/godwitlanding/base/httpclient.py
@@ -8,6 +8,8 @@
 safe.
 """
 
+import asyncio
+
 import aiohttp
 
 
@@ -24,3 +26,22 @@
     # same attribute.
     session._retry_connection = False
     return session
+
+
+async def read_body(response, max_bytes, max_pause_s):
+    """Return the body of a response of at most ``max_bytes``.
+
+    Raises ``aiohttp.ClientPayloadError`` for a longer one, which a server in
+    trouble may send without end, and ``TimeoutError`` if no part of it arrives
+    for ``max_pause_s``; its framing does not count as a part.
+    """
+    body = bytearray()
+    while True:
+        async with asyncio.timeout(max_pause_s):
+            data = await response.content.readany()
+        if not data:
+            return bytes(body)
+        body += data
+        if len(body) > max_bytes:
+            response.close()
+            raise aiohttp.ClientPayloadError(f"a body of over {max_bytes} bytes")
--- a/godwitlanding/base/store.py
+++ b/godwitlanding/base/store.py
@@ -4,6 +4,7 @@
 only the code that calls it knows whether repeating a call is safe.
 """
 
+import asyncio
 import base64
 import json
 from typing import NamedTuple
@@ -15,7 +16,7 @@
 from yarl import URL
 
 from godwitlanding.base.codes import Code, make_refusal
-from godwitlanding.base.httpclient import make_session
+from godwitlanding.base.httpclient import make_session, read_body
 from godwitlanding.base.storetypes import (
     MAX_VALUE_BYTES,
     StoredObject,
@@ -43,6 +44,8 @@
 # A write has as much more time as its value takes at this rate.
 _MIN_BYTES_PER_S = 64 << 10
 # High enough that slow calls do not block others on a full connection pool.
+# Lists of many objects take some megabytes.
+MAX_RESPONSE_BYTES = 64 << 20
 _MAX_CONNECTIONS = 64
 
 
@@ -139,10 +142,13 @@
         timeout = self._make_timeout(extra_s, keywords.get("data"))
         url = URL(self._url + path, encoded=True)
         try:
-            async with self._get_session().request(
-                method, url, timeout=timeout, **keywords
-            ) as response:
-                body = await response.read()
+            # A server in trouble may send interim responses without end.
+            async with asyncio.timeout(timeout.total or self._timeout_s + extra_s):
+                response = await self._get_session().request(
+                    method, url, timeout=timeout, **keywords
+                )
+            async with response:
+                body = await read_body(response, MAX_RESPONSE_BYTES, self._timeout_s)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _make_unavailable(repr(error))
         copies = _read_copies(response.headers.get(_COPIES_HEADER, ""))
--- a/godwitlanding/gateway/caller.py
+++ b/godwitlanding/gateway/caller.py
@@ -110,7 +110,10 @@
         self._resumes_body = False
         self._in_header = False
         self._header_bytes = 0
-        self._unread_header_bytes = 0
+        # Whether the data being parsed has no part of a body.
+        self._is_framing = True
+        # Received since the last part of a body, or since the request began.
+        self._framing_bytes = 0
         self._closing = False
         self._is_new = True
         self._pauses = set()
@@ -142,11 +145,12 @@
             if not self._closing:
                 self.refuse_and_close(400, repr(error))
             return
-        if self._in_header:
-            # The parser reports a header line only when it is complete, so an
-            # endless line is limited here.
-            self._unread_header_bytes += len(data)
-            self._check_header(self._unread_header_bytes)
+        if self._reading and self._is_framing:
+            # The parser reports a line of the header, or of the trailer, only
+            # when it is complete, so an endless line is limited here.
+            self._framing_bytes += len(data)
+            self._check_header(self._framing_bytes)
+        self._is_framing = True
 
     def _parse(self, data):
         while data:
@@ -202,8 +206,9 @@
         self._reading = Exchange(self, self._loop.time())
         self._is_new = False
         self._in_header = True
+        self._is_framing = True
         self._header_bytes = 0
-        self._unread_header_bytes = 0
+        self._framing_bytes = 0
 
     def on_url(self, url):
         if self._closing or self._resumes_body:
@@ -225,6 +230,8 @@
             return
         exchange = self._reading
         self._in_header = False
+        self._is_framing = False
+        self._framing_bytes = 0
         if self._closing:
             return
         exchange.method = self._parser.get_method()
@@ -238,6 +245,8 @@
             self.send_continue(exchange)
 
     def on_body(self, data):
+        self._is_framing = False
+        self._framing_bytes = 0
         if self._closing:
             return
         if self._intake:
--- a/godwitlanding/gateway/relayhandler.py
+++ b/godwitlanding/gateway/relayhandler.py
@@ -140,7 +140,7 @@
         if response is None:
             self._respond(exchange, result)
         elif response.is_stream:
-            sink.begin(response)
+            sink.begin(response, request.deadline_at)
         else:
             headers = self._make_headers(response, result)
             exchange.respond(response.status, headers, response.body)
--- a/godwitlanding/gateway/requesthandler.py
+++ b/godwitlanding/gateway/requesthandler.py
@@ -1,6 +1,7 @@
 """Handles a caller's request: admission, attempts, one final response."""
 
 import asyncio
+from functools import partial
 
 from eliot import log_message
 
@@ -335,12 +336,21 @@
 
     def _forward(self, exchange, request, response, sink):
         if response.is_stream:
-            sink.begin(response)
+            sink.on_expired = partial(self._note_expired, request)
+            sink.begin(response, request.deadline_at)
             return
         headers = self._make_headers(response)
         exchange.respond(response.status, headers, response.body)
         self._log_done(exchange, "answered", response.status, request)
 
+    def _note_expired(self, request):
+        self._counters.add("streams_expired")
+        log_message(
+            "carrier:stream_expired",
+            request=request.request_id.decode("latin-1"),
+            service=request.service,
+        )
+
     def _make_headers(self, response):
         return select_headers(response.headers, _DROPPED_HEADERS)
 
--- a/godwitlanding/gateway/stream.py
+++ b/godwitlanding/gateway/stream.py
@@ -1,5 +1,12 @@
 """Streams a response that is too long to buffer to its caller."""
 
+import asyncio
+
+# A response that the upstream has not ended at the caller's deadline is
+# finished all the same if this much is stated as its length; a longer one, or
+# one of unknown length, may be endless.
+MAX_LATE_BYTES = 16 << 20
+
 
 class StreamSink:
     """Writes a response to its caller as it arrives from the upstream.
@@ -16,8 +23,13 @@
         self._pending = []
         self._end = None
         self._source = None
+        self._expiry = None
         # Called when the upstream fails after the response has begun.
         self.on_failed = lambda: None
+        # Called when the response has not ended in time.
+        self.on_expired = lambda: None
+        # Resets the upstream's connection.
+        self.abort_source = lambda: None
 
     def set_source(self, source):
         """Set the upstream's connection, which is paused until ``begin``.
@@ -28,8 +40,12 @@
         self._source = source
         source.pause_reading()
 
-    def begin(self, response):
-        """Write status line, headers and the body received so far."""
+    def begin(self, response, end_at=None):
+        """Write status line, headers and the body received so far.
+
+        At ``end_at``, if stated, a response that may be endless is aborted
+        unless the upstream has ended it. Nobody waits for it any longer.
+        """
         headers = self._make_headers(response)
         length = response.get_header(b"content-length")
         self._chunked = not length
@@ -38,6 +54,9 @@
             framing = (b"transfer-encoding", b"chunked")
         self._exchange.begin_response(response.status, [*headers, framing])
         self._begun = True
+        if end_at is not None and not self._end and _may_be_endless(length):
+            loop = asyncio.get_running_loop()
+            self._expiry = loop.call_at(end_at, self._expire)
         self._write(response.body)
         for data in self._pending:
             self._write(data)
@@ -63,6 +82,7 @@
         if not self._begun:
             self._end = self.finish
             return
+        self._cancel_expiry()
         if self._chunked:
             self._exchange.write(b"0\r\n\r\n")
         self._exchange.finish()
@@ -72,9 +92,21 @@
         if not self._begun:
             self._end = self.fail
             return
+        self._cancel_expiry()
         self.on_failed()
         self._exchange.abort()
 
+    def _expire(self):
+        if not self._exchange.gone:
+            self.on_expired()
+            self._exchange.abort()
+        self.abort_source()
+
+    def _cancel_expiry(self):
+        if self._expiry:
+            self._expiry.cancel()
+            self._expiry = None
+
     def _write(self, data):
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
@@ -89,3 +121,7 @@
             self._exchange.on_drained = self._follow_caller
         else:
             self._source.resume_reading()
+
+
+def _may_be_endless(length):
+    return not length.isdigit() or int(length) > MAX_LATE_BYTES
--- a/godwitlanding/gateway/upstream.py
+++ b/godwitlanding/gateway/upstream.py
@@ -47,6 +47,12 @@
 MAX_BUFFERED_BYTES = 1 << 20
 # Limit for successful responses while many bytes are held.
 TIGHT_BUFFERED_BYTES = 64 << 10
+# A faulty upstream may send without end. A connection fails after this many
+# bytes in a row that are no part of a body: head, interim responses, framing.
+MAX_FRAMING_BYTES = 64 << 10
+# A response that is not streamed is held as a whole. The store's largest are
+# pages of 1 MB.
+MAX_HELD_BYTES = 16 << 20
 
 
 class UpstreamFailure(Enum):
@@ -110,6 +116,8 @@
         self._without_body = False
         self._sent_at = 0.0
         self._timeout_timer = None
+        # Received since the last part of a body.
+        self._framing_bytes = 0
         self.is_open = False
         self.reusable = True
         self.idle_since = 0.0
@@ -133,6 +141,7 @@
         self._note_sent(request_id, respond_by)
         self._without_body = without_body
         self._sink = sink
+        self._framing_bytes = 0
         # Otherwise the response to an earlier request would pass for the
         # beginning of this one's when the connection is lost.
         self._reset_response()
@@ -198,11 +207,15 @@
             return
         if self.on_data:
             self.on_data()
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(UpstreamFailure.GARBAGE, repr(error))
-            self.abort()
+            self._fail_as_garbage(repr(error))
+            return
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            # The parser reports a line only when it is complete.
+            self._fail_as_garbage(f"{self._framing_bytes} bytes without a body")
 
     def eof_received(self):
         # A response without a length ends with the connection.
@@ -240,6 +253,7 @@
         if self._status < 200:
             return
         self._has_head = True
+        self._framing_bytes = 0
         names = {name for name, _ in self._headers}
         has_framing = b"content-length" in names or b"transfer-encoding" in names
         has_no_body = self._without_body or self._status in (204, 304)
@@ -258,15 +272,23 @@
             self._complete()
 
     def on_body(self, data):
-        if self._is_foreign or self._is_complete:
+        self._framing_bytes = 0
+        if self._is_complete or (self._waiter is None and self._sink is None):
             return
         if self._streaming:
             self._sink.write(data)
             return
-        self._chunks.append(data)
         self._size += len(data)
-        if self._size > self._get_max_buffered() and self._sink and self._waiter:
-            self._begin_stream()
+        if self._is_foreign:
+            if self._size > MAX_BUFFERED_BYTES:
+                self._fail_as_garbage("an endless response to another request")
+            return
+        self._chunks.append(data)
+        if self._sink:
+            if self._size > self._get_max_buffered():
+                self._begin_stream()
+        elif self._size > MAX_HELD_BYTES:
+            self._fail_as_garbage(f"a body of over {MAX_HELD_BYTES} bytes")
         self._count()
 
     def on_message_complete(self):
@@ -321,6 +343,7 @@
 
     def _begin_stream(self):
         self._streaming = True
+        self._sink.abort_source = self.abort
         if self._hold:
             self._sink.set_source(self)
         waiter, self._waiter = self._waiter, None
@@ -358,6 +381,11 @@
         self._count()
         waiter.set_result(Response(self._status, self._headers, body, False))
 
+    def _fail_as_garbage(self, detail):
+        self._fail(UpstreamFailure.GARBAGE, detail)
+        self._chunks = []
+        self.abort()
+
     def _fail(self, failure, detail):
         if self._sink and self._streaming:
             sink, self._sink = self._sink, None
