A VM that is cut off itself does not reject relayed requests for good

It found no upstream and answered "none usable", which was final, though other VMs were in touch (traced then).

Such a VM now waits for the probe that is under way, and answers that the request was not sent, so that the first VM relays it to another one.

--- a/godwitlanding/gateway/relayhandler.py
+++ b/godwitlanding/gateway/relayhandler.py
@@ -33,7 +33,7 @@
     """Handles requests that were admitted by VMs that are cut off."""
 
     name = "relayhandler"
-    needs = ("admission", "chooser", "courier")
+    needs = ("admission", "chooser", "courier", "reach")
 
     def __init__(self, names, poison, counters):
         self._names = names
@@ -43,6 +43,7 @@
         self._admission = None
         self._chooser = None
         self._upstream_client = None
+        self._reach = None
         self.stop_schedule = StopSchedule()
 
     async def start(self, kernel):
@@ -50,6 +51,7 @@
         self._admission = kernel.get("admission")
         self._chooser = kernel.get("chooser")
         self._upstream_client = kernel.get("courier")
+        self._reach = kernel.get("reach")
 
     def get_in_progress(self):
         """Return the number of requests in progress."""
@@ -118,7 +120,12 @@
             return
         choice = self._chooser.choose(request, set(fields.tried), now)
         if isinstance(choice, Rejection):
-            self._respond(exchange, RelayResult(Outcome.REJECTED, choice.reason))
+            # This VM may just have been cut off itself, which says nothing of
+            # the service; the request may go to yet another VM.
+            await self._reach.settle()
+            is_cut_off = self._reach.is_cut_off()
+            outcome = Outcome.UNREACHED if is_cut_off else Outcome.REJECTED
+            self._respond(exchange, RelayResult(outcome, choice.reason))
             return
         finish_s = self._chooser.get_finish_s(request, choice)
         if not self.stop_schedule.may_accept(request.respond_by, finish_s, now):
