--- a/godwitlanding/tests/soak/faultinjector.py
+++ b/godwitlanding/tests/soak/faultinjector.py
@@ -25,6 +25,8 @@
 UPSTREAM_LIMIT_PER_S = 1.5
 LIMIT_EXTRA_S = 6.0
 PAUSE_S = 1.5
+# An upstream that breaks off its responses sends endless ones after that.
+ENDLESS_S = 0.5
 # An upstream that reports that it leaves keeps serving for this long.
 LEAVE_S = 5.0
 
@@ -122,6 +124,9 @@
         else:
             worker.fault = fault.kind
             await asyncio.sleep(fault.for_s)
+            if fault.kind == "cut":
+                worker.fault = "endless"
+                await asyncio.sleep(ENDLESS_S)
             worker.fault = ""
 
     async def _inject_self_report(self, fault):
--- a/godwitlanding/tests/standins/standin_worker.py
+++ b/godwitlanding/tests/standins/standin_worker.py
@@ -11,6 +11,8 @@
 
 _SLOTS = 3
 _QUEUE_LENGTH = 9
+_FILLER = b"x" * (16 << 10)
+_FILLER_PAUSE_S = 0.005
 # About 4 KB with ids of ten letters, which is more than one packet.
 ECHO_REPEATS = 400
 # About 600 KB, which is more than the buffers on its way hold.
@@ -32,8 +34,9 @@
     ``fault`` applies to all following requests. It is empty or one of
     ``crash`` (stops listening and resets all connections instead of
     responding), ``reset`` (resets the connection of the request), ``shed``
-    (rejects without running), ``fail`` (responds with 500) and ``cut``
-    (closes the connection within the response body).
+    (rejects without running), ``fail`` (responds with 500), ``cut`` (closes
+    the connection within the response body) and ``endless`` (sends a header
+    line that does not end).
     """
 
     def __init__(self, worker_id, service, host, port, zone, work_s=0.02):
@@ -178,8 +181,17 @@
                 await self._do_work(reader)
         finally:
             self._in_progress -= 1
+        if self.fault == "endless":
+            await self._send_without_end(writer)
         self._respond(writer, request_id, path)
 
+    async def _send_without_end(self, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nX-Long: ")
+        while True:
+            writer.write(_FILLER)
+            await writer.drain()
+            await asyncio.sleep(_FILLER_PAUSE_S)
+
     async def _do_work(self, reader):
         # Data or an end of file during the work means that the sender has
         # disconnected.
