--- a/godwitlanding/tests/gateway/test_endless_answers.py
+++ b/godwitlanding/tests/gateway/test_endless_answers.py
@@ -1,21 +1,21 @@
 """Answers without end hold neither a VM's memory nor its callers."""
 
 import asyncio
-import re
-from pathlib import Path
 
 import pytest
 
 from godwitlanding.base.metrics import Counters, make_meter
 from godwitlanding.gateway.upstream import MAX_HELD_BYTES
 from godwitlanding.platform.store import ObjectStore
+from godwitlanding.tests.gateway.test_bytesheld_vm import (
+    MAX_PROCESS_MB,
+    MEMORY_MB,
+    get_peak_mb,
+)
 from godwitlanding.tests.gateway.world import World
 from godwitlanding.tests.memory import measure_held
 from godwitlanding.tests.standins.endless import ANSWERS, EndlessServer
 
-MEMORY_MB = 200
-# A VM of 200 MB is to stay below this.
-MAX_PROCESS_MB = 120
 CALLERS = 8
 DEADLINE_S = 2.0
 # The caller's way to the VM and back, and its response.
@@ -27,12 +27,6 @@
 SEND_S = 3.0
 
 
-def get_peak_mb(vm):
-    """Return the most memory that the process of a VM has had."""
-    status = Path(f"/proc/{vm.process.pid}/status").read_text()
-    return int(re.search(r"VmHWM:\s+(\d+) kB", status).group(1)) / 1000
-
-
 def limit_memory(vm):
     """State the memory of a VM in its settings."""
     limits = f"\n[self.limits]\nmemory_mb = {MEMORY_MB}\n"
--- a/godwitlanding/tests/load/retry_model.py
+++ b/godwitlanding/tests/load/retry_model.py
@@ -76,19 +76,16 @@
         return now >= self.quiet_until and super().take(vms, now)
 
 
-class ShortCredit:
-    """Two thirds of the ratio, each request's part for half a window."""
+class _Credit:
+    """The product's budget for one service, with bounds of its own."""
 
-    ratio_share = 2 / 3
-    kept_s = WINDOW_S / 2
+    ratio = RATIO
+    window_s = WINDOW_S
+    slack = SLACK
 
     def __init__(self, started_at, get_suspended_s):
         self.budget = RetryBudget(
-            2 * self.ratio_share * RATIO,
-            self.kept_s,
-            SLACK / 2,
-            started_at,
-            get_suspended_s,
+            self.ratio, self.window_s, self.slack, started_at, get_suspended_s
         )
 
     def note_request(self, now):
@@ -98,11 +95,16 @@
         return self.budget.take("s", vms, now)
 
 
-class EarnedCredit(ShortCredit):
-    """Half of the ratio, each request's part for a window."""
+class ShortCredit(_Credit):
+    """Two thirds of the ratio, each request's part for half a window."""
 
-    def __init__(self, started_at, get_suspended_s):
-        self.budget = RetryBudget(RATIO, WINDOW_S, SLACK, started_at, get_suspended_s)
+    ratio = 4 / 3 * RATIO
+    window_s = WINDOW_S / 2
+    slack = SLACK / 2
+
+
+class EarnedCredit(_Credit):
+    """Half of the ratio, each request's part for a window."""
 
 
 DESIGNS = (CountedWindow, QuietStart, ShortCredit, EarnedCredit)
