--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -38,8 +38,8 @@
 class Record:
     """Writes one line for each thing that is seen, with seconds since start."""
 
-    def __init__(self, folder):
-        self._file = open(Path(folder) / "record.txt", "w")
+    def __init__(self, folder, name="record.txt"):
+        self._file = open(Path(folder) / name, "w")
         self._began = time.monotonic()
 
     def now(self):
@@ -565,13 +565,13 @@
     raise CouldNotRun("the machines did not become ready")
 
 
-def run_case(folder, case):
+def run_case(folder, case, record_name="record.txt"):
     """Run ``await case(record, net, temporary folder)`` and exit.
 
     ``case`` returns whether the rule was broken; it adds what it starts to
     the list ``started``, whose ``end()`` or ``stop()`` is called in any case.
     """
-    record = Record(folder)
+    record = Record(folder, record_name)
     started = []
     code = EXIT_COULD_NOT_RUN
     with tempfile.TemporaryDirectory() as temporary:
