--- /dev/null
+++ b/review/found/ready-answers-at-stop/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+cd "$(dirname "$0")" || exit 2
+PYTHONPATH=../.. exec python3 run.py
